--- /dev/null
+++ b/src/protocol/caller/CallerRequest.ts
@@ -0,0 +1,64 @@
+import type { NotRunReason, RequestStatus, UnknownReason } from '../../state/Outcome.ts';
+
+/** A caller's request, checked as far as that is possible without configuration. */
+export interface CallerRequest {
+  /** Undefined where the caller left the minting to the entry. */
+  readonly id: string | undefined;
+  /** Account key as presented; never logged. */
+  readonly key: string;
+  readonly method: string;
+  /** Path with query, such as `/v1/chat/completions` or `/services/holds/42`. */
+  readonly path: string;
+  readonly headers: Readonly<Record<string, string>>;
+  readonly body: Uint8Array;
+  readonly remainingMs: number | undefined;
+  readonly idempotent: boolean | undefined;
+  /** Set where another entry passed the request on: it isn't passed on again. */
+  readonly forwarded: boolean;
+}
+
+/** A refusal of the request as it stands; it was not run. */
+export interface CallerError {
+  readonly status: number;
+  /** Stable, for programs. */
+  readonly code: string;
+  readonly message: string;
+}
+
+/** Where an answer goes. `head` comes before parts; exactly one of `end`, `cut`, `refuse`, `tellNotRun` and `tellUnknown` comes last. */
+export interface CallerAnswer {
+  /** The request's id, told in every answer's head. */
+  readonly identify: (id: string) => void;
+  readonly head: (status: number, headers: Readonly<Record<string, string>>) => void;
+  readonly part: (bytes: Uint8Array) => void;
+  readonly event: (data: string, index: number) => void;
+  readonly end: () => void;
+  /** Breaks the answer off so that its reader can't take it for whole. */
+  readonly cut: (reason: UnknownReason) => void;
+  readonly refuse: (error: CallerError) => void;
+  readonly tellNotRun: (reason: NotRunReason, retryAfterMs: number) => void;
+  readonly tellUnknown: (reason: UnknownReason) => void;
+  /** Whether the head has gone out. */
+  readonly started: () => boolean;
+  /** Called once if the caller leaves before the end. */
+  readonly onLeave: (handler: () => void) => void;
+}
+
+/** One address that a caller may use, with the prefix of the ids that it owns. */
+export interface EntryAddress {
+  readonly address: string;
+  readonly failureDomain: string;
+  readonly requestIdPrefix: string;
+}
+
+/** What the caller-facing server asks of the layers below. */
+export interface CallerService {
+  readonly entries: () => { readonly entries: readonly EntryAddress[]; readonly keepForMs: number };
+  readonly serve: (request: CallerRequest, answer: CallerAnswer) => void;
+  readonly status: (id: string, key: string) => Promise<RequestStatus | undefined>;
+  readonly ready: () => boolean;
+  readonly metrics: () => Promise<string>;
+  /** Models that the account of the key may use, or undefined where the key is unknown. */
+  readonly models: (key: string) => readonly string[] | undefined;
+  readonly drain: () => void;
+}
--- /dev/null
+++ b/src/state/Decision.ts
@@ -0,0 +1,72 @@
+import type { NotRunReason, Outcome } from './Outcome.ts';
+
+/** One endpoint that was weighed for a request. */
+export interface Candidate {
+  readonly endpoint: string;
+  readonly estimateMs: number;
+}
+
+interface RequestSubject {
+  readonly requestId: string;
+  readonly account: string;
+  readonly tier: number;
+  readonly pool: string;
+}
+
+/** A routing or placement decision. Each is written to the log as one line. */
+export type Decision =
+  | (RequestSubject & {
+      readonly _tag: 'placed';
+      readonly candidates: readonly Candidate[];
+      readonly choice: string;
+      readonly version: string;
+      readonly estimateMs: number;
+      readonly waitedMs: number;
+      readonly reason: string;
+    })
+  | (RequestSubject & {
+      readonly _tag: 'refused';
+      readonly reason: NotRunReason;
+      readonly detail: string;
+      readonly retryAfterMs: number;
+      /** Requests of lower tiers in the pool at that moment; a checker looks for inversions here. */
+      readonly lowerTierWaiting: number;
+      readonly lowerTierRunning: number;
+    })
+  | (RequestSubject & {
+      readonly _tag: 'suspended';
+      readonly endpoint: string;
+      readonly inFavourOf: string;
+    })
+  | (RequestSubject & { readonly _tag: 'resumed'; readonly endpoint: string })
+  | (RequestSubject & {
+      readonly _tag: 'ended';
+      readonly outcome: Outcome;
+      readonly totalMs: number;
+    })
+  | {
+      readonly _tag: 'schedulerChanged';
+      readonly pool: string;
+      readonly from: string | undefined;
+      readonly to: string;
+    }
+  | { readonly _tag: 'memberChanged'; readonly member: string; readonly status: string }
+  | {
+      readonly _tag: 'configurationApplied';
+      readonly rollNumber: number;
+      readonly digest: string;
+      readonly source: string;
+    }
+  | {
+      readonly _tag: 'verdictFound';
+      readonly move: string;
+      readonly version: string;
+      readonly reason: string;
+      readonly detail: string;
+    }
+  | {
+      readonly _tag: 'moveChanged';
+      readonly move: string;
+      readonly state: string;
+      readonly detail: string;
+    };
