--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -47,6 +47,13 @@
       '@typescript-eslint/no-redeclare': 'off',
       // The recursion over data that the codebase uses needs hoisted helper functions.
       '@typescript-eslint/no-use-before-define': ['error', { functions: false }],
+      // Tagged unions carry effect's `_tag`.
+      'no-underscore-dangle': ['error', { allow: ['_tag'] }],
+      // A machine changes the records of its own tables in place.
+      'no-param-reassign': [
+        'error',
+        { props: true, ignorePropertyModificationsFor: ['record', 'entry', 'state'] },
+      ],
       'max-lines': ['error', { max: 400, skipBlankLines: true, skipComments: true }],
     },
   },
