--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -42,7 +42,22 @@
       'import-x/prefer-default-export': 'off',
       // Explicit .ts endings let Node's resolver, tsx and esbuild agree.
       'import-x/extensions': 'off',
+      // A folder's index.ts is imported by its full name, like every other file.
+      'import-x/no-useless-path-segments': ['error', { noUselessIndex: false }],
       'import-x/no-cycle': 'error',
+      'no-restricted-imports': [
+        'error',
+        {
+          paths: [
+            { name: 'effect', message: 'Import a submodule: the index costs 150 MB of memory.' },
+            {
+              name: '@oclif/core',
+              allowTypeImports: true,
+              message: 'Import a submodule: the index reads its package.json from disk.',
+            },
+          ],
+        },
+      ],
       // Schemas and the types inferred from them share one name.
       '@typescript-eslint/no-redeclare': 'off',
       // The recursion over data that the codebase uses needs hoisted helper functions.
@@ -64,6 +79,8 @@
       'no-console': 'off',
       'n/no-sync': 'off',
       'no-await-in-loop': 'off',
+      // Scripts in .mjs run without a loader, so they name their neighbours with the ending.
+      'import-x/extensions': 'off',
       // Steps that must follow one another in a test or a measurement read best as a loop.
       'no-restricted-syntax': 'off',
       '@typescript-eslint/no-floating-promises': 'off',
--- a/scripts/test.mjs
+++ b/scripts/test.mjs
@@ -1,12 +1,13 @@
 // Runs every test file below src and test, in a fixed order, on Node's own runner.
 import { spawnSync } from 'node:child_process';
-import { readdirSync } from 'node:fs';
+import { existsSync, readdirSync } from 'node:fs';
 import { join } from 'node:path';
 import { fileURLToPath } from 'node:url';
 
 const root = fileURLToPath(new URL('..', import.meta.url));
 
 const testFiles = ['src', 'test']
+  .filter((folder) => existsSync(join(root, folder)))
   .flatMap((folder) =>
     readdirSync(join(root, folder), { recursive: true }).map((name) => join(folder, String(name))),
   )
