--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -81,6 +81,7 @@
       'no-await-in-loop': 'off',
       // Scripts in .mjs run without a loader, so they name their neighbours with the ending.
       'import-x/extensions': 'off',
+      'import-x/prefer-default-export': 'off',
       // Steps that must follow one another in a test or a measurement read best as a loop.
       'no-restricted-syntax': 'off',
       '@typescript-eslint/no-floating-promises': 'off',
