Add the transport layer: callers, endpoints, platform and peers

Cause: the entry process needs its ways to the outside before it can serve. The other interfaces are compiled but not yet tested.

--- /dev/null
+++ b/src/transport/caller/EventRelay.ts
@@ -0,0 +1,60 @@
+import { createParser } from 'eventsource-parser';
+import type { EventSourceMessage, EventSourceParser } from 'eventsource-parser';
+import * as Schema from 'effect/Schema';
+import type { CallerAnswer } from '../../protocol/caller/CallerRequest.ts';
+import { decodeJson } from '../../protocol/decodeJson.ts';
+import { END_MARK } from '../../protocol/engine/engineAnswers.ts';
+import { UnknownReason } from '../../state/Outcome.ts';
+
+const MAXIMUM_EVENT_CHARACTERS = 1024 * 1024;
+
+const decodeCut = decodeJson(Schema.Struct({ error: Schema.Struct({ code: UnknownReason }) }));
+
+/** Passes on a model's event stream from the entry that owns the request. */
+export class EventRelay {
+  readonly #answer: CallerAnswer;
+
+  readonly #parser: EventSourceParser;
+
+  readonly #decoder = new TextDecoder();
+
+  #complete = false;
+
+  constructor(answer: CallerAnswer) {
+    this.#answer = answer;
+    this.#parser = createParser({
+      maxBufferSize: MAXIMUM_EVENT_CHARACTERS,
+      onEvent: (event) => this.#onMessage(event),
+    });
+  }
+
+  /**
+   * Says whether an answer is an event stream.
+   *
+   * @param headers - its headers
+   */
+  static handles(headers: Readonly<Record<string, string>>): boolean {
+    return (headers['content-type'] ?? '').startsWith('text/event-stream');
+  }
+
+  /**
+   * Passes on what the next bytes hold.
+   *
+   * @param bytes - the next bytes
+   */
+  read(bytes: Uint8Array): void {
+    this.#parser.feed(this.#decoder.decode(bytes, { stream: true }));
+  }
+
+  /** Whether the end mark was seen. */
+  complete(): boolean {
+    return this.#complete;
+  }
+
+  #onMessage(event: EventSourceMessage): void {
+    if (event.data === END_MARK) this.#complete = true;
+    else if (event.event === 'error') {
+      this.#answer.cut(decodeCut(event.data)?.error.code ?? 'entry_lost');
+    } else this.#answer.event(event.data, Number(event.id ?? 0));
+  }
+}
--- /dev/null
+++ b/src/transport/caller/HttpAnswer.ts
@@ -0,0 +1,165 @@
+import type { ServerResponse } from 'node:http';
+import type { CallerAnswer, CallerError } from '../../protocol/caller/CallerRequest.ts';
+import type { ErrorBody } from '../../protocol/caller/ErrorBody.ts';
+import {
+  notRunBody,
+  notRunStatus,
+  refusalBody,
+  unknownBody,
+  unknownStatus,
+} from '../../protocol/caller/ErrorBody.ts';
+import {
+  COOKIE_HEADER,
+  COOKIE_SEPARATOR,
+  OUTCOME_HEADER,
+  REQUEST_ID_HEADER,
+} from '../../protocol/caller/headers.ts';
+import { END_MARK } from '../../protocol/engine/engineAnswers.ts';
+import type { NotRunReason, UnknownReason } from '../../state/Outcome.ts';
+
+const MAXIMUM_UNREAD_BYTES = 16 * 1024 * 1024;
+/** Time for the last bytes of a broken-off answer to leave before its connection is closed. */
+const CUT_FLUSH_MS = 1_000;
+const MS_PER_SECOND = 1_000;
+
+/**
+ * Answers a request with an error object.
+ *
+ * @param response - where the answer goes
+ * @param status - status code
+ * @param body - the error object
+ */
+export const writeError = (response: ServerResponse, status: number, body: ErrorBody): void => {
+  if (response.headersSent || response.destroyed) return;
+  const text = JSON.stringify(body);
+  const retryAfterMs = body.error.retry_after_ms;
+  if (retryAfterMs !== null) {
+    response.setHeader('retry-after', Math.max(1, Math.ceil(retryAfterMs / MS_PER_SECOND)));
+  }
+  response.setHeader(OUTCOME_HEADER, body.error.outcome);
+  response.writeHead(status, {
+    'content-type': 'application/json',
+    'content-length': Buffer.byteLength(text),
+  });
+  response.end(text);
+};
+
+/** A caller's answer over HTTP. */
+export class HttpAnswer implements CallerAnswer {
+  readonly #response: ServerResponse;
+
+  readonly #maximumUnreadBytes: number;
+
+  #ended = false;
+
+  readonly #chat: boolean;
+
+  #events = false;
+
+  #leaveHandler: (() => void) | undefined;
+
+  /**
+   * @param response - where the answer goes
+   * @param chat - whether events are those of a model's stream, which closes with an end mark
+   * @param maximumUnreadBytes - most that is kept for a caller who doesn't read
+   */
+  constructor(response: ServerResponse, chat: boolean, maximumUnreadBytes = MAXIMUM_UNREAD_BYTES) {
+    this.#chat = chat;
+    this.#response = response;
+    this.#maximumUnreadBytes = maximumUnreadBytes;
+    response.on('close', () => this.#onClose());
+  }
+
+  identify(id: string): void {
+    if (!this.#response.headersSent) this.#response.setHeader(REQUEST_ID_HEADER, id);
+  }
+
+  head(status: number, headers: Readonly<Record<string, string>>): void {
+    if (this.#ended || this.started()) return;
+    this.#events = this.#chat && (headers['content-type'] ?? '').startsWith('text/event-stream');
+    const { [COOKIE_HEADER]: cookies, ...others } = headers;
+    if (cookies !== undefined) {
+      this.#response.setHeader(COOKIE_HEADER, cookies.split(COOKIE_SEPARATOR));
+    }
+    this.#response.writeHead(status, others);
+    // A caller of a stream wants to know at once that it has begun.
+    if (this.#events) this.#response.flushHeaders();
+  }
+
+  part(bytes: Uint8Array): void {
+    this.#write(bytes);
+  }
+
+  event(data: string, index: number): void {
+    this.#write(`id: ${index}\ndata: ${data.replaceAll('\n', '\ndata: ')}\n\n`);
+  }
+
+  end(): void {
+    if (this.#ended) return;
+    this.#ended = true;
+    if (this.#events) this.#response.end(`data: ${END_MARK}\n\n`);
+    else this.#response.end();
+  }
+
+  cut(reason: UnknownReason): void {
+    if (this.#ended) return;
+    if (!this.started()) {
+      this.tellUnknown(reason);
+      return;
+    }
+    this.#ended = true;
+    if (this.#events) {
+      this.#response.write(`event: error\ndata: ${JSON.stringify(unknownBody(reason))}\n\n`);
+    }
+    this.#destroyOnceFlushed();
+  }
+
+  refuse(error: CallerError): void {
+    this.#endWithError(error.status, refusalBody(error.code, error.message));
+  }
+
+  tellNotRun(reason: NotRunReason, retryAfterMs: number): void {
+    this.#endWithError(notRunStatus(reason), notRunBody(reason, retryAfterMs));
+  }
+
+  tellUnknown(reason: UnknownReason): void {
+    this.#endWithError(unknownStatus(reason), unknownBody(reason));
+  }
+
+  started(): boolean {
+    return this.#response.headersSent;
+  }
+
+  onLeave(handler: () => void): void {
+    this.#leaveHandler = handler;
+  }
+
+  #endWithError(status: number, body: ErrorBody): void {
+    if (this.#ended) return;
+    this.#ended = true;
+    writeError(this.#response, status, body);
+  }
+
+  #write(chunk: Uint8Array | string): void {
+    if (this.#ended) return;
+    this.#response.write(chunk);
+    if (this.#response.writableLength > this.#maximumUnreadBytes) this.#response.destroy();
+  }
+
+  #destroyOnceFlushed(): void {
+    const response = this.#response;
+    const timer = setTimeout(() => response.destroy(), CUT_FLUSH_MS);
+    response.once('close', () => clearTimeout(timer));
+    // No closing chunk follows, so the reader sees that the answer isn't whole.
+    const { socket } = response;
+    response.uncork();
+    if (socket && socket.writableLength > 0) socket.once('drain', () => response.destroy());
+    else response.destroy();
+  }
+
+  #onClose(): void {
+    if (this.#ended) return;
+    this.#ended = true;
+    this.#leaveHandler?.();
+  }
+}
--- /dev/null
+++ b/src/transport/caller/makeCallerServer.ts
@@ -0,0 +1,111 @@
+import * as http from 'node:http';
+import type { AddressInfo, Socket } from 'node:net';
+import * as Effect from 'effect/Effect';
+import type * as Scope from 'effect/Scope';
+import { refusalBody } from '../../protocol/caller/ErrorBody.ts';
+import { CallerHandler } from './CallerHandler.ts';
+import type { CallerHandlerOptions } from './CallerHandler.ts';
+
+/** What a caller-facing server is made of. */
+export interface CallerServerOptions extends CallerHandlerOptions {
+  /** `IP:PORT` to listen at; port 0 takes any free port. */
+  readonly address: string;
+}
+
+const KEEP_ALIVE_TIMEOUT_MS = 30_000;
+const MAXIMUM_CHECK_INTERVAL_MS = 1_000;
+const TCP_KEEP_ALIVE_MS = 10_000;
+/** Connections beyond the limit that are still told so; more are closed unread. */
+const CONNECTION_RESERVE = 64;
+
+const CLIENT_ERRORS: Readonly<Record<string, { status: string; code: string; message: string }>> = {
+  HPE_HEADER_OVERFLOW: {
+    status: '431 Request Header Fields Too Large',
+    code: 'headers_too_large',
+    message: 'The headers are over the size that this entry takes.',
+  },
+  ERR_HTTP_REQUEST_TIMEOUT: {
+    status: '408 Request Timeout',
+    code: 'receive_timeout',
+    message: 'The request was not received in time.',
+  },
+};
+const MALFORMED = {
+  status: '400 Bad Request',
+  code: 'malformed_request',
+  message: 'This is not a whole HTTP/1.1 request.',
+};
+
+/** Answers what never became a request. */
+const answerClientError = (error: NodeJS.ErrnoException, socket: Socket): void => {
+  if (error.code === 'ECONNRESET' || !socket.writable) {
+    socket.destroy();
+    return;
+  }
+  const { status, code, message } = CLIENT_ERRORS[error.code ?? ''] ?? MALFORMED;
+  const body = JSON.stringify(refusalBody(code, message));
+  socket.end(
+    `HTTP/1.1 ${status}\r\nConnection: close\r\nContent-Type: application/json\r\n` +
+      `X-Outcome: not-run\r\nContent-Length: ${Buffer.byteLength(body)}\r\n\r\n${body}`,
+    () => socket.destroy(),
+  );
+};
+
+const createServer = (options: CallerServerOptions): http.Server => {
+  const { limits } = options;
+  const handler = new CallerHandler(options);
+  let connections = 0;
+  const server = http.createServer({
+    maxHeaderSize: limits.maximumHeaderBytes,
+    requestTimeout: limits.receiveTimeoutMs,
+    headersTimeout: limits.receiveTimeoutMs,
+    connectionsCheckingInterval: Math.min(MAXIMUM_CHECK_INTERVAL_MS, limits.receiveTimeoutMs / 2),
+    keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS,
+    noDelay: true,
+    keepAlive: true,
+    keepAliveInitialDelay: TCP_KEEP_ALIVE_MS,
+  });
+  // Node would drop what is over its own count in silence; the handler counts and says so.
+  server.maxHeadersCount = 0;
+  server.maxConnections = limits.maximumConnections + CONNECTION_RESERVE;
+  server.on('connection', (socket) => {
+    connections += 1;
+    socket.once('close', () => {
+      connections -= 1;
+    });
+  });
+  server.on('request', (request, response) =>
+    handler.handle(request, response, connections > limits.maximumConnections),
+  );
+  server.on('clientError', answerClientError);
+  return server;
+};
+
+const listen = (server: http.Server, address: string): Effect.Effect<string> =>
+  Effect.callback<string>((resume) => {
+    const separator = address.lastIndexOf(':');
+    server.once('error', (error) => resume(Effect.die(error)));
+    server.listen(Number(address.slice(separator + 1)), address.slice(0, separator), () => {
+      const bound = server.address() as AddressInfo;
+      resume(Effect.succeed(`${bound.address}:${bound.port}`));
+    });
+  });
+
+/**
+ * Starts the server that callers talk to. It closes with the scope, and with it every connection;
+ * draining comes before that and is the service's business.
+ *
+ * @param options - address, bounds and the service that answers
+ * @returns the address that it is bound to, `IP:PORT`
+ */
+export const makeCallerServer = (
+  options: CallerServerOptions,
+): Effect.Effect<string, never, Scope.Scope> =>
+  Effect.acquireRelease(
+    Effect.sync(() => createServer(options)),
+    (server) =>
+      Effect.callback<void>((resume) => {
+        server.close(() => resume(Effect.void));
+        server.closeAllConnections();
+      }),
+  ).pipe(Effect.flatMap((server) => listen(server, options.address)));
--- /dev/null
+++ b/src/transport/endpoint/ServiceCall.ts
@@ -0,0 +1,103 @@
+import { answerHeadersToPassOn, REQUEST_ID_HEADER } from '../../protocol/caller/headers.ts';
+import type {
+  EndpointCall,
+  EndpointEvent,
+  EndpointRequest,
+} from '../../protocol/engine/EndpointClient.ts';
+import { exchange } from '../http/index.ts';
+import type { ConnectionPool, Exchange, ExchangeEvent } from '../http/index.ts';
+import { endpointHeaders } from './endpointHeaders.ts';
+
+/** A request at a plain service: passed through once, without resume. */
+export class ServiceCall implements EndpointCall {
+  readonly #request: EndpointRequest;
+
+  readonly #onEvent: (event: EndpointEvent) => void;
+
+  readonly #exchange: Exchange;
+
+  #headSeen = false;
+
+  #ended = false;
+
+  constructor(
+    pool: ConnectionPool,
+    request: EndpointRequest,
+    onEvent: (event: EndpointEvent) => void,
+  ) {
+    this.#request = request;
+    this.#onEvent = onEvent;
+    this.#exchange = exchange(
+      pool,
+      {
+        address: request.address,
+        method: request.method,
+        path: request.path,
+        headers: endpointHeaders(request),
+        body: request.body.length > 0 ? request.body : undefined,
+        fresh: false,
+        silenceMs: undefined,
+      },
+      (event) => this.#onExchange(event),
+    );
+  }
+
+  cancel(): void {
+    this.#ended = true;
+    this.#exchange.abort();
+  }
+
+  /** Plain services can't be suspended. */
+  // eslint-disable-next-line class-methods-use-this
+  suspend(): void {}
+
+  /** Plain services can't be suspended. */
+  // eslint-disable-next-line class-methods-use-this
+  resume(): void {}
+
+  #onExchange(event: ExchangeEvent): void {
+    if (this.#ended) return;
+    switch (event._tag) {
+      case 'written':
+        return;
+      case 'refused':
+        this.#onEvent(event);
+        return;
+      case 'head':
+        this.#onHead(event.status, event.headers);
+        return;
+      case 'data':
+        this.#onEvent({ _tag: 'part', bytes: event.bytes });
+        return;
+      case 'ended':
+        this.#onEvent({ _tag: 'ended', usage: undefined });
+        return;
+      case 'broken':
+        this.#onEvent({
+          _tag: 'failed',
+          reason: this.#headSeen ? 'answer_cut' : 'endpoint_failed',
+          detail: event.detail,
+        });
+        return;
+      default:
+        event satisfies never;
+    }
+  }
+
+  #onHead(status: number, headers: Readonly<Record<string, string | string[] | undefined>>): void {
+    const echoed = headers[REQUEST_ID_HEADER];
+    if (echoed !== undefined && echoed !== this.#request.id) {
+      // The exchange may still be in its constructor's call when the first answer comes.
+      queueMicrotask(() => this.cancel());
+      this.#ended = true;
+      this.#onEvent({
+        _tag: 'failed',
+        reason: 'answer_crossed',
+        detail: `answer is for request ${String(echoed)}`,
+      });
+      return;
+    }
+    this.#headSeen = true;
+    this.#onEvent({ _tag: 'head', status, headers: answerHeadersToPassOn(headers) });
+  }
+}
--- /dev/null
+++ b/src/transport/endpoint/index.ts
@@ -0,0 +1,2 @@
+export { makeEndpointClient } from './makeEndpointClient.ts';
+export type { EndpointClientOptions } from './makeEndpointClient.ts';
--- /dev/null
+++ b/src/transport/http/ConnectionPool.ts
@@ -0,0 +1,157 @@
+import * as net from 'node:net';
+
+/** What opening a connection gave. */
+export type ConnectOutcome =
+  | { readonly _tag: 'connected'; readonly socket: net.Socket; readonly reused: boolean }
+  | { readonly _tag: 'refused'; readonly detail: string };
+
+/** What bounds a pool of connections. */
+export interface ConnectionPoolOptions {
+  readonly connectTimeoutMs: number;
+  /** A connection that carried nothing for longer isn't used again. */
+  readonly connectionTrustMs: number;
+  /** Present time in ms, monotonic. */
+  readonly now: () => number;
+}
+
+interface IdleConnection {
+  readonly socket: net.Socket;
+  readonly idleSince: number;
+  /** Stops watching the connection for what an idle one must not bring. */
+  readonly unwatch: () => void;
+}
+
+const MAXIMUM_IDLE_PER_ADDRESS = 64;
+const KEEP_ALIVE_PROBE_MS = 10_000;
+
+const hostAndPort = (address: string): { readonly host: string; readonly port: number } => {
+  const { hostname, port } = new URL(address);
+  return { host: hostname, port: Number(port) };
+};
+
+// Anything that an idle connection brings means that it can't be trusted with the next answer.
+const watchIdle = (socket: net.Socket): (() => void) => {
+  const drop = (): void => {
+    socket.destroy();
+  };
+  socket.on('data', drop).on('end', drop);
+  socket.resume();
+  return () => {
+    socket.removeListener('data', drop).removeListener('end', drop);
+  };
+};
+
+/**
+ * Connections to HTTP servers by address. Connecting is a step of its own, so that a failure to
+ * connect is told apart from one after the first byte of a request.
+ */
+export class ConnectionPool {
+  readonly #options: ConnectionPoolOptions;
+
+  readonly #idle = new Map<string, IdleConnection[]>();
+
+  readonly #sockets = new Set<net.Socket>();
+
+  constructor(options: ConnectionPoolOptions) {
+    this.#options = options;
+  }
+
+  /**
+   * Takes an idle connection that is still trusted, or opens one.
+   *
+   * @param address - `http://IP:PORT`
+   * @param fresh - whether only a new connection will do
+   * @param onOutcome - told once, possibly before this method returns
+   * @returns a function that gives up connecting
+   */
+  connect(
+    address: string,
+    fresh: boolean,
+    onOutcome: (outcome: ConnectOutcome) => void,
+  ): () => void {
+    const idle = fresh ? undefined : this.#takeIdle(address);
+    if (idle) {
+      onOutcome({ _tag: 'connected', socket: idle, reused: true });
+      return () => {};
+    }
+    return this.#open(address, onOutcome);
+  }
+
+  /**
+   * Takes a connection back once its answer was read to the end.
+   *
+   * @param address - `http://IP:PORT`
+   * @param socket - a connection that this pool gave
+   */
+  release(address: string, socket: net.Socket): void {
+    const idle = this.#idle.get(address) ?? [];
+    if (socket.destroyed || idle.length >= MAXIMUM_IDLE_PER_ADDRESS) {
+      socket.destroy();
+      return;
+    }
+    idle.push({ socket, idleSince: this.#options.now(), unwatch: watchIdle(socket) });
+    this.#idle.set(address, idle);
+  }
+
+  /** Closes idle connections that are no longer trusted. */
+  sweep(): void {
+    this.#idle.forEach((connections, address) => {
+      const kept = connections.filter((connection) => this.#isTrusted(connection));
+      connections
+        .filter((connection) => !kept.includes(connection))
+        .forEach(({ socket }) => socket.destroy());
+      if (kept.length === 0) this.#idle.delete(address);
+      else this.#idle.set(address, kept);
+    });
+  }
+
+  /** Closes every connection. */
+  close(): void {
+    this.#sockets.forEach((socket) => socket.destroy());
+    this.#idle.clear();
+  }
+
+  #isTrusted({ socket, idleSince }: IdleConnection): boolean {
+    return !socket.destroyed && this.#options.now() - idleSince <= this.#options.connectionTrustMs;
+  }
+
+  #takeIdle(address: string): net.Socket | undefined {
+    const connection = this.#idle.get(address)?.pop();
+    if (!connection) return undefined;
+    const { socket } = connection;
+    connection.unwatch();
+    if (this.#isTrusted(connection)) return socket;
+    socket.destroy();
+    return this.#takeIdle(address);
+  }
+
+  #open(address: string, onOutcome: (outcome: ConnectOutcome) => void): () => void {
+    const socket = net.connect({ ...hostAndPort(address), noDelay: true });
+    this.#sockets.add(socket);
+    socket.once('close', () => this.#sockets.delete(socket));
+    let settled = false;
+    let timer: NodeJS.Timeout | undefined;
+    const settle = (outcome: ConnectOutcome): void => {
+      if (settled) return;
+      settled = true;
+      clearTimeout(timer);
+      if (outcome._tag === 'refused') socket.destroy();
+      onOutcome(outcome);
+    };
+    timer = setTimeout(
+      () => settle({ _tag: 'refused', detail: 'connect timed out' }),
+      this.#options.connectTimeoutMs,
+    );
+    // Stays for the life of the connection: an error in idle time must not end the process.
+    socket.on('error', (error) => settle({ _tag: 'refused', detail: error.message }));
+    socket.once('connect', () => {
+      socket.setKeepAlive(true, KEEP_ALIVE_PROBE_MS);
+      settle({ _tag: 'connected', socket, reused: false });
+    });
+    return () => {
+      settled = true;
+      clearTimeout(timer);
+      socket.destroy();
+    };
+  }
+}
--- /dev/null
+++ b/src/transport/http/exchange.ts
@@ -0,0 +1,121 @@
+import * as http from 'node:http';
+import type { ConnectionPool } from './ConnectionPool.ts';
+
+/** One HTTP request to a server known by its address. */
+export interface HttpRequest {
+  readonly address: string;
+  readonly method: string;
+  readonly path: string;
+  readonly headers: Readonly<Record<string, string>>;
+  readonly body: Uint8Array | undefined;
+  /** Whether only a new connection will do. */
+  readonly fresh: boolean;
+  /** Time without a byte after which the exchange is `broken`; undefined for no limit. */
+  readonly silenceMs: number | undefined;
+}
+
+/** What happens to an exchange, in order; `refused`, `ended` or `broken` comes last and once. */
+export type ExchangeEvent =
+  /** No byte of the request was written. */
+  | { readonly _tag: 'refused'; readonly detail: string }
+  /** The request is being written: from here on it may reach the server. */
+  | { readonly _tag: 'written' }
+  | {
+      readonly _tag: 'head';
+      readonly status: number;
+      readonly headers: http.IncomingHttpHeaders;
+    }
+  | { readonly _tag: 'data'; readonly bytes: Buffer }
+  /** The answer is complete as HTTP frames it. */
+  | { readonly _tag: 'ended' }
+  | { readonly _tag: 'broken'; readonly silent: boolean; readonly detail: string };
+
+/** An exchange under way. */
+export interface Exchange {
+  /** Breaks the exchange off; no event follows. */
+  readonly abort: () => void;
+}
+
+/**
+ * Sends one request and reports its answer. Never retries.
+ *
+ * @param pool - where connections come from
+ * @param request - what to send
+ * @param onEvent - told everything in order
+ * @returns a handle to break it off
+ */
+export const exchange = (
+  pool: ConnectionPool,
+  request: HttpRequest,
+  onEvent: (event: ExchangeEvent) => void,
+): Exchange => {
+  let ended = false;
+  let outgoing: http.ClientRequest | undefined;
+  let silence: NodeJS.Timeout | undefined;
+
+  const finish = (event: ExchangeEvent): void => {
+    if (ended) return;
+    ended = true;
+    clearTimeout(silence);
+    if (event._tag === 'broken') outgoing?.destroy();
+    onEvent(event);
+  };
+  const breakOff = (detail: string): void => finish({ _tag: 'broken', silent: false, detail });
+  const onSilence = (): void => finish({ _tag: 'broken', silent: true, detail: 'no bytes' });
+
+  const onResponse = (response: http.IncomingMessage): void => {
+    if (ended) return;
+    silence?.refresh();
+    onEvent({ _tag: 'head', status: response.statusCode ?? 0, headers: response.headers });
+    response.on('data', (bytes: Buffer) => {
+      if (ended) return;
+      silence?.refresh();
+      onEvent({ _tag: 'data', bytes });
+    });
+    response.on('end', () => {
+      if (response.complete) finish({ _tag: 'ended' });
+      else breakOff('answer is incomplete');
+    });
+    response.on('error', (error) => breakOff(error.message));
+    response.on('close', () => breakOff('connection closed before the end of the answer'));
+  };
+
+  const stopConnecting = pool.connect(request.address, request.fresh, (outcome) => {
+    if (ended) return;
+    if (outcome._tag === 'refused') {
+      finish(outcome);
+      return;
+    }
+    const { socket } = outcome;
+    const { body } = request;
+    outgoing = http.request({
+      method: request.method,
+      path: request.path,
+      headers: {
+        ...request.headers,
+        host: new URL(request.address).host,
+        connection: 'keep-alive',
+        ...(body && { 'content-length': body.length }),
+      },
+      createConnection: () => socket,
+    });
+    socket.once('free', () => pool.release(request.address, socket));
+    outgoing.on('response', onResponse);
+    outgoing.on('error', (error) => breakOff(error.message));
+    outgoing.on('close', () => breakOff('connection closed before the answer'));
+    if (request.silenceMs !== undefined) silence = setTimeout(onSilence, request.silenceMs);
+    onEvent({ _tag: 'written' });
+    if (body) outgoing.end(body);
+    else outgoing.end();
+  });
+
+  return {
+    abort: () => {
+      if (ended) return;
+      ended = true;
+      clearTimeout(silence);
+      stopConnecting();
+      outgoing?.destroy();
+    },
+  };
+};
--- /dev/null
+++ b/src/transport/peer/index.ts
@@ -0,0 +1,2 @@
+export { makePeerNetwork } from './makePeerNetwork.ts';
+export type { BoundPeerNetwork, PeerNetworkOptions } from './makePeerNetwork.ts';
--- /dev/null
+++ b/src/transport/platform/index.ts
@@ -0,0 +1,1 @@
+export { makePlatformClient } from './makePlatformClient.ts';
