Say nothing of the outcome where an id was used before

Cause: every refusal carried `X-Outcome: not-run`, also 409 for an id whose request is being served or was completed, and 404 for an unknown id. A caller that repeats an id after its connection broke would have read "not run" of a request that runs, and might have sent it anew.

Change: CallerError.outcomeUnsaid; such an answer has no X-Outcome and a null outcome in its body.

--- a/src/protocol/caller/CallerRequest.ts
+++ b/src/protocol/caller/CallerRequest.ts
@@ -17,8 +17,10 @@
   readonly forwarded: boolean;
 }
 
-/** A refusal of the request as it stands; it was not run. */
+/** A refusal of the request as it stands; it was not run, unless its outcome is left unsaid. */
 export interface CallerError {
+  /** Set where a request of the same id may have run, so that "not run" must not be said of the id. */
+  readonly outcomeUnsaid?: true;
   readonly status: number;
   /** Stable, for programs. */
   readonly code: string;
--- a/src/protocol/caller/ErrorBody.ts
+++ b/src/protocol/caller/ErrorBody.ts
@@ -1,5 +1,6 @@
 import * as Schema from 'effect/Schema';
 import type { NotRunReason, UnknownReason } from '../../state/Outcome.ts';
+import type { CallerError } from './CallerRequest.ts';
 
 /** Outcome as told in the `X-Outcome` header and in the error object. */
 export const ErrorOutcome = Schema.Literals(['not-run', 'unknown']);
@@ -12,7 +13,8 @@
     code: Schema.String,
     message: Schema.String,
     type: Schema.Literals(['invalid_request_error', 'not_run_error', 'unknown_outcome_error']),
-    outcome: ErrorOutcome,
+    /** Null where the answer says nothing of whether a request of the id ran. */
+    outcome: Schema.NullOr(ErrorOutcome),
     retry_after_ms: Schema.NullOr(Schema.Int),
   }),
 });
@@ -96,10 +98,19 @@
 /**
  * Words the error object of a request that is refused as it stands.
  *
- * @param code - stable code
- * @param message - what is wrong, and what would do
+ * @param error - what is wrong, and what would do
  * @returns the body
  */
-export const refusalBody = (code: string, message: string): ErrorBody => ({
-  error: { code, message, type: 'invalid_request_error', outcome: 'not-run', retry_after_ms: null },
+export const refusalBody = ({
+  code,
+  message,
+  outcomeUnsaid,
+}: Omit<CallerError, 'status'>): ErrorBody => ({
+  error: {
+    code,
+    message,
+    type: 'invalid_request_error',
+    outcome: outcomeUnsaid ? null : 'not-run',
+    retry_after_ms: null,
+  },
 });
--- a/src/transport/caller/CallerHandler.ts
+++ b/src/transport/caller/CallerHandler.ts
@@ -48,11 +48,12 @@
 const UNKNOWN_REQUEST: CallerError = {
   status: 404,
   code: 'unknown_request',
+  outcomeUnsaid: true,
   message: 'Nothing is known of a request of this id.',
 };
 
 const refuse = (response: ServerResponse, error: CallerError): void =>
-  writeError(response, error.status, refusalBody(error.code, error.message));
+  writeError(response, error.status, refusalBody(error));
 
 const writeJson = (response: ServerResponse, status: number, value: unknown): void => {
   const text = JSON.stringify(value);
@@ -170,7 +171,7 @@
 
   static #refuseBody(request: IncomingMessage, response: ServerResponse): void {
     response.setHeader('connection', 'close');
-    const text = JSON.stringify(refusalBody(TOO_LARGE.code, TOO_LARGE.message));
+    const text = JSON.stringify(refusalBody(TOO_LARGE));
     response.writeHead(TOO_LARGE.status, {
       'content-type': 'application/json',
       'content-length': Buffer.byteLength(text),
--- a/src/transport/caller/HttpAnswer.ts
+++ b/src/transport/caller/HttpAnswer.ts
@@ -36,7 +36,7 @@
   if (retryAfterMs !== null) {
     response.setHeader('retry-after', Math.max(1, Math.ceil(retryAfterMs / MS_PER_SECOND)));
   }
-  response.setHeader(OUTCOME_HEADER, body.error.outcome);
+  if (body.error.outcome !== null) response.setHeader(OUTCOME_HEADER, body.error.outcome);
   response.writeHead(status, {
     'content-type': 'application/json',
     'content-length': Buffer.byteLength(text),
@@ -115,7 +115,7 @@
   }
 
   refuse(error: CallerError): void {
-    this.#endWithError(error.status, refusalBody(error.code, error.message));
+    this.#endWithError(error.status, refusalBody(error));
   }
 
   tellNotRun(reason: NotRunReason, retryAfterMs: number): void {
--- a/src/transport/caller/makeCallerServer.ts
+++ b/src/transport/caller/makeCallerServer.ts
@@ -43,7 +43,7 @@
     return;
   }
   const { status, code, message } = CLIENT_ERRORS[error.code ?? ''] ?? MALFORMED;
-  const body = JSON.stringify(refusalBody(code, message));
+  const body = JSON.stringify(refusalBody({ code, message }));
   socket.end(
     `HTTP/1.1 ${status}\r\nConnection: close\r\nContent-Type: application/json\r\n` +
       `X-Outcome: not-run\r\nContent-Length: ${Buffer.byteLength(body)}\r\n\r\n${body}`,
