Read settings and bundles with every problem's place and a value that would do

Cause: operators write JSON with comments and need to know what can't work before a roll. Change: loadSettings and loadBundle decode by schema and review what the schema can't say (unknown tiers, versions without endpoints, deadlines that leave no time, overlapping moves).

--- /dev/null
+++ b/src/state/canonicalJson.ts
@@ -0,0 +1,29 @@
+import { createHash } from 'node:crypto';
+
+const sorted = (value: unknown): unknown => {
+  if (Array.isArray(value)) return value.map(sorted);
+  if (typeof value !== 'object' || value === null) return value;
+  return Object.fromEntries(
+    Object.entries(value)
+      .filter(([, member]) => member !== undefined)
+      .sort(([a], [b]) => (a < b ? -1 : 1))
+      .map(([name, member]) => [name, sorted(member)]),
+  );
+};
+
+/**
+ * Writes a JSON value in one form only: object members by name, no white space.
+ *
+ * @param value - a plain JSON value
+ * @returns its canonical text
+ */
+export const canonicalJson = (value: unknown): string => JSON.stringify(sorted(value));
+
+/**
+ * Digests a JSON value independently of member order and layout.
+ *
+ * @param value - a plain JSON value
+ * @returns `sha256:` and the lower-case hex digest of the canonical text
+ */
+export const digestJson = (value: unknown): string =>
+  `sha256:${createHash('sha256').update(canonicalJson(value)).digest('hex')}`;
--- /dev/null
+++ b/src/state/documents/index.ts
@@ -0,0 +1,5 @@
+export { formatProblem } from './Problem.ts';
+export type { Loaded, Problem } from './Problem.ts';
+export { loadBundle } from './loadBundle.ts';
+export { loadSettings } from './loadSettings.ts';
+export { leastDurationMs } from './reviewBundle.ts';
--- /dev/null
+++ b/src/state/documents/loadBundle.ts
@@ -0,0 +1,14 @@
+import { Bundle } from '../Bundle.ts';
+import { loadDocument } from './loadDocument.ts';
+import { reviewBundle } from './reviewBundle.ts';
+import type { Loaded } from './Problem.ts';
+
+/**
+ * Reads a bundle and checks that it can work.
+ *
+ * @param text - JSON with comments
+ * @param wallNow - present Unix time in ms, which deadlines of moves are compared with
+ * @returns the bundle with defaults filled in, or all problems
+ */
+export const loadBundle = (text: string, wallNow: number): Loaded<Bundle> =>
+  loadDocument(Bundle, text, (bundle) => reviewBundle(bundle, wallNow));
