--- /dev/null
+++ b/src/coordination/configuration/ConfigurationBoard.test.ts
@@ -0,0 +1,192 @@
+import { test } from 'node:test';
+import { expect } from 'earl';
+import fc from 'fast-check';
+import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
+import { makeBundle, makeMove, START } from '../../../test/fakes/makeBundle.ts';
+import type { Configuration } from '../../state/Configuration.ts';
+import type { Member } from '../../state/Member.ts';
+import type { MoveState, MoveStatus } from '../../state/MoveStatus.ts';
+import type { Verdict } from '../../state/Verdict.ts';
+import { moveKey } from '../../state/moveKey.ts';
+import type { Action } from '../Action.ts';
+import { ConfigurationBoard } from './ConfigurationBoard.ts';
+
+const MOVE = makeMove();
+const KEY = moveKey(MOVE);
+
+const configuration = (rollNumber: number): Configuration => ({
+  rollNumber,
+  digest: `sha256:${rollNumber}`,
+  bundle: makeBundle(rollNumber, [MOVE]),
+});
+
+const member = (incarnation: string, failureDomain = 'a'): Member => ({
+  incarnation,
+  callerAddress: '127.0.0.1:1',
+  peerAddress: `127.0.0.1:${incarnation.length}`,
+  failureDomain,
+  region: 'default',
+  status: 'alive',
+  revision: 0,
+  draining: false,
+});
+
+const makeBoard = (incarnation = 'one') =>
+  new ConfigurationBoard({ incarnation, failureDomain: 'a' }, xoroshiro128plus(1));
+
+const status = (state: MoveState, fencing = 1, sequence = 1): MoveStatus => ({
+  rollNumber: 1,
+  move: KEY,
+  fencing,
+  sequence,
+  state,
+});
+
+const verdict: Verdict = {
+  rollNumber: 1,
+  move: KEY,
+  pool: 'summaries',
+  version: 'v2',
+  finder: 'two',
+  reason: 'failures',
+  detail: '',
+};
+
+const routingOf = (board: ConfigurationBoard, wallNow = START) =>
+  board.routings(0, wallNow).get('summaries');
+
+test('a pool without a move serves its own version', () => {
+  const board = makeBoard();
+  board.offer({ rollNumber: 1, digest: 'd', bundle: makeBundle(1) }, 'store', 0);
+  expect(routingOf(board)).toEqual({ pool: 'summaries', stable: 'v1', condemned: [] });
+});
+
+test('a verdict ends the share of the new version and outlives a roll that keeps the move', () => {
+  const board = makeBoard();
+  board.offer(configuration(1), 'store', 0);
+  board.addStatus(status({ _tag: 'staged', stage: 0, share: 0.1 }));
+  expect(routingOf(board)?.candidate?.maximumInFlight).toEqual(4);
+  board.handle('two', { _tag: 'push', verdicts: [verdict], statuses: [] }, 0);
+  expect(routingOf(board)).toEqual({ pool: 'summaries', stable: 'v1', condemned: ['v2'] });
+  board.offer(configuration(2), 'store', 0);
+  expect(routingOf(board)?.condemned).toEqual(['v2']);
+});
+
+test('at the deadline the old version serves again until the move is known to be done', () => {
+  const board = makeBoard();
+  board.offer(configuration(1), 'store', 0);
+  board.addStatus(status({ _tag: 'staged', stage: 1, share: 1 }));
+  expect(routingOf(board, START + 59_999)?.candidate?.share).toEqual(1);
+  expect(routingOf(board, START + 60_000)?.candidate).toEqual(undefined);
+  board.addStatus(status({ _tag: 'done' }, 1, 2));
+  expect(routingOf(board, START + 60_000)?.stable).toEqual('v2');
+});
+
+test('a final status is replaced by nothing, whatever its fencing number', () => {
+  const board = makeBoard();
+  board.offer(configuration(1), 'store', 0);
+  board.addStatus(status({ _tag: 'reverted', reason: 'x' }, 1));
+  board.addStatus(status({ _tag: 'done' }, 9, 9));
+  board.addStatus(status({ _tag: 'staged', stage: 1, share: 1 }, 9, 9));
+  expect(routingOf(board)?.stable).toEqual('v1');
+  expect(routingOf(board)?.candidate).toEqual(undefined);
+});
+
+test('a leaving endpoint is known by its address until relays stop repeating it', () => {
+  const board = makeBoard();
+  board.offer(configuration(1), 'store', 0);
+  board.handle('two', { _tag: 'instances', leaving: ['127.0.0.1:2'] }, 0);
+  board.tick(10_000, []);
+  expect([...board.leaving()]).toEqual(['summaries-v2']);
+  board.tick(20_000, []);
+  expect([...board.leaving()]).toEqual([]);
+});
+
+const NAMES = ['one', 'two', 'three', 'four'];
+const MEMBERS = NAMES.map((name) => member(name));
+
+const messagesOf = (from: string, actions: readonly Action[]) =>
+  actions.flatMap((action) =>
+    action._tag === 'send' ? [{ from, to: action.to, message: action.message }] : [],
+  );
+
+test('no interleaving of rolls, stale reads, late peers and restarts lowers a roll number', () => {
+  const step = fc.oneof(
+    fc.record({
+      kind: fc.constant('offer' as const),
+      at: fc.nat(3),
+      roll: fc.integer({ min: 1, max: 6 }),
+    }),
+    fc.record({ kind: fc.constant('tick' as const), at: fc.nat(3), roll: fc.constant(0) }),
+    fc.record({ kind: fc.constant('deliver' as const), at: fc.nat(50), roll: fc.constant(0) }),
+    fc.record({ kind: fc.constant('restart' as const), at: fc.nat(3), roll: fc.constant(0) }),
+  );
+  const property = fc.property(fc.array(step, { maxLength: 80 }), (steps) => {
+    const boards = NAMES.map((name) => makeBoard(name));
+    const highest = NAMES.map(() => 0);
+    const kept: {
+      from: string;
+      to: string;
+      message: Parameters<ConfigurationBoard['handle']>[1];
+    }[] = [];
+    const act = (at: number, actions: readonly Action[]) =>
+      kept.push(...messagesOf(NAMES[at] ?? '', actions));
+    steps.forEach(({ kind, at, roll }, index) => {
+      const now = index * 700;
+      const board = boards[at];
+      if (kind === 'offer') act(at, board?.offer(configuration(roll), 'store', now) ?? []);
+      if (kind === 'tick') act(at, board?.tick(now, MEMBERS) ?? []);
+      if (kind === 'restart') {
+        boards[at] = makeBoard(NAMES[at]);
+        highest[at] = 0;
+      }
+      // Messages stay in the list, so that they are also delivered late and twice.
+      const delivery = kind === 'deliver' ? kept[at % Math.max(1, kept.length)] : undefined;
+      if (delivery !== undefined) {
+        const to = NAMES.indexOf(delivery.to);
+        act(to, boards[to]?.handle(delivery.from, delivery.message, now) ?? []);
+      }
+      boards.forEach((each, i) => {
+        const number = each.current()?.rollNumber ?? 0;
+        if (number < (highest[i] ?? 0)) throw new Error(`${NAMES[i]} went back to ${number}`);
+        highest[i] = number;
+      });
+    });
+    return true;
+  });
+  fc.assert(property, { seed: 5, numRuns: 300 });
+});
+
+test('a change heard by one of 27 entries is everywhere after a few comparisons', () => {
+  const names = Array.from({ length: 27 }, (_, index) => `entry-${index}`);
+  const members = names.map((name, index) => member(name, `domain-${index % 3}`));
+  const boards = new Map(
+    names.map((name, index) => [
+      name,
+      new ConfigurationBoard(
+        { incarnation: name, failureDomain: `domain-${index % 3}` },
+        xoroshiro128plus(index),
+      ),
+    ]),
+  );
+  const deliver = (now: number, queue: ReturnType<typeof messagesOf>): void => {
+    if (queue.length === 0) return;
+    deliver(
+      now,
+      queue.flatMap(({ from, to, message }) =>
+        messagesOf(to, boards.get(to)?.handle(from, message, now) ?? []),
+      ),
+    );
+  };
+  const tickAll = (now: number) =>
+    boards.forEach((board, name) => deliver(now, messagesOf(name, board.tick(now, members))));
+  tickAll(0);
+  deliver(
+    1,
+    messagesOf('entry-0', boards.get('entry-0')?.offer(configuration(7), 'store', 1) ?? []),
+  );
+  [1_000, 2_000].forEach(tickAll);
+  expect([...boards.values()].filter((board) => board.current()?.rollNumber !== 7).length).toEqual(
+    0,
+  );
+});
