--- a/src/protocol/peer/PeerMessage.ts
+++ b/src/protocol/peer/PeerMessage.ts
@@ -101,6 +101,8 @@
     requests: Schema.Finite,
     tokens: Schema.Finite,
     concurrency: Schema.Int,
+    /** Concurrency that the home holds already, so that an owner new to the account learns of it. */
+    held: Schema.Int,
   }),
   Schema.TaggedStruct('quotaReply', {
     account: Schema.NonEmptyString,
@@ -111,6 +113,7 @@
   }),
   Schema.TaggedStruct('quotaReturn', {
     account: Schema.NonEmptyString,
+    requests: Schema.Finite,
     tokens: Schema.Finite,
     concurrency: Schema.Int,
   }),
