--- a/src/protocol/peer/PeerMessage.ts
+++ b/src/protocol/peer/PeerMessage.ts
@@ -93,7 +93,14 @@
   /** What a home has running in a pool, told to a scheduler that is new to it. */
   Schema.TaggedStruct('inFlight', {
     pool: Schema.NonEmptyString,
-    grants: Schema.Array(Schema.Struct({ grant: Grant, reservation: Reservation })),
+    grants: Schema.Array(
+      Schema.Struct({
+        grant: Grant,
+        reservation: Reservation,
+        /** Whether it is suspended and waits for `resume`. */
+        suspended: Schema.optionalKey(Schema.Boolean),
+      }),
+    ),
   }),
   // Client-account limits
   Schema.TaggedStruct('quotaRequest', {
