--- a/src/transport/caller/makeForwarder.ts
+++ b/src/transport/caller/makeForwarder.ts
@@ -8,6 +8,7 @@
   IDEMPOTENT_HEADER,
   REQUEST_ID_HEADER,
 } from '../../protocol/caller/headers.ts';
+import type { UnknownReason } from '../../state/Outcome.ts';
 import type { Timing } from '../../state/Settings.ts';
 import { exchange, makeConnectionPool } from '../http/index.ts';
 import type { ConnectionPool, ExchangeEvent } from '../http/index.ts';
@@ -20,6 +21,16 @@
   /** The home surely got nothing of the request; nothing was told to the caller. */
   | { readonly _tag: 'unreachable'; readonly detail: string };
 
+/** A request that is being passed on. */
+export interface Forwarding {
+  /**
+   * Stops waiting for a home that is believed dead.
+   *
+   * @returns true where nothing was told to the caller yet, who is then the process's to answer
+   */
+  readonly abandon: () => boolean;
+}
+
 /** Passes callers' requests to the entry that owns them. */
 export interface Forwarder {
   /**
@@ -27,7 +38,8 @@
    * @param request - the request as it came
    * @param id - its id
    * @param answer - where the home's answer goes
-   * @param onOutcome - told once
+   * @param onOutcome - told at most once; never after a true `abandon`
+   * @returns a handle for the time that it takes
    */
   readonly forward: (
     callerAddress: string,
@@ -35,7 +47,7 @@
     id: string,
     answer: CallerAnswer,
     onOutcome: (outcome: ForwardOutcome) => void,
-  ) => void;
+  ) => Forwarding;
 }
 
 /** What a forwarder is made of. */
@@ -45,6 +57,9 @@
   readonly now: () => number;
 }
 
+/** Time beyond the deadline for the home's own last word. */
+const DEADLINE_GRACE_MS = 1_000;
+
 const forwardedHeaders = (request: CallerRequest, id: string): Record<string, string> => ({
   ...request.headers,
   authorization: `Bearer ${request.key}`,
@@ -63,19 +78,27 @@
   id: string,
   answer: CallerAnswer,
   onOutcome: (outcome: ForwardOutcome) => void,
-): void => {
+): Forwarding => {
   let relay: EventRelay | undefined;
-  const fail = (): void => {
-    if (answer.started()) answer.cut('entry_lost');
-    else answer.tellUnknown('entry_lost');
-    onOutcome({ _tag: 'answered' });
+  let lateness: NodeJS.Timeout | undefined;
+  let settled = false;
+  const settle = (outcome: ForwardOutcome): void => {
+    if (settled) return;
+    settled = true;
+    clearTimeout(lateness);
+    onOutcome(outcome);
+  };
+  const fail = (reason: UnknownReason): void => {
+    if (answer.started()) answer.cut(reason);
+    else answer.tellUnknown(reason);
+    settle({ _tag: 'answered' });
   };
   const onEvent = (event: ExchangeEvent): void => {
     switch (event._tag) {
       case 'written':
         return;
       case 'refused':
-        onOutcome({ _tag: 'unreachable', detail: event.detail });
+        settle({ _tag: 'unreachable', detail: event.detail });
         return;
       case 'head': {
         const headers = answerHeadersToPassOn(event.headers);
@@ -91,14 +114,14 @@
         return;
       case 'ended':
         if (relay && !relay.complete()) {
-          fail();
+          fail('entry_lost');
           return;
         }
         answer.end();
-        onOutcome({ _tag: 'answered' });
+        settle({ _tag: 'answered' });
         return;
       case 'broken':
-        fail();
+        fail('entry_lost');
         return;
       default:
         event satisfies never;
@@ -120,8 +143,24 @@
   );
   answer.onLeave(() => {
     call.abort();
-    onOutcome({ _tag: 'answered' });
+    settle({ _tag: 'answered' });
   });
+  if (request.remainingMs !== undefined) {
+    // The home answers by the deadline; one that doesn't is out of reach.
+    lateness = setTimeout(() => {
+      call.abort();
+      fail('deadline_passed');
+    }, request.remainingMs + DEADLINE_GRACE_MS);
+  }
+  return {
+    abandon: () => {
+      if (settled || answer.started()) return false;
+      settled = true;
+      clearTimeout(lateness);
+      call.abort();
+      return true;
+    },
+  };
 };
 
 /**
--- a/src/transport/index.ts
+++ b/src/transport/index.ts
@@ -3,6 +3,7 @@
   CallerServerOptions,
   Forwarder,
   ForwarderOptions,
+  Forwarding,
   ForwardOutcome,
 } from './caller/index.ts';
 export { makeEndpointClient } from './endpoint/index.ts';
--- /dev/null
+++ b/test/support/callerServer.ts
@@ -0,0 +1,66 @@
+import type { TestContext } from 'node:test';
+import * as Schema from 'effect/Schema';
+import type {
+  CallerAnswer,
+  CallerRequest,
+  CallerService,
+} from '../../src/protocol/caller/CallerRequest.ts';
+import { Limits } from '../../src/state/Settings.ts';
+import { makeCallerServer } from '../../src/transport/caller/makeCallerServer.ts';
+import { runScoped } from './scoped.ts';
+
+/** Secret that allows draining. */
+export const SECRET = 'a-secret-of-the-peers';
+/** Id that the fake service knows as waiting. */
+export const ID = 'abcdefgh.1';
+/** One event of a model's stream. */
+export const CHUNK = `{"id":"${ID}","object":"chat.completion.chunk","choices":[{"index":0,"delta":{"content":"snow"}}]}`;
+
+/** A caller server over a fake service, closed with the test. */
+export interface CallerFixture {
+  readonly address: string;
+  /** Requests that reached the service. */
+  readonly served: CallerRequest[];
+  readonly drains: () => number;
+}
+
+/** Starts a caller server whose model and plain-service requests one function answers. */
+export const startCallerServer = async (
+  context: TestContext,
+  serve: (request: CallerRequest, answer: CallerAnswer) => void = (_request, answer) => {
+    answer.head(200, {});
+    answer.end();
+  },
+  limits: Partial<Limits> = {},
+): Promise<CallerFixture> => {
+  const served: CallerRequest[] = [];
+  let drains = 0;
+  const service: CallerService = {
+    entries: () => ({
+      entries: [{ address: '127.0.0.1:1', failureDomain: 'a', requestIdPrefix: 'abcdefgh' }],
+      keepForMs: 5_000,
+    }),
+    serve: (request, answer) => {
+      served.push(request);
+      answer.identify(request.id ?? 'abcdefgh.minted');
+      serve(request, answer);
+    },
+    status: async (id) => (id === ID ? { _tag: 'waiting' } : undefined),
+    ready: () => true,
+    metrics: async () => 'up 1\n',
+    models: (key) => (key === 'key' ? ['small'] : undefined),
+    drain: () => {
+      drains += 1;
+    },
+  };
+  const address = await runScoped(
+    context,
+    makeCallerServer({
+      address: '127.0.0.1:0',
+      limits: Schema.decodeUnknownSync(Limits)(limits),
+      service,
+      drainSecret: SECRET,
+    }),
+  );
+  return { address, served, drains: () => drains };
+};
