--- /dev/null
+++ b/src/coordination/configuration/showBundles.ts
@@ -0,0 +1,65 @@
+import * as Effect from 'effect/Effect';
+import * as Option from 'effect/Option';
+import * as Schema from 'effect/Schema';
+import type { Platform, StoredObject } from '../../protocol/platform/Platform.ts';
+import { Approval, ProposedBundle, approvalObjectName } from '../../state/ProposedBundle.ts';
+import { ROLL_NAME } from '../../state/Roll.ts';
+import { readRoll } from './readRoll.ts';
+
+/** One proposed bundle with how far it came. */
+export interface BundleRow {
+  readonly bundle: string;
+  readonly digest: string;
+  readonly proposedBy: string;
+  readonly approvedBy: string | undefined;
+  /** Set on the bundle in force. */
+  readonly rollNumber: number | undefined;
+  readonly rolledBy: string | undefined;
+}
+
+/** All proposed bundles, or why they can't be told. */
+export type BundleRows =
+  | { readonly _tag: 'listed'; readonly rows: readonly BundleRow[] }
+  | { readonly _tag: 'unavailable'; readonly detail: string };
+
+const decodeProposal = Schema.decodeUnknownOption(ProposedBundle);
+const decodeApproval = Schema.decodeUnknownOption(Approval);
+
+const approverOf = (approvals: readonly StoredObject[], digest: string): string | undefined => {
+  const object = approvals.find(({ name }) => name === approvalObjectName(digest));
+  return Option.getOrUndefined(decodeApproval(object?.value))?.operator;
+};
+
+/**
+ * Tells which bundles there are, who approved them and which one is in force.
+ *
+ * @param platform - the object service
+ * @returns one row a bundle
+ */
+export const showBundles = (platform: Platform): Effect.Effect<BundleRows> =>
+  Effect.gen(function* show() {
+    const bundles = yield* platform.list('bundles');
+    const approvals = yield* platform.list('approvals');
+    const current = yield* platform.read('rolls', ROLL_NAME);
+    if (bundles._tag === 'unavailable') return bundles;
+    if (approvals._tag === 'unavailable') return approvals;
+    if (current._tag === 'unavailable') return current;
+    const roll = current._tag === 'found' ? readRoll(current.object.value) : undefined;
+    const rows = bundles.objects.flatMap(({ name, value }): readonly BundleRow[] => {
+      const proposal = Option.getOrUndefined(decodeProposal(value));
+      if (proposal === undefined) return [];
+      const { digest, operator } = proposal;
+      const inForce = roll?.digest === digest ? roll : undefined;
+      return [
+        {
+          bundle: name,
+          digest,
+          proposedBy: operator,
+          approvedBy: approverOf(approvals.objects, digest),
+          rollNumber: inForce?.rollNumber,
+          rolledBy: inForce?.operator,
+        },
+      ];
+    });
+    return { _tag: 'listed', rows };
+  });
--- a/src/coordination/home/Home.ts
+++ b/src/coordination/home/Home.ts
@@ -466,8 +466,7 @@
   const grants = records.flatMap((record) => {
     const grant = grantOf(record);
     if (grant === undefined || record.request.pool !== pool) return [];
-    const reservation = reservationOf(record, record.request.receivedAt);
-    return [{ grant, reservation, suspended: record.state._tag === 'suspended' }];
+    return [{ grant, reservation: reservationOf(record, record.request.receivedAt) }];
   });
   const batches = Array.from({ length: Math.ceil(grants.length / MESSAGE_BATCH) }, (_, index) =>
     grants.slice(index * MESSAGE_BATCH, (index + 1) * MESSAGE_BATCH),
--- a/src/coordination/limits/index.ts
+++ /dev/null
@@ -1,2 +0,0 @@
-export { QuotaCache, type QuotaCacheOptions, type QuotaOutcome } from './QuotaCache.ts';
-export { QuotaLedger } from './QuotaLedger.ts';
--- /dev/null
+++ b/src/coordination/store/index.ts
@@ -0,0 +1,2 @@
+export { settleWrite } from './settleWrite.ts';
+export type { ConditionalWrite, SettledWrite } from './settleWrite.ts';
--- a/src/state/documents/loadBundle.ts
+++ b/src/state/documents/loadBundle.ts
@@ -8,7 +8,12 @@
  *
  * @param text - JSON with comments
  * @param wallNow - present Unix time in ms, which deadlines of moves are compared with
+ * @param underWay - keys of moves that are in force already: time has run off their deadlines
  * @returns the bundle with defaults filled in, or all problems
  */
-export const loadBundle = (text: string, wallNow: number): Loaded<Bundle> =>
-  loadDocument(Bundle, text, (bundle) => reviewBundle(bundle, wallNow));
+export const loadBundle = (
+  text: string,
+  wallNow: number,
+  underWay: ReadonlySet<string> = new Set(),
+): Loaded<Bundle> =>
+  loadDocument(Bundle, text, (bundle) => reviewBundle(bundle, wallNow, underWay));
--- a/src/state/documents/reviewBundle.ts
+++ b/src/state/documents/reviewBundle.ts
@@ -1,5 +1,6 @@
 import type { Bundle } from '../Bundle.ts';
 import type { Move } from '../Move.ts';
+import { moveKey } from '../moveKey.ts';
 import type { Finding } from './Problem.ts';
 
 /** Time that loading a version and writing its final status take at least. */
@@ -252,9 +253,14 @@
  *
  * @param bundle - the bundle with defaults filled in
  * @param wallNow - present Unix time in ms
+ * @param underWay - keys of moves that are in force already, whose deadlines aren't reviewed
  * @returns all findings, none where the bundle can be rolled
  */
-export const reviewBundle = (bundle: Bundle, wallNow: number): readonly Finding[] => [
+export const reviewBundle = (
+  bundle: Bundle,
+  wallNow: number,
+  underWay: ReadonlySet<string>,
+): readonly Finding[] => [
   ...duplicates(bundle),
   ...reviewTiers(bundle),
   ...reviewAccounts(bundle),
@@ -263,7 +269,7 @@
   ...bundle.moves.flatMap((move, index) => [
     ...reviewVersions(bundle, move, index),
     ...reviewStages(move, index),
-    ...reviewDeadline(move, index, wallNow),
+    ...(underWay.has(moveKey(move)) ? [] : reviewDeadline(move, index, wallNow)),
   ]),
   ...reviewOverlap(bundle),
 ];
