--- a/src/cli/commands/index.ts
+++ b/src/cli/commands/index.ts
@@ -1,7 +1,20 @@
 import type { Command } from '@oclif/core/command';
+import { BundleApprove } from './bundleApprove.ts';
+import { BundlePropose } from './bundlePropose.ts';
+import { BundleRoll } from './bundleRoll.ts';
+import { BundleShow } from './bundleShow.ts';
+import { Check } from './check.ts';
+import { MoveList } from './moveList.ts';
 
 /** Every command by its id; a colon stands between topic and command. */
-export const COMMANDS: Readonly<Record<string, Command.Class>> = {};
+export const COMMANDS: Readonly<Record<string, Command.Class>> = {
+  'bundle:approve': BundleApprove,
+  'bundle:propose': BundlePropose,
+  'bundle:roll': BundleRoll,
+  'bundle:show': BundleShow,
+  check: Check,
+  'move:list': MoveList,
+};
 
 /** What `--help` says of each group of commands. */
 export const TOPICS: Readonly<Record<string, { readonly description: string }>> = {
--- /dev/null
+++ b/src/coordination/moves/index.ts
@@ -0,0 +1,2 @@
+export { listMoves } from './listMoves.ts';
+export type { MoveRow, MoveRows } from './listMoves.ts';
--- /dev/null
+++ b/src/coordination/moves/listMoves.ts
@@ -0,0 +1,67 @@
+import * as Effect from 'effect/Effect';
+import * as Option from 'effect/Option';
+import * as Schema from 'effect/Schema';
+import type { Platform } from '../../protocol/platform/Platform.ts';
+import type { Move } from '../../state/Move.ts';
+import { MoveStatus } from '../../state/MoveStatus.ts';
+import { ROLL_NAME } from '../../state/Roll.ts';
+import { moveKey } from '../../state/moveKey.ts';
+import { readRoll } from '../configuration/readRoll.ts';
+
+/** One move as operators read it back. */
+export interface MoveRow {
+  /** The move's name with a short digest of its terms. */
+  readonly move: string;
+  /** Terms of the move, where the bundle in force has it. */
+  readonly terms: Move | undefined;
+  /** `withdrawn`: a later bundle no longer has the move, and it had not ended. */
+  readonly state: MoveStatus['state']['_tag'] | 'withdrawn';
+  /** Why it was taken back, or how far it is. */
+  readonly detail: string;
+}
+
+/** All moves, or why they can't be told. */
+export type MoveRows =
+  | { readonly _tag: 'listed'; readonly rows: readonly MoveRow[] }
+  | { readonly _tag: 'unavailable'; readonly detail: string };
+
+const decodeStatus = Schema.decodeUnknownOption(MoveStatus);
+
+const detailOf = (status: MoveStatus | undefined): string => {
+  const state = status?.state;
+  if (state === undefined) return 'no entry drives it yet';
+  if (state._tag === 'reverted') return state.reason;
+  if (state._tag !== 'staged') return '';
+  return `stage ${state.stage + 1} with share ${state.share}`;
+};
+
+const isFinal = ({ state }: MoveStatus): boolean =>
+  state._tag === 'done' || state._tag === 'reverted';
+
+/**
+ * Tells what became of each move.
+ *
+ * @param platform - the object service
+ * @returns the moves of the bundle in force, then earlier ones
+ */
+export const listMoves = (platform: Platform): Effect.Effect<MoveRows> =>
+  Effect.gen(function* list() {
+    const current = yield* platform.read('rolls', ROLL_NAME);
+    const listed = yield* platform.list('movestatuses');
+    if (current._tag === 'unavailable') return current;
+    if (listed._tag === 'unavailable') return listed;
+    const roll = current._tag === 'found' ? readRoll(current.object.value) : undefined;
+    const statuses = listed.objects.flatMap(({ value }) => Option.toArray(decodeStatus(value)));
+    const inForce = (roll?.bundle.moves ?? []).map((terms): MoveRow => {
+      const move = moveKey(terms);
+      const status = statuses.find((each) => each.move === move);
+      return { move, terms, state: status?.state._tag ?? 'pending', detail: detailOf(status) };
+    });
+    const earlier = statuses
+      .filter(({ move }) => inForce.every((row) => row.move !== move))
+      .map((status): MoveRow => {
+        const state = isFinal(status) ? status.state._tag : 'withdrawn';
+        return { move: status.move, terms: undefined, state, detail: detailOf(status) };
+      });
+    return { _tag: 'listed', rows: [...inForce, ...earlier] };
+  });
