--- a/src/coordination/home/Home.ts
+++ b/src/coordination/home/Home.ts
@@ -466,7 +466,8 @@
   const grants = records.flatMap((record) => {
     const grant = grantOf(record);
     if (grant === undefined || record.request.pool !== pool) return [];
-    return [{ grant, reservation: reservationOf(record, record.request.receivedAt) }];
+    const reservation = reservationOf(record, record.request.receivedAt);
+    return [{ grant, reservation, suspended: record.state._tag === 'suspended' }];
   });
   const batches = Array.from({ length: Math.ceil(grants.length / MESSAGE_BATCH) }, (_, index) =>
     grants.slice(index * MESSAGE_BATCH, (index + 1) * MESSAGE_BATCH),
--- /dev/null
+++ b/src/coordination/membership/MemberTable.ts
@@ -0,0 +1,247 @@
+import { uniformInt } from 'pure-rand/distribution/uniformInt';
+import type { RandomGenerator } from 'pure-rand/types/RandomGenerator';
+import type { Member } from '../../state/Member.ts';
+import type { Action } from '../Action.ts';
+import { hasEnded, supersedes, type MemberRecord } from './MemberRecord.ts';
+import { UpdateQueue } from './UpdateQueue.ts';
+
+const KEEP_ENDED_MS = 600_000;
+/** Ends are repeated to others only this long; everyone has them by then, and none circles on. */
+const SPREAD_ENDED_MS = 60_000;
+
+const changed = (member: Member): Action => ({
+  _tag: 'decide',
+  decision: { _tag: 'memberChanged', member: member.incarnation, status: member.status },
+});
+
+/** The records of all members with the rules by which news changes them. */
+export class MemberTable {
+  private readonly records = new Map<string, MemberRecord>();
+
+  private readonly queue = new UpdateQueue();
+
+  private probeOrder: string[] = [];
+
+  private ended = false;
+
+  constructor(
+    private own: Member,
+    private readonly random: RandomGenerator,
+  ) {}
+
+  self(): Member {
+    return this.own;
+  }
+
+  /** Tells whether others have declared this incarnation dead, or it has left. */
+  selfEnded(): boolean {
+    return this.ended;
+  }
+
+  all(): readonly Member[] {
+    return [this.own, ...[...this.records.values()].map(({ member }) => member)];
+  }
+
+  live(): readonly Member[] {
+    return this.all().filter((member) => !hasEnded(member));
+  }
+
+  find(incarnation: string): Member | undefined {
+    return incarnation === this.own.incarnation ? this.own : this.records.get(incarnation)?.member;
+  }
+
+  heardAt(incarnation: string): number | undefined {
+    return this.records.get(incarnation)?.heardAt;
+  }
+
+  /** Notes that a probe from a member arrived; an ended one can't renew anything by it. */
+  hear(incarnation: string, now: number): void {
+    const record = this.records.get(incarnation);
+    if (record === undefined || hasEnded(record.member)) return;
+    this.records.set(incarnation, { ...record, heardAt: now });
+  }
+
+  markTold(incarnation: string, revision: number): void {
+    const record = this.records.get(incarnation);
+    if (record !== undefined) {
+      this.records.set(incarnation, { ...record, toldRevision: revision });
+    }
+  }
+
+  /** Takes over news that supersedes what is held. */
+  merge(from: string, updates: readonly Member[], now: number): Action[] {
+    return updates.flatMap((news) => this.mergeOne(from, news, now));
+  }
+
+  suspect(incarnation: string, now: number): Action[] {
+    const record = this.records.get(incarnation);
+    if (record === undefined || record.member.status !== 'alive') return [];
+    return this.put({ ...record.member, status: 'suspect' }, now);
+  }
+
+  endSuspected(now: number, suspicionMs: number): Action[] {
+    return [...this.records.values()]
+      .filter(
+        ({ member, changedAt }) => member.status === 'suspect' && now - changedAt >= suspicionMs,
+      )
+      .flatMap(({ member }) => this.put({ ...member, status: 'dead' }, now));
+  }
+
+  postponeSuspicions(byMs: number): void {
+    this.records.forEach((record, incarnation) => {
+      if (record.member.status === 'suspect') {
+        this.records.set(incarnation, { ...record, changedAt: record.changedAt + byMs });
+      }
+    });
+  }
+
+  /** Ends an incarnation whose address was answered by another one. */
+  retireAt(target: string | undefined, answeredBy: string, now: number): Action[] {
+    if (target === undefined || target === answeredBy) return [];
+    const held = this.records.get(target)?.member;
+    const answering = this.find(answeredBy);
+    if (held === undefined || hasEnded(held)) return [];
+    if (answering?.peerAddress !== held.peerAddress) return [];
+    return this.put({ ...held, status: 'dead' }, now);
+  }
+
+  reviseSelf(change: Partial<Pick<Member, 'draining' | 'status'>>, now: number): void {
+    this.own = { ...this.own, ...change, revision: this.own.revision + 1 };
+    if (change.status === 'left') this.ended = true;
+    this.queue.add(this.own);
+    this.records.forEach((record, incarnation) => {
+      if (now >= record.changedAt) this.records.set(incarnation, { ...record, toldRevision: -1 });
+    });
+  }
+
+  replaceSelf(incarnation: string, now: number): Action[] {
+    const old: Member = { ...this.own, status: 'left', revision: this.own.revision + 1 };
+    this.own = { ...this.own, incarnation, status: 'alive', revision: 0 };
+    this.ended = false;
+    const decisions = this.put(old, now);
+    this.queue.add(this.own);
+    this.records.forEach((record, key) => this.records.set(key, { ...record, toldRevision: -1 }));
+    return [...decisions, changed(this.own)];
+  }
+
+  forgetEnded(now: number): void {
+    this.records.forEach(({ member, changedAt }, incarnation) => {
+      if (hasEnded(member) && now - changedAt > KEEP_ENDED_MS) this.records.delete(incarnation);
+    });
+  }
+
+  /** Tells whether every other member ever met has left of its own accord. */
+  standsAlone(): boolean {
+    return [...this.records.values()].every(({ member }) => member.status === 'left');
+  }
+
+  /** Gives those of the addresses at which no live member is known. */
+  unanswered(addresses: readonly string[]): readonly string[] {
+    const taken = new Set(this.live().map(({ peerAddress }) => peerAddress));
+    return [...new Set(addresses)].filter((address) => !taken.has(address));
+  }
+
+  endedAddresses(): readonly string[] {
+    return [...this.records.values()]
+      .filter(({ member }) => member.status === 'dead')
+      .map(({ member }) => member.peerAddress);
+  }
+
+  /** Goes through all live members in an order that is shuffled anew each round. */
+  nextProbeTarget(): string | undefined {
+    if (this.probeOrder.length === 0) this.probeOrder = this.shuffle(this.liveOthers());
+    const next = this.probeOrder.pop();
+    if (next === undefined) return undefined;
+    const member = this.find(next);
+    return member === undefined || hasEnded(member) ? this.nextProbeTarget() : next;
+  }
+
+  sample(count: number, except: string): readonly Member[] {
+    const others = this.liveOthers().filter((incarnation) => incarnation !== except);
+    return this.shuffle(others)
+      .slice(0, count)
+      .flatMap((incarnation) => this.records.get(incarnation)?.member ?? []);
+  }
+
+  /** Chooses the records for one message: what concerns the peer, then news, then a random one. */
+  updatesFor(peer: string, maximum: number, now: number): readonly Member[] {
+    const record = this.records.get(peer);
+    const chosen = new Map<string, Member>();
+    const add = (member: Member): void => {
+      if (chosen.size < maximum) chosen.set(member.incarnation, member);
+    };
+    if (record === undefined || record.toldRevision < this.own.revision) add(this.own);
+    if (record !== undefined && record.member.status !== 'alive') add(record.member);
+    this.queue.take(maximum - chosen.size, this.records.size + 1).forEach(add);
+    this.randomRecord(now).forEach(add);
+    return [...chosen.values()];
+  }
+
+  private mergeOne(from: string, news: Member, now: number): Action[] {
+    if (news.incarnation === this.own.incarnation) return this.mergeOwn(news, now);
+    const held = this.records.get(news.incarnation)?.member;
+    if (held !== undefined) return supersedes(news, held) ? this.put(news, now) : [];
+    if (!hasEnded(news) && news.peerAddress === this.own.peerAddress) {
+      return this.put({ ...news, status: 'dead' }, now);
+    }
+    const replaced = news.incarnation === from && !hasEnded(news) ? this.replacedBy(news) : [];
+    return [
+      ...replaced.flatMap((old) => this.put({ ...old, status: 'dead' }, now)),
+      ...this.put(news, now),
+    ];
+  }
+
+  private mergeOwn(news: Member, now: number): Action[] {
+    if (hasEnded(news)) {
+      this.ended = true;
+    } else if (news.status === 'suspect' && news.revision >= this.own.revision && !this.ended) {
+      this.own = { ...this.own, revision: news.revision };
+      this.reviseSelf({}, now);
+    }
+    return [];
+  }
+
+  private replacedBy(news: Member): readonly Member[] {
+    return [...this.records.values()]
+      .map(({ member }) => member)
+      .filter((member) => member.peerAddress === news.peerAddress && !hasEnded(member));
+  }
+
+  private put(member: Member, now: number): Action[] {
+    const held = this.records.get(member.incarnation);
+    this.records.set(member.incarnation, {
+      member,
+      changedAt: now,
+      heardAt: held?.heardAt ?? now,
+      toldRevision: held?.toldRevision ?? -1,
+    });
+    this.queue.add(member);
+    const same = held?.member.status === member.status && held.member.draining === member.draining;
+    return same ? [] : [changed(member)];
+  }
+
+  private randomRecord(now: number): readonly Member[] {
+    const records = [...this.records.values()].filter(
+      ({ member, changedAt }) => !hasEnded(member) || now - changedAt < SPREAD_ENDED_MS,
+    );
+    if (records.length === 0) return [];
+    const record = records[uniformInt(this.random, 0, records.length - 1)];
+    return record === undefined ? [] : [record.member];
+  }
+
+  private liveOthers(): string[] {
+    return [...this.records.values()]
+      .filter(({ member }) => !hasEnded(member))
+      .map(({ member }) => member.incarnation);
+  }
+
+  private shuffle(items: readonly string[]): string[] {
+    const shuffled = [...items];
+    shuffled.forEach((item, index) => {
+      const other = uniformInt(this.random, 0, index);
+      shuffled[index] = shuffled[other] ?? item;
+      shuffled[other] = item;
+    });
+    return shuffled;
+  }
+}
--- /dev/null
+++ b/src/coordination/membership/UpdateQueue.ts
@@ -0,0 +1,42 @@
+import type { Member } from '../../state/Member.ts';
+
+const TRANSMISSIONS_PER_DOUBLING = 3;
+
+interface PendingUpdate {
+  readonly member: Member;
+  readonly sent: number;
+}
+
+/**
+ * Membership news that still has to be piggy-backed. Each piece goes out a number of times that
+ * grows with the logarithm of the fleet, the least sent first, so that messages keep their size.
+ */
+export class UpdateQueue {
+  private readonly pending = new Map<string, PendingUpdate>();
+
+  /**
+   * Puts news in the queue; it replaces older news of the same incarnation.
+   *
+   * @param member - the record to spread
+   */
+  add(member: Member): void {
+    this.pending.set(member.incarnation, { member, sent: 0 });
+  }
+
+  /**
+   * Takes the next pieces of news for one message.
+   *
+   * @param count - most pieces to take
+   * @param fleetSize - members known, which sets how often each piece is sent
+   * @returns the records to send
+   */
+  take(count: number, fleetSize: number): readonly Member[] {
+    const limit = TRANSMISSIONS_PER_DOUBLING * Math.ceil(Math.log2(fleetSize + 1));
+    const chosen = [...this.pending.values()].sort((a, b) => a.sent - b.sent).slice(0, count);
+    chosen.forEach(({ member, sent }) => {
+      if (sent + 1 >= limit) this.pending.delete(member.incarnation);
+      else this.pending.set(member.incarnation, { member, sent: sent + 1 });
+    });
+    return chosen.map(({ member }) => member);
+  }
+}
--- /dev/null
+++ b/src/coordination/scheduling/PrefixIndex.ts
@@ -0,0 +1,70 @@
+import type { CacheEvent } from '../../protocol/engine/LoadReport.ts';
+
+/** Prompt tokens that one prefix hash stands for. */
+const TOKENS_PER_PREFIX = 64;
+const MAXIMUM_PREFIXES = 8_192;
+/** What is believed of the cache before any call has shown it. */
+const FIRST_TRUST = 0.8;
+const TRUST_GAIN = 0.1;
+
+/**
+ * What an engine's prefix cache probably holds. Own grants and the engine's late, gappy events are
+ * hints; completed calls show how far to trust them.
+ */
+export class PrefixIndex {
+  /** Least recently used first. */
+  readonly #prefixes = new Set<string>();
+
+  #trust = FIRST_TRUST;
+
+  /**
+   * Expects how much of a prompt is cached.
+   *
+   * @param prefixes - hashes of its growing prefixes, shortest first
+   * @param promptTokens - the prompt's length
+   * @returns tokens, weighed by how often the hints came true
+   */
+  cachedTokens(prefixes: readonly string[], promptTokens: number): number {
+    const longest = prefixes.findLastIndex((prefix) => this.#prefixes.has(prefix));
+    const tokens = Math.min(promptTokens, (longest + 1) * TOKENS_PER_PREFIX);
+    return tokens * this.#trust;
+  }
+
+  /** Notes prefixes that the engine computes now. */
+  add(prefixes: readonly string[]): void {
+    prefixes.forEach((prefix) => {
+      this.#prefixes.delete(prefix);
+      this.#prefixes.add(prefix);
+    });
+    while (this.#prefixes.size > MAXIMUM_PREFIXES) {
+      const { value } = this.#prefixes.values().next();
+      if (value !== undefined) this.#prefixes.delete(value);
+    }
+  }
+
+  /** Takes the engine's own account of changes. */
+  apply(events: readonly CacheEvent[]): void {
+    events.forEach(({ operation, prefix }) => {
+      switch (operation) {
+        case 'stored':
+          this.add([prefix]);
+          break;
+        case 'evicted':
+          this.#prefixes.delete(prefix);
+          break;
+        case 'cleared':
+          this.#prefixes.clear();
+          break;
+        default:
+          operation satisfies never;
+      }
+    });
+  }
+
+  /** Compares what was expected of the cache with what a call found. */
+  learn(expectedTokens: number, foundTokens: number): void {
+    if (expectedTokens < TOKENS_PER_PREFIX / 2) return;
+    const ratio = Math.min(1, (foundTokens / expectedTokens) * this.#trust);
+    this.#trust += (ratio - this.#trust) * TRUST_GAIN;
+  }
+}
--- a/src/protocol/peer/PeerMessage.ts
+++ b/src/protocol/peer/PeerMessage.ts
@@ -93,7 +93,14 @@
   /** What a home has running in a pool, told to a scheduler that is new to it. */
   Schema.TaggedStruct('inFlight', {
     pool: Schema.NonEmptyString,
-    grants: Schema.Array(Schema.Struct({ grant: Grant, reservation: Reservation })),
+    grants: Schema.Array(
+      Schema.Struct({
+        grant: Grant,
+        reservation: Reservation,
+        /** Whether it is suspended and waits for `resume`. */
+        suspended: Schema.optionalKey(Schema.Boolean),
+      }),
+    ),
   }),
   // Client-account limits
   Schema.TaggedStruct('quotaRequest', {
@@ -101,6 +108,8 @@
     requests: Schema.Finite,
     tokens: Schema.Finite,
     concurrency: Schema.Int,
+    /** Concurrency that the home holds already, so that an owner new to the account learns of it. */
+    held: Schema.Int,
   }),
   Schema.TaggedStruct('quotaReply', {
     account: Schema.NonEmptyString,
@@ -111,6 +120,7 @@
   }),
   Schema.TaggedStruct('quotaReturn', {
     account: Schema.NonEmptyString,
+    requests: Schema.Finite,
     tokens: Schema.Finite,
     concurrency: Schema.Int,
   }),
