--- /dev/null
+++ b/test/fakes/platform/index.ts
@@ -0,0 +1,8 @@
+export { startPlatform } from './startPlatform.ts';
+export type {
+  FakePlatform,
+  PlatformCounts,
+  PlatformFaults,
+  PlatformObject,
+  PlatformOptions,
+} from './startPlatform.ts';
--- /dev/null
+++ b/test/fakes/service/index.ts
@@ -0,0 +1,2 @@
+export { startService } from './startService.ts';
+export type { FakeService, ServiceFaults, ServiceOptions, ServiceStats } from './startService.ts';
