--- a/scripts/capacity/roles.ts
+++ b/scripts/capacity/roles.ts
@@ -278,10 +278,10 @@
         ),
         {
           what: 'calls as the store returns: a list and a watch for each kind',
-          value: relays * 4 * 2,
+          value: relays * 3 * 2,
           unit: 'calls, spread over the jitter',
           bound: STORE.readsPerSecond,
-          formula: `${relays} relays × 4 kinds × 2`,
+          formula: `${relays} relays × 3 kinds × 2`,
         },
       ],
       remedy: 'none needed within these bounds',
