Add second bundles of both deployments, each with a move

Cause: operators and the demo need a bundle that moves a pool to a new version.

Change: docs/examples/*/bundle-2.jsonc; the test of the examples now goes by the same check as the command.

Conclusion: a deployment can be taken from an empty platform to a move by files that are checked.

--- a/test/examples.test.ts
+++ b/test/examples.test.ts
@@ -1,52 +1,61 @@
 import { readFileSync } from 'node:fs';
-import { describe, it } from 'node:test';
+import { test } from 'node:test';
 import { expect } from 'earl';
-import * as Schema from 'effect/Schema';
-import { parse } from 'jsonc-parser';
-import { Bundle } from '../src/state/Bundle.ts';
-import { Settings } from '../src/state/Settings.ts';
-
-const read = (name: string): unknown =>
-  parse(readFileSync(new URL(`../docs/examples/${name}`, import.meta.url), 'utf8'), [], {
-    allowTrailingComma: true,
-  });
+import { formatProblem, loadBundle, loadSettings } from '../src/state/documents/index.ts';
+import type { Loaded } from '../src/state/documents/index.ts';
 
-const readBundle = (name: string) => Schema.decodeUnknownSync(Bundle)(read(name));
+const PRESENT = Date.parse('2026-12-01T00:00:00Z');
 
-describe('the example files', () => {
-  ['settings.jsonc', 'orbitale/settings.jsonc', 'snow/settings.jsonc'].forEach((name) => {
-    it(`${name} are settings that the schema accepts`, () => {
-      expect(Schema.decodeUnknownSync(Settings)(read(name)).failureDomain).toEqual('fd-a');
-    });
-  });
+const read = (name: string): string =>
+  readFileSync(new URL(`../docs/examples/${name}`, import.meta.url), 'utf8');
 
-  [
-    { deployment: 'orbitale', modelRunners: 6 },
-    { deployment: 'snow', modelRunners: 12 },
-  ].forEach(({ deployment, modelRunners }) => {
-    it(`the bundle of ${deployment} has the instances and accounts of its deployment`, () => {
-      const bundle = readBundle(`${deployment}/bundle.jsonc`);
-      const models = new Set(
-        bundle.pools.filter(({ kind }) => kind._tag === 'model').map(({ name }) => name),
-      );
-      const addresses = (wanted: boolean) =>
-        new Set(
-          bundle.endpoints
-            .filter(({ pool }) => models.has(pool) === wanted)
-            .map(({ address }) => new URL(address).hostname),
-        ).size;
-      expect(addresses(true)).toEqual(modelRunners);
-      expect(addresses(false)).toEqual(3);
-      expect(bundle.accounts.length).toEqual(5);
-      expect(new Set(bundle.endpoints.map(({ failureDomain }) => failureDomain)).size).toEqual(3);
-    });
-  });
+const expectValid = <A>(loaded: Loaded<A>): A => {
+  if (loaded._tag === 'invalid') throw new Error(loaded.problems.map(formatProblem).join('\n'));
+  return loaded.value;
+};
+
+const readBundle = (name: string) => expectValid(loadBundle(read(name), PRESENT));
+const readSettings = (name: string) => expectValid(loadSettings(read(name)));
+
+test('the example settings pass the check', () => {
+  const names = ['settings.jsonc', 'orbitale/settings.jsonc', 'snow/settings.jsonc'];
+  const domains = names.map((name) => readSettings(name).failureDomain);
+  expect(domains).toEqual(['fd-a', 'fd-a', 'fd-a']);
+});
+
+test('the settings with every field show the defaults', () => {
+  const shown = readSettings('settings.jsonc');
+  const { limits, timing, policy } = readSettings('orbitale/settings.jsonc');
+  expect({ ...shown, limits, timing, policy }).toEqual(shown);
+});
 
-  it('the settings with every field show the defaults', () => {
-    const shown = Schema.decodeUnknownSync(Settings)(read('settings.jsonc'));
-    const least = Schema.decodeUnknownSync(Settings)(read('orbitale/settings.jsonc'));
-    expect({ ...shown, limits: least.limits, timing: least.timing, policy: least.policy }).toEqual(
-      shown,
+[
+  { deployment: 'orbitale', modelRunners: 6 },
+  { deployment: 'snow', modelRunners: 12 },
+].forEach(({ deployment, modelRunners }) => {
+  test(`the first bundle of ${deployment} has the instances and accounts of its deployment`, () => {
+    const bundle = readBundle(`${deployment}/bundle.jsonc`);
+    const models = new Set(
+      bundle.pools.filter(({ kind }) => kind._tag === 'model').map(({ name }) => name),
     );
+    const countInstances = (ofModels: boolean) =>
+      new Set(
+        bundle.endpoints
+          .filter(({ pool }) => models.has(pool) === ofModels)
+          .map(({ address }) => new URL(address).hostname),
+      ).size;
+    expect(countInstances(true)).toEqual(modelRunners);
+    expect(countInstances(false)).toEqual(3);
+    expect(bundle.accounts.length).toEqual(5);
+    expect(new Set(bundle.endpoints.map(({ failureDomain }) => failureDomain)).size).toEqual(3);
+  });
+
+  test(`the second bundle of ${deployment} differs from the first by a move and its endpoints`, () => {
+    const first = readBundle(`${deployment}/bundle.jsonc`);
+    const second = readBundle(`${deployment}/bundle-2.jsonc`);
+    const [move] = second.moves;
+    const kept = second.endpoints.filter(({ version }) => version !== move?.to);
+    expect(second.moves.length).toEqual(1);
+    expect({ ...second, version: 1, moves: [], endpoints: kept }).toEqual(first);
   });
 });
