Measure what the decision machines cost by themselves

Cause: the capacity page needs measured costs for scheduler, quotas, configuration and membership.

Encoding and decoding of the messages is part of each cost.

--- a/scripts/capacity.ts
+++ b/scripts/capacity.ts
@@ -1,6 +1,8 @@
-// Works out docs/CAPACITY.md anew from the measured costs in docs/capacity/slopes.json.
+// Works out docs/CAPACITY.md anew from the measured costs in docs/capacity/slopes.json. With
+// --measure it first measures anew what the decision machines cost by themselves.
 import { readFileSync, writeFileSync } from 'node:fs';
 import { format, resolveConfig } from 'prettier';
+import { measureMachines } from './capacity/measureMachines.ts';
 import { describeRoles } from './capacity/roles.ts';
 import type { Figure, Role } from './capacity/roles.ts';
 import { readSlopes } from './capacity/Slopes.ts';
@@ -58,6 +60,11 @@
   '',
 ];
 
+if (process.argv.includes('--measure')) {
+  const measured = { ...readSlopes(SLOPES), ...measureMachines() };
+  writeFileSync(SLOPES, `${JSON.stringify(measured, null, 2)}\n`);
+}
+
 const slopes = readSlopes(SLOPES);
 const figures = [...printSlopes(slopes), ...describeRoles(slopes).flatMap(printRole)].join('\n');
 const page = readFileSync(PAGE, 'utf8').replace(
