--- a/src/cli/commands/index.ts
+++ b/src/cli/commands/index.ts
@@ -4,7 +4,10 @@
 import { BundleRoll } from './bundleRoll.ts';
 import { BundleShow } from './bundleShow.ts';
 import { Check } from './check.ts';
+import { Drain } from './drain.ts';
+import { Entries } from './entries.ts';
 import { MoveList } from './moveList.ts';
+import { Request } from './request.ts';
 
 /** Every command by its id; a colon stands between topic and command. */
 export const COMMANDS: Readonly<Record<string, Command.Class>> = {
@@ -13,7 +16,10 @@
   'bundle:roll': BundleRoll,
   'bundle:show': BundleShow,
   check: Check,
+  drain: Drain,
+  entries: Entries,
   'move:list': MoveList,
+  request: Request,
 };
 
 /** What `--help` says of each group of commands. */
--- a/src/transport/caller/readCallerHead.ts
+++ b/src/transport/caller/readCallerHead.ts
@@ -54,7 +54,7 @@
   if (id !== undefined && !isRequestId(id)) {
     return malformed(
       'malformed_request_id',
-      'X-Request-Id must be PREFIX.SUFFIX with a prefix that GET /v1/entries gave; or leave it out.',
+      'X-Request-Id must be a requestIdPrefix of GET /v1/entries, followed by letters, digits, _ or -.',
     );
   }
   const deadline = single(headers[DEADLINE_HEADER]);
