--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -67,7 +67,10 @@
       // A machine changes the records of its own tables in place.
       'no-param-reassign': [
         'error',
-        { props: true, ignorePropertyModificationsFor: ['record', 'entry', 'state', 'ticket'] },
+        {
+          props: true,
+          ignorePropertyModificationsFor: ['record', 'entry', 'state', 'ticket', 'question'],
+        },
       ],
       'max-lines': ['error', { max: 400, skipBlankLines: true, skipComments: true }],
     },
--- a/src/coordination/home/Home.ts
+++ b/src/coordination/home/Home.ts
@@ -141,12 +141,14 @@
    *
    * @param id - the request
    * @param usage - tokens as the endpoint counted them, zeros where it didn't
+   * @param result - `failed` where the whole answer says that the endpoint failed
    * @param now - present monotonic time, ms
    * @returns steps to carry out in order
    */
   completed(
     id: string,
     usage: Pick<CallRecord, 'promptTokens' | 'cachedTokens' | 'outputTokens'>,
+    result: 'completed' | 'failed',
     now: number,
   ): HomeStep[] {
     const record = this.#table.live(id);
@@ -154,8 +156,8 @@
     if (record === undefined || grant === undefined) return [];
     const { endpoint, version } = grant;
     return [
-      ...this.#release(record, 'completed', usage, now),
-      ...this.#end(record, { _tag: 'completed', endpoint, version }, now),
+      ...this.#release(record, result, usage, now),
+      ...this.#end(record, { _tag: 'completed', endpoint, version }, now, tokensOf(usage)),
     ];
   }
 
@@ -224,6 +226,20 @@
       .flatMap((record) => this.#notRun(record, reason, now));
   }
 
+  /**
+   * Asks again for the quota of requests that waited for their account's owner.
+   *
+   * @param account - the account whose quota was answered
+   * @param now - present monotonic time, ms
+   * @returns steps to carry out in order
+   */
+  retryLimited(account: string, now: number): HomeStep[] {
+    return this.#table
+      .all()
+      .filter(({ state, request }) => state._tag === 'limited' && request.account === account)
+      .flatMap((record) => this.#admit(record, now));
+  }
+
   /**
    * Acts on passed time: deadlines, changed schedulers, lost messages, reports of what runs.
    *
@@ -298,7 +314,7 @@
     if (scheduler !== this.#surroundings.incarnation()) record.reservedElsewhere = true;
     const reservation = reservationOf(record, now);
     return [
-      ...this.#noteScheduler(record.request.pool, scheduler),
+      ...this.#noteScheduler(record.request.pool, scheduler, now),
       { _tag: 'send', to: scheduler, message: { _tag: 'reserve', reservations: [reservation] } },
     ];
   }
@@ -309,13 +325,13 @@
   }
 
   /** Tells a scheduler that is new to a pool what runs there, before anything is reserved with it. */
-  #noteScheduler(pool: string, scheduler: string): HomeStep[] {
+  #noteScheduler(pool: string, scheduler: string, now: number): HomeStep[] {
     const from = this.#schedulers.get(pool);
     if (from === scheduler) return [];
     this.#schedulers.set(pool, scheduler);
     return [
       { _tag: 'decide', decision: { _tag: 'schedulerChanged', pool, from, to: scheduler } },
-      ...inFlightSteps(pool, scheduler, this.#table.all()),
+      ...inFlightSteps(pool, scheduler, this.#table.all(), now),
     ];
   }
 
@@ -327,8 +343,8 @@
     return [...pools].flatMap((pool) => {
       const scheduler = this.#surroundings.scheduler(pool, now);
       if (scheduler === undefined) return [];
-      const noted = this.#noteScheduler(pool, scheduler);
-      return noted.length > 0 ? noted : inFlightSteps(pool, scheduler, records);
+      const noted = this.#noteScheduler(pool, scheduler, now);
+      return noted.length > 0 ? noted : inFlightSteps(pool, scheduler, records, now);
     });
   }
 
@@ -382,11 +398,12 @@
     ];
   }
 
-  #end(record: RequestRecord, outcome: Outcome, now: number): HomeStep[] {
+  #end(record: RequestRecord, outcome: Outcome, now: number, tokensUsed?: number): HomeStep[] {
     const { request, state } = record;
     if (state._tag !== 'limited') {
-      const used = outcome._tag === 'notRun' ? 0 : request.promptTokens + request.outputTokens;
-      this.#surroundings.releaseQuota(request.account, used, now);
+      const counted = request.promptTokens + request.outputTokens;
+      const used = outcome._tag === 'notRun' ? 0 : (tokensUsed ?? counted);
+      this.#surroundings.releaseQuota(request.account, used, counted, now);
     }
     this.#table.end(record, outcome);
     return [
@@ -435,6 +452,15 @@
   }
 }
 
+/** Tokens that an endpoint counted, undefined where it counts none. */
+function tokensOf({
+  promptTokens,
+  outputTokens,
+}: Pick<CallRecord, 'promptTokens' | 'outputTokens'>): number | undefined {
+  const tokens = promptTokens + outputTokens;
+  return tokens > 0 ? tokens : undefined;
+}
+
 function grantOf(record: RequestRecord | undefined): Grant | undefined {
   if (record === undefined) return undefined;
   const { state } = record;
@@ -462,12 +488,13 @@
   pool: string,
   scheduler: string,
   records: readonly RequestRecord[],
+  now: number,
 ): HomeStep[] {
   const grants = records.flatMap((record) => {
     const grant = grantOf(record);
     if (grant === undefined || record.request.pool !== pool) return [];
-    const reservation = reservationOf(record, record.request.receivedAt);
-    return [{ grant, reservation, suspended: record.state._tag === 'suspended' }];
+    const suspended = record.state._tag === 'suspended';
+    return [{ grant, reservation: reservationOf(record, now), suspended }];
   });
   const batches = Array.from({ length: Math.ceil(grants.length / MESSAGE_BATCH) }, (_, index) =>
     grants.slice(index * MESSAGE_BATCH, (index + 1) * MESSAGE_BATCH),
--- a/src/coordination/home/HomeStep.ts
+++ b/src/coordination/home/HomeStep.ts
@@ -30,7 +30,13 @@
   readonly mayServe: (pool: string, version: string) => boolean;
   readonly scheduler: (pool: string, now: number, excluded?: string) => string | undefined;
   readonly acquireQuota: (account: string, tokens: number, now: number) => QuotaAnswer;
-  readonly releaseQuota: (account: string, tokensUsed: number, now: number) => void;
+  /** Gives back what was acquired: tokens used in fact, and tokens counted when it was admitted. */
+  readonly releaseQuota: (
+    account: string,
+    tokensUsed: number,
+    tokensCounted: number,
+    now: number,
+  ) => void;
   /** Milliseconds to tell a caller to wait, spread so that callers don't come back together. */
   readonly retryAfter: () => number;
 }
--- a/src/coordination/home/index.ts
+++ b/src/coordination/home/index.ts
@@ -1,5 +1,7 @@
 export { Home } from './Home.ts';
 export type { HomeStep, HomeSurroundings, QuotaAnswer } from './HomeStep.ts';
 export type { HomeRequest } from './RequestRecord.ts';
-export { RequestWindow } from './RequestWindow.ts';
+export { Inquiry } from './Inquiry.ts';
+export { ClockGuard } from './ClockGuard.ts';
+export { RequestWindow, requestIdPrefix } from './RequestWindow.ts';
 export { SchedulerChoice } from './SchedulerChoice.ts';
