--- /dev/null
+++ b/src/app/CallerFront.ts
@@ -0,0 +1,172 @@
+import { randomBytes } from 'node:crypto';
+import type {
+  CallerAnswer,
+  CallerRequest,
+  CallerService,
+} from '../protocol/caller/CallerRequest.ts';
+import { requestIdPrefix } from '../coordination/home/index.ts';
+import { homeOf } from '../state/RequestId.ts';
+import type { Outcome, RequestStatus } from '../state/Outcome.ts';
+import type { Forwarder } from '../transport/caller/index.ts';
+import { admitCaller, findAccount, tellRefusal } from './admitCaller.ts';
+import type { Admission } from './admitCaller.ts';
+import type { Entry } from './Entry.ts';
+
+const SUFFIX_BYTES = 9;
+
+const CONFLICT = { status: 409, code: 'request_id_used' } as const;
+
+/** Serves callers: takes what this process is home of, and passes the rest on or tells what is known. */
+export class CallerFront implements CallerService {
+  /**
+   * @param entry - the process
+   * @param forwarder - the way to other entries' caller addresses
+   */
+  constructor(
+    private readonly entry: Entry,
+    private readonly forwarder: Forwarder,
+  ) {}
+
+  readonly entries: CallerService['entries'] = () => ({
+    entries: this.entry.entryAddresses(),
+    keepForMs: this.entry.settings.timing.entriesKeepMs,
+  });
+
+  readonly ready: CallerService['ready'] = () =>
+    this.entry.board.current() !== undefined && !this.entry.draining;
+
+  readonly metrics: CallerService['metrics'] = () => this.entry.metrics.render(this.entry.gauges());
+
+  readonly drain: CallerService['drain'] = () => this.entry.drain();
+
+  readonly models: CallerService['models'] = (key) => {
+    const bundle = this.entry.board.current()?.bundle;
+    if (bundle === undefined || findAccount(bundle, key) === undefined) return undefined;
+    return bundle.pools.flatMap(({ kind }) => (kind._tag === 'model' ? [kind.model] : []));
+  };
+
+  readonly status: CallerService['status'] = (id, key) => {
+    const bundle = this.entry.board.current()?.bundle;
+    if (bundle === undefined || findAccount(bundle, key) === undefined) {
+      return Promise.resolve(undefined);
+    }
+    return this.#statusOf(id);
+  };
+
+  readonly serve: CallerService['serve'] = (request, answer) => {
+    const bundle = this.entry.board.current()?.bundle;
+    const id = request.id ?? this.#mint();
+    answer.identify(id);
+    if (bundle === undefined) {
+      answer.tellNotRun('no_configuration', this.entry.retryAfter());
+      return;
+    }
+    const admission = admitCaller(bundle, request, this.entry.settings.limits);
+    if (admission._tag === 'refused') {
+      tellRefusal(answer, admission);
+      return;
+    }
+    if (homeOf(id) === this.entry.incarnation) this.#take(id, request, admission, answer);
+    else this.#passOn(id, request, answer);
+  };
+
+  #mint(): string {
+    const suffix = randomBytes(SUFFIX_BYTES).toString('base64url');
+    return `${requestIdPrefix(this.entry.incarnation, this.entry.wallNow())}${suffix}`;
+  }
+
+  #take(
+    id: string,
+    request: CallerRequest,
+    { request: matched, deadlineMs, streamed }: Extract<Admission, { _tag: 'matched' }>,
+    answer: CallerAnswer,
+  ): void {
+    const { entry } = this;
+    const known = entry.home.status(id);
+    if (known !== undefined) {
+      tellStatus(answer, known);
+      return;
+    }
+    if (!entry.window.accepts(id, entry.wallNow())) {
+      const message = 'The id is too old to be taken; ask for entries again and use a new prefix.';
+      answer.refuse({ status: 409, code: 'request_id_expired', message });
+      return;
+    }
+    if (entry.draining) {
+      answer.tellNotRun('draining', entry.retryAfter());
+      return;
+    }
+    if (entry.home.size >= entry.settings.limits.maximumRequests) {
+      answer.tellNotRun('overloaded', entry.retryAfter());
+      return;
+    }
+    const now = entry.now();
+    entry.calls.keep(id, request, answer, streamed);
+    answer.onLeave(() => entry.run(entry.home.callerLeft(id, entry.now())));
+    entry.run(
+      entry.home.accept({ ...matched, id, receivedAt: now, deadlineAt: now + deadlineMs }, now),
+    );
+  }
+
+  #passOn(id: string, request: CallerRequest, answer: CallerAnswer): void {
+    const home = this.entry.membership.find(homeOf(id));
+    const alive = home?.status === 'alive' || home?.status === 'suspect';
+    if (home === undefined || !alive || request.forwarded) {
+      this.#tellKnown(id, answer);
+      return;
+    }
+    this.forwarder.forward(home.callerAddress, request, id, answer, (outcome) => {
+      if (outcome._tag === 'unreachable') this.#tellKnown(id, answer);
+    });
+  }
+
+  #tellKnown(id: string, answer: CallerAnswer): void {
+    this.#statusOf(id).then((status) => {
+      if (status === undefined) answer.tellUnknown('entry_lost');
+      else tellStatus(answer, status);
+    });
+  }
+
+  #statusOf(id: string): Promise<RequestStatus | undefined> {
+    const { entry } = this;
+    const own = entry.home.status(id);
+    if (own !== undefined || homeOf(id) === entry.incarnation) return Promise.resolve(own);
+    return new Promise((resolve) => {
+      entry.run(entry.inquiry.ask(id, entry.now(), resolve));
+    });
+  }
+}
+
+/** Answers a request whose id was used before with what became of it; it is not run again. */
+function tellStatus(answer: CallerAnswer, status: RequestStatus): void {
+  switch (status._tag) {
+    case 'waiting':
+    case 'dispatched':
+      answer.refuse({ ...CONFLICT, message: 'A request with this id is being served.' });
+      return;
+    case 'ended':
+      tellOutcome(answer, status.outcome);
+      return;
+    default:
+      status satisfies never;
+  }
+}
+
+function tellOutcome(answer: CallerAnswer, outcome: Outcome): void {
+  switch (outcome._tag) {
+    case 'completed':
+      answer.refuse({
+        ...CONFLICT,
+        message: 'The request with this id has been completed; its answer is not kept.',
+      });
+      return;
+    case 'notRun':
+      answer.tellNotRun(outcome.reason, outcome.retryAfterMs);
+      return;
+    case 'unknown':
+      answer.tellUnknown(outcome.reason);
+      return;
+    default:
+      outcome satisfies never;
+  }
+}
--- /dev/null
+++ b/src/app/Entry.ts
@@ -0,0 +1,468 @@
+import { randomBytes } from 'node:crypto';
+import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
+import { uniformInt } from 'pure-rand/distribution/uniformInt';
+import type { RandomGenerator } from 'pure-rand/types/RandomGenerator';
+import type { Logger } from 'pino';
+import { ConfigurationBoard, isRelay } from '../coordination/configuration/index.ts';
+import {
+  ClockGuard,
+  Home,
+  Inquiry,
+  RequestWindow,
+  SchedulerChoice,
+  requestIdPrefix,
+} from '../coordination/home/index.ts';
+import type { HomeStep, QuotaAnswer } from '../coordination/home/index.ts';
+import { QuotaCache, QuotaLedger } from '../coordination/limits/index.ts';
+import { Membership, rankMembers } from '../coordination/membership/index.ts';
+import type { EntryAddress } from '../protocol/caller/CallerRequest.ts';
+import type { EndpointClient } from '../protocol/engine/EndpointClient.ts';
+import type { PeerNetwork } from '../protocol/peer/PeerNetwork.ts';
+import type { Endpoint } from '../state/Endpoint.ts';
+import type { Member } from '../state/Member.ts';
+import type { Outcome } from '../state/Outcome.ts';
+import type { Settings } from '../state/Settings.ts';
+import { EndpointCalls } from './EndpointCalls.ts';
+import { logDecision } from './logDecision.ts';
+import { Metrics } from './Metrics.ts';
+import { PoolSchedulers } from './PoolSchedulers.ts';
+import { routePeerMessage } from './routePeerMessage.ts';
+
+const INCARNATION_BYTES = 10;
+const SEED_BYTES = 4;
+/** Entries told to a caller at once; more would only lengthen the answer. */
+const MAXIMUM_ENTRIES = 16;
+const LEAST_RETRY_MS = 200;
+const MOST_RETRY_MS = 1_500;
+
+/** What an entry is made from; everything that does input or output comes from outside. */
+export interface EntryParts {
+  readonly settings: Settings;
+  readonly callerAddress: string;
+  readonly peerAddress: string;
+  readonly client: EndpointClient;
+  readonly network: PeerNetwork;
+  readonly logger: Logger;
+  /** Present monotonic time, ms. */
+  readonly now: () => number;
+  /** Present Unix time, ms. */
+  readonly wallNow: () => number;
+}
+
+const createIncarnation = (): string => randomBytes(INCARNATION_BYTES).toString('hex');
+
+/** One entry process: the machines, and the carrying out of what they decide. */
+export class Entry {
+  readonly settings: Settings;
+
+  readonly metrics = new Metrics();
+
+  readonly board: ConfigurationBoard;
+
+  readonly membership: Membership;
+
+  readonly home: Home;
+
+  readonly calls: EndpointCalls;
+
+  readonly inquiry: Inquiry;
+
+  readonly random: RandomGenerator;
+
+  window: RequestWindow;
+
+  draining = false;
+
+  #incarnation = createIncarnation();
+
+  readonly #parts: EntryParts;
+
+  readonly #schedulers: PoolSchedulers;
+
+  readonly #ledger = new QuotaLedger();
+
+  readonly #cache: QuotaCache;
+
+  readonly #choice = new SchedulerChoice();
+
+  readonly #clockGuard: ClockGuard;
+
+  readonly #queue: HomeStep[] = [];
+
+  #working = false;
+
+  #appliedKey = '';
+
+  #members: readonly Member[] = [];
+
+  /** @param parts - settings, links and clocks */
+  constructor(parts: EntryParts) {
+    const { settings, callerAddress, peerAddress, client, now, wallNow } = parts;
+    this.#parts = parts;
+    this.settings = settings;
+    this.random = xoroshiro128plus(randomBytes(SEED_BYTES).readInt32BE());
+    const self = (): string => this.#incarnation;
+    this.membership = new Membership({
+      self: {
+        incarnation: this.#incarnation,
+        callerAddress,
+        peerAddress,
+        failureDomain: settings.failureDomain,
+        region: settings.region,
+        status: 'alive',
+        revision: 0,
+        draining: false,
+      },
+      timing: settings.timing,
+      random: this.random,
+    });
+    const { failureDomain } = settings;
+    this.board = new ConfigurationBoard(
+      { incarnation: this.#incarnation, failureDomain },
+      this.random,
+    );
+    this.#cache = new QuotaCache({
+      self: this.#incarnation,
+      policy: settings.policy.accountLimits,
+    });
+    this.#clockGuard = new ClockGuard(now(), wallNow());
+    this.window = new RequestWindow(this.#incarnation);
+    this.#schedulers = new PoolSchedulers(settings, client, (actions) => this.run(actions), now);
+    this.calls = this.#createCalls(client);
+    this.home = new Home({
+      incarnation: self,
+      mayDispatch: (at) => this.#mayDispatch(at),
+      mayServe: (pool, version) => this.#mayServe(pool, version),
+      scheduler: (pool, at, excluded) => this.#choice.choose(pool, at, excluded),
+      acquireQuota: (account, tokens, at) => this.#acquireQuota(account, tokens, at),
+      releaseQuota: (account, used, counted, at) => this.#cache.release(account, used, counted, at),
+      retryAfter: () => this.retryAfter(),
+    });
+    const { incarnationLeaseMs, incarnationLeaseMarginMs } = settings.timing;
+    this.inquiry = new Inquiry({
+      incarnation: self,
+      members: () => this.membership.members(),
+      silentMs: (incarnation, at) => at - (this.membership.heardAt(incarnation) ?? -Infinity),
+      silenceNeededMs: incarnationLeaseMs + incarnationLeaseMarginMs,
+      findLocally: (id, at) =>
+        this.#schedulers.find(id, this.#mayBeAlive(id.split('.', 1)[0] ?? '', at)),
+      retryAfter: () => this.retryAfter(),
+    });
+    this.#refreshMembers();
+  }
+
+  /** @returns this process's present incarnation */
+  get incarnation(): string {
+    return this.#incarnation;
+  }
+
+  /** @returns present monotonic time, ms */
+  now(): number {
+    return this.#parts.now();
+  }
+
+  /** @returns present Unix time, ms */
+  wallNow(): number {
+    return this.#parts.wallNow();
+  }
+
+  /** @returns ms for a caller to wait, spread at random */
+  retryAfter(): number {
+    return uniformInt(this.random, LEAST_RETRY_MS, MOST_RETRY_MS);
+  }
+
+  /** Takes messages from peers from now on. */
+  listen(): void {
+    this.#parts.network.onDelivery((delivery) => {
+      this.run(routePeerMessage(this.#machines(), delivery, this.now()));
+    });
+  }
+
+  /**
+   * Looks for other entries.
+   *
+   * @param addresses - peer addresses that may have an entry
+   */
+  join(addresses: readonly string[]): void {
+    const others = addresses.filter((address) => address !== this.#parts.peerAddress);
+    this.run(this.membership.join(others, this.now()));
+  }
+
+  /**
+   * Carries steps out in order; what they bring about in this process comes after them.
+   *
+   * @param steps - what machines decided
+   */
+  run(steps: readonly HomeStep[]): void {
+    this.#queue.push(...steps);
+    if (this.#working) return;
+    this.#working = true;
+    let step = this.#queue.shift();
+    while (step !== undefined) {
+      this.#carryOut(step);
+      step = this.#queue.shift();
+    }
+    this.#working = false;
+  }
+
+  /** Lets every machine act on passed time. */
+  tick(): void {
+    const now = this.now();
+    this.#sealIfLapsed(now);
+    this.run(this.membership.tick(now));
+    this.#refreshMembers();
+    this.run(this.board.tick(now, this.membership.serving()));
+    this.refreshConfiguration();
+    this.run(this.#schedulers.tick(now));
+    this.#ledger.tick(now);
+    this.run(this.#cache.tick(now));
+    this.run(this.home.tick(now, (id) => this.window.forgets(id, this.wallNow())));
+    this.run(this.inquiry.tick(now));
+  }
+
+  /** Applies configuration, verdicts and leaving endpoints where they have changed. */
+  refreshConfiguration(): void {
+    const now = this.now();
+    const configuration = this.board.current();
+    if (configuration === undefined) return;
+    const routings = this.board.routings(now, this.#parts.wallNow());
+    const leaving = this.board.leaving();
+    const key = JSON.stringify([configuration.rollNumber, [...routings.values()], [...leaving]]);
+    if (key === this.#appliedKey) return;
+    this.#appliedKey = key;
+    const { bundle } = configuration;
+    this.#ledger.configure(bundle.accounts, now);
+    this.#cache.configure(bundle, now);
+    this.#chooseOwners(now);
+    this.run(this.#schedulers.configure({ bundle, routings, leaving }, now));
+  }
+
+  /** @returns addresses for callers, spread over failure domains, this process among them */
+  entryAddresses(): readonly EntryAddress[] {
+    const wallNow = this.wallNow();
+    const self = this.membership.find(this.#incarnation);
+    const serving = this.membership
+      .serving()
+      .filter(({ status, incarnation }) => status === 'alive' && incarnation !== this.#incarnation);
+    const own = self === undefined || this.draining ? [] : [self];
+    return spreadOverDomains([...own, ...serving])
+      .slice(0, MAXIMUM_ENTRIES)
+      .map(({ callerAddress, failureDomain, incarnation }) => ({
+        address: callerAddress,
+        failureDomain,
+        requestIdPrefix: requestIdPrefix(incarnation, wallNow),
+      }));
+  }
+
+  /** @returns whether this process watches the object API for its failure domain */
+  isRelay(): boolean {
+    return isRelay(this.#incarnation, this.settings.failureDomain, this.membership.serving());
+  }
+
+  /** Stops taking new requests; what waits and runs is served to its end. */
+  drain(): void {
+    if (this.draining) return;
+    this.draining = true;
+    this.run(this.membership.drain(this.now()));
+    this.#refreshMembers();
+  }
+
+  /** Tells peers that this process goes for good. */
+  leave(): void {
+    this.run(this.membership.leave(this.now()));
+  }
+
+  /** @returns present values for a scrape */
+  gauges(): Parameters<Metrics['render']>[0] {
+    return {
+      requests: this.home.size,
+      members: this.membership.alive().length,
+      rollNumber: this.board.current()?.rollNumber ?? 0,
+      ...this.#parts.network.traffic(),
+    };
+  }
+
+  #createCalls(client: EndpointClient): EndpointCalls {
+    return new EndpointCalls(client, {
+      progressed: (id) => this.home.progressed(id, this.now()),
+      completed: (id, usage, result) => {
+        const counted = usage ?? { promptTokens: 0, cachedTokens: 0, outputTokens: 0 };
+        this.run(this.home.completed(id, counted, result, this.now()));
+      },
+      failed: (id, reason) => this.run(this.home.failed(id, reason, this.now())),
+      refused: (id) => this.run(this.home.endpointRefused(id, this.now())),
+    });
+  }
+
+  #machines(): Parameters<typeof routePeerMessage>[0] {
+    return {
+      membership: this.membership,
+      home: this.home,
+      schedulers: this.#schedulers,
+      ledger: this.#ledger,
+      cache: this.#cache,
+      board: this.board,
+      inquiry: this.inquiry,
+      mayBeAlive: (incarnation, now) => this.#mayBeAlive(incarnation, now),
+      recordRelease: () => [],
+    };
+  }
+
+  #carryOut(step: HomeStep): void {
+    switch (step._tag) {
+      case 'send':
+        this.#send(step);
+        return;
+      case 'sendAddress':
+        this.#parts.network.send(step.to, step.message);
+        return;
+      case 'decide':
+        this.metrics.record(step.decision);
+        logDecision(this.#parts.logger, step.decision);
+        return;
+      case 'dispatch':
+        this.#dispatch(step);
+        return;
+      case 'cancelCall':
+        this.calls.cancel(step.id);
+        return;
+      case 'suspendCall':
+        this.calls.suspend(step.id);
+        return;
+      case 'resumeCall':
+        this.calls.resume(step.id);
+        return;
+      case 'finish':
+        this.#finish(step.id, step.outcome);
+        return;
+      default:
+        step satisfies never;
+    }
+  }
+
+  #send({ to, message }: Extract<HomeStep, { _tag: 'send' }>): void {
+    const now = this.now();
+    if (to === this.#incarnation) {
+      this.#queue.push(...routePeerMessage(this.#machines(), { from: to, message }, now));
+      return;
+    }
+    const member = this.membership.find(to);
+    const sent = member !== undefined && this.#parts.network.send(member.peerAddress, message);
+    if (!sent) this.#choice.unreachable(to, now);
+  }
+
+  #dispatch({ request, grant }: Extract<HomeStep, { _tag: 'dispatch' }>): void {
+    const endpoint = this.#findEndpoint(grant.endpoint);
+    if (endpoint === undefined) {
+      this.run(this.home.endpointRefused(request.id, this.now()));
+      return;
+    }
+    const { address, version, pool } = endpoint;
+    const engine =
+      this.board.current()?.bundle.pools.find(({ name }) => name === pool)?.kind._tag === 'model';
+    this.calls.start(request.id, { address, version, idempotent: request.idempotent, engine });
+  }
+
+  #finish(id: string, outcome: Outcome): void {
+    const answer = this.calls.find(id)?.answer;
+    this.calls.drop(id);
+    if (answer === undefined) return;
+    switch (outcome._tag) {
+      case 'completed':
+        return;
+      case 'notRun':
+        answer.tellNotRun(outcome.reason, outcome.retryAfterMs);
+        return;
+      case 'unknown':
+        if (answer.started()) answer.cut(outcome.reason);
+        else answer.tellUnknown(outcome.reason);
+        return;
+      default:
+        outcome satisfies never;
+    }
+  }
+
+  #findEndpoint(name: string): Endpoint | undefined {
+    return this.board.current()?.bundle.endpoints.find((endpoint) => endpoint.name === name);
+  }
+
+  #mayDispatch(now: number): boolean {
+    if (this.#clockGuard.stoodStill(now, this.#parts.wallNow())) return false;
+    return this.membership.lease(now)._tag !== 'lapsed';
+  }
+
+  #mayServe(pool: string, version: string): boolean {
+    const routing = this.board.routings(this.now(), this.#parts.wallNow()).get(pool);
+    return routing === undefined || !routing.condemned.includes(version);
+  }
+
+  #mayBeAlive(incarnation: string, now: number): boolean {
+    if (incarnation === this.#incarnation) return true;
+    const { incarnationLeaseMs, incarnationLeaseMarginMs } = this.settings.timing;
+    const heardAt = this.membership.heardAt(incarnation) ?? -Infinity;
+    return now - heardAt < incarnationLeaseMs + incarnationLeaseMarginMs;
+  }
+
+  /** Ends an incarnation that peers may have given up, before it could dispatch anything more. */
+  #sealIfLapsed(now: number): void {
+    if (this.#mayDispatch(now)) return;
+    this.run(this.home.endWaiting('entry_lost', now));
+    this.#clockGuard.accept(now, this.#parts.wallNow());
+    this.#incarnation = createIncarnation();
+    this.window = new RequestWindow(this.#incarnation);
+    this.run(this.membership.restart(this.#incarnation, now));
+    this.#refreshMembers();
+  }
+
+  #acquireQuota(account: string, tokens: number, now: number): QuotaAnswer {
+    const outcome = this.#cache.acquire(account, tokens, now);
+    if (outcome._tag !== 'asked') return outcome;
+    this.run(outcome.actions);
+    return { _tag: 'asked' };
+  }
+
+  #refreshMembers(): void {
+    const members = this.membership
+      .serving()
+      .filter(({ region }) => region === this.settings.region);
+    const key = (list: readonly Member[]): string =>
+      list.map(({ incarnation, status }) => `${incarnation} ${status}`).join();
+    if (key(members) === key(this.#members)) return;
+    const lost = this.#members.filter(
+      ({ incarnation }) => !members.some((member) => member.incarnation === incarnation),
+    );
+    this.#members = members;
+    this.#choice.setMembers(members);
+    const now = this.now();
+    lost.forEach(({ incarnation }) => this.#memberLost(incarnation, now));
+    this.#chooseOwners(now);
+  }
+
+  #memberLost(incarnation: string, now: number): void {
+    const status = this.membership.find(incarnation)?.status;
+    if (status === 'alive' || status === 'suspect') return;
+    this.#ledger.homeLost(incarnation);
+    this.run(this.#schedulers.each((scheduler) => scheduler.homeLost(incarnation, now)));
+  }
+
+  #chooseOwners(now: number): void {
+    const accounts = this.board.current()?.bundle.accounts ?? [];
+    accounts.forEach(({ name }) => {
+      const owner = rankMembers(`account/${name}`, this.#members)[0];
+      if (owner !== undefined) this.run(this.#cache.ownerChanged(name, owner.incarnation, now));
+    });
+  }
+}
+
+/** Orders members so that the first ones lie in different failure domains. */
+function spreadOverDomains(members: readonly Member[]): readonly Member[] {
+  const seen = new Map<string, number>();
+  return members
+    .map((member) => {
+      const turn = seen.get(member.failureDomain) ?? 0;
+      seen.set(member.failureDomain, turn + 1);
+      return { member, turn };
+    })
+    .sort((a, b) => a.turn - b.turn)
+    .map(({ member }) => member);
+}
--- a/src/cli/commands/index.ts
+++ b/src/cli/commands/index.ts
@@ -8,6 +8,7 @@
 import { Entries } from './entries.ts';
 import { MoveList } from './moveList.ts';
 import { Request } from './request.ts';
+import { Serve } from './serve.ts';
 
 /** Every command by its id; a colon stands between topic and command. */
 export const COMMANDS: Readonly<Record<string, Command.Class>> = {
@@ -20,6 +21,7 @@
   entries: Entries,
   'move:list': MoveList,
   request: Request,
+  serve: Serve,
 };
 
 /** What `--help` says of each group of commands. */
--- /dev/null
+++ b/test/whole/wholePath.test.ts
@@ -0,0 +1,95 @@
+import { test } from 'node:test';
+import { expect } from 'earl';
+import type { EntryAddress } from '../../src/protocol/caller/CallerRequest.ts';
+import { callHttp } from '../support/callHttp.ts';
+import type { HttpResult } from '../support/callHttp.ts';
+import { startDeployment } from '../support/startDeployment.ts';
+import type { Deployment } from '../support/startDeployment.ts';
+
+const PLAN = {
+  engines: [
+    { versions: ['v1'], timeScale: 20 },
+    { versions: ['v1'], timeScale: 20 },
+  ],
+  services: [{ workMs: 5 }],
+};
+
+const chat = (
+  { key }: Deployment,
+  address: string,
+  body: object,
+  headers: Record<string, string> = {},
+): Promise<HttpResult> =>
+  callHttp(
+    `http://${address}/v1/chat/completions`,
+    { method: 'POST', headers: { authorization: `Bearer ${key}`, ...headers } },
+    JSON.stringify({ messages: [{ role: 'user', content: 'status?' }], ...body }),
+  );
+
+const askEntries = async (address: string): Promise<readonly EntryAddress[]> =>
+  JSON.parse((await callHttp(`http://${address}/v1/entries`)).body).entries;
+
+test('a caller gets addresses, and whole and streamed answers from each entry', async (context) => {
+  const deployment = await startDeployment(context, PLAN, 3);
+  const [first] = deployment.entries;
+  const entries = await askEntries(first?.callerAddress ?? '');
+  expect(entries.length).toEqual(3);
+  for (const { address, requestIdPrefix } of entries) {
+    const id = `${requestIdPrefix}one`;
+    const whole = await chat(
+      deployment,
+      address,
+      { model: 'summary', max_tokens: 8 },
+      { 'x-request-id': id },
+    );
+    expect(whole.status).toEqual(200);
+    expect(whole.headers['x-request-id']).toEqual(id);
+    expect(JSON.parse(whole.body).id).toEqual(id);
+    const streamed = await chat(deployment, address, {
+      model: 'summary',
+      max_tokens: 8,
+      stream: true,
+    });
+    expect(streamed.body.trimEnd().endsWith('data: [DONE]')).toEqual(true);
+  }
+});
+
+test('an id is run once whichever entries get it, and its status can be asked anywhere', async (context) => {
+  const deployment = await startDeployment(context, PLAN, 3);
+  const { entries, key, fleet } = deployment;
+  const [home, other, third] = entries.map(({ callerAddress }) => callerAddress);
+  const prefixes = await askEntries(home ?? '');
+  const prefix = prefixes.find(({ address }) => address === home)?.requestIdPrefix;
+  const headers = { 'x-request-id': `${prefix}once` };
+  const body = { model: 'summary', max_tokens: 4 };
+  const answers = await Promise.all(
+    [home, other, third, home].map((address) => chat(deployment, address ?? '', body, headers)),
+  );
+  expect(answers.map(({ status }) => status).sort()).toEqual([200, 409, 409, 409]);
+  const [arrivals] = (await fleet.run({
+    _tag: 'arrivals',
+    ids: [`${prefix}once`],
+  })) as number[];
+  expect(arrivals).toEqual(1);
+  for (const address of [home, other, third]) {
+    const status = await callHttp(`http://${address}/v1/requests/${prefix}once`, {
+      headers: { authorization: `Bearer ${key}` },
+    });
+    expect(JSON.parse(status.body).outcome._tag).toEqual('completed');
+  }
+});
+
+test('a plain service is reached by path with its method, and unknown things are refused', async (context) => {
+  const deployment = await startDeployment(context, PLAN, 1);
+  const address = deployment.entries[0]?.callerAddress ?? '';
+  const authorization = `Bearer ${deployment.key}`;
+  const hold = await callHttp(
+    `http://${address}/services/holds/42`,
+    { method: 'POST', headers: { authorization } },
+    '{"slot":42}',
+  );
+  expect(hold.status).toEqual(200);
+  expect((await chat(deployment, address, { model: 'none' })).status).toEqual(404);
+  const stranger = { ...deployment, key: 'wrong' };
+  expect((await chat(stranger, address, { model: 'summary' })).status).toEqual(401);
+});
