Let a question about quota cover all that waits, and pass over a silent owner

Cause: with one open question per account, a burst of N requests at an entry without leave took N round trips; an owner that is paused kept its accounts' requests waiting until membership gave it up. Change: the next question covers what asked while one was open; an unanswered question makes the home keep to its share of the limits until the owner is tried again. Figures: before and after not timed here; found by reading.

--- a/src/coordination/limits/AccountCache.ts
+++ b/src/coordination/limits/AccountCache.ts
@@ -12,6 +12,8 @@
 /** After this long without a reply the question is asked again. */
 const REPLY_TIMEOUT_MS = 500;
 const RATE_WINDOW_MS = 1_000;
+/** Most concurrency that is asked for ahead of need. */
+const SPARE_CONCURRENCY = 4;
 
 type QuotaReply = Extract<PeerMessage, { _tag: 'quotaReply' }>;
 
@@ -39,6 +41,9 @@
 
   private tokensInWindow = 0;
 
+  /** Requests and tokens that asked while a question was open; the next question covers them. */
+  private queued = { requests: 0, tokens: 0 };
+
   private windowAt = 0;
 
   constructor(private readonly account: string) {}
@@ -85,19 +90,33 @@
   /** Asks for what a request lacks and a small batch ahead, unless a question is open. */
   ask(tokens: number, now: number): PeerMessage | undefined {
     const isOpen = this.askedAt !== undefined && now - this.askedAt < REPLY_TIMEOUT_MS;
-    if (isOpen) return undefined;
+    if (isOpen) {
+      this.queued.requests += 1;
+      this.queued.tokens += tokens;
+      return undefined;
+    }
+    const { queued } = this;
+    this.queued = { requests: 0, tokens: 0 };
     this.askedAt = now;
     this.renewedAt = now;
     const ahead = BATCH_AHEAD_MS / RATE_WINDOW_MS;
-    const requestsAhead = Math.floor(this.admittedInWindow * ahead);
+    const requestsAhead = Math.max(queued.requests, Math.floor(this.admittedInWindow * ahead));
     const wish: QuotaAmount = {
       requests: Math.max(0, Math.ceil(1 - this.requests)) + requestsAhead,
-      tokens: Math.max(0, tokens - this.tokens) + this.tokensInWindow * ahead,
-      concurrency: Math.max(0, 1 + this.running - this.concurrency) + Math.min(4, requestsAhead),
+      tokens:
+        Math.max(0, tokens - this.tokens) + Math.max(queued.tokens, this.tokensInWindow * ahead),
+      concurrency:
+        Math.max(0, 1 + this.running - this.concurrency) +
+        Math.max(queued.requests, Math.min(SPARE_CONCURRENCY, requestsAhead)),
     };
     return { _tag: 'quotaRequest', account: this.account, ...wish, held: this.concurrency };
   }
 
+  /** Tells whether the owner left a question without a reply. */
+  isUnanswered(now: number): boolean {
+    return this.askedAt !== undefined && now - this.askedAt >= REPLY_TIMEOUT_MS;
+  }
+
   /** Takes what the owner gave. */
   receive(reply: QuotaReply | QuotaAnswer, now: number): void {
     this.askedAt = undefined;
--- a/src/coordination/limits/QuotaCache.ts
+++ b/src/coordination/limits/QuotaCache.ts
@@ -39,6 +39,8 @@
 
   private readonly self: string;
 
+  private liveMembers = 1;
+
   private readonly policy: Settings['policy']['accountLimits'];
 
   constructor({ self, policy = 'product' }: QuotaCacheOptions) {
@@ -64,7 +66,8 @@
   }
 
   /**
-   * Asks for leave to take one request on.
+   * Asks for leave to take one request on. An owner that is silent is passed over, as one that can't
+   * be reached is.
    *
    * @param name - the client account
    * @param tokens - prompt and expected output tokens together
@@ -72,6 +75,9 @@
    * @returns whether it may go on; an account that isn't configured is refused
    */
   acquire(name: string, tokens: number, now: number): QuotaOutcome {
+    if (this.accounts.get(name)?.cache.isUnanswered(now) === true) {
+      this.ownerUnreachable(name, this.liveMembers, now);
+    }
     const entry = this.accounts.get(name);
     if (entry === undefined) return { _tag: 'refused', retryAfterMs: 0 };
     const { cache, authority } = entry;
@@ -129,6 +135,15 @@
     return QuotaCache.sendTo(next, entry.cache.changeOwner(now));
   }
 
+  /**
+   * Notes how many entries share the limits.
+   *
+   * @param count - live entries, this one included
+   */
+  setLiveMembers(count: number): void {
+    this.liveMembers = count;
+  }
+
   /**
    * Falls back to an even share of the limits while an account's owner can't be reached.
    *
