Apply a configuration in the turn in which it comes, and use shares for lost owners

Ruled out: the ledger (never asked). Change: machines are configured right after a push; quota arguments in the right order; quota questions that can't be sent fall back to a share; a lost member is noticed by the living set, so that one that drained and then died is noticed too; an entry that drains alone schedules what it still holds.

--- a/src/app/Entry.ts
+++ b/src/app/Entry.ts
@@ -32,6 +32,8 @@
 const SEED_BYTES = 4;
 /** Entries told to a caller at once; more would only lengthen the answer. */
 const MAXIMUM_ENTRIES = 16;
+/** Time after which the owner of an account is asked again that could not be reached. */
+const OWNER_CHECK_MS = 2_000;
 const LEAST_RETRY_MS = 200;
 const MOST_RETRY_MS = 1_500;
 
@@ -95,6 +97,10 @@
 
   #members: readonly Member[] = [];
 
+  #living: ReadonlySet<string> = new Set();
+
+  #ownersCheckedAt = 0;
+
   /** @param parts - settings, links and clocks */
   constructor(parts: EntryParts) {
     const { settings, callerAddress, peerAddress, client, now, wallNow } = parts;
@@ -133,9 +139,9 @@
       incarnation: self,
       mayDispatch: (at) => this.#mayDispatch(at),
       mayServe: (pool, version) => this.#mayServe(pool, version),
-      scheduler: (pool, at, excluded) => this.#choice.choose(pool, at, excluded),
+      scheduler: (pool, at, excluded) => this.#chooseScheduler(pool, at, excluded),
       acquireQuota: (account, tokens, at) => this.#acquireQuota(account, tokens, at),
-      releaseQuota: (account, used, counted, at) => this.#cache.release(account, used, counted, at),
+      releaseQuota: (account, used, counted, at) => this.#cache.release(account, used, at, counted),
       retryAfter: () => this.retryAfter(),
     });
     const { incarnationLeaseMs, incarnationLeaseMarginMs } = settings.timing;
@@ -175,6 +181,8 @@
   listen(): void {
     this.#parts.network.onDelivery((delivery) => {
       this.run(routePeerMessage(this.#machines(), delivery, this.now()));
+      // Callers may come in the same turn in which the first configuration does.
+      if (delivery.message._tag === 'push') this.refreshConfiguration();
     });
   }
 
@@ -348,7 +356,12 @@
     }
     const member = this.membership.find(to);
     const sent = member !== undefined && this.#parts.network.send(member.peerAddress, message);
-    if (!sent) this.#choice.unreachable(to, now);
+    if (sent) return;
+    this.#choice.unreachable(to, now);
+    if (message._tag === 'quotaRequest') {
+      this.#cache.ownerUnreachable(message.account, this.#members.length, now);
+      this.run(this.home.retryLimited(message.account, now));
+    }
   }
 
   #dispatch({ request, grant }: Extract<HomeStep, { _tag: 'dispatch' }>): void {
@@ -421,31 +434,41 @@
     return { _tag: 'asked' };
   }
 
+  /** An entry that drains alone has nobody else to ask, so it schedules what it still holds itself. */
+  #chooseScheduler(pool: string, now: number, excluded: string | undefined): string | undefined {
+    const chosen = this.#choice.choose(pool, now, excluded);
+    return chosen ?? (excluded === this.#incarnation ? undefined : this.#incarnation);
+  }
+
   #refreshMembers(): void {
+    const now = this.now();
+    this.#noticeLost(now);
     const members = this.membership
       .serving()
       .filter(({ region }) => region === this.settings.region);
     const key = (list: readonly Member[]): string =>
       list.map(({ incarnation, status }) => `${incarnation} ${status}`).join();
-    if (key(members) === key(this.#members)) return;
-    const lost = this.#members.filter(
-      ({ incarnation }) => !members.some((member) => member.incarnation === incarnation),
-    );
+    const isSame = key(members) === key(this.#members);
+    if (isSame && now < this.#ownersCheckedAt + OWNER_CHECK_MS) return;
     this.#members = members;
-    this.#choice.setMembers(members);
-    const now = this.now();
-    lost.forEach(({ incarnation }) => this.#memberLost(incarnation, now));
+    if (!isSame) this.#choice.setMembers(members);
     this.#chooseOwners(now);
   }
 
-  #memberLost(incarnation: string, now: number): void {
-    const status = this.membership.find(incarnation)?.status;
-    if (status === 'alive' || status === 'suspect') return;
-    this.#ledger.homeLost(incarnation);
-    this.run(this.#schedulers.each((scheduler) => scheduler.homeLost(incarnation, now)));
+  #noticeLost(now: number): void {
+    const living = new Set(this.membership.alive().map(({ incarnation }) => incarnation));
+    const lost = [...this.#living].filter((incarnation) => !living.has(incarnation));
+    this.#living = living;
+    lost.forEach((incarnation) => {
+      this.#ledger.homeLost(incarnation);
+      this.run(this.#schedulers.each((scheduler) => scheduler.homeLost(incarnation, now)));
+    });
   }
 
+  /** Also takes accounts back to their owner that were served by a share of the limits meanwhile. */
   #chooseOwners(now: number): void {
+    this.#ownersCheckedAt = now;
+    this.#cache.setLiveMembers(this.#members.length);
     const accounts = this.board.current()?.bundle.accounts ?? [];
     accounts.forEach(({ name }) => {
       const owner = rankMembers(`account/${name}`, this.#members)[0];
