--- a/src/coordination/configuration/ConfigurationBoard.ts
+++ b/src/coordination/configuration/ConfigurationBoard.ts
@@ -191,9 +191,9 @@
     return deriveRoutings(this.configuration.bundle, this.knowledge(), wallNow);
   }
 
-  /** Gives the names of endpoints that get no new work because their instance leaves. */
+  /** Gives the addresses `IP:PORT` of endpoints that get no new work because they leave. */
   leaving(): ReadonlySet<string> {
-    return this.leavingEndpoints.among(this.configuration?.bundle.endpoints ?? []);
+    return this.leavingEndpoints.addresses();
   }
 
   /**
--- a/src/coordination/configuration/LeavingEndpoints.ts
+++ b/src/coordination/configuration/LeavingEndpoints.ts
@@ -1,5 +1,3 @@
-import type { Endpoint } from '../../state/Endpoint.ts';
-
 /** A relay repeats what it sees well within this time; later its word no longer counts. */
 const REPORT_LIFETIME_MS = 15_000;
 
@@ -30,16 +28,8 @@
     });
   }
 
-  /**
-   * Tells which of the given endpoints leave.
-   *
-   * @returns endpoint names
-   */
-  among(endpoints: readonly Endpoint[]): ReadonlySet<string> {
-    const addresses = new Set(
-      [...this.reports.values()].flatMap((report) => [...report.addresses]),
-    );
-    const leaving = endpoints.filter(({ address }) => addresses.has(new URL(address).host));
-    return new Set(leaving.map(({ name }) => name));
+  /** Gives the addresses `IP:PORT` that any relay sees leaving. */
+  addresses(): ReadonlySet<string> {
+    return new Set([...this.reports.values()].flatMap((report) => [...report.addresses]));
   }
 }
