--- a/test/fakes/main.ts
+++ b/test/fakes/main.ts
@@ -10,6 +10,7 @@
 console.log(JSON.stringify({ control: control.address }));
 
 const stop = () => {
+  process.stdin.destroy();
   fleet.close();
   control.close();
 };
