--- a/src/cli/EmbeddedPlugin.ts
+++ b/src/cli/EmbeddedPlugin.ts
@@ -4,13 +4,17 @@
 
 const JSON_FLAG = boolean({ description: 'Print the result as JSON.', helpGroup: 'GLOBAL' });
 
+/** Oclif's help reads names that only its parser sets. */
+const withNames = <T>(table: Readonly<Record<string, T>>): Record<string, T & { name: string }> =>
+  Object.fromEntries(Object.entries(table).map(([name, item]) => [name, { ...item, name }]));
+
 const describe = (id: string, command: Command.Class, pluginName: string): Command.Loadable => ({
   id,
   aliases: command.aliases,
-  args: command.args,
+  args: withNames(command.args),
   description: command.description,
   examples: command.examples,
-  flags: command.enableJsonFlag ? { json: JSON_FLAG, ...command.flags } : command.flags,
+  flags: withNames({ ...(command.enableJsonFlag && { json: JSON_FLAG }), ...command.flags }),
   hidden: command.hidden,
   hiddenAliases: command.hiddenAliases,
   pluginAlias: pluginName,
--- a/src/cli/commands/check.ts
+++ b/src/cli/commands/check.ts
@@ -1,6 +1,11 @@
 import { string } from '@oclif/core/args';
-import { boolean } from '@oclif/core/flags';
-import { formatProblem, loadBundle, loadSettings } from '../../state/documents/index.ts';
+import { option } from '@oclif/core/flags';
+import {
+  findDocumentKind,
+  formatProblem,
+  loadBundle,
+  loadSettings,
+} from '../../state/documents/index.ts';
 import { digestJson } from '../../state/canonicalJson.ts';
 import { EXIT_CODES } from '../exitCodes.ts';
 import { OperatorCommand } from '../OperatorCommand.ts';
@@ -16,27 +21,33 @@
   };
 
   static override flags = {
-    settings: boolean({ description: 'The file holds settings of an entry instead of a bundle.' }),
+    kind: option({
+      options: ['settings', 'bundle'] as const,
+      description: 'What the file holds. By default its keys tell.',
+    })(),
   };
 
   static override examples = [
     '<%= config.bin %> check bundle.jsonc',
-    '<%= config.bin %> check --settings settings.jsonc',
+    '<%= config.bin %> check settings.jsonc',
   ];
 
   async run() {
     const { args, flags } = await this.parse(Check);
     const file = await readText(args.file);
     if (file._tag === 'unreadable') this.error(file.detail, { exit: EXIT_CODES.invalid });
-    const loaded = flags.settings ? loadSettings(file.text) : loadBundle(file.text, Date.now());
+    const kind = flags.kind ?? findDocumentKind(file.text);
+    const loaded =
+      kind === 'settings' ? loadSettings(file.text) : loadBundle(file.text, Date.now());
     if (loaded._tag === 'valid') {
       const digest = digestJson(loaded.source);
-      this.log(`${args.file} is valid\ndigest ${digest}`);
-      return { valid: true, digest, problems: [] };
+      this.log(`${args.file}: valid ${kind}`);
+      if (kind === 'bundle') this.log(`digest ${digest}`);
+      return { valid: true, kind, digest, problems: [] };
     }
     const problems = loaded.problems.map((problem) => ({ ...problem, file: args.file }));
     this.logToStderr(problems.map(formatProblem).join('\n'));
     process.exitCode = EXIT_CODES.invalid;
-    return { valid: false, problems };
+    return { valid: false, kind, problems };
   }
 }
--- a/src/state/documents/index.ts
+++ b/src/state/documents/index.ts
@@ -1,5 +1,7 @@
 export { formatProblem } from './Problem.ts';
 export type { Loaded, Problem } from './Problem.ts';
+export { findDocumentKind } from './findDocumentKind.ts';
+export type { DocumentKind } from './findDocumentKind.ts';
 export { loadBundle } from './loadBundle.ts';
 export { loadSettings } from './loadSettings.ts';
 export { leastDurationMs } from './reviewBundle.ts';
