Keep optional modules out of the binary for good

Cause: with ws and msgpackr in the bundle, the binary printed Node's warning on require again: ws asks for bufferutil and utf-8-validate.

Change: modules that libraries try and do without fail inside the bundle, not by require.

--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -4,6 +4,22 @@
 
 const root = fileURLToPath(new URL('..', import.meta.url));
 
+/**
+ * Modules that libraries try to load and do without. In one binary a `require` of anything but
+ * Node's own modules prints a warning, so these fail within the bundle instead.
+ */
+const ABSENT = /^(bufferutil|utf-8-validate|msgpackr-extract|typescript|pnpapi)$/;
+
+const absentModules = {
+  name: 'absent-modules',
+  setup(plugin) {
+    plugin.onResolve({ filter: ABSENT }, ({ path }) => ({ path, namespace: 'absent' }));
+    plugin.onLoad({ filter: /.*/, namespace: 'absent' }, ({ path }) => ({
+      contents: `throw new Error('${path} is not part of the bundle')`,
+    }));
+  },
+};
+
 /** Path of the bundled program. */
 export const bundlePath = fileURLToPath(new URL('../dist/corianderwick.cjs', import.meta.url));
 
@@ -19,8 +35,7 @@
     format: 'cjs',
     // Packages that ship both forms are smaller and load faster as ES modules.
     mainFields: ['module', 'main'],
-    // Oclif would load these only to run a plugin's sources, which one binary has none of.
-    external: ['typescript', 'pnpapi'],
+    plugins: [absentModules],
     legalComments: 'none',
     logLevel: 'warning',
   });
