Leave for good when stopping, and say nothing of an id that was used before

Cause: an entry that stopped announced that it left, and its next tick took the ended lease for a lapse and announced a new incarnation: peers and callers saw a ghost for seconds. And the 409 answers to a used id still carried `X-Outcome: not-run`, though the request had run.

Change: Entry remembers that it left; CallerFront marks the conflict as saying nothing of the outcome. spreadOverDomains stands in a file of its own.

Conclusion: both were found by reading and by the log of a stopped entry.

--- a/src/app/CallerFront.ts
+++ b/src/app/CallerFront.ts
@@ -14,7 +14,7 @@
 
 const SUFFIX_BYTES = 9;
 
-const CONFLICT = { status: 409, code: 'request_id_used' } as const;
+const CONFLICT = { status: 409, code: 'request_id_used', outcomeUnsaid: true } as const;
 
 /** Serves callers: takes what this process is home of, and passes the rest on or tells what is known. */
 export class CallerFront implements CallerService {
--- a/src/app/Entry.ts
+++ b/src/app/Entry.ts
@@ -27,6 +27,7 @@
 import { Metrics } from './Metrics.ts';
 import { PoolSchedulers } from './PoolSchedulers.ts';
 import { routePeerMessage } from './routePeerMessage.ts';
+import { spreadOverDomains } from './spreadOverDomains.ts';
 
 const INCARNATION_BYTES = 10;
 const SEED_BYTES = 4;
@@ -93,6 +94,8 @@
 
   #working = false;
 
+  #left = false;
+
   #appliedKey = '';
 
   #members: readonly Member[] = [];
@@ -277,6 +280,7 @@
 
   /** Tells peers that this process goes for good. */
   leave(): void {
+    this.#left = true;
     this.run(this.membership.leave(this.now()));
   }
 
@@ -418,7 +422,8 @@
 
   /** Ends an incarnation that peers may have given up, before it could dispatch anything more. */
   #sealIfLapsed(now: number): void {
-    if (this.#mayDispatch(now)) return;
+    // Leaving ends the lease too, and nothing is to follow this incarnation then.
+    if (this.#left || this.#mayDispatch(now)) return;
     this.run(this.home.endWaiting('entry_lost', now));
     this.#clockGuard.accept(now, this.#parts.wallNow());
     this.#incarnation = createIncarnation();
@@ -476,16 +481,3 @@
     });
   }
 }
-
-/** Orders members so that the first ones lie in different failure domains. */
-function spreadOverDomains(members: readonly Member[]): readonly Member[] {
-  const seen = new Map<string, number>();
-  return members
-    .map((member) => {
-      const turn = seen.get(member.failureDomain) ?? 0;
-      seen.set(member.failureDomain, turn + 1);
-      return { member, turn };
-    })
-    .sort((a, b) => a.turn - b.turn)
-    .map(({ member }) => member);
-}
--- a/test/whole/wholePath.test.ts
+++ b/test/whole/wholePath.test.ts
@@ -3,6 +3,7 @@
 import type { EntryAddress } from '../../src/protocol/caller/CallerRequest.ts';
 import { callHttp } from '../support/callHttp.ts';
 import type { HttpResult } from '../support/callHttp.ts';
+import { until } from '../support/scoped.ts';
 import { startDeployment } from '../support/startDeployment.ts';
 import type { Deployment } from '../support/startDeployment.ts';
 
@@ -66,6 +67,8 @@
     [home, other, third, home].map((address) => chat(deployment, address ?? '', body, headers)),
   );
   expect(answers.map(({ status }) => status).sort()).toEqual([200, 409, 409, 409]);
+  // A second copy must not say "not run" of an id that ran.
+  expect(answers.flatMap(({ headers: { 'x-outcome': outcome } }) => outcome ?? [])).toEqual([]);
   const [arrivals] = (await fleet.run({
     _tag: 'arrivals',
     ids: [`${prefix}once`],
@@ -93,3 +96,14 @@
   const stranger = { ...deployment, key: 'wrong' };
   expect((await chat(stranger, address, { model: 'summary' })).status).toEqual(401);
 });
+
+test('an entry that stops leaves its peers for good', async (context) => {
+  const { entries } = await startDeployment(context, PLAN, 2);
+  const [leaving, staying] = entries.map(({ entry }) => entry);
+  if (leaving === undefined || staying === undefined) throw new Error('two entries were asked for');
+  const { incarnation } = leaving;
+  leaving.leave();
+  await until(() => staying.membership.serving().length === 1);
+  leaving.tick();
+  expect(leaving.incarnation).toEqual(incarnation);
+});
