Drive moves in the entry process and split the list of entries off

Change: runEntry starts MoveRuns and feeds it the releases that reach this process as a scheduler; its incarnation is read anew after a lapse; listEntries stands alone. Moves under load are measured next.

--- a/src/app/Entry.ts
+++ b/src/app/Entry.ts
@@ -10,7 +10,6 @@
   Inquiry,
   RequestWindow,
   SchedulerChoice,
-  requestIdPrefix,
 } from '../coordination/home/index.ts';
 import type { HomeStep, QuotaAnswer } from '../coordination/home/index.ts';
 import { QuotaCache, QuotaLedger } from '../coordination/limits/index.ts';
@@ -23,16 +22,14 @@
 import type { Outcome } from '../state/Outcome.ts';
 import type { Settings } from '../state/Settings.ts';
 import { EndpointCalls } from './EndpointCalls.ts';
+import { listEntries } from './listEntries.ts';
 import { logDecision } from './logDecision.ts';
 import { Metrics } from './Metrics.ts';
 import { PoolSchedulers } from './PoolSchedulers.ts';
 import { routePeerMessage } from './routePeerMessage.ts';
-import { spreadOverDomains } from './spreadOverDomains.ts';
 
 const INCARNATION_BYTES = 10;
 const SEED_BYTES = 4;
-/** Entries told to a caller at once; more would only lengthen the answer. */
-const MAXIMUM_ENTRIES = 16;
 /** Time after which the owner of an account is asked again that could not be reached. */
 const OWNER_CHECK_MS = 2_000;
 const LEAST_RETRY_MS = 200;
@@ -74,6 +71,9 @@
 
   window: RequestWindow;
 
+  /** Takes the evidence that a release holds; set once moves are driven. */
+  recordRelease: Parameters<typeof routePeerMessage>[0]['recordRelease'] | undefined;
+
   draining = false;
 
   #incarnation = createIncarnation();
@@ -125,11 +125,7 @@
       timing: settings.timing,
       random: this.random,
     });
-    const { failureDomain } = settings;
-    this.board = new ConfigurationBoard(
-      { incarnation: this.#incarnation, failureDomain },
-      this.random,
-    );
+    this.board = new ConfigurationBoard(this.#identity(), this.random);
     this.#cache = new QuotaCache({
       self: this.#incarnation,
       policy: settings.policy.accountLimits,
@@ -248,21 +244,19 @@
     this.run(this.#schedulers.configure({ bundle, routings, leaving }, now));
   }
 
-  /** @returns addresses for callers, spread over failure domains, this process among them */
+  /** @returns addresses for callers, spread over failure domains, this process first */
   entryAddresses(): readonly EntryAddress[] {
-    const wallNow = this.wallNow();
-    const self = this.membership.find(this.#incarnation);
-    const serving = this.membership
-      .serving()
-      .filter(({ status, incarnation }) => status === 'alive' && incarnation !== this.#incarnation);
-    const own = self === undefined || this.draining ? [] : [self];
-    return spreadOverDomains([...own, ...serving])
-      .slice(0, MAXIMUM_ENTRIES)
-      .map(({ callerAddress, failureDomain, incarnation }) => ({
-        address: callerAddress,
-        failureDomain,
-        requestIdPrefix: requestIdPrefix(incarnation, wallNow),
-      }));
+    return listEntries(this.membership.serving(), this.wallNow());
+  }
+
+  /**
+   * Tells whether this process schedules a pool, by its own view of the members.
+   *
+   * @param pool - the pool's name
+   * @returns true on at most a few processes at a time, and normally on one
+   */
+  isScheduler(pool: string): boolean {
+    return this.#chooseScheduler(pool, this.now(), undefined) === this.#incarnation;
   }
 
   /** @returns whether this process watches the object API for its failure domain */
@@ -294,6 +288,18 @@
     };
   }
 
+  /** Read anew at each use, as the incarnation changes when a lease lapses. */
+  #identity(): { readonly incarnation: string; readonly failureDomain: string } {
+    const incarnation = (): string => this.#incarnation;
+    const { failureDomain } = this.settings;
+    return {
+      get incarnation() {
+        return incarnation();
+      },
+      failureDomain,
+    };
+  }
+
   #createCalls(client: EndpointClient): EndpointCalls {
     return new EndpointCalls(client, {
       progressed: (id) => this.home.progressed(id, this.now()),
@@ -316,7 +322,7 @@
       board: this.board,
       inquiry: this.inquiry,
       mayBeAlive: (incarnation, now) => this.#mayBeAlive(incarnation, now),
-      recordRelease: () => [],
+      recordRelease: (from, release, now) => this.recordRelease?.(from, release, now) ?? [],
     };
   }
 
--- a/src/app/runEntry.ts
+++ b/src/app/runEntry.ts
@@ -1,9 +1,14 @@
+import { randomUUID } from 'node:crypto';
 import { performance } from 'node:perf_hooks';
 import * as Effect from 'effect/Effect';
 import type * as Scope from 'effect/Scope';
 import type { Logger } from 'pino';
+import type { Action } from '../coordination/Action.ts';
 import { runRelay } from '../coordination/configuration/index.ts';
+import { MoveRuns } from '../coordination/moves/index.ts';
 import type { CallerService } from '../protocol/caller/CallerRequest.ts';
+import type { EndpointClient } from '../protocol/engine/EndpointClient.ts';
+import type { Platform } from '../protocol/platform/Platform.ts';
 import type { Instance } from '../state/Instance.ts';
 import type { Settings } from '../state/Settings.ts';
 import { makeCallerServer, makeForwarder } from '../transport/caller/index.ts';
@@ -63,6 +68,30 @@
     (timer) => Effect.sync(() => clearInterval(timer)),
   );
 
+const driveMoves = (
+  entry: Entry,
+  platform: Platform,
+  client: EndpointClient,
+  onActions: (actions: readonly Action[]) => void,
+): Effect.Effect<void, never, Scope.Scope> => {
+  const moves = new MoveRuns({
+    platform,
+    client,
+    board: entry.board,
+    incarnation: entry.incarnation,
+    leaseMs: entry.settings.timing.moveLeaseMs,
+    now: monotonicNow,
+    wallNow: () => Date.now(),
+    nonce: () => randomUUID(),
+    isDriver: (pool) => entry.isScheduler(pool),
+    onActions,
+  });
+  return Effect.suspend(() => {
+    Object.assign(entry, { recordRelease: moves.record.bind(moves) });
+    return moves.run();
+  });
+};
+
 const watchDrain = (entry: Entry): Promise<void> =>
   new Promise((resolve) => {
     let drainingSince: number | undefined;
@@ -121,19 +150,21 @@
     holder.entry = entry;
     late.front = new CallerFront(entry, forwarder);
     entry.listen();
+    const onActions = (actions: readonly Action[]): void => {
+      entry.run(actions);
+      entry.refreshConfiguration();
+    };
     yield* runRelay({
       platform,
       board: entry.board,
       isRelay: () => entry.isRelay(),
       now,
       random: entry.random,
-      onActions: (actions) => {
-        entry.run(actions);
-        entry.refreshConfiguration();
-      },
+      onActions,
       onInstances: (instances) => entry.join(entryAddresses(instances)),
     });
     entry.join(settings.seeds);
+    yield* driveMoves(entry, platform, client, onActions);
     yield* runTicks(entry);
     yield* Effect.addFinalizer(() =>
       Effect.gen(function* stop() {
