--- a/src/coordination/scheduling/Admission.ts
+++ b/src/coordination/scheduling/Admission.ts
@@ -2,7 +2,7 @@
 import { subjectOf } from './answers.ts';
 import { forecast, type Forecast, type Yielding } from './forecast.ts';
 import type { Placer } from './Placer.ts';
-import { askToYield, placementOf, type Ticket } from './Ticket.ts';
+import { askToYield, isWaiting, placementOf, type Ticket } from './Ticket.ts';
 import type { Refusal, TicketBook } from './TicketBook.ts';
 
 /** A ticket counts as hopeless only if it needs more than this many times its remaining time. */
@@ -64,27 +64,30 @@
    * @returns refusals and suspensions
    */
   sweep(now: number): Action[] {
-    const expired = this.#refuseExpired(now);
+    const tickets = this.#book.queue.inOrder();
+    const expired = this.#refuseExpired(tickets, now);
     if (!this.#refusesEarly) return expired;
-    const hopeless = this.#book.queue.inOrder().filter((ticket) => this.#isHopeless(ticket, now));
-    const givenUp = [...hopeless].reverse().flatMap((ticket) => this.#giveUp(ticket, now));
-    return [...expired, ...givenUp, ...this.#lookAhead(now), ...this.#suspendAgain(now)];
+    const givenUp = tickets
+      .filter((ticket) => this.#isHopeless(ticket, now))
+      .reverse()
+      .flatMap((ticket) => this.#giveUp(ticket, now));
+    const outlook = this.#lookAhead(tickets.filter(isWaiting), now);
+    return [...expired, ...givenUp, ...outlook, ...this.#suspendAgain(now)];
   }
 
-  #refuseExpired(now: number): Action[] {
+  #refuseExpired(tickets: readonly Ticket[], now: number): Action[] {
     const detail = 'waited to its deadline';
-    return this.#book.queue
-      .inOrder()
+    return tickets
       .filter(({ deadlineAt }) => now >= deadlineAt)
       .flatMap((ticket) =>
         this.#book.refuse(ticket, { reason: 'deadline_passed', detail, expectedMs: 0 }, now),
       );
   }
 
-  #lookAhead(now: number): Action[] {
+  #lookAhead(tickets: readonly Ticket[], now: number): Action[] {
     const states = this.#placer.capacity(now);
     if (states.length === 0) return [];
-    const outlook = forecast(this.#book.queue.inOrder(), states, now);
+    const outlook = forecast(tickets, states, now);
     this.#lastForecast = outlook;
     return [
       ...[...outlook.late].reverse().flatMap((ticket) => this.#refuseLate(ticket, now)),
@@ -100,16 +103,26 @@
     return Math.max(0, ...starts);
   }
 
-  #isHopeless({ reservation, deadlineAt }: Ticket, now: number): boolean {
-    const estimateMs = this.#placer.estimateAlone(reservation) ?? 0;
-    return estimateMs > (deadlineAt - now) * HOPELESS_MARGIN;
+  #isHopeless(ticket: Ticket, now: number): boolean {
+    const limitMs = (ticket.deadlineAt - now) * HOPELESS_MARGIN;
+    // The estimate of the arrival is looked up anew only where it matters.
+    if (!isWaiting(ticket) || ticket.workMs <= limitMs) return false;
+    const { workMs } = this.#placer.alone(ticket.reservation);
+    return Number.isFinite(workMs) && workMs > limitMs;
   }
 
-  /** Refuses a ticket that can't be served in time any more, all lower tiers that wait before it. */
+  /**
+   * Refuses a ticket that can't be served in time any more, all lower tiers that wait before it. While
+   * lower tiers run it isn't refused but takes the next slot, even if it will probably end late.
+   */
   #giveUp(ticket: Ticket, now: number): Action[] {
     const { id, tierRank } = ticket.reservation;
     const { queue, running } = this.#book;
-    if (ticket.state._tag !== 'waiting' || running.countBelow(tierRank) > 0) return [];
+    if (!isWaiting(ticket)) return [];
+    if (running.countBelow(tierRank) > 0) {
+      ticket.isPressed = true;
+      return [];
+    }
     const expectedMs = this.#drainMs(tierRank, now);
     const evicted = queue.below(tierRank).flatMap((lower) => {
       const detail = `evicted before ${id} of tier ${tierRank} was refused`;
@@ -125,7 +138,7 @@
     const { tierRank } = ticket.reservation;
     const { queue, running } = this.#book;
     const lower = queue.countBelow(tierRank) + running.countBelow(tierRank);
-    if (ticket.state._tag !== 'waiting' || lower > 0) return [];
+    if (!isWaiting(ticket) || lower > 0) return [];
     const expectedMs = this.#drainMs(tierRank, now);
     const detail = 'expected to end after its deadline';
     return this.#book.refuse(ticket, { reason: 'overloaded', detail, expectedMs }, now);
--- a/src/coordination/scheduling/EndpointState.ts
+++ b/src/coordination/scheduling/EndpointState.ts
@@ -38,6 +38,13 @@
     return { promptTokens, outputTokens, cachedTokens, route };
   }
 
+  /** @returns expected time of a waiting ticket while all slots are taken, in ms */
+  estimateFull({ reservation, cachedTokens }: Ticket): number {
+    const { promptTokens, outputTokens, route } = reservation;
+    const work = { promptTokens, outputTokens, cachedTokens, route };
+    return this.rate.estimate(work, this.host.slots);
+  }
+
   /** @returns expected time of a request that joins now, in ms */
   estimate(reservation: Reservation): number {
     return this.rate.estimate(this.workOf(reservation), this.host.running + 1);
--- a/src/coordination/scheduling/EndpointTable.ts
+++ b/src/coordination/scheduling/EndpointTable.ts
@@ -10,6 +10,8 @@
 
   readonly #hosts = new Map<string, EngineHost>();
 
+  readonly #usable = new Map<string, readonly EndpointState[]>();
+
   /**
    * Takes over a bundle and the list of leaving addresses.
    *
@@ -19,6 +21,7 @@
    */
   configure(pool: string, bundle: Bundle, leaving: ReadonlySet<string>): void {
     const endpoints = bundle.endpoints.filter((endpoint) => endpoint.pool === pool);
+    this.#usable.clear();
     const names = new Set(endpoints.map(({ name }) => name));
     this.#states.forEach((state, name) => {
       if (names.has(name)) return;
@@ -60,8 +63,13 @@
 
   /** @returns the endpoints that may get new work of the versions named, now or soon */
   usable(versions: readonly string[]): readonly EndpointState[] {
-    return this.all().filter(
+    const key = versions.join(' ');
+    const known = this.#usable.get(key);
+    if (known !== undefined) return known;
+    const states = this.all().filter(
       ({ endpoint, isLeaving }) => !isLeaving && versions.includes(endpoint.version),
     );
+    this.#usable.set(key, states);
+    return states;
   }
 }
--- a/src/coordination/scheduling/Placer.ts
+++ b/src/coordination/scheduling/Placer.ts
@@ -6,13 +6,14 @@
 import type { EndpointState } from './EndpointState.ts';
 import type { EndpointTable } from './EndpointTable.ts';
 import { placementOf, type Ticket } from './Ticket.ts';
-import type { TicketBook } from './TicketBook.ts';
+import type { Alone, TicketBook } from './TicketBook.ts';
 import type { VersionSplit } from './VersionSplit.ts';
 
 /** Tickets tried past one that can't be placed now. */
 const LOOKAHEAD = 8;
 /** A candidate's endpoints count as capacity from this share on. */
 const CAPACITY_SHARE = 0.3;
+const NOWHERE: Alone = { workMs: Number.POSITIVE_INFINITY, cachedTokens: 0 };
 
 /** What a placer works on. */
 export interface PlacerOptions {
@@ -63,10 +64,14 @@
     });
   }
 
-  /** @returns expected time on the best endpoint if nothing else ran; undefined where there is none */
-  estimateAlone(reservation: Reservation): number | undefined {
-    const estimates = this.usable().map((state) => state.estimateAlone(reservation));
-    return estimates.length === 0 ? undefined : Math.min(...estimates);
+  /** @returns what a request would find at its best endpoint if nothing else ran */
+  alone(reservation: Reservation): Alone {
+    return this.usable()
+      .map((state) => ({
+        workMs: state.estimateAlone(reservation),
+        cachedTokens: state.workOf(reservation).cachedTokens,
+      }))
+      .reduce((a, b) => (b.workMs < a.workMs ? b : a), NOWHERE);
   }
 
   /**
@@ -126,7 +131,7 @@
     const candidateInFlight = candidate === undefined ? 0 : this.#book.running.countOn(candidate);
     const rule = {
       placement: this.#policy.placement,
-      sparesPrefill: this.#policy.admission === 'product',
+      sparesPrefill: this.#policy.admission === 'product' && !ticket.isPressed,
       turn: this.#turn,
     };
     const choice = this.#split
--- a/src/coordination/scheduling/PoolScheduler.ts
+++ b/src/coordination/scheduling/PoolScheduler.ts
@@ -283,8 +283,8 @@
     if (this.#book.isBarred(id, from)) {
       return [refusalFor(from, id, 'entry_lost', ENTRY_LOST_RETRY_MS)];
     }
-    const workMs = this.#placer.estimateAlone(reservation) ?? 0;
-    const ticket = this.#book.create(from, reservation, workMs, now);
+    const alone = this.#placer.alone(reservation);
+    const ticket = this.#book.create(from, reservation, alone, now);
     const refusal = this.#admission.judgeArrival(ticket, now);
     if (refusal !== undefined) return this.#book.refuse(ticket, refusal, now);
     this.#book.wait(ticket);
@@ -300,7 +300,7 @@
     const waiting = this.#book.findWaiting(id);
     if (waiting !== undefined) this.#book.leaveQueue(waiting, { _tag: 'givenBack' }, now);
     const state = this.#endpoints.find(endpoint);
-    const ticket = this.#book.create(from, reservation, 0, now);
+    const ticket = this.#book.create(from, reservation, { workMs: 0, cachedTokens: 0 }, now);
     // Its start isn't known here, so its times would mislead.
     ticket.wasSuspended = true;
     const concurrency = (state?.host.running ?? 0) + 1;
--- a/src/coordination/scheduling/PrefixIndex.ts
+++ b/src/coordination/scheduling/PrefixIndex.ts
@@ -27,8 +27,7 @@
    * @returns tokens, weighed by how often the hints came true
    */
   cachedTokens(prefixes: readonly string[], promptTokens: number): number {
-    const longest = prefixes.findLastIndex((prefix) => this.#prefixes.has(prefix));
-    const tokens = Math.min(promptTokens, (longest + 1) * TOKENS_PER_PREFIX);
+    const tokens = Math.min(promptTokens, this.#knownCount(prefixes) * TOKENS_PER_PREFIX);
     return tokens * this.#trust;
   }
 
@@ -68,6 +67,18 @@
     });
   }
 
+  /** Counts the cached prefixes by bisection: a longer one is cached only after the shorter ones. */
+  #knownCount(prefixes: readonly string[]): number {
+    let known = 0;
+    let unknown = prefixes.length + 1;
+    while (unknown - known > 1) {
+      const middle = Math.floor((known + unknown) / 2);
+      if (this.#prefixes.has(prefixes[middle - 1] ?? '')) known = middle;
+      else unknown = middle;
+    }
+    return known;
+  }
+
   /** Compares what was expected of the cache with what a call found. */
   learn(expectedTokens: number, foundTokens: number): void {
     if (expectedTokens < TOKENS_PER_PREFIX / 2) return;
--- a/src/coordination/scheduling/Ticket.ts
+++ b/src/coordination/scheduling/Ticket.ts
@@ -29,6 +29,8 @@
   readonly deadlineAt: number;
   /** Expected time on an idle endpoint of the pool, in ms; what fairness between accounts counts. */
   readonly workMs: number;
+  /** Prompt tokens that some endpoint probably had cached on arrival. */
+  readonly cachedTokens: number;
   /** Sort key within an account: the smaller, the earlier. */
   readonly orderKey: number;
   state: TicketState;
@@ -36,6 +38,8 @@
   confirmedAt: number;
   /** When the slot is freed although nobody released it; set once the home is gone. */
   freeAt: number | undefined;
+  /** Whether it takes any slot, timely or not: lower tiers run, so it may not be refused. */
+  isPressed: boolean;
   /** Whether it ever stood still, so that its times say nothing of the endpoint's speed. */
   wasSuspended: boolean;
 }
@@ -49,6 +53,14 @@
 export const placementOf = ({ state }: Ticket): Placement | undefined =>
   'placement' in state ? state.placement : undefined;
 
+/**
+ * Tells whether a ticket waits for a slot.
+ *
+ * @param ticket - the ticket
+ * @returns false once it was granted or has ended
+ */
+export const isWaiting = ({ state }: Ticket): boolean => state._tag === 'waiting';
+
 /**
  * Tells whether a ticket takes up a slot.
  *
--- a/src/coordination/scheduling/TicketBook.ts
+++ b/src/coordination/scheduling/TicketBook.ts
@@ -14,6 +14,12 @@
 /** How much later, in multiples of its own length, a long ticket may be placed than a short one. */
 const STRETCH = 4;
 
+/** What a request would find at its best endpoint with nothing else running. */
+export interface Alone {
+  readonly workMs: number;
+  readonly cachedTokens: number;
+}
+
 /** Why a ticket is refused. */
 export interface Refusal {
   readonly reason: NotRunReason;
@@ -65,7 +71,8 @@
   }
 
   /** @returns a ticket for a reservation, in no list yet */
-  create(home: string, reservation: Reservation, workMs: number, now: number): Ticket {
+  create(home: string, reservation: Reservation, alone: Alone, now: number): Ticket {
+    const { workMs, cachedTokens } = alone;
     const deadlineAt = now + reservation.remainingMs;
     this.#arrivals += 1;
     const productKey = Math.min(deadlineAt - workMs, now + STRETCH * workMs);
@@ -75,10 +82,12 @@
       arrivedAt: now,
       deadlineAt,
       workMs,
+      cachedTokens,
       orderKey: this.#order === 'product' ? productKey : this.#arrivals,
       state: { _tag: 'waiting' },
       confirmedAt: now,
       freeAt: undefined,
+      isPressed: false,
       wasSuspended: false,
     };
   }
--- a/src/coordination/scheduling/WaitingQueue.ts
+++ b/src/coordination/scheduling/WaitingQueue.ts
@@ -1,13 +1,11 @@
 import { Heap } from './Heap.ts';
-import type { Ticket } from './Ticket.ts';
+import { isWaiting, type Ticket } from './Ticket.ts';
 
 /** Work by which accounts may be apart before the one ahead has to stand back, in ms. */
 const FAIRNESS_QUANTUM_MS = 500;
 
 const isBefore = (a: Ticket, b: Ticket): boolean => a.orderKey < b.orderKey;
 
-const isWaiting = ({ state }: Ticket): boolean => state._tag === 'waiting';
-
 /** Takes ended tickets off the top; those further down go when they come up. */
 const dropEnded = (heap: Heap<Ticket>): void => {
   let first = heap.peek();
--- a/src/coordination/scheduling/forecast.ts
+++ b/src/coordination/scheduling/forecast.ts
@@ -14,6 +14,11 @@
   readonly freeAt: number;
 }
 
+interface Victim {
+  readonly ticket: Ticket;
+  readonly slot: Slot;
+}
+
 /** A running ticket that is to yield its slot to a waiting one of a higher tier. */
 export interface Yielding {
   readonly ticket: Ticket;
@@ -38,13 +43,19 @@
   return [...busy, ...Array.from({ length: free }, () => ({ state, freeAt: now }))];
 };
 
-/** Running tickets that may be suspended, first the ones that lose least by it. */
-const victimsOf = (states: readonly EndpointState[], now: number): Ticket[] => {
+/** Running tickets that may be suspended with the slots that they would free, cheapest first. */
+const victimsOf = (states: readonly EndpointState[], now: number): Victim[] => {
   const slackOf = (ticket: Ticket): number => ticket.deadlineAt - now - remainingOf(ticket, now);
   return states
-    .flatMap(({ tickets }) => [...tickets.values()])
-    .filter(({ state, reservation }) => state._tag === 'granted' && reservation.suspendable)
-    .sort((a, b) => b.reservation.tierRank - a.reservation.tierRank || slackOf(b) - slackOf(a));
+    .flatMap((state) =>
+      [...state.tickets.values()]
+        .filter((ticket) => ticket.state._tag === 'granted' && ticket.reservation.suspendable)
+        .map((ticket) => ({ ticket, slot: { state, freeAt: now + SUSPENSION_MS } })),
+    )
+    .sort(
+      ({ ticket: a }, { ticket: b }) =>
+        b.reservation.tierRank - a.reservation.tierRank || slackOf(b) - slackOf(a),
+    );
 };
 
 /**
@@ -63,20 +74,19 @@
   const slots = new Heap<Slot>(isFirst);
   states.flatMap((state) => slotsOf(state, now)).forEach((slot) => slots.push(slot));
   const victims = victimsOf(states, now);
-  const byName = new Map(states.map((state) => [state.endpoint.name, state]));
   const late: Ticket[] = [];
   const yielding: Yielding[] = [];
   const startOfLast = new Map<number, number>();
 
-  const endIn = ({ state, freeAt }: Slot, { reservation }: Ticket): number =>
-    freeAt + state.rate.estimate(state.workOf(reservation), state.host.slots);
-  const isLateAt = (endsAt: number, { deadlineAt }: Ticket): boolean =>
-    endsAt - now > (deadlineAt - now) * LATENESS_MARGIN;
+  const endIn = ({ state, freeAt }: Slot, ticket: Ticket): number =>
+    freeAt + state.estimateFull(ticket);
+  const isTimely = (slot: Slot, ticket: Ticket): boolean =>
+    ticket.isPressed || endIn(slot, ticket) - now <= (ticket.deadlineAt - now) * LATENESS_MARGIN;
 
   const takeSlot = (ticket: Ticket): Slot | undefined => {
     const passed: Slot[] = [];
     let slot = slots.pop();
-    while (slot !== undefined && isLateAt(endIn(slot, ticket), ticket)) {
+    while (slot !== undefined && !isTimely(slot, ticket)) {
       passed.push(slot);
       slot = passed.length < MAXIMUM_TRIES ? slots.pop() : undefined;
     }
@@ -84,26 +94,21 @@
     return slot;
   };
 
-  const takeVictim = ({ reservation }: Ticket): Slot | undefined => {
-    const victim = victims[0];
-    if (victim === undefined || victim.reservation.tierRank <= reservation.tierRank) {
-      return undefined;
-    }
-    victims.shift();
-    const { state } = victim;
-    const host = state._tag === 'granted' ? byName.get(state.placement.endpoint) : undefined;
-    return host === undefined ? undefined : { state: host, freeAt: now + SUSPENSION_MS };
+  const takeVictim = (ticket: Ticket): Slot | undefined => {
+    const { tierRank } = ticket.reservation;
+    const index = victims.findIndex(
+      (victim) => victim.ticket.reservation.tierRank > tierRank && isTimely(victim.slot, ticket),
+    );
+    const [victim] = index < 0 ? [] : victims.splice(index, 1);
+    if (victim !== undefined) yielding.push({ ticket: victim.ticket, inFavourOf: ticket });
+    return victim?.slot;
   };
 
   tickets.forEach((ticket) => {
-    let slot = takeSlot(ticket);
-    if (slot === undefined) {
-      const victim = victims[0];
-      slot = takeVictim(ticket);
-      if (slot !== undefined && victim !== undefined) {
-        yielding.push({ ticket: victim, inFavourOf: ticket });
-      }
-    }
+    // One that is pressed has no time to wait for a slot to free by itself.
+    const slot = ticket.isPressed
+      ? (takeVictim(ticket) ?? takeSlot(ticket))
+      : (takeSlot(ticket) ?? takeVictim(ticket));
     if (slot === undefined) {
       late.push(ticket);
       return;
