Count the prompts that share an endpoint's prefill in estimates

Cause: slow endpoints were given long prompts side by side; each then computed its prompt too late. Change: an estimate adds, for each running prompt that is still computed, the smaller of its rest and one's own length. Margins: start at 0.9, hopeless at 1.1, late at 1.0 of the time left.

--- a/src/coordination/scheduling/Admission.ts
+++ b/src/coordination/scheduling/Admission.ts
@@ -6,7 +6,7 @@
 import type { Refusal, TicketBook } from './TicketBook.ts';
 
 /** A ticket counts as hopeless only if it needs more than this many times its remaining time. */
-const HOPELESS_MARGIN = 1.2;
+const HOPELESS_MARGIN = 1.1;
 const NO_ENDPOINT_RETRY_MS = 1_000;
 /** A home that didn't answer to a suspension is asked again after this long. */
 const SUSPEND_AGAIN_MS = 500;
--- a/src/coordination/scheduling/EndpointState.ts
+++ b/src/coordination/scheduling/EndpointState.ts
@@ -4,10 +4,11 @@
 import { EndpointHealth } from './EndpointHealth.ts';
 import { PrefixIndex } from './PrefixIndex.ts';
 import { ServiceRate, type Work } from './ServiceRate.ts';
-import { holdsSlot, placementOf, type Ticket } from './Ticket.ts';
+import { holdsSlot, placementOf, type Placement, type Ticket } from './Ticket.ts';
 
 /** Work is overdue only beyond this, whatever its estimate. */
 const OVERDUE_GRACE_MS = 300;
+const BACKLOG_GAIN = 0.05;
 
 /** One endpoint as the pool's scheduler sees it. */
 export class EndpointState {
@@ -19,6 +20,8 @@
 
   readonly rate: ServiceRate;
 
+  #usualBacklog = 0;
+
   readonly prefixes = new PrefixIndex();
 
   readonly health = new EndpointHealth();
@@ -35,19 +38,57 @@
   /** @returns the request's size as this endpoint would see it */
   workOf({ promptTokens, outputTokens, prefixes, route }: Reservation): Work {
     const cachedTokens = this.prefixes.cachedTokens(prefixes, promptTokens);
-    return { promptTokens, outputTokens, cachedTokens, route };
+    return { promptTokens, outputTokens, cachedTokens, route, backlogTokens: 0 };
+  }
+
+  /** @returns the request's size beside the work that is under way now */
+  workNow(reservation: Reservation, now: number): Work {
+    const work = this.workOf(reservation);
+    return { ...work, backlogTokens: this.backlog(work.promptTokens - work.cachedTokens, now) };
   }
 
   /** @returns expected time of a waiting ticket while all slots are taken, in ms */
   estimateFull({ reservation, cachedTokens }: Ticket): number {
     const { promptTokens, outputTokens, route } = reservation;
-    const work = { promptTokens, outputTokens, cachedTokens, route };
+    const backlogTokens = this.#usualBacklog;
+    const work = { promptTokens, outputTokens, cachedTokens, route, backlogTokens };
     return this.rate.estimate(work, this.host.slots);
   }
 
   /** @returns expected time of a request that joins now, in ms */
-  estimate(reservation: Reservation): number {
-    return this.rate.estimate(this.workOf(reservation), this.host.running + 1);
+  estimate(reservation: Reservation, now: number): number {
+    return this.rate.estimate(this.workNow(reservation, now), this.host.running + 1);
+  }
+
+  /** @returns how a request would be placed here now */
+  place(reservation: Reservation, now: number): Placement {
+    const work = this.workNow(reservation, now);
+    const { backlogTokens } = work;
+    const concurrency = this.host.running + 1;
+    this.#usualBacklog += (backlogTokens - this.#usualBacklog) * BACKLOG_GAIN;
+    return {
+      endpoint: this.endpoint.name,
+      version: this.endpoint.version,
+      grantedAt: now,
+      estimateMs: this.rate.estimate(work, concurrency),
+      cachedTokens: work.cachedTokens,
+      concurrency,
+      prefillTokens: work.promptTokens - work.cachedTokens,
+      backlogTokens,
+      firstTokenMs: this.rate.firstToken(work),
+    };
+  }
+
+  /** @returns prompt tokens of running requests that are computed beside so many of a new one */
+  backlog(ownTokens: number, now: number): number {
+    let tokens = 0;
+    this.tickets.forEach(({ state }) => {
+      if (state._tag !== 'granted') return;
+      const { prefillTokens, grantedAt, firstTokenMs } = state.placement;
+      const share = 1 - (now - grantedAt) / firstTokenMs;
+      tokens += Math.min(ownTokens, prefillTokens * Math.max(0, share));
+    });
+    return tokens;
   }
 
   /** @returns expected time of a request with the endpoint to itself, in ms */
--- a/src/coordination/scheduling/Placer.ts
+++ b/src/coordination/scheduling/Placer.ts
@@ -148,13 +148,11 @@
     const { state, estimateMs, candidates, reason } = choice;
     const { reservation } = ticket;
     const { name, version } = state.endpoint;
-    const { cachedTokens } = state.workOf(reservation);
-    const concurrency = state.host.running + 1;
-    const placement = { endpoint: name, version, estimateMs, cachedTokens, concurrency };
+    const placement = state.place(reservation, now);
     this.#turn += 1;
     this.#split.placed(reservation.route, version);
     this.#book.stopWaiting(ticket);
-    this.#book.running.start(ticket, { ...placement, grantedAt: now }, state, now);
+    this.#book.running.start(ticket, placement, state, now);
     state.prefixes.add(reservation.prefixes);
     if (state.health.reason !== undefined) state.health.probed(now);
     const { id, pool } = reservation;
--- a/src/coordination/scheduling/PoolScheduler.ts
+++ b/src/coordination/scheduling/PoolScheduler.ts
@@ -8,7 +8,7 @@
 import { grantOf, grantsFor, refusalFor } from './answers.ts';
 import { EndpointTable } from './EndpointTable.ts';
 import { Placer } from './Placer.ts';
-import { holdsSlot, placementOf, type Ticket } from './Ticket.ts';
+import { holdsSlot, placementOf, type Placement, type Ticket } from './Ticket.ts';
 import { TicketBook, type Finding } from './TicketBook.ts';
 import { VersionSplit } from './VersionSplit.ts';
 
@@ -303,9 +303,18 @@
     const ticket = this.#book.create(from, reservation, { workMs: 0, cachedTokens: 0 }, now);
     // Its start isn't known here, so its times would mislead.
     ticket.wasSuspended = true;
-    const concurrency = (state?.host.running ?? 0) + 1;
-    const placement = { endpoint, version, estimateMs, cachedTokens: 0, concurrency };
-    this.#book.running.start(ticket, { ...placement, grantedAt: now }, state, now);
+    const placement: Placement = {
+      endpoint,
+      version,
+      grantedAt: now,
+      estimateMs,
+      cachedTokens: 0,
+      concurrency: (state?.host.running ?? 0) + 1,
+      prefillTokens: 0,
+      backlogTokens: 0,
+      firstTokenMs: 1,
+    };
+    this.#book.running.start(ticket, placement, state, now);
     if (suspended === true) this.#book.running.suspend(id, now);
     if (this.#book.isBarred(id, from)) this.#book.running.homeLost(from, now);
   }
--- a/src/coordination/scheduling/RunningTickets.ts
+++ b/src/coordination/scheduling/RunningTickets.ts
@@ -127,8 +127,8 @@
     const { ticket, state } = this.#running.get(id) ?? {};
     const placement = ticket && placementOf(ticket);
     if (ticket === undefined || state === undefined || placement === undefined) return;
-    const { cachedTokens, concurrency } = placement;
-    const work = { ...state.workOf(ticket.reservation), cachedTokens };
+    const { cachedTokens, concurrency, backlogTokens } = placement;
+    const work = { ...state.workOf(ticket.reservation), cachedTokens, backlogTokens };
     const meanConcurrency = (concurrency + state.host.running) / 2;
     switch (record.result) {
       case 'completed':
--- a/src/coordination/scheduling/ServiceRate.ts
+++ b/src/coordination/scheduling/ServiceRate.ts
@@ -17,8 +17,18 @@
   readonly cachedTokens: number;
   readonly outputTokens: number;
   readonly route: string;
+  /** Prompt tokens of other requests that are still to be computed there, and share the prefill. */
+  readonly backlogTokens: number;
 }
 
+const REFERENCE_WORK: Work = {
+  promptTokens: 512,
+  cachedTokens: 0,
+  outputTokens: 64,
+  route: '',
+  backlogTokens: 0,
+};
+
 /**
  * How fast one endpoint serves, learned from the calls that it completed. Configured rates are only
  * the start. Plain services, whose requests have no tokens, are known by their latency per route.
@@ -54,9 +64,8 @@
   }
 
   /** Expects the time to the first token, in ms. */
-  firstToken({ promptTokens, cachedTokens }: Work): number {
-    const uncached = Math.max(1, promptTokens - cachedTokens);
-    return OVERHEAD_MS + uncached * this.#prefillMsPerToken * Math.exp(this.#prefill.value);
+  firstToken(work: Work): number {
+    return OVERHEAD_MS + prefillOf(work) * this.#prefillMsPerToken * Math.exp(this.#prefill.value);
   }
 
   /** @returns how many times slower the endpoint is now than its configured rates */
@@ -78,10 +87,11 @@
     }
     const promptTokens = record.promptTokens > 0 ? record.promptTokens : work.promptTokens;
     const { cachedTokens, outputTokens, firstTokenMs, totalMs } = record;
-    const expectedMs = this.firstToken({ ...work, promptTokens, cachedTokens });
+    const found: Work = { ...work, promptTokens, cachedTokens };
+    const expectedMs = this.firstToken(found);
     const weight = Math.min(1, expectedMs / 30);
     const observedMs = Math.max(1, firstTokenMs - OVERHEAD_MS);
-    const unscaledMs = Math.max(1, promptTokens - cachedTokens) * this.#prefillMsPerToken;
+    const unscaledMs = prefillOf(found) * this.#prefillMsPerToken;
     this.#prefill.learn(Math.log(observedMs / unscaledMs), weight);
     if (outputTokens < LEAST_TOKENS_FOR_RATE) return;
     this.#decode.learn(concurrency, Math.max(0.01, (totalMs - firstTokenMs) / outputTokens));
@@ -111,8 +121,7 @@
     if (plain.length > 0) {
       return Math.exp(plain.reduce((sum, { value }) => sum + value, 0) / plain.length);
     }
-    const work: Work = { promptTokens: 512, cachedTokens: 0, outputTokens: 64, route: '' };
-    return this.estimate(work, 1);
+    return this.estimate(REFERENCE_WORK, 1);
   }
 
   #latency(route: string): number {
@@ -129,6 +138,10 @@
   }
 }
 
+function prefillOf({ promptTokens, cachedTokens, backlogTokens }: Work): number {
+  return Math.max(1, promptTokens - cachedTokens) + backlogTokens;
+}
+
 function isPlain({ promptTokens, outputTokens }: Work): boolean {
   return promptTokens === 0 && outputTokens === 0;
 }
--- a/src/coordination/scheduling/Ticket.ts
+++ b/src/coordination/scheduling/Ticket.ts
@@ -10,6 +10,10 @@
   readonly cachedTokens: number;
   /** Requests that the endpoint ran when this one joined, itself included. */
   readonly concurrency: number;
+  /** Prompt tokens to be computed, and those of others that were ahead at the start. */
+  readonly prefillTokens: number;
+  readonly backlogTokens: number;
+  readonly firstTokenMs: number;
 }
 
 /** How far a reservation is. Only `granted` and `suspending` take up a slot. */
--- a/src/coordination/scheduling/choosePlacement.ts
+++ b/src/coordination/scheduling/choosePlacement.ts
@@ -3,7 +3,7 @@
 import type { Ticket } from './Ticket.ts';
 
 /** A ticket isn't started where it would need more than this many times its remaining time. */
-const START_MARGIN = 1.2;
+const START_MARGIN = 0.9;
 
 /** What placement goes by. */
 export interface PlacementRule {
@@ -56,7 +56,7 @@
       !reservation.avoid.includes(state.endpoint.name) &&
       mayProbe(state, ticket),
   );
-  const weighed = open.map((state) => ({ state, estimateMs: state.estimate(reservation) }));
+  const weighed = open.map((state) => ({ state, estimateMs: state.estimate(reservation, now) }));
   const remainingMs = deadlineAt - now;
   const timely = rule.sparesPrefill
     ? weighed.filter(({ estimateMs }) => estimateMs <= remainingMs * START_MARGIN)
--- a/src/coordination/scheduling/forecast.ts
+++ b/src/coordination/scheduling/forecast.ts
@@ -7,7 +7,7 @@
 /** Slots looked at for a ticket that would be late at the one that frees first. */
 const MAXIMUM_TRIES = 3;
 /** A ticket is called late only if it would need more than this many times its remaining time. */
-const LATENESS_MARGIN = 1.1;
+const LATENESS_MARGIN = 1.0;
 
 interface Slot {
   readonly state: EndpointState;
