--- a/src/coordination/scheduling/PoolScheduler.ts
+++ b/src/coordination/scheduling/PoolScheduler.ts
@@ -275,7 +275,8 @@
   #take(from: string, reservation: Reservation, now: number): Action[] {
     const { id } = reservation;
     const granted = this.#book.running.find(id);
-    if (granted !== undefined) return repeatGrant(from, granted, now);
+    if (granted !== undefined && !this.#isStale(granted)) return repeatGrant(from, granted, now);
+    if (granted?.home === from) this.#book.endRunning(id, { _tag: 'givenBack' }, now);
     if (this.#book.findWaiting(id) !== undefined) return [];
     const past = this.#book.history.find(id);
     if (past?._tag === 'released') return [];
@@ -291,6 +292,13 @@
     return [];
   }
 
+  /** Whether a grant, if its home never got it, must not be repeated: its endpoint gets no new work. */
+  #isStale(ticket: Ticket): boolean {
+    const name = placementOf(ticket)?.endpoint;
+    const isUsable = this.#placer.usable().some(({ endpoint }) => endpoint.name === name);
+    return ticket.state._tag === 'granted' && !isUsable;
+  }
+
   #adoptOne(
     from: string,
     { grant, reservation, suspended }: InFlight['grants'][number],
