Keep what ended incarnations took, and say "not run" of what they never took

After its lease lapsed it forgot the records of the ended incarnation at once, and asked its peers about ids that only it could have run. Ruled out: the killed entry (2 unknown, those in flight) and the schedulers (no id was granted twice). Change: OwnIncarnations keeps a window for each incarnation of the process; an id of a former one that has no record was never run, and is told so.

--- a/src/app/CallerFront.ts
+++ b/src/app/CallerFront.ts
@@ -87,7 +87,7 @@
       tellStatus(answer, known);
       return;
     }
-    if (!entry.window.accepts(id, entry.wallNow())) {
+    if (!entry.incarnations.accepts(id, entry.wallNow())) {
       const message = 'The id is too old to be taken; ask for entries again and use a new prefix.';
       answer.refuse({ status: 409, code: 'request_id_expired', message });
       return;
@@ -129,7 +129,7 @@
 
   #statusOf(id: string): Promise<RequestStatus | undefined> {
     const { entry } = this;
-    const own = entry.home.status(id);
+    const own = entry.statusOf(id);
     if (own !== undefined || homeOf(id) === entry.incarnation) return Promise.resolve(own);
     return new Promise((resolve) => {
       entry.run(entry.inquiry.ask(id, entry.now(), resolve));
--- a/src/app/Entry.ts
+++ b/src/app/Entry.ts
@@ -8,7 +8,7 @@
   ClockGuard,
   Home,
   Inquiry,
-  RequestWindow,
+  OwnIncarnations,
   SchedulerChoice,
 } from '../coordination/home/index.ts';
 import type { HomeStep, QuotaAnswer } from '../coordination/home/index.ts';
@@ -19,7 +19,7 @@
 import type { PeerNetwork } from '../protocol/peer/PeerNetwork.ts';
 import type { Endpoint } from '../state/Endpoint.ts';
 import type { Member } from '../state/Member.ts';
-import type { Outcome } from '../state/Outcome.ts';
+import type { Outcome, RequestStatus } from '../state/Outcome.ts';
 import type { Settings } from '../state/Settings.ts';
 import { EndpointCalls } from './EndpointCalls.ts';
 import { listEntries } from './listEntries.ts';
@@ -69,15 +69,13 @@
 
   readonly random: RandomGenerator;
 
-  window: RequestWindow;
+  readonly incarnations = new OwnIncarnations(createIncarnation());
 
   /** Takes the evidence that a release holds; set once moves are driven. */
   recordRelease: Parameters<typeof routePeerMessage>[0]['recordRelease'] | undefined;
 
   draining = false;
 
-  #incarnation = createIncarnation();
-
   readonly #parts: EntryParts;
 
   readonly #schedulers: PoolSchedulers;
@@ -110,10 +108,10 @@
     this.#parts = parts;
     this.settings = settings;
     this.random = xoroshiro128plus(randomBytes(SEED_BYTES).readInt32BE());
-    const self = (): string => this.#incarnation;
+    const self = (): string => this.incarnation;
     this.membership = new Membership({
       self: {
-        incarnation: this.#incarnation,
+        incarnation: this.incarnation,
         callerAddress,
         peerAddress,
         failureDomain: settings.failureDomain,
@@ -127,11 +125,10 @@
     });
     this.board = new ConfigurationBoard(this.#identity(), this.random);
     this.#cache = new QuotaCache({
-      self: this.#incarnation,
+      self: this.incarnation,
       policy: settings.policy.accountLimits,
     });
     this.#clockGuard = new ClockGuard(now(), wallNow());
-    this.window = new RequestWindow(this.#incarnation);
     this.#schedulers = new PoolSchedulers(settings, client, (actions) => this.run(actions), now);
     this.calls = this.#createCalls(client);
     this.home = new Home({
@@ -158,7 +155,7 @@
 
   /** @returns this process's present incarnation */
   get incarnation(): string {
-    return this.#incarnation;
+    return this.incarnations.current;
   }
 
   /** @returns present monotonic time, ms */
@@ -212,6 +209,19 @@
     this.#working = false;
   }
 
+  /**
+   * Tells what this process knows of a request by itself.
+   *
+   * @param id - a request id
+   * @returns its status, or undefined where another process may know more
+   */
+  statusOf(id: string): RequestStatus | undefined {
+    const status = this.home.status(id);
+    if (status !== undefined || !this.incarnations.neverRan(id, this.wallNow())) return status;
+    const retryAfterMs = this.retryAfter();
+    return { _tag: 'ended', outcome: { _tag: 'notRun', reason: 'entry_lost', retryAfterMs } };
+  }
+
   /** Lets every machine act on passed time. */
   tick(): void {
     const now = this.now();
@@ -223,7 +233,7 @@
     this.run(this.#schedulers.tick(now));
     this.#ledger.tick(now);
     this.run(this.#cache.tick(now));
-    this.run(this.home.tick(now, (id) => this.window.forgets(id, this.wallNow())));
+    this.run(this.home.tick(now, (id) => this.incarnations.forgets(id, this.wallNow())));
     this.run(this.inquiry.tick(now));
   }
 
@@ -256,12 +266,12 @@
    * @returns true on at most a few processes at a time, and normally on one
    */
   isScheduler(pool: string): boolean {
-    return this.#chooseScheduler(pool, this.now(), undefined) === this.#incarnation;
+    return this.#chooseScheduler(pool, this.now(), undefined) === this.incarnation;
   }
 
   /** @returns whether this process watches the object API for its failure domain */
   isRelay(): boolean {
-    return isRelay(this.#incarnation, this.settings.failureDomain, this.membership.serving());
+    return isRelay(this.incarnation, this.settings.failureDomain, this.membership.serving());
   }
 
   /** Stops taking new requests; what waits and runs is served to its end. */
@@ -290,7 +300,7 @@
 
   /** Read anew at each use, as the incarnation changes when a lease lapses. */
   #identity(): { readonly incarnation: string; readonly failureDomain: string } {
-    const incarnation = (): string => this.#incarnation;
+    const incarnation = (): string => this.incarnation;
     const { failureDomain } = this.settings;
     return {
       get incarnation() {
@@ -321,6 +331,7 @@
       cache: this.#cache,
       board: this.board,
       inquiry: this.inquiry,
+      statusOf: (id) => this.statusOf(id),
       mayBeAlive: (incarnation, now) => this.#mayBeAlive(incarnation, now),
       recordRelease: (from, release, now) => this.recordRelease?.(from, release, now) ?? [],
     };
@@ -360,7 +371,7 @@
 
   #send({ to, message }: Extract<HomeStep, { _tag: 'send' }>): void {
     const now = this.now();
-    if (to === this.#incarnation) {
+    if (to === this.incarnation) {
       this.#queue.push(...routePeerMessage(this.#machines(), { from: to, message }, now));
       return;
     }
@@ -420,7 +431,7 @@
   }
 
   #mayBeAlive(incarnation: string, now: number): boolean {
-    if (incarnation === this.#incarnation) return true;
+    if (incarnation === this.incarnation) return true;
     const { incarnationLeaseMs, incarnationLeaseMarginMs } = this.settings.timing;
     const heardAt = this.membership.heardAt(incarnation) ?? -Infinity;
     return now - heardAt < incarnationLeaseMs + incarnationLeaseMarginMs;
@@ -432,9 +443,8 @@
     if (this.#left || this.#mayDispatch(now)) return;
     this.run(this.home.endWaiting('entry_lost', now));
     this.#clockGuard.accept(now, this.#parts.wallNow());
-    this.#incarnation = createIncarnation();
-    this.window = new RequestWindow(this.#incarnation);
-    this.run(this.membership.restart(this.#incarnation, now));
+    this.incarnations.replace(createIncarnation());
+    this.run(this.membership.restart(this.incarnation, now));
     this.#refreshMembers();
   }
 
@@ -448,7 +458,7 @@
   /** An entry that drains alone has nobody else to ask, so it schedules what it still holds itself. */
   #chooseScheduler(pool: string, now: number, excluded: string | undefined): string | undefined {
     const chosen = this.#choice.choose(pool, now, excluded);
-    return chosen ?? (excluded === this.#incarnation ? undefined : this.#incarnation);
+    return chosen ?? (excluded === this.incarnation ? undefined : this.incarnation);
   }
 
   #refreshMembers(): void {
--- a/src/app/routePeerMessage.ts
+++ b/src/app/routePeerMessage.ts
@@ -18,6 +18,8 @@
   readonly cache: QuotaCache;
   readonly board: ConfigurationBoard;
   readonly inquiry: Inquiry;
+  /** What this process knows of a request by itself. */
+  readonly statusOf: (id: string) => RequestStatus | undefined;
   /** Whether a request's home may still dispatch it, as far as this process has heard. */
   readonly mayBeAlive: (incarnation: string, now: number) => boolean;
   /** Takes the evidence on versions that a release holds. */
@@ -91,7 +93,9 @@
       return board.handle(from, message, now);
     case 'statusRequest': {
       const { question, id } = message;
-      return [{ _tag: 'send', to: from, message: statusReply(question, id, home.status(id)) }];
+      return [
+        { _tag: 'send', to: from, message: statusReply(question, id, machines.statusOf(id)) },
+      ];
     }
     case 'voidRequest': {
       const { question, id } = message;
--- a/src/coordination/home/index.ts
+++ b/src/coordination/home/index.ts
@@ -3,5 +3,6 @@
 export type { HomeRequest } from './RequestRecord.ts';
 export { Inquiry } from './Inquiry.ts';
 export { ClockGuard } from './ClockGuard.ts';
-export { RequestWindow, requestIdPrefix } from './RequestWindow.ts';
+export { OwnIncarnations } from './OwnIncarnations.ts';
+export { requestIdPrefix } from './RequestWindow.ts';
 export { SchedulerChoice } from './SchedulerChoice.ts';
