Close a broken-off answer's connection by destroySoon

Cause: the close waited for a `drain` event, which Node sends only after a write that was pushed back; a reader that had been slow could have waited for the one-second limit. Change: destroySoon flushes what waits and then closes, without a closing chunk. Seen: the two tests of cut answers take 10 and 11 ms before, 7 and 20 ms after on a busy machine: no difference that can be told. 35 of 35 tests of the file pass. Conclusion: kept for being simpler.

--- a/src/transport/caller/HttpAnswer.ts
+++ b/src/transport/caller/HttpAnswer.ts
@@ -151,9 +151,7 @@
     const timer = setTimeout(() => response.destroy(), CUT_FLUSH_MS);
     response.once('close', () => clearTimeout(timer));
     // No closing chunk follows, so the reader sees that the answer isn't whole.
-    const { socket } = response;
-    response.uncork();
-    if (socket && socket.writableLength > 0) socket.once('drain', () => response.destroy());
+    if (response.socket) response.socket.destroySoon();
     else response.destroy();
   }
 
