Let ended answers leave before the caller server closes

Cause: closing destroyed connections whose answers were ended but still in the process's buffers, so that a graceful shutdown could cut a slow reader's answer. Change: closing waits up to 3 s until no connection has bytes waiting.

--- a/src/transport/caller/makeCallerServer.test.ts
+++ b/src/transport/caller/makeCallerServer.test.ts
@@ -1,6 +1,9 @@
 import type * as http from 'node:http';
 import * as net from 'node:net';
 import { test } from 'node:test';
+import * as Effect from 'effect/Effect';
+import * as Exit from 'effect/Exit';
+import * as Scope from 'effect/Scope';
 import { expect } from 'earl';
 import type { CallerAnswer } from '../../protocol/caller/CallerRequest.ts';
 import type { Limits } from '../../state/Settings.ts';
@@ -354,3 +357,34 @@
   expect(await get('/v1/drain', { method: 'POST', headers: { authorization } })).toEqual(202);
   expect(drains()).toEqual(1);
 });
+
+test('an answer that was ended reaches a slow reader also while the server closes', async (context) => {
+  const size = 8 * 1024 * 1024;
+  const scope = Scope.makeUnsafe();
+  let ended = false;
+  const { address } = await startCallerServer(
+    context,
+    (_request, answer) => {
+      answer.head(200, { 'content-length': `${size}` });
+      answer.part(Buffer.alloc(size));
+      answer.end();
+      ended = true;
+    },
+    {},
+    scope,
+  );
+  const [host, port] = address.split(':');
+  const socket = net.connect({ host, port: Number(port) });
+  socket.pause();
+  socket.write(post('', ''));
+  await until(() => ended);
+  const closed = Effect.runPromise(Scope.close(scope, Exit.void));
+  let received = 0;
+  socket.on('data', (bytes) => {
+    received += bytes.length;
+  });
+  socket.resume();
+  await closed;
+  await until(() => socket.closed);
+  expect(received > size).toEqual(true);
+});
--- a/src/transport/caller/makeCallerServer.ts
+++ b/src/transport/caller/makeCallerServer.ts
@@ -18,6 +18,10 @@
 /** Connections beyond the limit that are still told so; more are closed unread. */
 const CONNECTION_RESERVE = 64;
 
+const FLUSH_CHECK_MS = 20;
+/** Time for answers that were ended to reach a slow reader. */
+const FLUSH_LIMIT_MS = 3_000;
+
 const CLIENT_ERRORS: Readonly<Record<string, { status: string; code: string; message: string }>> = {
   HPE_HEADER_OVERFLOW: {
     status: '431 Request Header Fields Too Large',
@@ -51,10 +55,16 @@
   );
 };
 
-const createServer = (options: CallerServerOptions): http.Server => {
+/** A server with the connections that are open at it. */
+interface TrackedServer {
+  readonly server: http.Server;
+  readonly sockets: ReadonlySet<Socket>;
+}
+
+const createServer = (options: CallerServerOptions): TrackedServer => {
   const { limits } = options;
   const handler = new CallerHandler(options);
-  let connections = 0;
+  const sockets = new Set<Socket>();
   const server = http.createServer({
     maxHeaderSize: limits.maximumHeaderBytes,
     requestTimeout: limits.receiveTimeoutMs,
@@ -69,16 +79,14 @@
   server.maxHeadersCount = 0;
   server.maxConnections = limits.maximumConnections + CONNECTION_RESERVE;
   server.on('connection', (socket) => {
-    connections += 1;
-    socket.once('close', () => {
-      connections -= 1;
-    });
+    sockets.add(socket);
+    socket.once('close', () => sockets.delete(socket));
   });
   server.on('request', (request, response) =>
-    handler.handle(request, response, connections > limits.maximumConnections),
+    handler.handle(request, response, sockets.size > limits.maximumConnections),
   );
   server.on('clientError', answerClientError);
-  return server;
+  return { server, sockets };
 };
 
 const listen = (server: http.Server, address: string): Effect.Effect<string> =>
@@ -91,9 +99,25 @@
     });
   });
 
+const close = (server: http.Server): Effect.Effect<void> =>
+  Effect.callback<void>((resume) => {
+    server.close(() => resume(Effect.void));
+    server.closeAllConnections();
+  });
+
+/** Waits until what was answered has left, as Node closes connections whose answers were ended but not sent. */
+const flush = (sockets: ReadonlySet<Socket>): Effect.Effect<void> =>
+  Effect.sleep(FLUSH_CHECK_MS).pipe(
+    Effect.repeat({
+      while: () => Array.from(sockets).some(({ writableLength }) => writableLength > 0),
+    }),
+    Effect.timeoutOption(FLUSH_LIMIT_MS),
+    Effect.asVoid,
+  );
+
 /**
- * Starts the server that callers talk to. It closes with the scope, and with it every connection;
- * draining comes before that and is the service's business.
+ * Starts the server that callers talk to. It closes with the scope: answers that were ended get a few
+ * seconds to leave, the rest is cut. Draining comes before that and is the service's business.
  *
  * @param options - address, bounds and the service that answers
  * @returns the address that it is bound to, `IP:PORT`
@@ -103,9 +127,5 @@
 ): Effect.Effect<string, never, Scope.Scope> =>
   Effect.acquireRelease(
     Effect.sync(() => createServer(options)),
-    (server) =>
-      Effect.callback<void>((resume) => {
-        server.close(() => resume(Effect.void));
-        server.closeAllConnections();
-      }),
-  ).pipe(Effect.flatMap((server) => listen(server, options.address)));
+    ({ server, sockets }) => flush(sockets).pipe(Effect.andThen(close(server))),
+  ).pipe(Effect.flatMap(({ server }) => listen(server, options.address)));
--- a/test/support/callerServer.ts
+++ b/test/support/callerServer.ts
@@ -1,5 +1,7 @@
 import type { TestContext } from 'node:test';
+import * as Effect from 'effect/Effect';
 import * as Schema from 'effect/Schema';
+import * as Scope from 'effect/Scope';
 import type {
   CallerAnswer,
   CallerRequest,
@@ -32,6 +34,7 @@
     answer.end();
   },
   limits: Partial<Limits> = {},
+  scope: Scope.Scope | undefined = undefined,
 ): Promise<CallerFixture> => {
   const served: CallerRequest[] = [];
   let drains = 0;
@@ -53,14 +56,14 @@
       drains += 1;
     },
   };
-  const address = await runScoped(
-    context,
-    makeCallerServer({
-      address: '127.0.0.1:0',
-      limits: Schema.decodeUnknownSync(Limits)(limits),
-      service,
-      drainSecret: SECRET,
-    }),
-  );
+  const server = makeCallerServer({
+    address: '127.0.0.1:0',
+    limits: Schema.decodeUnknownSync(Limits)(limits),
+    service,
+    drainSecret: SECRET,
+  });
+  const address = await (scope === undefined
+    ? runScoped(context, server)
+    : Effect.runPromise(Scope.provide(server, scope)));
   return { address, served, drains: () => drains };
 };
