Write answer heads in one object and parse less for each request

Cause: a profile of 8,000 short requests through the caller server and the endpoint client showed, beside the system calls, header-by-header building of answer heads, a set built from each `connection` header and a URL parsed for each `host`. Change: the head goes out as one object; `keep-alive` and `close` need no set; the host is cut from the address. Seen: processor time of 8,000 requests, 16 at a time, on a busy machine, runs before and after in turn: before 3267 3510 3367 3522 3666 3081 ms (mean 3402), after 3005 3039 3114 3112 3200 3336 ms (mean 3134), 8 % less; 0.39 ms a request with the process's start. Conclusion: kept.

--- a/src/protocol/caller/headers.ts
+++ b/src/protocol/caller/headers.ts
@@ -38,12 +38,12 @@
 
 type RawHeaders = Readonly<Record<string, string | readonly string[] | undefined>>;
 
-const namedByConnection = (headers: RawHeaders): ReadonlySet<string> => {
-  const { connection } = headers;
-  return typeof connection === 'string'
-    ? new Set(connection.split(',').map((name) => name.trim().toLowerCase()))
-    : new Set();
-};
+const NONE: ReadonlySet<string> = new Set();
+
+const namedByConnection = ({ connection }: RawHeaders): ReadonlySet<string> =>
+  typeof connection !== 'string' || connection === 'keep-alive' || connection === 'close'
+    ? NONE
+    : new Set(connection.split(',').map((name) => name.trim().toLowerCase()));
 
 const selectHeaders = (
   headers: RawHeaders,
--- a/src/transport/caller/HttpAnswer.ts
+++ b/src/transport/caller/HttpAnswer.ts
@@ -56,6 +56,8 @@
 
   #events = false;
 
+  #id: string | undefined;
+
   #leaveHandler: (() => void) | undefined;
 
   /**
@@ -71,17 +73,19 @@
   }
 
   identify(id: string): void {
-    if (!this.#response.headersSent) this.#response.setHeader(REQUEST_ID_HEADER, id);
+    this.#id = id;
   }
 
   head(status: number, headers: Readonly<Record<string, string>>): void {
     if (this.#ended || this.started()) return;
     this.#events = this.#chat && (headers['content-type'] ?? '').startsWith('text/event-stream');
-    const { [COOKIE_HEADER]: cookies, ...others } = headers;
-    if (cookies !== undefined) {
-      this.#response.setHeader(COOKIE_HEADER, cookies.split(COOKIE_SEPARATOR));
-    }
-    this.#response.writeHead(status, others);
+    const cookies = headers[COOKIE_HEADER];
+    // One object given at once is what Node writes fastest.
+    this.#response.writeHead(status, {
+      ...headers,
+      ...(cookies !== undefined && { [COOKIE_HEADER]: cookies.split(COOKIE_SEPARATOR) }),
+      ...(this.#id !== undefined && { [REQUEST_ID_HEADER]: this.#id }),
+    });
     // A caller of a stream wants to know at once that it has begun.
     if (this.#events) this.#response.flushHeaders();
   }
@@ -137,6 +141,7 @@
   #endWithError(status: number, body: ErrorBody): void {
     if (this.#ended) return;
     this.#ended = true;
+    if (this.#id !== undefined) this.#response.setHeader(REQUEST_ID_HEADER, this.#id);
     writeError(this.#response, status, body);
   }
 
--- a/src/transport/http/exchange.ts
+++ b/src/transport/http/exchange.ts
@@ -1,6 +1,8 @@
 import * as http from 'node:http';
 import type { ConnectionPool } from './ConnectionPool.ts';
 
+const SCHEME = 'http://';
+
 /** One HTTP request to a server known by its address. */
 export interface HttpRequest {
   readonly address: string;
@@ -93,7 +95,7 @@
       path: request.path,
       headers: {
         ...request.headers,
-        host: new URL(request.address).host,
+        host: request.address.slice(SCHEME.length),
         connection: 'keep-alive',
         ...(body && { 'content-length': body.length }),
       },
