Test that a drained entry cuts off no stream in flight

Cause: the property had a mechanism but no test.

Change: a test of the whole path drains an entry in the middle of a stream.

Conclusion: the drained entry refuses new work as not run, ends its stream whole, and is out of callers' lists.

--- a/test/whole/wholePath.test.ts
+++ b/test/whole/wholePath.test.ts
@@ -107,3 +107,21 @@
   leaving.tick();
   expect(leaving.incarnation).toEqual(incarnation);
 });
+
+test('a drained entry takes nothing new and serves what it has to its end', async (context) => {
+  const deployment = await startDeployment(context, PLAN, 2);
+  const [draining, staying] = deployment.entries;
+  if (draining === undefined || staying === undefined)
+    throw new Error('two entries were asked for');
+  const body = { model: 'summary', max_tokens: 400, stream: true };
+  const deadline = { 'x-deadline-ms': '60000' };
+  const stream = chat(deployment, draining.callerAddress, body, deadline);
+  await until(() => draining.entry.home.size === 1);
+  draining.entry.drain();
+  const refused = await chat(deployment, draining.callerAddress, { model: 'summary' });
+  expect([refused.status, refused.headers['x-outcome']]).toEqual([503, 'not-run']);
+  expect((await stream).body.trimEnd().endsWith('data: [DONE]')).toEqual(true);
+  await draining.drained;
+  const entries = await askEntries(staying.callerAddress);
+  expect(entries.map(({ address }) => address)).toEqual([staying.callerAddress]);
+});
