Refuse service paths that leave their prefix by dot segments

Cause: a pool is matched by path prefix; a service that resolves `..` would have answered paths that the pool doesn't name. Change: paths below /services/ with a segment `.` or `..`, also percent-encoded, are unknown paths.

--- a/src/transport/caller/makeCallerServer.test.ts
+++ b/src/transport/caller/makeCallerServer.test.ts
@@ -120,6 +120,12 @@
     status: 404,
     code: 'unknown_path',
   },
+  ...['/services/holds/../x', '/services/holds/%2E%2e/x', '/services/holds/.'].map((path) => ({
+    name: `the path ${path}, which leaves its prefix`,
+    text: post('', '', path),
+    status: 404,
+    code: 'unknown_path',
+  })),
   {
     name: 'a method that the path does not take',
     text: post('', '', '/v1/entries'),
--- a/src/transport/caller/routeCallerPath.ts
+++ b/src/transport/caller/routeCallerPath.ts
@@ -15,6 +15,9 @@
 const STATUS_PREFIX = '/v1/requests/';
 const SERVICE_PREFIX = '/services/';
 
+// A service that resolves such segments would answer paths outside of its pool's prefix.
+const DOT_SEGMENT = /\/(\.|%2e){1,2}(\/|$)/i;
+
 const FIXED_ROUTES: Readonly<
   Record<string, { readonly method: string; readonly route: CallerRoute }>
 > = {
@@ -43,9 +46,11 @@
  * @returns the route
  */
 export const routeCallerPath = (method: string, url: string): CallerRoute => {
-  if (url.startsWith(SERVICE_PREFIX)) return { _tag: 'service' };
   const query = url.indexOf('?');
   const path = query < 0 ? url : url.slice(0, query);
+  if (path.startsWith(SERVICE_PREFIX)) {
+    return DOT_SEGMENT.test(path) ? { _tag: 'unknown' } : { _tag: 'service' };
+  }
   if (path.startsWith(STATUS_PREFIX) && path.length > STATUS_PREFIX.length) {
     return method === 'GET'
       ? { _tag: 'status', id: unescape(path.slice(STATUS_PREFIX.length)) }
