Survive events without an end and requests that HTTP can't carry

Cause: new property tests found that the event parser throws when it is fed after it gave an event up as too large; in the forwarder that would have ended the process. Reading also showed that Node throws on a path or header that HTTP can't carry. Change: both readers stop feeding the parser; the forwarder breaks such an answer off, to the caller and to the home; an uncarriable request is told as refused, as nothing of it was written.

--- a/src/transport/caller/EventRelay.ts
+++ b/src/transport/caller/EventRelay.ts
@@ -20,11 +20,16 @@
 
   #complete = false;
 
+  #broken = false;
+
   constructor(answer: CallerAnswer) {
     this.#answer = answer;
     this.#parser = createParser({
       maxBufferSize: MAXIMUM_EVENT_CHARACTERS,
       onEvent: (event) => this.#onMessage(event),
+      onError: ({ type }) => {
+        if (type === 'max-buffer-size-exceeded') this.#cut('answer_cut');
+      },
     });
   }
 
@@ -43,6 +48,8 @@
    * @param bytes - the next bytes
    */
   read(bytes: Uint8Array): void {
+    // A parser that gave an event up as too large throws when it is fed again.
+    if (this.#broken) return;
     this.#parser.feed(this.#decoder.decode(bytes, { stream: true }));
   }
 
@@ -51,10 +58,20 @@
     return this.#complete;
   }
 
+  /** Whether the answer was broken off here; nothing more is to be read then. */
+  broken(): boolean {
+    return this.#broken;
+  }
+
+  #cut(reason: UnknownReason): void {
+    this.#broken = true;
+    this.#answer.cut(reason);
+  }
+
   #onMessage(event: EventSourceMessage): void {
     if (event.data === END_MARK) this.#complete = true;
     else if (event.event === 'error') {
-      this.#answer.cut(decodeCut(event.data)?.error.code ?? 'entry_lost');
+      this.#cut(decodeCut(event.data)?.error.code ?? 'entry_lost');
     } else this.#answer.event(event.data, Number(event.id ?? 0));
   }
 }
--- a/src/transport/caller/makeForwarder.test.ts
+++ b/src/transport/caller/makeForwarder.test.ts
@@ -63,6 +63,15 @@
     status: 200,
     holds: undefined,
   },
+  {
+    name: 'an event without an end',
+    home: (response) => {
+      const piece = `data: ${'x'.repeat(600_000)}`;
+      stream(response).write(piece, () => response.write(piece, () => response.end(piece)));
+    },
+    status: 200,
+    holds: undefined,
+  },
   {
     name: 'a stream that is cut',
     home: (response) =>
--- a/src/transport/caller/makeForwarder.ts
+++ b/src/transport/caller/makeForwarder.ts
@@ -11,7 +11,7 @@
 import type { UnknownReason } from '../../state/Outcome.ts';
 import type { Timing } from '../../state/Settings.ts';
 import { exchange, makeConnectionPool } from '../http/index.ts';
-import type { ConnectionPool, ExchangeEvent } from '../http/index.ts';
+import type { ConnectionPool, Exchange, ExchangeEvent } from '../http/index.ts';
 import { EventRelay } from './EventRelay.ts';
 
 /** What became of passing a request on. */
@@ -82,6 +82,7 @@
   let relay: EventRelay | undefined;
   let lateness: NodeJS.Timeout | undefined;
   let settled = false;
+  let call: Exchange | undefined;
   const settle = (outcome: ForwardOutcome): void => {
     if (settled) return;
     settled = true;
@@ -111,6 +112,10 @@
       case 'data':
         if (relay) relay.read(event.bytes);
         else answer.part(event.bytes);
+        if (relay?.broken()) {
+          call?.abort();
+          settle({ _tag: 'answered' });
+        }
         return;
       case 'ended':
         if (relay && !relay.complete()) {
@@ -128,7 +133,7 @@
     }
   };
   answer.identify(id);
-  const call = exchange(
+  call = exchange(
     pool,
     {
       address: `http://${callerAddress}`,
@@ -142,13 +147,13 @@
     onEvent,
   );
   answer.onLeave(() => {
-    call.abort();
+    call?.abort();
     settle({ _tag: 'answered' });
   });
   if (request.remainingMs !== undefined) {
     // The home answers by the deadline; one that doesn't is out of reach.
     lateness = setTimeout(() => {
-      call.abort();
+      call?.abort();
       fail('deadline_passed');
     }, request.remainingMs + DEADLINE_GRACE_MS);
   }
@@ -157,7 +162,7 @@
       if (settled || answer.started()) return false;
       settled = true;
       clearTimeout(lateness);
-      call.abort();
+      call?.abort();
       return true;
     },
   };
--- a/src/transport/endpoint/EventAnswer.ts
+++ b/src/transport/endpoint/EventAnswer.ts
@@ -52,7 +52,10 @@
    * @returns what they brought the answer to
    */
   read(bytes: Uint8Array): AnswerFinding {
-    this.#parser.feed(this.#decoder.decode(bytes, { stream: true }));
+    // A parser that gave an event up as too large throws when it is fed again.
+    if (this.#finding._tag === 'more') {
+      this.#parser.feed(this.#decoder.decode(bytes, { stream: true }));
+    }
     return this.#finding;
   }
 
--- a/src/transport/endpoint/makeEndpointClient.test.ts
+++ b/src/transport/endpoint/makeEndpointClient.test.ts
@@ -297,6 +297,15 @@
   expect(tagsOf(events)).toEqual('refused');
 });
 
+test('a request that HTTP can not carry is told as refused and never reaches the endpoint', async (context) => {
+  const server = await startInlineServer(context, (_request, response) => response.end());
+  const client = await makeClient(context);
+  for (const change of [{ path: '/a b' }, { headers: { 'x-own': 'a\u0001b' } }]) {
+    expect(tagsOf(await collect(client, requestTo(server.address, change)))).toEqual('refused');
+  }
+  expect(server.seen).toEqual([]);
+});
+
 test('a suspended stream goes on after its last event once it is resumed', async (context) => {
   const server = await startInlineServer(context, (request, response) => {
     if (request.url.endsWith('/suspend')) response.end('{}');
--- a/src/transport/http/exchange.ts
+++ b/src/transport/http/exchange.ts
@@ -1,4 +1,5 @@
 import * as http from 'node:http';
+import type { Socket } from 'node:net';
 import type { ConnectionPool } from './ConnectionPool.ts';
 
 const SCHEME = 'http://';
@@ -38,6 +39,31 @@
   readonly abort: () => void;
 }
 
+type Opened =
+  | { readonly _tag: 'opened'; readonly outgoing: http.ClientRequest }
+  | { readonly _tag: 'refused'; readonly detail: string };
+
+/** Node throws where a path or a header holds what HTTP can't carry; nothing is written then. */
+const openRequest = (request: HttpRequest, socket: Socket): Opened => {
+  const { address, method, path, headers, body } = request;
+  try {
+    const outgoing = http.request({
+      method,
+      path,
+      headers: {
+        ...headers,
+        host: address.slice(SCHEME.length),
+        connection: 'keep-alive',
+        ...(body && { 'content-length': body.length }),
+      },
+      createConnection: () => socket,
+    });
+    return { _tag: 'opened', outgoing };
+  } catch (error) {
+    return { _tag: 'refused', detail: String(error) };
+  }
+};
+
 /**
  * Sends one request and reports its answer. Never retries.
  *
@@ -90,23 +116,20 @@
     }
     const { socket } = outcome;
     const { body } = request;
-    outgoing = http.request({
-      method: request.method,
-      path: request.path,
-      headers: {
-        ...request.headers,
-        host: request.address.slice(SCHEME.length),
-        connection: 'keep-alive',
-        ...(body && { 'content-length': body.length }),
-      },
-      createConnection: () => socket,
-    });
+    const opened = openRequest(request, socket);
+    if (opened._tag === 'refused') {
+      socket.destroy();
+      finish(opened);
+      return;
+    }
+    outgoing = opened.outgoing;
     socket.once('free', () => pool.release(request.address, socket));
     outgoing.on('response', onResponse);
     outgoing.on('error', (error) => breakOff(error.message));
     outgoing.on('close', () => breakOff('connection closed before the answer'));
     if (request.silenceMs !== undefined) silence = setTimeout(onSilence, request.silenceMs);
     onEvent({ _tag: 'written' });
+    if (ended) return;
     if (body) outgoing.end(body);
     else outgoing.end();
   });
