--- a/measure/main.ts
+++ b/measure/main.ts
@@ -14,6 +14,7 @@
 import { moves } from './scenarios/moves.ts';
 import { overhead } from './scenarios/overhead.ts';
 import { overload } from './scenarios/overload.ts';
+import { slopes } from './scenarios/slopes.ts';
 import { straggler } from './scenarios/straggler.ts';
 
 const SCENARIOS: Readonly<Record<string, (options: ScenarioOptions) => Promise<Report>>> = {
@@ -26,6 +27,7 @@
   config,
   moves,
   'control-cost': controlCost,
+  slopes,
 };
 
 const NANOSECONDS_PER_MS = 1_000_000;
--- a/test/fakes/engine/EngineServer.ts
+++ b/test/fakes/engine/EngineServer.ts
@@ -89,7 +89,7 @@
         prefillTokensPerSecond: options.prefillTokensPerSecond ?? 2_000,
         decodeTokensPerSecond: options.decodeTokensPerSecond ?? 40,
         decodeSlowdown: options.decodeSlowdown ?? 0.05,
-        chunkIntervalMs: 25,
+        chunkIntervalMs: options.chunkIntervalMs ?? 25,
         orphanMs: options.orphanMs ?? 10_000,
       },
       this.cache,
--- a/test/fakes/engine/startEngine.ts
+++ b/test/fakes/engine/startEngine.ts
@@ -12,6 +12,8 @@
   readonly prefillTokensPerSecond?: number;
   readonly decodeTokensPerSecond?: number;
   readonly decodeSlowdown?: number;
+  /** Least time between two chunks of a stream; a chunk holds all tokens since the last. */
+  readonly chunkIntervalMs?: number;
   /** Blocks of 64 tokens that the prefix cache holds. */
   readonly cacheBlocks?: number;
   /** How many times faster than real time the engine works. */
