Keep the figures of smaller fleets where a large one does not become ready

Cause: control-cost at 81 entries gave up after 30 s at a load of 70 on 10 cores, and the figures of 3, 9 and 27 were lost with it. Change: a fleet that isn't ready is a missed aim; the others are printed. Conclusion: run it on a quiet machine.

--- a/measure/scenarios/controlCost.ts
+++ b/measure/scenarios/controlCost.ts
@@ -89,7 +89,15 @@
 }: ScenarioOptions): Promise<Report> => {
   const deployment = new Deployment(name, unlimited);
   const rows: Row[] = [];
-  for (const size of SIZES) rows.push(...(await measureSize(deployment, size, seconds)));
+  const notReady: number[] = [];
+  for (const size of SIZES) {
+    try {
+      rows.push(...(await measureSize(deployment, size, seconds)));
+    } catch (error) {
+      console.log(`${size} entries: ${error}`);
+      notReady.push(size);
+    }
+  }
   const idle = rows.filter(({ load }) => load === 'idle');
   const most = (column: string, some = rows) => Math.max(...some.map((row) => Number(row[column])));
   const [first, last] = [idle[0], idle.at(-1)];
@@ -97,7 +105,7 @@
   const storeGrowth =
     Number(last?.['store calls/s of the fleet']) /
     Math.max(0.1, Number(first?.['store calls/s of the fleet']));
-  const fleetGrowth = (SIZES.at(-1) ?? 1) / (SIZES[0] ?? 1);
+  const fleetGrowth = Number(last?.entries) / Number(first?.entries);
   const aim = (label: string, seen: number, maximum: number) => ({
     name: label,
     met: seen <= maximum,
@@ -107,6 +115,7 @@
     scenario: `control-cost ${name}, ${sum(SIZES)} processes`,
     rows,
     aims: [
+      { name: 'every fleet became ready', met: notReady.length === 0, seen: String(notReady) },
       aim('at most 4 KB/s a process', most('bytes/s most'), MAXIMUM_BYTES_PER_SECOND),
       aim('at most 2 % of a core, idle', most('cpu share most', idle), MAXIMUM_CPU_SHARE),
       aim('at most 128 MB a process', most('resident MiB most'), MAXIMUM_RESIDENT_MIB),
