Take bearer secrets that hold spaces

Cause: `corianderwick drain` against a running entry was refused: the key was read up to its first space, and the entries' shared secret may hold spaces. Change: the whole rest of the header is the key. Seen: with a shared secret that holds spaces two tests fail before and pass after (45 of 45 of the two files). A secret outside Latin-1 still can't be sent as a bearer.

--- a/src/transport/caller/readCallerHead.ts
+++ b/src/transport/caller/readCallerHead.ts
@@ -12,7 +12,8 @@
 import type { Limits } from '../../state/Settings.ts';
 
 const BAD_REQUEST = 400;
-const BEARER = /^Bearer +(\S+)$/i;
+// Secrets that operators choose may hold spaces.
+const BEARER = /^Bearer +(\S.*)$/i;
 const WHOLE_NUMBER = /^\d{1,9}$/;
 const isRequestId = Schema.is(RequestId);
 
--- a/test/support/callerServer.ts
+++ b/test/support/callerServer.ts
@@ -12,7 +12,7 @@
 import { runScoped } from './scoped.ts';
 
 /** Secret that allows draining. */
-export const SECRET = 'a-secret-of-the-peers';
+export const SECRET = 'a secret of the peers';
 /** Id that the fake service knows as waiting. */
 export const ID = 'abcdefgh.1';
 /** One event of a model's stream. */
