Ask for quota by a step, so that no request is dispatched twice

The decision log showed one grant and four dispatches. Asking for quota ran its actions at once, inside the home's own turn: with the owner in the same process the reply, the reservation, the grant and the dispatch all happened before the outer call set the state back to "limited", and the next tick began anew. Ruled out: the connection pool, the engine client's resume, a re-sent grant after a refused connection (none was logged). Change: the question is returned as a step after the state is set; creating a scheduler likewise returns its actions. Machines are never entered again from within. No machine runs another one's actions inside its own turn any more.

--- a/src/app/Entry.ts
+++ b/src/app/Entry.ts
@@ -11,7 +11,7 @@
   OwnIncarnations,
   SchedulerChoice,
 } from '../coordination/home/index.ts';
-import type { HomeStep, QuotaAnswer } from '../coordination/home/index.ts';
+import type { HomeStep } from '../coordination/home/index.ts';
 import { QuotaCache, QuotaLedger } from '../coordination/limits/index.ts';
 import { Membership, rankMembers } from '../coordination/membership/index.ts';
 import type { EntryAddress } from '../protocol/caller/CallerRequest.ts';
@@ -129,14 +129,14 @@
       policy: settings.policy.accountLimits,
     });
     this.#clockGuard = new ClockGuard(now(), wallNow());
-    this.#schedulers = new PoolSchedulers(settings, client, (actions) => this.run(actions), now);
+    this.#schedulers = new PoolSchedulers(settings, client, now);
     this.calls = this.#createCalls(client);
     this.home = new Home({
       incarnation: self,
       mayDispatch: (at) => this.#mayDispatch(at),
       mayServe: (pool, version) => this.#mayServe(pool, version),
       scheduler: (pool, at, excluded) => this.#chooseScheduler(pool, at, excluded),
-      acquireQuota: (account, tokens, at) => this.#acquireQuota(account, tokens, at),
+      acquireQuota: (account, tokens, at) => this.#cache.acquire(account, tokens, at),
       releaseQuota: (account, used, counted, at) => this.#cache.release(account, used, at, counted),
       retryAfter: () => this.retryAfter(),
     });
@@ -448,13 +448,6 @@
     this.#refreshMembers();
   }
 
-  #acquireQuota(account: string, tokens: number, now: number): QuotaAnswer {
-    const outcome = this.#cache.acquire(account, tokens, now);
-    if (outcome._tag !== 'asked') return outcome;
-    this.run(outcome.actions);
-    return { _tag: 'asked' };
-  }
-
   /** An entry that drains alone has nobody else to ask, so it schedules what it still holds itself. */
   #chooseScheduler(pool: string, now: number, excluded: string | undefined): string | undefined {
     const chosen = this.#choice.choose(pool, now, excluded);
--- a/src/app/PoolSchedulers.ts
+++ b/src/app/PoolSchedulers.ts
@@ -36,13 +36,11 @@
   /**
    * @param settings - policy and times
    * @param client - the way to the endpoints' load reports
-   * @param run - carries out actions that come of a report
    * @param clock - gives the present monotonic time, ms
    */
   constructor(
     private readonly settings: Settings,
     private readonly client: EndpointClient,
-    private readonly run: (actions: readonly Action[]) => void,
     private readonly clock: () => number,
   ) {}
 
@@ -69,10 +67,12 @@
    * @returns actions to carry out; none where the pool isn't in the bundle
    */
   with(pool: string, now: number, use: (scheduler: PoolScheduler) => Action[]): Action[] {
-    const scheduled = this.#pools.get(pool) ?? this.#create(pool, now);
+    const known = this.#pools.get(pool);
+    const scheduled = known ?? this.#create(pool, now);
     if (scheduled === undefined) return [];
     scheduled.usedAt = now;
-    return use(scheduled.scheduler);
+    const configured = known === undefined ? this.#configure(pool, scheduled.scheduler, now) : [];
+    return [...configured, ...use(scheduled.scheduler)];
   }
 
   /**
@@ -118,7 +118,6 @@
     const scheduler = new PoolScheduler({ pool, policy, timing });
     const scheduled = { scheduler, cacheSequences: new Map(), usedAt: now, polledAt: 0 };
     this.#pools.set(pool, scheduled);
-    this.run(this.#configure(pool, scheduler, now));
     return scheduled;
   }
 
--- a/src/coordination/home/Home.ts
+++ b/src/coordination/home/Home.ts
@@ -287,7 +287,7 @@
         return this.#reserve(record, now);
       case 'asked':
         record.state = { _tag: 'limited' };
-        return [];
+        return [...answer.actions];
       case 'refused':
         record.state = { _tag: 'limited' };
         return this.#notRun(record, 'account_limit', now, answer.retryAfterMs);
--- a/src/coordination/home/HomeStep.ts
+++ b/src/coordination/home/HomeStep.ts
@@ -17,7 +17,8 @@
 /** How an account's quota answered. */
 export type QuotaAnswer =
   | { readonly _tag: 'admitted' }
-  | { readonly _tag: 'asked' }
+  /** The owner has to be heard first: the actions ask it. */
+  | { readonly _tag: 'asked'; readonly actions: readonly Action[] }
   | { readonly _tag: 'refused'; readonly retryAfterMs: number };
 
 /** What a home needs to know from the machines beside it. */
--- a/test/whole/wholePath.test.ts
+++ b/test/whole/wholePath.test.ts
@@ -124,4 +124,18 @@
   await draining.drained;
   const entries = await askEntries(staying.callerAddress);
   expect(entries.map(({ address }) => address)).toEqual([staying.callerAddress]);
+
+test('a burst at an entry that owns the account itself is dispatched once each', async (context) => {
+  const deployment = await startDeployment(context, PLAN, 1);
+  const address = deployment.entries[0]?.callerAddress ?? '';
+  const [entry] = await askEntries(address);
+  const ids = Array.from({ length: 40 }, (_, index) => `${entry?.requestIdPrefix}b${index}`);
+  const answers = await Promise.all(
+    ids.map((id) =>
+      chat(deployment, address, { model: 'summary', max_tokens: 4 }, { 'x-request-id': id }),
+    ),
+  );
+  expect(new Set(answers.map(({ status }) => status))).toEqual(new Set([200]));
+  const arrivals = await deployment.fleet.run({ _tag: 'arrivals', ids });
+  expect(arrivals).toEqual(ids.map(() => 1));
 });
