Let callers hold the body back until the entry says that it takes it

Change: the caller sends `Expect: 100-continue` with a body and waits one second for the entry's word; without it the request was surely not run and goes to another entry. Costs one round trip between caller and entry.

--- a/src/transport/client/Caller.ts
+++ b/src/transport/client/Caller.ts
@@ -66,6 +66,8 @@
 const DEFAULT_PATIENCE_MS = 600_000;
 /** Time beyond the deadline for the entry's last word. */
 const DEADLINE_GRACE_MS = 1_000;
+/** Time for an entry to say that it takes a body; one that stands still is left for another. */
+const CONTINUE_MS = 1_000;
 const SUFFIX_BYTES = 12;
 const STATUS_TIMEOUT_MS = 2_000;
 const STATUS_POLL_MS = 250;
@@ -154,6 +156,7 @@
         body: call.body,
         fresh: false,
         silenceMs: remainingMs + DEADLINE_GRACE_MS,
+        continueWithinMs: Math.min(remainingMs, CONTINUE_MS),
       },
       call.onEvent ?? (() => {}),
     );
--- a/src/transport/http/exchange.ts
+++ b/src/transport/http/exchange.ts
@@ -15,11 +15,16 @@
   readonly fresh: boolean;
   /** Time without a byte after which the exchange is `broken`; undefined for no limit. */
   readonly silenceMs: number | undefined;
+  /**
+   * Holds the body back until the server says `100 Continue`, this long at most. A server that stands
+   * still then gets no whole request, and the exchange is `refused`. Undefined sends at once.
+   */
+  readonly continueWithinMs?: number;
 }
 
 /** What happens to an exchange, in order; `refused`, `ended` or `broken` comes last and once. */
 export type ExchangeEvent =
-  /** No byte of the request was written. */
+  /** The request was not written, or not as a whole, so the server can't have run it. */
   | { readonly _tag: 'refused'; readonly detail: string }
   /** The request is being written: from here on it may reach the server. */
   | { readonly _tag: 'written' }
@@ -44,7 +49,7 @@
   | { readonly _tag: 'refused'; readonly detail: string };
 
 /** Node throws where a path or a header holds what HTTP can't carry; nothing is written then. */
-const openRequest = (request: HttpRequest, socket: Socket): Opened => {
+const openRequest = (request: HttpRequest, socket: Socket, asksFirst: boolean): Opened => {
   const { address, method, path, headers, body } = request;
   try {
     const outgoing = http.request({
@@ -55,6 +60,7 @@
         host: address.slice(SCHEME.length),
         connection: 'keep-alive',
         ...(body && { 'content-length': body.length }),
+        ...(asksFirst && { expect: '100-continue' }),
       },
       createConnection: () => socket,
     });
@@ -80,12 +86,14 @@
   let ended = false;
   let outgoing: http.ClientRequest | undefined;
   let silence: NodeJS.Timeout | undefined;
+  let patience: NodeJS.Timeout | undefined;
 
   const finish = (event: ExchangeEvent): void => {
     if (ended) return;
     ended = true;
     clearTimeout(silence);
-    if (event._tag === 'broken') outgoing?.destroy();
+    clearTimeout(patience);
+    if (event._tag === 'broken' || event._tag === 'refused') outgoing?.destroy();
     onEvent(event);
   };
   const breakOff = (detail: string): void => finish({ _tag: 'broken', silent: false, detail });
@@ -93,6 +101,7 @@
 
   const onResponse = (response: http.IncomingMessage): void => {
     if (ended) return;
+    clearTimeout(patience);
     silence?.refresh();
     onEvent({ _tag: 'head', status: response.statusCode ?? 0, headers: response.headers });
     response.on('data', (bytes: Buffer) => {
@@ -108,6 +117,22 @@
     response.on('close', () => breakOff('connection closed before the end of the answer'));
   };
 
+  const write = (body: Uint8Array | undefined): void => {
+    clearTimeout(patience);
+    if (ended) return;
+    if (request.silenceMs !== undefined) silence = setTimeout(onSilence, request.silenceMs);
+    onEvent({ _tag: 'written' });
+    if (ended) return;
+    if (body) outgoing?.end(body);
+    else outgoing?.end();
+  };
+  const askFirst = (body: Uint8Array, withinMs: number): void => {
+    const detail = 'the server did not say that it would take the body';
+    patience = setTimeout(() => finish({ _tag: 'refused', detail }), withinMs);
+    outgoing?.on('continue', () => write(body));
+    outgoing?.flushHeaders();
+  };
+
   const stopConnecting = pool.connect(request.address, request.fresh, (outcome) => {
     if (ended) return;
     if (outcome._tag === 'refused') {
@@ -115,8 +140,9 @@
       return;
     }
     const { socket } = outcome;
-    const { body } = request;
-    const opened = openRequest(request, socket);
+    const { body, continueWithinMs } = request;
+    const asksFirst = body !== undefined && continueWithinMs !== undefined;
+    const opened = openRequest(request, socket, asksFirst);
     if (opened._tag === 'refused') {
       socket.destroy();
       finish(opened);
@@ -127,11 +153,8 @@
     outgoing.on('response', onResponse);
     outgoing.on('error', (error) => breakOff(error.message));
     outgoing.on('close', () => breakOff('connection closed before the answer'));
-    if (request.silenceMs !== undefined) silence = setTimeout(onSilence, request.silenceMs);
-    onEvent({ _tag: 'written' });
-    if (ended) return;
-    if (body) outgoing.end(body);
-    else outgoing.end();
+    if (asksFirst) askFirst(body, continueWithinMs);
+    else write(body);
   });
 
   return {
@@ -139,6 +162,7 @@
       if (ended) return;
       ended = true;
       clearTimeout(silence);
+      clearTimeout(patience);
       stopConnecting();
       outgoing?.destroy();
     },
--- a/test/whole/wholePath.test.ts
+++ b/test/whole/wholePath.test.ts
@@ -124,6 +124,7 @@
   await draining.drained;
   const entries = await askEntries(staying.callerAddress);
   expect(entries.map(({ address }) => address)).toEqual([staying.callerAddress]);
+});
 
 test('a burst at an entry that owns the account itself is dispatched once each', async (context) => {
   const deployment = await startDeployment(context, PLAN, 1);
