--- a/measure/policy/main.ts
+++ b/measure/policy/main.ts
@@ -1,4 +1,5 @@
 import { runPolicy, type Ended, type PolicyResult } from './runPolicy.ts';
+import { measureThroughput } from './throughput.ts';
 import { BASELINE, BURST_TO_MS, PRODUCT, SCENARIOS } from './scenarios.ts';
 
 const SEEDS = [1, 2, 3];
@@ -60,3 +61,10 @@
     }
   }
 }
+
+if (wanted.length === 0 || wanted.includes('throughput')) {
+  [0, 1_000, 5_000].forEach((waiting) => {
+    const perSecond = measureThroughput(waiting, 5_000, 2_000);
+    console.log(`throughput  ${waiting} waiting  ${perSecond} reservations a second`);
+  });
+}
