--- a/src/coordination/scheduling/Ticket.ts
+++ b/src/coordination/scheduling/Ticket.ts
@@ -37,6 +37,8 @@
   readonly cachedTokens: number;
   /** Sort key within an account: the smaller, the earlier. */
   readonly orderKey: number;
+  /** Number of its arrival, by which equal keys are told apart. */
+  readonly arrival: number;
   state: TicketState;
   /** When the home last showed that it knows of the grant. */
   confirmedAt: number;
--- a/src/coordination/scheduling/TicketBook.ts
+++ b/src/coordination/scheduling/TicketBook.ts
@@ -83,6 +83,7 @@
       deadlineAt,
       workMs,
       cachedTokens,
+      arrival: this.#arrivals,
       orderKey: this.#order === 'product' ? productKey : this.#arrivals,
       state: { _tag: 'waiting' },
       confirmedAt: now,
--- a/src/coordination/scheduling/WaitingQueue.ts
+++ b/src/coordination/scheduling/WaitingQueue.ts
@@ -4,7 +4,8 @@
 /** Work by which accounts may be apart before the one ahead has to stand back, in ms. */
 const FAIRNESS_QUANTUM_MS = 500;
 
-const isBefore = (a: Ticket, b: Ticket): boolean => a.orderKey < b.orderKey;
+const compare = (a: Ticket, b: Ticket): number => a.orderKey - b.orderKey || a.arrival - b.arrival;
+const isBefore = (a: Ticket, b: Ticket): boolean => compare(a, b) < 0;
 
 /** Takes ended tickets off the top; those further down go when they come up. */
 const dropEnded = (heap: Heap<Ticket>): void => {
@@ -140,10 +141,7 @@
     const accounts = [...tier.accounts.values()]
       .filter(({ heap }) => heap.size > 0)
       .map(({ heap, servedMs }) => ({
-        tickets: heap
-          .items()
-          .filter(isWaiting)
-          .sort((a, b) => a.orderKey - b.orderKey),
+        tickets: heap.items().filter(isWaiting).sort(compare),
         next: 0,
         servedMs,
       }));
