Go on with known entries while the list is asked for anew

Change: calls use entries of the kept list that are not passed over, while the new list is fetched beside them.

--- a/src/transport/client/EntryDirectory.ts
+++ b/src/transport/client/EntryDirectory.ts
@@ -55,13 +55,18 @@
 
   /**
    * Gives the entries, asking for them where the kept list is too old. An old list is better than
-   * none while no entry answers.
+   * none while no entry answers, and nobody waits for a new one while entries of the old one are good:
+   * the entry that is asked for it may be the next one to fail.
    *
    * @returns the entries, empty where none was ever reached
    */
   current(): Effect.Effect<readonly EntryAddress[]> {
     if (this.#options.now() < this.#keepUntil) return Effect.succeed(this.#entries);
-    return Effect.promise(() => this.#refreshOnce()).pipe(Effect.map(() => this.#entries));
+    const refreshed = this.#refreshOnce();
+    if (this.#entries.some(({ address }) => !this.#isAvoided(address))) {
+      return Effect.succeed(this.#entries);
+    }
+    return Effect.promise(() => refreshed).pipe(Effect.map(() => this.#entries));
   }
 
   /**
