Answer for homes that are gone, and mint ids without a system call each

Cause: a request passed on to another entry waited for its deadline when that entry died silently; minting an id took about 20 microseconds of random bytes (profile). Change: CallerFront abandons what was passed on to a member that is dead and tells what is known; ids minted by an entry are a secret of the process and a count.

--- a/src/app/CallerFront.ts
+++ b/src/app/CallerFront.ts
@@ -7,17 +7,29 @@
 import { requestIdPrefix } from '../coordination/home/index.ts';
 import { homeOf } from '../state/RequestId.ts';
 import type { Outcome, RequestStatus } from '../state/Outcome.ts';
-import type { Forwarder } from '../transport/caller/index.ts';
+import type { Forwarder, Forwarding } from '../transport/caller/index.ts';
 import { admitCaller, findAccount, tellRefusal } from './admitCaller.ts';
 import type { Admission } from './admitCaller.ts';
 import type { Entry } from './Entry.ts';
 
 const SUFFIX_BYTES = 9;
+const RADIX = 36;
 
 const CONFLICT = { status: 409, code: 'request_id_used', outcomeUnsaid: true } as const;
 
 /** Serves callers: takes what this process is home of, and passes the rest on or tells what is known. */
 export class CallerFront implements CallerService {
+  /** Keeps ids minted here apart from those that callers mint below the same prefix. */
+  readonly #secret = randomBytes(SUFFIX_BYTES).toString('base64url');
+
+  #minted = 0;
+
+  /** Requests that other entries are serving for callers of this one. */
+  readonly #forwarded = new Map<
+    CallerAnswer,
+    { readonly id: string; readonly home: string; readonly forwarding: Forwarding }
+  >();
+
   /**
    * @param entry - the process
    * @param forwarder - the way to other entries' caller addresses
@@ -25,7 +37,9 @@
   constructor(
     private readonly entry: Entry,
     private readonly forwarder: Forwarder,
-  ) {}
+  ) {
+    entry.onMemberLost((incarnation) => this.#abandonForwarded(incarnation));
+  }
 
   readonly entries: CallerService['entries'] = () => ({
     entries: this.entry.entryAddresses(),
@@ -71,7 +85,8 @@
   };
 
   #mint(): string {
-    const suffix = randomBytes(SUFFIX_BYTES).toString('base64url');
+    this.#minted += 1;
+    const suffix = `${this.#secret}-${this.#minted.toString(RADIX)}`;
     return `${requestIdPrefix(this.entry.incarnation, this.entry.wallNow())}${suffix}`;
   }
 
@@ -115,8 +130,25 @@
       this.#tellKnown(id, answer);
       return;
     }
-    this.forwarder.forward(home.callerAddress, request, id, answer, (outcome) => {
-      if (outcome._tag === 'unreachable') this.#tellKnown(id, answer);
+    const forwarding = this.forwarder.forward(
+      home.callerAddress,
+      request,
+      id,
+      answer,
+      (outcome) => {
+        this.#forwarded.delete(answer);
+        if (outcome._tag === 'unreachable') this.#tellKnown(id, answer);
+      },
+    );
+    this.#forwarded.set(answer, { id, home: home.incarnation, forwarding });
+  }
+
+  /** Answers from knowledge what a home that is gone will not answer any more. */
+  #abandonForwarded(home: string): void {
+    this.#forwarded.forEach((passed, answer) => {
+      if (passed.home !== home) return;
+      this.#forwarded.delete(answer);
+      if (passed.forwarding.abandon()) this.#tellKnown(passed.id, answer);
     });
   }
 
--- a/src/app/Entry.ts
+++ b/src/app/Entry.ts
@@ -90,6 +90,8 @@
 
   readonly #queue: HomeStep[] = [];
 
+  readonly #lostListeners: ((incarnation: string) => void)[] = [];
+
   #working = false;
 
   #left = false;
@@ -173,6 +175,15 @@
     return uniformInt(this.random, LEAST_RETRY_MS, MOST_RETRY_MS);
   }
 
+  /**
+   * Registers for members that are dead or have left.
+   *
+   * @param listener - told each one's incarnation once
+   */
+  onMemberLost(listener: (incarnation: string) => void): void {
+    this.#lostListeners.push(listener);
+  }
+
   /** Takes messages from peers from now on. */
   listen(): void {
     this.#parts.network.onDelivery((delivery) => {
@@ -474,6 +485,7 @@
     const lost = [...this.#living].filter((incarnation) => !living.has(incarnation));
     this.#living = living;
     lost.forEach((incarnation) => {
+      this.#lostListeners.forEach((listener) => listener(incarnation));
       this.#ledger.homeLost(incarnation);
       this.run(this.#schedulers.each((scheduler) => scheduler.homeLost(incarnation, now)));
     });
