Take an entry to begin with also from the environment

Cause: oclif gives a value from the environment outside of a list, and it was taken letter by letter, so entries and request ended with Invalid URL.

Change: addressesOf makes it a list.

Figures: found in a walk with the binary; a test of it fails without the change.

Conclusion: CORIANDERWICK_ENTRY works as its help says.

--- a/src/cli/commands/drain.ts
+++ b/src/cli/commands/drain.ts
@@ -2,7 +2,7 @@
 import * as Effect from 'effect/Effect';
 import { performance } from 'node:perf_hooks';
 import { drainEntry } from '../../transport/client/index.ts';
-import { entryFlags } from '../entryFlags.ts';
+import { addressesOf, entryFlags } from '../entryFlags.ts';
 import { EXIT_CODES } from '../exitCodes.ts';
 import { OperatorCommand } from '../OperatorCommand.ts';
 
@@ -28,7 +28,7 @@
     const { flags } = await this.parse(Drain);
     const results = await Effect.runPromise(
       Effect.scoped(
-        Effect.forEach(flags.entry, (address) =>
+        Effect.forEach(addressesOf(flags.entry), (address) =>
           drainEntry(address, flags.secret, () => performance.now()),
         ),
       ),
--- a/src/cli/commands/entries.ts
+++ b/src/cli/commands/entries.ts
@@ -1,4 +1,4 @@
-import { entryFlags } from '../entryFlags.ts';
+import { addressesOf, entryFlags } from '../entryFlags.ts';
 import { EXIT_CODES } from '../exitCodes.ts';
 import { OperatorCommand } from '../OperatorCommand.ts';
 import { withCaller } from '../withCaller.ts';
@@ -15,7 +15,7 @@
     const { flags } = await this.parse(Entries);
     const entries = await withCaller(flags, (caller) => caller.entries());
     if (entries.length === 0) {
-      this.error(`no entry answers at ${flags.entry.join(', ')}`, {
+      this.error(`no entry answers at ${addressesOf(flags.entry).join(', ')}`, {
         exit: EXIT_CODES.unreachable,
       });
     }
--- a/src/cli/entryFlags.ts
+++ b/src/cli/entryFlags.ts
@@ -19,3 +19,11 @@
     parse: parseAddress,
   })(),
 };
+
+/**
+ * Gives the addresses of entries to begin with.
+ *
+ * @param entry - the flag's value; oclif gives one that comes from the environment outside of a list
+ * @returns the addresses
+ */
+export const addressesOf = (entry: string | readonly string[]): readonly string[] => [entry].flat();
--- a/src/cli/withCaller.ts
+++ b/src/cli/withCaller.ts
@@ -2,6 +2,7 @@
 import { performance } from 'node:perf_hooks';
 import * as Effect from 'effect/Effect';
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
+import { addressesOf } from './entryFlags.ts';
 import { makeCaller } from '../transport/client/index.ts';
 import type { Caller } from '../transport/client/index.ts';
 
@@ -26,7 +27,7 @@
   use: (caller: Caller) => Effect.Effect<A>,
 ): Promise<A> => {
   const options = {
-    seeds: entry,
+    seeds: addressesOf(entry),
     key: key ?? '',
     maximumAttempts: attempts,
     now: () => performance.now(),
--- a/test/callerCommands.test.ts
+++ b/test/callerCommands.test.ts
@@ -85,6 +85,15 @@
   expect(process.exitCode as number).toEqual(EXIT_CODES.unreachable);
 });
 
+test('an entry to begin with may come from the environment', async (context) => {
+  const { address } = await startCallerServer(context);
+  process.env.CORIANDERWICK_ENTRY = address;
+  context.after(() => delete process.env.CORIANDERWICK_ENTRY);
+  expect(await run('entries')).toEqual([
+    { address: '127.0.0.1:1', failureDomain: 'a', requestIdPrefix: 'abcdefgh' },
+  ]);
+});
+
 test('drain drains with the right secret only', async (context) => {
   const { address, drains } = await startCallerServer(context);
   await run('drain', '-e', address, '--secret', 'a wrong one');
