--- a/scripts/capacity.ts
+++ b/scripts/capacity.ts
@@ -1,10 +1,13 @@
 // Works out docs/CAPACITY.md anew from the measured costs in docs/capacity/slopes.json. With
-// --measure it first measures anew what the decision machines cost by themselves.
+// --measure it first measures anew what the decision machines cost by themselves; with --import FILE
+// it first takes over a report that npm run measure -- slopes --json FILE has written.
 import { readFileSync, writeFileSync } from 'node:fs';
+import { parseArgs } from 'node:util';
 import { format, resolveConfig } from 'prettier';
 import { measureMachines } from './capacity/measureMachines.ts';
 import { describeRoles } from './capacity/roles.ts';
 import type { Figure, Role } from './capacity/roles.ts';
+import { importReport } from './capacity/importReport.ts';
 import { readSlopes } from './capacity/Slopes.ts';
 import type { Slopes } from './capacity/Slopes.ts';
 
@@ -60,8 +63,15 @@
   '',
 ];
 
-if (process.argv.includes('--measure')) {
-  const measured = { ...readSlopes(SLOPES), ...measureMachines() };
+const { values } = parseArgs({
+  options: { measure: { type: 'boolean', default: false }, import: { type: 'string' } },
+});
+if (values.measure || values.import !== undefined) {
+  const measured = {
+    ...readSlopes(SLOPES),
+    ...(values.measure && measureMachines()),
+    ...(values.import !== undefined && importReport(values.import)),
+  };
   writeFileSync(SLOPES, `${JSON.stringify(measured, null, 2)}\n`);
 }
 
