Count burst failures once but hear every home, and compare latency with the old version right now

Cause: eleven cases of evidence in a table showed three faults: failures of one endpoint close together let only the first home testify, connections refused by all endpoints never counted, and a slowdown common to both versions condemned the new one. Change: a burst adds to the score once but each home that reports it is heard; witnesses of refused connections are kept before bursts are thinned out; the latency test's reference is the old version's mean in the load band, or what it shows right now where that is higher.

--- a/src/coordination/moves/Evidence.ts
+++ b/src/coordination/moves/Evidence.ts
@@ -98,6 +98,7 @@
     const { result } = release.record;
     if (result === 'completed') this.count(release.route, isNew);
     if (isNew) this.seenEndpoints.add(release.endpoint);
+    if (result === 'completed') this.unreachable.delete(release.endpoint);
     if (this.tellsOfFailure(home, release, now)) this.addOutcome(home, release, now);
     if (result === 'completed' || result === 'cancelled') this.addLatency(home, release, now);
     if (isNew && this.finding === undefined) this.finding = this.judge(now);
@@ -142,18 +143,21 @@
     if (this.routes.has(route) || this.routes.size < MAXIMUM_SCOPES) this.routes.set(route, counts);
   }
 
-  // A connection that can't be made speaks against a version only where several homes and
-  // several of its endpoints agree: else the network or one instance is at fault.
-  private tellsOfFailure(
-    home: string,
-    { endpoint, version, record }: Release,
-    now: number,
-  ): boolean {
+  private tellsOfFailure(home: string, release: Release, now: number): boolean {
+    const { endpoint, version, record } = release;
     if (record.result === 'cancelled') return false;
     if (record.result === 'completed') return true;
-    if (now - (this.lastFailure.get(endpoint) ?? -Infinity) < FAILURE_BURST_MS) return false;
-    this.lastFailure.set(endpoint, now);
-    if (!record.connectFailure) return true;
+    if (record.connectFailure && !this.isUnreachable(home, release, now)) return false;
+    const isBurst = now - (this.lastFailure.get(endpoint) ?? -Infinity) < FAILURE_BURST_MS;
+    if (!isBurst) this.lastFailure.set(endpoint, now);
+    // What counts once is still seen by each home that reports it.
+    else if (version === this.move.to) this.testify(home, release, now);
+    return !isBurst;
+  }
+
+  // A connection that can't be made speaks against a version only where several homes and
+  // several of its endpoints agree: else the network or one instance is at fault.
+  private isUnreachable(home: string, { endpoint, version }: Release, now: number): boolean {
     const witnesses = this.unreachable.get(endpoint) ?? new Set<string>();
     this.unreachable.set(endpoint, witnesses.add(home));
     const all = [...this.endpoints.values()].filter((each) => each.version === version).length;
@@ -164,15 +168,19 @@
     return confirmed >= Math.min(QUORUM, all);
   }
 
+  private testify(home: string, release: Release, now: number): void {
+    this.scopesOf(release).forEach(({ failingHomes }) => failingHomes.set(home, now));
+  }
+
   private addOutcome(home: string, release: Release, now: number): void {
     const failed = release.record.result !== 'completed';
+    if (failed && release.version === this.move.to) this.testify(home, release, now);
     this.scopesOf(release).forEach((scope) => {
       if (release.version !== this.move.to) {
         scope.failures.addOld(failed);
         return;
       }
       scope.failures.addNew(failed);
-      if (failed) scope.failingHomes.set(home, now);
     });
   }
 
--- a/src/coordination/moves/detectors/LatencyDetector.ts
+++ b/src/coordination/moves/detectors/LatencyDetector.ts
@@ -10,6 +10,10 @@
 const MINIMUM_REFERENCE = 10;
 /** Weight of the newest request in a reference that has settled. */
 const REFERENCE_WEIGHT = 0.02;
+/** Weight of the newest old request in the old version's latency right now. */
+const RECENT_WEIGHT = 0.35;
+/** What a halved load is taken to save at least, where the old version carries more than the new. */
+const SAVED_PER_BAND = Math.log(1.2);
 /** More is forgiven where the old version was never seen at such a load, per doubling of load. */
 const FORGIVEN_PER_BAND = Math.log(1.5);
 
@@ -23,11 +27,14 @@
  * of log latency per unit of work, after Maravelakis, Panaretos and Psarakis (1999): with log
  * latency taken as normal, the scheme for a mean that grows from mu0 to mu1 adds
  * `ln x - (mu0 + mu1) / 2`, starts over at zero and signals above a limit. mu0 is the old version's
- * running mean in the same load band.
+ * running mean in the same load band, or what the old version shows right now where that is higher.
  */
 export class LatencyDetector {
   private readonly references = new Map<number, Reference>();
 
+  /** Log latency of the old version right now, and the load that it has. */
+  private recent: { logLatency: number; band: number } | undefined;
+
   private sum = 0;
 
   private readonly witnesses = new Set<string>();
@@ -39,6 +46,9 @@
    * @param band - load band of the endpoint at that time
    */
   addOld(logLatency: number, band: number): void {
+    this.recent ??= { logLatency, band };
+    this.recent.logLatency += RECENT_WEIGHT * (logLatency - this.recent.logLatency);
+    this.recent.band += RECENT_WEIGHT * (band - this.recent.band);
     const reference = this.references.get(band) ?? { count: 0, mean: 0 };
     reference.count += 1;
     const weight = Math.max(REFERENCE_WEIGHT, 1 / reference.count);
@@ -78,6 +88,13 @@
     return this.witnesses;
   }
 
+  // What slows the old version too, whatever its load, isn't the new version's fault.
+  private rightNow(band: number): number {
+    if (this.recent === undefined) return -Infinity;
+    const saved = Math.max(0, this.recent.band - band) * SAVED_PER_BAND;
+    return this.recent.logLatency - saved;
+  }
+
   private usual(band: number): number | undefined {
     const known = [...this.references.entries()].filter(
       ([, { count }]) => count >= MINIMUM_REFERENCE,
@@ -85,6 +102,7 @@
     const nearest = known.sort(([a], [b]) => Math.abs(a - band) - Math.abs(b - band))[0];
     if (nearest === undefined) return undefined;
     const [nearestBand, { mean }] = nearest;
-    return mean + Math.max(0, band - nearestBand) * FORGIVEN_PER_BAND;
+    const lately = mean + Math.max(0, band - nearestBand) * FORGIVEN_PER_BAND;
+    return Math.max(lately, this.rightNow(band));
   }
 }
