--- a/src/coordination/moves/MoveRun.ts
+++ b/src/coordination/moves/MoveRun.ts
@@ -59,6 +59,9 @@
 
   private stageSince = 0;
 
+  /** The state that evidence is counted for. */
+  private entered: string | undefined;
+
   private retryAt = -Infinity;
 
   /**
@@ -112,6 +115,7 @@
     return Effect.gen({ self: this }, function* advance() {
       const { now, isDriver } = this.options;
       if (this.isFinal() || !isDriver(this.move.pool)) {
+        this.entered = undefined;
         yield* this.stop();
         return;
       }
@@ -215,12 +219,20 @@
       if (settled._tag !== 'written') return;
       const { resourceVersion } = settled.object;
       this.claim = { fencing: status.fencing, resourceVersion, status };
-      this.stageSince = this.options.now();
-      this.evidence.beginStage();
+      this.enter(status.state);
       this.options.onActions(this.options.board.addStatus(status));
     });
   }
 
+  // A driver that only claims its own state anew, as after an outage, keeps the evidence it has.
+  private enter(state: MoveState): void {
+    const entered = JSON.stringify(state);
+    if (entered === this.entered) return;
+    this.entered = entered;
+    this.stageSince = this.options.now();
+    this.evidence.beginStage();
+  }
+
   private order(fencing: number): Effect.Effect<void> {
     return Effect.gen({ self: this }, function* order() {
       const { now } = this.options;
--- a/src/coordination/moves/decideStep.ts
+++ b/src/coordination/moves/decideStep.ts
@@ -64,7 +64,10 @@
 
 const describeDeadline = ({ status, lack, load }: StepInput): string => {
   const state = status?.state;
-  if (state?._tag === 'staged') return `deadline: stage ${state.stage + 1}, ${lack ?? 'not ended'}`;
+  if (state?._tag === 'staged') {
+    const missing = lack ?? 'its evidence was in, but the next state was not written in time';
+    return `deadline: stage ${state.stage + 1}, ${missing}`;
+  }
   return load._tag === 'ready' ? 'deadline: not begun in time' : `deadline: ${load.detail}`;
 };
 
--- a/src/coordination/store/LeaseHolder.ts
+++ b/src/coordination/store/LeaseHolder.ts
@@ -133,6 +133,8 @@
   }
 
   private hasRunOut({ resourceVersion }: StoredObject, lease: Lease | undefined): boolean {
+    // Its own lapsed lease needs no waiting time: nobody else acts under it.
+    if (lease?.holder === this.options.holder) return true;
     const now = this.options.now();
     if (this.observed?.resourceVersion !== resourceVersion) {
       this.observed = { resourceVersion, since: now };
