--- a/measure/main.ts
+++ b/measure/main.ts
@@ -3,6 +3,7 @@
 import { loadavg } from 'node:os';
 import { monitorEventLoopDelay } from 'node:perf_hooks';
 import { parseArgs } from 'node:util';
+import { run as detectors } from './detectors.ts';
 import { buildProgram } from './harness/EntryProcess.ts';
 import { tableOf } from './harness/Report.ts';
 import type { Report, ScenarioOptions } from './harness/Report.ts';
@@ -28,6 +29,7 @@
   moves,
   'control-cost': controlCost,
   slopes,
+  detectors,
 };
 
 const NANOSECONDS_PER_MS = 1_000_000;
