Test a candidate at once when it shows a fault, and never run ahead of its share

Cause: moves on real processes gave bad versions work for 2 to 9 s after their first fault (39 of 64): at a share of 5 % of 20 requests a second the second piece of evidence came a second after the first. And 55 of 64 had more than 5 % before the first fault, since each route's first turn came at half its interval. Ruled out: the verdict's spread between entries and the set-aside of failing endpoints (it begins after five failures). Change: a failed or far too slow call of the candidate is followed by three tests, one in flight at a time, counted against its share and bounded in number; a route's first turn comes at its full interval.

--- a/src/app/Entry.ts
+++ b/src/app/Entry.ts
@@ -187,6 +187,7 @@
   /** Takes messages from peers from now on. */
   listen(): void {
     this.#parts.network.onDelivery((delivery) => {
+      this.metrics.countMessage(delivery.message._tag, 'received');
       this.run(routePeerMessage(this.#machines(), delivery, this.now()));
       // Callers may come in the same turn in which the first configuration does.
       if (delivery.message._tag === 'push') this.refreshConfiguration();
@@ -354,6 +355,7 @@
         this.#send(step);
         return;
       case 'sendAddress':
+        this.metrics.countMessage(step.message._tag, 'sent');
         this.#parts.network.send(step.to, step.message);
         return;
       case 'decide':
@@ -387,6 +389,7 @@
       return;
     }
     const member = this.membership.find(to);
+    this.metrics.countMessage(message._tag, 'sent');
     const sent = member !== undefined && this.#parts.network.send(member.peerAddress, message);
     if (sent) return;
     this.#choice.unreachable(to, now);
--- a/src/app/Metrics.ts
+++ b/src/app/Metrics.ts
@@ -40,6 +40,13 @@
     registers: [this.#registry],
   });
 
+  readonly #messages = new Counter({
+    name: 'corianderwick_peer_messages_total',
+    help: 'Messages to and from peers by kind.',
+    labelNames: ['message', 'direction'],
+    registers: [this.#registry],
+  });
+
   readonly #latency = new Map<number, Histogram>();
 
   readonly #latencyGauge = new Gauge({
@@ -73,6 +80,16 @@
     if (outcome._tag === 'completed') this.#histogram(tier).recordValue(Math.max(1, totalMs));
   }
 
+  /**
+   * Counts a message between this process and a peer.
+   *
+   * @param message - kind of message
+   * @param direction - seen from this process
+   */
+  countMessage(message: string, direction: 'sent' | 'received'): void {
+    this.#messages.inc({ message, direction });
+  }
+
   /**
    * Renders all metrics.
    *
--- a/src/coordination/scheduling/Placer.ts
+++ b/src/coordination/scheduling/Placer.ts
@@ -135,7 +135,7 @@
       turn: this.#turn,
     };
     const choice = this.#split
-      .preference(ticket.reservation.route, candidateInFlight)
+      .preference(ticket.reservation.route, candidateInFlight, now)
       .reduce<Choice | undefined>(
         (found, version) =>
           found ?? choosePlacement(ticket, this.#endpoints.usable([version]), rule, now),
@@ -150,7 +150,7 @@
     const { name, version } = state.endpoint;
     const placement = state.place(reservation, now);
     this.#turn += 1;
-    this.#split.placed(reservation.route, version);
+    this.#split.placed(reservation.route, version, now);
     this.#book.stopWaiting(ticket);
     this.#book.running.start(ticket, placement, state, now);
     state.prefixes.add(reservation.prefixes);
--- a/src/coordination/scheduling/PoolScheduler.ts
+++ b/src/coordination/scheduling/PoolScheduler.ts
@@ -8,6 +8,7 @@
 import { grantOf, grantsFor, refusalFor } from './answers.ts';
 import { EndpointTable } from './EndpointTable.ts';
 import { Placer } from './Placer.ts';
+import { isDoubtful } from './isDoubtful.ts';
 import { holdsSlot, placementOf, type Placement, type Ticket } from './Ticket.ts';
 import { TicketBook, type Finding } from './TicketBook.ts';
 import { VersionSplit } from './VersionSplit.ts';
@@ -143,6 +144,7 @@
     if (ticket?.home !== from || placementOf(ticket)?.endpoint !== endpoint) return [];
     const isReturned = record.result === 'cancelled' && record.totalMs === 0;
     if (!isReturned) running.learn(id, record, this.#failureRatioBeside(endpoint), now);
+    if (isDoubtful(ticket, record)) this.#split.doubt(placementOf(ticket)?.version ?? '', now);
     const isUnused = isReturned || record.result === 'refused';
     this.#book.endRunning(id, { _tag: isUnused ? 'givenBack' : 'released' }, now);
     return this.#place(now);
@@ -251,6 +253,11 @@
     return [...this.#admission.sweep(now), ...this.#place(now)];
   }
 
+  /** @returns whether any ticket waits or was granted and isn't over */
+  isBusy(): boolean {
+    return this.#book.queue.size > 0 || this.#book.running.size > 0;
+  }
+
   /** @returns figures for metrics and logs */
   snapshot(): SchedulerSnapshot {
     const { queue, running, history } = this.#book;
--- a/src/coordination/scheduling/VersionSplit.test.ts
+++ b/src/coordination/scheduling/VersionSplit.test.ts
@@ -33,8 +33,8 @@
       split.configure(poolRouting({ candidate: candidate(share) }));
       let given = 0;
       for (let count = 1; count <= 500; count += 1) {
-        const version = split.preference('r', 0)[0]!;
-        split.placed('r', version);
+        const version = split.preference('r', 0, 0)[0]!;
+        split.placed('r', version, 0);
         if (version === 'v2') given += 1;
         expect(Math.abs(given - share * count) <= 1).toEqual(true);
       }
@@ -43,6 +43,29 @@
   );
 });
 
+test('a fault of the candidate is followed by three tests, one in flight at a time', () => {
+  const split = new VersionSplit();
+  split.configure(poolRouting({ candidate: candidate(0.01) }));
+  const serve = (inFlight: number, now: number): string | undefined => {
+    const [version] = split.preference('r', inFlight, now);
+    split.placed('r', version ?? '', now);
+    return version;
+  };
+  expect(serve(0, 0)).toEqual('v1');
+  split.doubt('v2', 10);
+  expect([serve(0, 10), serve(1, 11), serve(0, 12), serve(0, 13), serve(0, 14)]).toEqual([
+    'v2',
+    'v1',
+    'v2',
+    'v2',
+    'v1',
+  ]);
+  split.doubt('v1', 20);
+  expect(serve(0, 20)).toEqual('v1');
+  split.doubt('v2', 30);
+  expect(serve(0, 5_000)).toEqual('v1');
+});
+
 const twoVersions = poolBundle([{ slots: 20 }, { slots: 20, version: 'v2' }]);
 
 test('an unproven candidate holds no more requests in flight than its bound', () => {
