--- a/src/app/Entry.ts
+++ b/src/app/Entry.ts
@@ -281,6 +281,11 @@
     return this.#chooseScheduler(pool, this.now(), undefined) === this.incarnation;
   }
 
+  /** @returns whether requests are served or scheduled here, so that time matters closely */
+  isBusy(): boolean {
+    return this.home.size > 0 || this.#schedulers.isBusy();
+  }
+
   /** @returns whether this process watches the object API for its failure domain */
   isRelay(): boolean {
     return isRelay(this.incarnation, this.settings.failureDomain, this.membership.serving());
--- a/src/app/PoolSchedulers.ts
+++ b/src/app/PoolSchedulers.ts
@@ -112,6 +112,11 @@
     return this.each((scheduler) => scheduler.tick(now));
   }
 
+  /** @returns whether any request waits or runs in a pool that this process schedules */
+  isBusy(): boolean {
+    return [...this.#pools.values()].some(({ scheduler }) => scheduler.isBusy());
+  }
+
   #create(pool: string, now: number): ScheduledPool | undefined {
     if (this.#input?.routings.has(pool) !== true) return undefined;
     const { policy, timing } = this.settings;
--- a/src/app/runEntry.ts
+++ b/src/app/runEntry.ts
@@ -19,6 +19,7 @@
 import { Entry } from './Entry.ts';
 
 const TICK_MS = 25;
+const IDLE_TICK_MS = 100;
 /** Time for a last message to reach peers before the links close. */
 const LEAVE_MS = 100;
 
@@ -62,11 +63,20 @@
     role === 'entry' && state === 'live' ? [address] : [],
   );
 
+/** Ticks closely while requests are served and seldom otherwise: control is paid for also when idle. */
 const runTicks = (entry: Entry): Effect.Effect<void, never, Scope.Scope> =>
   Effect.acquireRelease(
-    Effect.sync(() => setInterval(() => entry.tick(), TICK_MS)),
-    (timer) => Effect.sync(() => clearInterval(timer)),
-  );
+    Effect.sync(() => {
+      const ticker: { timer?: NodeJS.Timeout } = {};
+      const tick = (): void => {
+        ticker.timer = setTimeout(tick, entry.isBusy() ? TICK_MS : IDLE_TICK_MS);
+        entry.tick();
+      };
+      tick();
+      return ticker;
+    }),
+    (ticker) => Effect.sync(() => clearTimeout(ticker.timer)),
+  ).pipe(Effect.asVoid);
 
 const driveMoves = (
   entry: Entry,
--- a/src/coordination/membership/MemberTable.ts
+++ b/src/coordination/membership/MemberTable.ts
@@ -163,8 +163,8 @@
       .flatMap((incarnation) => this.records.get(incarnation)?.member ?? []);
   }
 
-  /** Chooses the records for one message: what concerns the peer, then news, then a random one. */
-  updatesFor(peer: string, maximum: number, now: number): readonly Member[] {
+  /** Chooses the records for one message: what concerns the peer, then news. */
+  newsFor(peer: string, maximum: number): readonly Member[] {
     const record = this.records.get(peer);
     const chosen = new Map<string, Member>();
     const add = (member: Member): void => {
@@ -173,7 +173,6 @@
     if (record === undefined || record.toldRevision < this.own.revision) add(this.own);
     if (record !== undefined && record.member.status !== 'alive') add(record.member);
     this.queue.take(maximum - chosen.size, this.records.size + 1).forEach(add);
-    this.randomRecord(now).forEach(add);
     return [...chosen.values()];
   }
 
@@ -220,7 +219,8 @@
     return same ? [] : [changed(member)];
   }
 
-  private randomRecord(now: number): readonly Member[] {
+  /** Gives a record at random, one that ended lately included; none where nobody else is known. */
+  randomRecord(now: number): readonly Member[] {
     const records = [...this.records.values()].filter(
       ({ member, changedAt }) => !hasEnded(member) || now - changedAt < SPREAD_ENDED_MS,
     );
--- a/src/coordination/membership/Membership.ts
+++ b/src/coordination/membership/Membership.ts
@@ -246,7 +246,7 @@
     this.incarnationLease.startAt(now);
     this.table.hear(from, now);
     if (this.table.find(from) === undefined) return decisions;
-    const ack: PeerMessage = { _tag: 'probeAck', sequence, updates: this.updatesFor(from, now) };
+    const ack: PeerMessage = { _tag: 'probeAck', sequence, updates: this.newsFor(from) };
     return [...decisions, send(from, ack)];
   }
 
@@ -266,7 +266,7 @@
     }
     if (probe.onBehalfOf !== undefined && from === probe.target) {
       const { to, sequence: theirs } = probe.onBehalfOf;
-      const relayed = this.updatesFor(to, now);
+      const relayed = this.newsFor(to);
       actions.push(send(to, { _tag: 'probeAck', sequence: theirs, updates: relayed }));
     }
     return [...actions, ...this.table.retireAt(probe.target, from, now)];
@@ -314,7 +314,10 @@
     onBehalfOf?: { readonly to: string; readonly sequence: number },
   ): Action {
     const sequence = this.probes.add(target, now, this.table.self().revision, onBehalfOf);
-    return send(target, { _tag: 'probe', sequence, updates: this.updatesFor(target, now) });
+    // Every second probe repeats an old record, for those whom its news passed by.
+    const repeated = sequence % 2 === 0 ? this.table.randomRecord(now) : [];
+    const updates = [...this.newsFor(target), ...repeated].slice(0, MAXIMUM_UPDATES);
+    return send(target, { _tag: 'probe', sequence, updates });
   }
 
   private introduce(address: string, now: number): Action {
@@ -334,7 +337,7 @@
     return chosen === undefined ? [] : [this.introduce(chosen, now)];
   }
 
-  private updatesFor(peer: string, now: number): readonly Member[] {
-    return this.table.updatesFor(peer, MAXIMUM_UPDATES, now);
+  private newsFor(peer: string): readonly Member[] {
+    return this.table.newsFor(peer, MAXIMUM_UPDATES);
   }
 }
--- a/src/coordination/moves/MoveRuns.ts
+++ b/src/coordination/moves/MoveRuns.ts
@@ -6,6 +6,8 @@
 import { MoveRun, type MoveOptions } from './MoveRun.ts';
 
 const ROUND_MS = 50;
+/** Pause between looks for a configuration with moves. */
+const IDLE_ROUND_MS = 250;
 
 /** All moves of the configuration in force, each driven by the entry that schedules its pool. */
 export class MoveRuns {
@@ -48,7 +50,7 @@
       yield* Effect.forEach(idle, ([key, run]) => Effect.forkScoped(this.advance(key, run)), {
         discard: true,
       });
-      yield* Effect.sleep(ROUND_MS);
+      yield* Effect.sleep(this.runs.size > 0 ? ROUND_MS : IDLE_ROUND_MS);
     });
     return Effect.asVoid(Effect.forkScoped(Effect.forever(round)));
   }
--- a/src/coordination/scheduling/RunningTickets.ts
+++ b/src/coordination/scheduling/RunningTickets.ts
@@ -24,6 +24,11 @@
     return this.#running.get(id)?.ticket;
   }
 
+  /** @returns number of granted tickets, suspended ones included */
+  get size(): number {
+    return this.#running.size;
+  }
+
   /** @returns all granted tickets, suspended ones included */
   all(): readonly Ticket[] {
     return [...this.#running.values()].map(({ ticket }) => ticket);
