Don't spread on what came as a member's whole list

Cause: at 27 entries, 5 to 20 s after the start, every probe and acknowledgement still carried five records (9 to 10 KB/s a process): each joiner queued all 26 records of the list that it was given for 15 transmissions each. A trace by message kind showed probes and acknowledgements at 1 KB each and nothing else of size; 25 s after the start they were down to half. Ruled out: configuration, relays' instance lists (33 B each). Change: records that come by membersReply are known to others and leave the queue. Conclusion: kept by its cause; membership's property tests pass.

--- a/src/coordination/membership/MemberTable.ts
+++ b/src/coordination/membership/MemberTable.ts
@@ -68,9 +68,12 @@
     }
   }
 
-  /** Takes over news that supersedes what is held. */
-  merge(from: string, updates: readonly Member[], now: number): Action[] {
-    return updates.flatMap((news) => this.mergeOne(from, news, now));
+  /** Takes over news that supersedes what is held. What came as a whole list isn't spread on. */
+  merge(from: string, updates: readonly Member[], now: number, spread = true): Action[] {
+    const settled = new Set(spread ? [] : updates.map(({ incarnation }) => incarnation));
+    const actions = updates.flatMap((news) => this.mergeOne(from, news, now));
+    settled.forEach((incarnation) => this.queue.drop(incarnation));
+    return actions;
   }
 
   suspect(incarnation: string, now: number): Action[] {
--- a/src/coordination/membership/Membership.ts
+++ b/src/coordination/membership/Membership.ts
@@ -171,7 +171,8 @@
       case 'membersRequest':
         return [send(from, { _tag: 'membersReply', members: this.table.all() })];
       case 'membersReply':
-        return this.take(from, message.members, now);
+        // The sender's whole view: others have it too, so it isn't spread on.
+        return this.take(from, message.members, now, false);
       default:
         return [];
     }
@@ -272,8 +273,8 @@
     return [...actions, ...this.table.retireAt(probe.target, from, now)];
   }
 
-  private take(from: string, updates: readonly Member[], now: number): Action[] {
-    const decisions = this.table.merge(from, updates, now);
+  private take(from: string, updates: readonly Member[], now: number, spread = true): Action[] {
+    const decisions = this.table.merge(from, updates, now, spread);
     if (this.table.selfEnded()) this.incarnationLease.end();
     return decisions;
   }
--- a/src/coordination/membership/UpdateQueue.ts
+++ b/src/coordination/membership/UpdateQueue.ts
@@ -23,6 +23,15 @@
     this.pending.set(member.incarnation, { member, sent: 0 });
   }
 
+  /**
+   * Takes news out of the queue that everyone else has already.
+   *
+   * @param incarnation - whose record
+   */
+  drop(incarnation: string): void {
+    this.pending.delete(incarnation);
+  }
+
   /**
    * Takes the next pieces of news for one message.
    *
