--- a/src/transport/client/Caller.ts
+++ b/src/transport/client/Caller.ts
@@ -67,7 +67,10 @@
 /** Time beyond the deadline for the entry's last word. */
 const DEADLINE_GRACE_MS = 1_000;
 /** Time for an entry to say that it takes a body; one that stands still is left for another. */
-const CONTINUE_MS = 1_000;
+const MAXIMUM_CONTINUE_MS = 1_000;
+const MINIMUM_CONTINUE_MS = 100;
+/** Part of the time left that one entry may take to say so, which leaves time to try others. */
+const CONTINUE_SHARE = 0.2;
 const SUFFIX_BYTES = 12;
 const STATUS_TIMEOUT_MS = 2_000;
 const STATUS_POLL_MS = 250;
@@ -86,6 +89,9 @@
 const mint = ({ requestIdPrefix }: EntryAddress): string =>
   `${requestIdPrefix}${randomBytes(SUFFIX_BYTES).toString('base64url')}`;
 
+const continueWithin = (remainingMs: number): number =>
+  Math.max(MINIMUM_CONTINUE_MS, Math.min(MAXIMUM_CONTINUE_MS, remainingMs * CONTINUE_SHARE));
+
 interface CallState extends CallTrace {
   readonly call: CallerCall;
   readonly endsAt: number;
@@ -156,7 +162,7 @@
         body: call.body,
         fresh: false,
         silenceMs: remainingMs + DEADLINE_GRACE_MS,
-        continueWithinMs: Math.min(remainingMs, CONTINUE_MS),
+        continueWithinMs: continueWithin(remainingMs),
       },
       call.onEvent ?? (() => {}),
     );
