--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -23,12 +23,12 @@
 /** Path of the bundled program. */
 export const bundlePath = fileURLToPath(new URL('../dist/corianderwick.cjs', import.meta.url));
 
-/** Writes the bundle. */
-export const bundle = () =>
+/** Writes the bundle of a program. */
+export const bundle = (entryPoint = 'src/main.ts', outfile = bundlePath) =>
   build({
     absWorkingDir: root,
-    entryPoints: ['src/main.ts'],
-    outfile: bundlePath,
+    entryPoints: [entryPoint],
+    outfile,
     bundle: true,
     platform: 'node',
     target: 'node20',
--- /dev/null
+++ b/src/app/gateway/GatewayMetrics.ts
@@ -0,0 +1,112 @@
+import { build } from 'hdr-histogram-js';
+import type { Histogram } from 'hdr-histogram-js';
+import { Counter, Gauge, Registry } from 'prom-client';
+
+const QUANTILES = [50, 95, 99];
+const HIGHEST_MS = 600_000;
+
+/** Values that are read when the metrics are. */
+export interface GatewayGauges {
+  readonly configurationVersion: number;
+  readonly members: number;
+  readonly waiting: number;
+  readonly running: number;
+  readonly droppedLogLines: number;
+}
+
+/** Counters and latencies of a gateway, as Prometheus text. */
+export class GatewayMetrics {
+  readonly #registry = new Registry();
+
+  readonly #ended = new Counter({
+    name: 'corianderwick_gateway_requests_total',
+    help: 'Requests by route and how they ended.',
+    labelNames: ['route', 'outcome', 'status'],
+    registers: [this.#registry],
+  });
+
+  readonly #attempts = new Counter({
+    name: 'corianderwick_gateway_attempts_total',
+    help: 'Requests sent to endpoints by service and what came of it.',
+    labelNames: ['service', 'result'],
+    registers: [this.#registry],
+  });
+
+  readonly #storeCalls = new Counter({
+    name: 'corianderwick_gateway_store_calls_total',
+    help: 'Calls to the store by kind of call.',
+    labelNames: ['call'],
+    registers: [this.#registry],
+  });
+
+  readonly #placements = new Counter({
+    name: 'corianderwick_gateway_placements_total',
+    help: 'Decisions of this process as the scheduler of model engines.',
+    labelNames: ['route', 'decision'],
+    registers: [this.#registry],
+  });
+
+  readonly #latency = new Map<string, Histogram>();
+
+  readonly #latencyGauge = new Gauge({
+    name: 'corianderwick_gateway_latency_ms',
+    help: 'Time from a request to its first byte, by route and quantile.',
+    labelNames: ['route', 'quantile'],
+    registers: [this.#registry],
+  });
+
+  readonly #gauges = {
+    configurationVersion: this.#gauge('configuration_version', 'Configuration in force.'),
+    members: this.#gauge('members', 'Gateways believed alive.'),
+    waiting: this.#gauge('waiting', 'Requests that wait for a slot in this process.'),
+    running: this.#gauge('running', 'Requests that this process has at endpoints.'),
+    droppedLogLines: this.#gauge('dropped_log_lines', 'Log lines dropped since the start.'),
+  };
+
+  countEnded(route: string, outcome: string, status: number): void {
+    this.#ended.inc({ route, outcome, status });
+  }
+
+  countAttempt(service: string, result: string): void {
+    this.#attempts.inc({ service, result });
+  }
+
+  countStoreCall(call: string): void {
+    this.#storeCalls.inc({ call });
+  }
+
+  countPlacement(route: string, decision: string): void {
+    this.#placements.inc({ route, decision });
+  }
+
+  recordFirstByte(route: string, latencyMs: number): void {
+    const histogram =
+      this.#latency.get(route) ??
+      build({
+        lowestDiscernibleValue: 1,
+        highestTrackableValue: HIGHEST_MS,
+        numberOfSignificantValueDigits: 2,
+      });
+    this.#latency.set(route, histogram);
+    histogram.recordValue(Math.max(1, Math.min(HIGHEST_MS, latencyMs)));
+  }
+
+  /** Renders all metrics as Prometheus text. */
+  render(gauges: GatewayGauges): Promise<string> {
+    this.#gauges.configurationVersion.set(gauges.configurationVersion);
+    this.#gauges.members.set(gauges.members);
+    this.#gauges.waiting.set(gauges.waiting);
+    this.#gauges.running.set(gauges.running);
+    this.#gauges.droppedLogLines.set(gauges.droppedLogLines);
+    this.#latency.forEach((histogram, route) => {
+      QUANTILES.forEach((quantile) => {
+        this.#latencyGauge.set({ route, quantile }, histogram.getValueAtPercentile(quantile));
+      });
+    });
+    return this.#registry.metrics();
+  }
+
+  #gauge(name: string, help: string): Gauge {
+    return new Gauge({ name: `corianderwick_gateway_${name}`, help, registers: [this.#registry] });
+  }
+}
--- /dev/null
+++ b/src/app/gateway/PlacementDesk.ts
@@ -0,0 +1,463 @@
+import type { Logger } from 'pino';
+import {
+  PlacementScheduler,
+  QuotaMeter,
+  type PlacementDecision,
+} from '../../coordination/gateway/index.ts';
+import { retryAfter } from '../../coordination/scheduling/retryAfter.ts';
+import type {
+  PlacementRefusal,
+  PlacementResult,
+  PlacementTicket,
+} from '../../protocol/peer/Placement.ts';
+import type { PeerMessage } from '../../protocol/peer/PeerMessage.ts';
+import type { Account } from '../../state/gateway/index.ts';
+import type { GatewayMetrics } from './GatewayMetrics.ts';
+import type { PeerGroup } from './PeerGroup.ts';
+
+/** What becomes of a ticket. */
+export type PlacementAnswer =
+  | { readonly _tag: 'granted'; readonly endpoint: string; readonly by: string }
+  | {
+      readonly _tag: 'refused';
+      readonly reason: PlacementRefusal;
+      readonly retryAfterMs: number;
+      readonly by: string;
+    };
+
+interface Pending {
+  readonly ticket: PlacementTicket;
+  readonly askedAt: number;
+  readonly onAnswer: (answer: PlacementAnswer) => void;
+  /** Incarnation of the scheduler that was asked. */
+  asked: string;
+}
+
+interface Held {
+  readonly ticket: PlacementTicket;
+  readonly endpoint: string;
+  readonly grantedAt: number;
+  started: boolean;
+}
+
+/** What a desk is made of. */
+export interface PlacementDeskOptions {
+  readonly group: () => PeerGroup;
+  readonly quotas: QuotaMeter;
+  readonly findAccount: (name: string) => Account | undefined;
+  readonly configurationVersion: () => number;
+  readonly metrics: GatewayMetrics;
+  readonly logger: Logger;
+  readonly now: () => number;
+}
+
+/** Silence of the scheduler after which a waiting request is decided here. */
+const SCHEDULER_SILENCE_MS = 350;
+/** How often the scheduler gives a sign of life to those who wait. */
+const ALIVE_INTERVAL_MS = 100;
+/** How often a gateway states all that it runs, which mends what lost messages left behind. */
+const STATE_INTERVAL_MS = 2_000;
+/** How often the scheduler shares what it has learned of the engines. */
+const SPEEDS_INTERVAL_MS = 2_000;
+/** Time in which a gateway that asked something hears signs of life. */
+const INTERESTED_MS = 1_000;
+
+/**
+ * Gets slots at model engines for the requests of this process. One gateway schedules for all; where
+ * it can't be reached, each decides alone within its share. Every process can be the scheduler.
+ */
+export class PlacementDesk {
+  readonly #options: PlacementDeskOptions;
+
+  readonly scheduler = new PlacementScheduler();
+
+  readonly #pending = new Map<string, Pending>();
+
+  readonly #held = new Map<string, Held>();
+
+  readonly #interested = new Map<string, number>();
+
+  #leader = '';
+
+  #leaderHeardAt = Number.NEGATIVE_INFINITY;
+
+  #aliveSentAt = 0;
+
+  #stateSentAt = 0;
+
+  #speedsSentAt = 0;
+
+  constructor(options: PlacementDeskOptions) {
+    this.#options = options;
+  }
+
+  /** Asks for a slot; the answer may come within this call. */
+  place(ticket: PlacementTicket, onAnswer: (answer: PlacementAnswer) => void): void {
+    const now = this.#options.now();
+    const group = this.#options.group();
+    this.#followLeader(now);
+    const leader = this.#leader;
+    this.#pending.set(ticket.id, { ticket, askedAt: now, onAnswer, asked: leader });
+    if (leader === group.incarnation) {
+      this.#enqueue(leader, ticket, 1, now);
+      this.#decide(now);
+      return;
+    }
+    if (this.#isSilent(now) && this.#hasWaitedLong(now)) {
+      this.#decideAlone(ticket.id, now);
+      return;
+    }
+    const sent = group.send(leader, { _tag: 'placementRequest', tickets: [ticket] });
+    if (!sent) this.#decideAlone(ticket.id, now);
+  }
+
+  /** Takes a ticket back that wasn't answered yet. */
+  withdraw(id: string): void {
+    const pending = this.#pending.get(id);
+    if (pending === undefined) return;
+    this.#pending.delete(id);
+    this.scheduler.withdraw(id);
+    this.#tellLeader({ _tag: 'placementWithdraw', ids: [id] });
+  }
+
+  /** Notes the first token of a request. */
+  started(id: string): void {
+    const held = this.#held.get(id);
+    if (held === undefined) return;
+    held.started = true;
+    this.scheduler.started(id);
+    this.#tellLeader({ _tag: 'placementStarted', id });
+  }
+
+  /** Gives a slot back. */
+  ended(id: string, result: PlacementResult): void {
+    if (!this.#held.delete(id)) return;
+    const now = this.#options.now();
+    this.scheduler.ended(id, result, now);
+    this.#tellLeader({ _tag: 'placementEnd', id, result });
+    this.#decide(now);
+  }
+
+  /** Counts of tickets that wait and of slots that are held. */
+  counts(): { readonly waiting: number; readonly running: number } {
+    return { waiting: this.#pending.size, running: this.#held.size };
+  }
+
+  /** Does what is due. */
+  tick(): void {
+    const now = this.#options.now();
+    this.#followLeader(now);
+    if (this.#isLeader()) {
+      this.#tickLeader(now);
+    } else {
+      this.#tickFollower(now);
+    }
+    this.#decide(now);
+  }
+
+  /** Takes a message of a peer. */
+  handle(from: string, message: PeerMessage, now: number): void {
+    if (from === this.#leader) this.#leaderHeardAt = now;
+    switch (message._tag) {
+      case 'placementRequest':
+        this.#interested.set(from, now);
+        message.tickets.forEach((ticket) => this.#enqueue(from, ticket, this.#share(now), now));
+        this.#decide(now);
+        return;
+      case 'placementGrant':
+        this.#onGrant(from, message.id, message.endpoint, now);
+        return;
+      case 'placementRefusal':
+        this.#answer(message.id, {
+          _tag: 'refused',
+          reason: message.reason,
+          retryAfterMs: message.retryAfterMs,
+          by: from,
+        });
+        return;
+      case 'placementWithdraw':
+        message.ids.forEach((id) => this.scheduler.withdraw(id));
+        return;
+      case 'placementStarted':
+        this.scheduler.started(message.id);
+        return;
+      case 'placementEnd':
+        this.scheduler.ended(message.id, message.result, now);
+        this.#decide(now);
+        return;
+      case 'placementState':
+        this.#interested.set(from, now);
+        this.scheduler.adopt(from, message.running, message.waiting, now);
+        this.#decide(now);
+        return;
+      case 'engineSpeeds':
+        this.scheduler.adoptSpeeds(message.engines);
+        return;
+      case 'schedulerAlive':
+        return;
+      default:
+    }
+  }
+
+  /** Forgets what a gateway held that is gone. */
+  memberEnded(incarnation: string): void {
+    if (incarnation === this.#options.group().incarnation) return;
+    this.scheduler.drop(incarnation);
+    this.#interested.delete(incarnation);
+    this.#decide(this.#options.now());
+  }
+
+  #isLeader(): boolean {
+    return this.#leader === this.#options.group().incarnation;
+  }
+
+  #followLeader(now: number): void {
+    const group = this.#options.group();
+    const leader = group.scheduler();
+    if (leader === this.#leader) return;
+    const wasLeader = this.#leader;
+    this.#leader = leader;
+    this.#leaderHeardAt = now;
+    this.#options.logger.info(
+      { scheduler: leader, before: wasLeader, own: group.incarnation },
+      'scheduler changed',
+    );
+    if (leader === group.incarnation) {
+      this.#pending.forEach((pending, id) => {
+        pending.asked = leader;
+        this.#enqueue(leader, this.#remaining(pending, now), 1, now);
+        this.scheduler.started(id);
+      });
+      return;
+    }
+    this.scheduler.keepOnly(group.incarnation);
+    this.#pending.forEach((pending, id) => {
+      pending.asked = leader;
+      this.scheduler.withdraw(id);
+    });
+    this.#sendState(now);
+  }
+
+  #tickLeader(now: number): void {
+    const group = this.#options.group();
+    this.scheduler.setScope({ share: this.#share(now) });
+    if (now - this.#aliveSentAt >= ALIVE_INTERVAL_MS) {
+      this.#aliveSentAt = now;
+      const message: PeerMessage = {
+        _tag: 'schedulerAlive',
+        configurationVersion: this.#options.configurationVersion(),
+      };
+      this.#interested.forEach((at, incarnation) => {
+        if (now - at > INTERESTED_MS) this.#interested.delete(incarnation);
+        else group.send(incarnation, message);
+      });
+    }
+    if (now - this.#speedsSentAt < SPEEDS_INTERVAL_MS) return;
+    this.#speedsSentAt = now;
+    const engines = this.scheduler
+      .engines()
+      .filter(({ estimate }) => estimate.samples > 0)
+      .map(({ record, estimate }) => ({
+        endpoint: record.id,
+        readMsPerToken: estimate.readMsPerToken,
+        decodeMsPerToken: estimate.decodeMsPerToken,
+      }));
+    if (engines.length > 0) group.broadcast({ _tag: 'engineSpeeds', engines });
+  }
+
+  #tickFollower(now: number): void {
+    this.scheduler.setScope({ share: this.#ownShare(now) });
+    if (now - this.#stateSentAt >= STATE_INTERVAL_MS && this.#held.size + this.#pending.size > 0) {
+      this.#sendState(now);
+    }
+    if (!this.#isSilent(now)) return;
+    [...this.#pending.values()]
+      .filter(({ askedAt, asked }) => asked === this.#leader && now - askedAt >= SCHEDULER_SILENCE_MS)
+      .forEach(({ ticket }) => this.#decideAlone(ticket.id, now));
+  }
+
+  #isSilent(now: number): boolean {
+    return now - this.#leaderHeardAt > SCHEDULER_SILENCE_MS;
+  }
+
+  /** Whether the scheduler had the chance to answer something and didn't. */
+  #hasWaitedLong(now: number): boolean {
+    return [...this.#pending.values()].some(({ askedAt }) => now - askedAt > SCHEDULER_SILENCE_MS);
+  }
+
+  /** Part of the engines that the scheduler of all may use: what may be used by those cut off is left. */
+  #share(now: number): number {
+    const group = this.#options.group();
+    const alive = Math.max(1, group.alive().length);
+    const cutOff = group.cutOff(now).length;
+    return alive / (alive + cutOff);
+  }
+
+  #ownShare(now: number): number {
+    const group = this.#options.group();
+    return 1 / Math.max(1, group.alive().length + group.cutOff(now).length);
+  }
+
+  #decideAlone(id: string, now: number): void {
+    const pending = this.#pending.get(id);
+    if (pending === undefined) return;
+    const own = this.#options.group().incarnation;
+    pending.asked = own;
+    const share = this.#ownShare(now);
+    this.scheduler.setScope({ share });
+    this.#options.logger.warn(
+      { ticket: id, scheduler: this.#leader, silentMs: Math.round(now - this.#leaderHeardAt) },
+      'scheduler is silent; deciding alone',
+    );
+    this.#enqueue(own, this.#remaining(pending, now), share, now);
+    this.#decide(now);
+  }
+
+  #enqueue(owner: string, ticket: PlacementTicket, share: number, now: number): void {
+    const account = ticket.account === undefined ? undefined : this.#options.findAccount(ticket.account);
+    if (account !== undefined && ticket.quotaUnits > 0) {
+      const waitMs = this.#options.quotas.take(account, ticket.quotaUnits, share, now);
+      if (waitMs > 0) {
+        this.#report({
+          _tag: 'refuse',
+          owner,
+          ticket,
+          reason: 'quota',
+          waitedMs: 0,
+          expectedWaitMs: waitMs,
+        });
+        return;
+      }
+    }
+    this.scheduler.request(owner, ticket, now);
+  }
+
+  #decide(now: number): void {
+    this.scheduler.run(now).forEach((decision) => this.#report(decision));
+  }
+
+  #report(decision: PlacementDecision): void {
+    const { ticket, owner, waitedMs } = decision;
+    const { metrics, logger } = this.#options;
+    const group = this.#options.group();
+    const isOwn = owner === group.incarnation;
+    metrics.countPlacement(ticket.route, decision._tag === 'grant' ? 'grant' : decision.reason);
+    if (decision._tag === 'grant') {
+      const { endpoint, firstTokenMs, free } = decision;
+      logger.info(
+        {
+          ticket: ticket.id,
+          owner,
+          endpoint,
+          waitedMs: Math.round(waitedMs),
+          expectedFirstTokenMs: Math.round(firstTokenMs),
+          free,
+          waiting: this.scheduler.waitingCount,
+        },
+        'slot granted',
+      );
+      if (isOwn) this.#hold(ticket.id, endpoint, owner);
+      else group.send(owner, { _tag: 'placementGrant', id: ticket.id, endpoint });
+      return;
+    }
+    const { reason, expectedWaitMs } = decision;
+    const retryAfterMs = retryAfter(ticket.id, expectedWaitMs);
+    logger.info(
+      {
+        ticket: ticket.id,
+        owner,
+        reason,
+        waitedMs: Math.round(waitedMs),
+        expectedWaitMs: Math.round(expectedWaitMs),
+        retryAfterMs,
+        waiting: this.scheduler.waitingCount,
+      },
+      'slot refused',
+    );
+    this.#refund(ticket, reason);
+    if (isOwn) {
+      this.#answer(ticket.id, { _tag: 'refused', reason, retryAfterMs, by: owner });
+    } else {
+      group.send(owner, { _tag: 'placementRefusal', id: ticket.id, reason, retryAfterMs });
+    }
+  }
+
+  #refund(ticket: PlacementTicket, reason: PlacementRefusal): void {
+    if (reason === 'quota' || ticket.quotaUnits === 0 || ticket.account === undefined) return;
+    const account = this.#options.findAccount(ticket.account);
+    const now = this.#options.now();
+    const share = this.#isLeader() ? this.#share(now) : this.#ownShare(now);
+    if (account) this.#options.quotas.refund(account, ticket.quotaUnits, share, now);
+  }
+
+  #onGrant(from: string, id: string, endpoint: string, now: number): void {
+    const pending = this.#pending.get(id);
+    if (pending === undefined || pending.asked === this.#options.group().incarnation) {
+      this.#options.group().send(from, {
+        _tag: 'placementEnd',
+        id,
+        result: { outcome: 'unused' },
+      });
+      return;
+    }
+    this.scheduler.adopt(
+      this.#options.group().incarnation,
+      [...this.#statedHeld(now), { ticket: pending.ticket, endpoint, ageMs: 0, started: false }],
+      [],
+      now,
+    );
+    this.#hold(id, endpoint, from);
+  }
+
+  #hold(id: string, endpoint: string, by: string): void {
+    const pending = this.#pending.get(id);
+    if (pending === undefined) {
+      this.scheduler.ended(id, { outcome: 'unused' }, this.#options.now());
+      return;
+    }
+    const { ticket } = pending;
+    this.#held.set(id, { ticket, endpoint, grantedAt: this.#options.now(), started: false });
+    this.#answer(id, { _tag: 'granted', endpoint, by });
+  }
+
+  #answer(id: string, answer: PlacementAnswer): void {
+    const pending = this.#pending.get(id);
+    if (pending === undefined) return;
+    this.#pending.delete(id);
+    pending.onAnswer(answer);
+  }
+
+  #remaining({ ticket, askedAt }: Pending, now: number): PlacementTicket {
+    const waitedMs = now - askedAt;
+    return {
+      ...ticket,
+      targetMs: ticket.targetMs - waitedMs,
+      remainingMs: ticket.remainingMs - waitedMs,
+    };
+  }
+
+  #statedHeld(now: number) {
+    return [...this.#held.values()].map(({ ticket, endpoint, grantedAt, started }) => ({
+      ticket,
+      endpoint,
+      ageMs: now - grantedAt,
+      started,
+    }));
+  }
+
+  #sendState(now: number): void {
+    this.#stateSentAt = now;
+    const own = this.#options.group().incarnation;
+    this.#tellLeader({
+      _tag: 'placementState',
+      running: this.#statedHeld(now),
+      waiting: [...this.#pending.values()]
+        .filter(({ asked }) => asked !== own)
+        .map((pending) => this.#remaining(pending, now)),
+    });
+  }
+
+  #tellLeader(message: PeerMessage): void {
+    if (!this.#isLeader()) this.#options.group().send(this.#leader, message);
+  }
+}
--- /dev/null
+++ b/src/app/gateway/StoreWatch.ts
@@ -0,0 +1,112 @@
+import type {
+  ObjectStore,
+  StoredChange,
+  StoredKind,
+  StoredObject,
+} from '../../protocol/gateway/index.ts';
+
+/** What a watch tells. */
+export interface StoreWatchListener {
+  /** All objects of the kind, at the start and whenever the store has lost its history. */
+  readonly onList: (objects: readonly StoredObject[]) => void;
+  readonly onChanges: (changes: readonly StoredChange[]) => void;
+  /** The store answered after it had failed, or for the first time. */
+  readonly onRegained: () => void;
+  readonly onFailed: (detail: string) => void;
+}
+
+/** What a watch is made of. */
+export interface StoreWatchOptions {
+  readonly store: ObjectStore;
+  readonly kind: StoredKind;
+  readonly listener: StoreWatchListener;
+  /** Longest wait of one call; also the longest time for which a silent connection goes unnoticed. */
+  readonly waitMs: number;
+  /** A random number from 0 up to 1. */
+  readonly random: () => number;
+}
+
+const FIRST_RETRY_MS = 60;
+const LONGEST_RETRY_MS = 600;
+
+const sleep = (ms: number): Promise<void> =>
+  new Promise((resolve) => {
+    setTimeout(resolve, ms);
+  });
+
+/** Follows the objects of one kind for as long as the process runs. */
+export class StoreWatch {
+  readonly #options: StoreWatchOptions;
+
+  #stopped = false;
+
+  #revision: number | undefined;
+
+  #failures = 0;
+
+  #reached = false;
+
+  constructor(options: StoreWatchOptions) {
+    this.#options = options;
+  }
+
+  /** Follows until it is stopped. */
+  async run(): Promise<void> {
+    // One call waits for the next, so that answers are taken in order.
+    while (!this.#stopped) {
+      // eslint-disable-next-line no-await-in-loop
+      await this.#step();
+    }
+  }
+
+  stop(): void {
+    this.#stopped = true;
+  }
+
+  async #step(): Promise<void> {
+    const { store, kind, listener, waitMs } = this.#options;
+    if (this.#revision === undefined) {
+      const result = await store.list(kind);
+      if (this.#stopped) return;
+      if (result._tag === 'unavailable') {
+        await this.#backOff(result.detail);
+        return;
+      }
+      this.#regained();
+      this.#revision = result.revision;
+      listener.onList(result.objects);
+      return;
+    }
+    const result = await store.watch(kind, this.#revision, waitMs);
+    if (this.#stopped) return;
+    switch (result._tag) {
+      case 'unavailable':
+        await this.#backOff(result.detail);
+        return;
+      case 'expired':
+        this.#revision = undefined;
+        return;
+      case 'changed':
+        this.#regained();
+        this.#revision = Math.max(this.#revision, result.revision);
+        if (result.changes.length > 0) listener.onChanges(result.changes);
+        return;
+      default:
+        result satisfies never;
+    }
+  }
+
+  #regained(): void {
+    if (this.#reached && this.#failures === 0) return;
+    this.#reached = true;
+    this.#failures = 0;
+    this.#options.listener.onRegained();
+  }
+
+  async #backOff(detail: string): Promise<void> {
+    if (this.#failures === 0) this.#options.listener.onFailed(detail);
+    const delayMs = Math.min(LONGEST_RETRY_MS, FIRST_RETRY_MS * 2 ** this.#failures);
+    this.#failures += 1;
+    await sleep(delayMs * (0.5 + 0.5 * this.#options.random()));
+  }
+}
--- /dev/null
+++ b/src/app/gateway/index.ts
@@ -0,0 +1,4 @@
+export { makeGatewayLog } from './GatewayLog.ts';
+export type { GatewayLog } from './GatewayLog.ts';
+export { runGateway } from './runGateway.ts';
+export type { GatewayOptions, RunningGateway } from './runGateway.ts';
--- a/src/app/routePeerMessage.ts
+++ b/src/app/routePeerMessage.ts
@@ -106,6 +106,17 @@
       return inquiry.statusReply(from, message, now);
     case 'voidReply':
       return inquiry.voidReply(from, message);
+    // Said among gateways only, which route requests without homes.
+    case 'placementRequest':
+    case 'placementGrant':
+    case 'placementRefusal':
+    case 'placementWithdraw':
+    case 'placementStarted':
+    case 'placementEnd':
+    case 'placementState':
+    case 'schedulerAlive':
+    case 'engineSpeeds':
+      return [];
     default:
       return message satisfies never;
   }
--- /dev/null
+++ b/src/coordination/gateway/EngineEstimate.ts
@@ -0,0 +1,67 @@
+import { LogMean } from '../scheduling/LogMean.ts';
+
+/** What a finished request showed of its engine. */
+export interface EngineSample {
+  /** Prompt tokens that the engine had to read before the first token, those queued before included. */
+  readonly tokensToRead: number;
+  readonly firstTokenMs: number;
+  /** From the first token to the last. */
+  readonly decodeMs: number;
+  readonly outputTokens: number;
+}
+
+/** Stand in until something is learned; what is learned replaces them within a few requests. */
+const DEFAULT_READ_MS_PER_TOKEN = 0.02;
+const DEFAULT_DECODE_MS_PER_TOKEN = 6;
+/** Time from sending to the first token that doesn't depend on the prompt. */
+const FIRST_TOKEN_BASE_MS = 20;
+/** Shorter prompts and answers say more about the network than about the engine. */
+const LEAST_TOKENS_TO_LEARN = { read: 500, decode: 15 } as const;
+
+/** How fast one engine reads prompts and makes tokens, learned from the requests it has run. */
+export class EngineEstimate {
+  readonly #read = new LogMean();
+
+  readonly #decode = new LogMean();
+
+  #samples = 0;
+
+  /** Learns from a finished request. */
+  learn({ tokensToRead, firstTokenMs, decodeMs, outputTokens }: EngineSample): void {
+    if (tokensToRead >= LEAST_TOKENS_TO_LEARN.read) {
+      const perToken = Math.max(1, firstTokenMs - FIRST_TOKEN_BASE_MS) / tokensToRead;
+      this.#read.learn(Math.log(perToken / DEFAULT_READ_MS_PER_TOKEN), 1);
+      this.#samples += 1;
+    }
+    if (outputTokens >= LEAST_TOKENS_TO_LEARN.decode && decodeMs > 0) {
+      this.#decode.learn(Math.log(decodeMs / outputTokens / DEFAULT_DECODE_MS_PER_TOKEN), 1);
+    }
+  }
+
+  /** Begins with what another process has learned, unless something was learned here. */
+  adopt(readMsPerToken: number, decodeMsPerToken: number): void {
+    if (this.#samples > 0) return;
+    this.#read.learn(Math.log(readMsPerToken / this.readMsPerToken) + this.#read.value, 1);
+    this.#decode.learn(Math.log(decodeMsPerToken / this.decodeMsPerToken) + this.#decode.value, 1);
+  }
+
+  /** Time to read a token of a prompt, in ms. */
+  get readMsPerToken(): number {
+    return DEFAULT_READ_MS_PER_TOKEN * Math.exp(this.#read.value);
+  }
+
+  /** Time to make a token, in ms. */
+  get decodeMsPerToken(): number {
+    return DEFAULT_DECODE_MS_PER_TOKEN * Math.exp(this.#decode.value);
+  }
+
+  /** Requests that were learned from. */
+  get samples(): number {
+    return this.#samples;
+  }
+
+  /** Time from sending to the first token, where so many tokens are to be read before it. */
+  firstTokenMs(tokensToRead: number): number {
+    return FIRST_TOKEN_BASE_MS + tokensToRead * this.readMsPerToken;
+  }
+}
--- /dev/null
+++ b/src/coordination/gateway/chooseEngine.ts
@@ -0,0 +1,100 @@
+import type { PlacementTicket } from '../../protocol/peer/Placement.ts';
+import type { EngineLoad } from './EngineLoad.ts';
+
+/** An engine with what is expected of it for one request. */
+export interface EngineChoice {
+  readonly engine: EngineLoad;
+  readonly firstTokenMs: number;
+  readonly totalMs: number;
+  readonly tokensToRead: number;
+}
+
+/** Limits that an expected answer must keep. */
+export interface ChoiceLimits {
+  /** Time left to the first token for an answer on time. */
+  readonly targetMs: number;
+  /** Time left to the end. */
+  readonly remainingMs: number;
+  readonly slotsOf: (engine: EngineLoad) => number;
+}
+
+/** Part of the longest pause that reading prompts may take from running streams. */
+const READING_SHARE_OF_GAP = 0.8;
+/** An engine that fails more of its requests than this gets none while others have room. */
+const WORST_FAILURE_RATE = 0.9;
+
+const expect = (ticket: PlacementTicket, engine: EngineLoad): EngineChoice => {
+  const { estimate } = engine;
+  const tokensToRead = engine.tokensUnread() + ticket.promptTokens;
+  const firstTokenMs = estimate.firstTokenMs(tokensToRead);
+  return {
+    engine,
+    tokensToRead,
+    firstTokenMs,
+    totalMs: firstTokenMs + ticket.outputTokens * estimate.decodeMsPerToken,
+  };
+};
+
+/** Tells whether reading the prompt would hold up streams that already run there. */
+const delaysStreams = (ticket: PlacementTicket, { engine, tokensToRead }: EngineChoice): boolean => {
+  if (engine.streaming() === 0) return false;
+  const readingMs = tokensToRead * engine.estimate.readMsPerToken;
+  return readingMs > ticket.gapMs * READING_SHARE_OF_GAP;
+};
+
+/**
+ * Chooses among engines with a free slot the one that is expected to end the request soonest, with
+ * its first token on time.
+ *
+ * @param ticket - the request
+ * @param engines - engines that may get it
+ * @param limits - what the answer must keep
+ * @returns the choice, or undefined where no free slot will do
+ */
+export const chooseEngine = (
+  ticket: PlacementTicket,
+  engines: readonly EngineLoad[],
+  { targetMs, remainingMs, slotsOf }: ChoiceLimits,
+): EngineChoice | undefined => {
+  const weighed = (choice: EngineChoice): number =>
+    choice.totalMs / (1 - Math.min(WORST_FAILURE_RATE, choice.engine.condition.failureRate));
+  return engines
+    .filter((engine) => engine.running.size < slotsOf(engine))
+    .map((engine) => expect(ticket, engine))
+    .filter(({ firstTokenMs, totalMs }) => firstTokenMs <= targetMs && totalMs <= remainingMs)
+    .filter((choice) => !delaysStreams(ticket, choice))
+    .reduce<EngineChoice | undefined>(
+      (best, choice) => (best === undefined || weighed(choice) < weighed(best) ? choice : best),
+      undefined,
+    );
+};
+
+/** What a request may expect of the engines if it had one for itself. */
+export interface Forecast {
+  /** Of the fastest engine. */
+  readonly firstTokenMs: number;
+  /** Time for which it would hold a slot, of the mean engine. */
+  readonly slotMs: number;
+}
+
+/**
+ * Tells how long a request would take.
+ *
+ * @param ticket - the request
+ * @param engines - engines that may get it
+ * @returns the forecast; no engines give no time to the first token
+ */
+export const forecast = (ticket: PlacementTicket, engines: readonly EngineLoad[]): Forecast => {
+  if (engines.length === 0) return { firstTokenMs: Number.POSITIVE_INFINITY, slotMs: 0 };
+  const totals = engines.map(({ estimate }) => {
+    const firstTokenMs = estimate.firstTokenMs(ticket.promptTokens);
+    return {
+      firstTokenMs,
+      slotMs: firstTokenMs + ticket.outputTokens * estimate.decodeMsPerToken,
+    };
+  });
+  return {
+    firstTokenMs: Math.min(...totals.map(({ firstTokenMs }) => firstTokenMs)),
+    slotMs: totals.reduce((sum, { slotMs }) => sum + slotMs, 0) / totals.length,
+  };
+};
--- /dev/null
+++ b/src/coordination/gateway/index.ts
@@ -0,0 +1,12 @@
+export { EndpointCondition } from './EndpointCondition.ts';
+export { EndpointDirectory } from './EndpointDirectory.ts';
+export type { DirectoryChange } from './EndpointDirectory.ts';
+export { EngineEstimate } from './EngineEstimate.ts';
+export { pickService } from './pickService.ts';
+export { PlainEndpoints } from './PlainEndpoints.ts';
+export { PlacementScheduler } from './PlacementScheduler.ts';
+export type { PlacementDecision } from './PlacementScheduler.ts';
+export { QuotaMeter } from './QuotaMeter.ts';
+export { RetryBudget } from './RetryBudget.ts';
+export { RouteIndex } from './RouteIndex.ts';
+export type { RouteMatch } from './RouteIndex.ts';
--- /dev/null
+++ b/src/protocol/gateway/ObjectStore.ts
@@ -0,0 +1,63 @@
+/** The kinds of objects that a gateway deals with. */
+export type StoredKind = 'configuration' | 'endpoints' | 'rollouts' | 'gateways';
+
+/** An object of the platform's store. */
+export interface StoredObject {
+  readonly name: string;
+  /** Store revision of its last change. */
+  readonly revision: number;
+  /** As its writer left it; not checked yet. */
+  readonly spec: unknown;
+  readonly status: unknown;
+}
+
+/** A change that a watch reports. */
+export interface StoredChange {
+  readonly removed: boolean;
+  readonly object: StoredObject;
+}
+
+/** Why a call to the store gave nothing. */
+export interface StoreFailure {
+  readonly _tag: 'unavailable';
+  readonly detail: string;
+}
+
+export type ListResult =
+  | { readonly _tag: 'listed'; readonly objects: readonly StoredObject[]; readonly revision: number }
+  | StoreFailure;
+
+export type WatchResult =
+  /** Empty where nothing changed within the wait. */
+  | { readonly _tag: 'changed'; readonly changes: readonly StoredChange[]; readonly revision: number }
+  /** The store no longer has the history since that revision. */
+  | { readonly _tag: 'expired' }
+  | StoreFailure;
+
+export type WriteResult =
+  | { readonly _tag: 'written'; readonly object: StoredObject }
+  /** Someone else changed it; the object as it is now, where the store gave it. */
+  | { readonly _tag: 'conflict'; readonly object: StoredObject | undefined }
+  | { readonly _tag: 'absent' }
+  /** It may have been done, now or a little later. */
+  | StoreFailure;
+
+/** The platform's store as a gateway uses it. Every call counts against a rate and costs. */
+export interface ObjectStore {
+  readonly list: (kind: StoredKind) => Promise<ListResult>;
+  /** Waits for changes after a revision, `waitMs` at most. */
+  readonly watch: (kind: StoredKind, revision: number, waitMs: number) => Promise<WatchResult>;
+  readonly create: (kind: StoredKind, name: string, spec: unknown) => Promise<WriteResult>;
+  /** Replaces the status where the object is still at the revision given. */
+  readonly putStatus: (
+    kind: StoredKind,
+    object: StoredObject,
+    status: unknown,
+  ) => Promise<WriteResult>;
+  /** Replaces the spec where the object is still at the revision given. */
+  readonly putSpec: (
+    kind: StoredKind,
+    object: StoredObject,
+    spec: unknown,
+  ) => Promise<WriteResult>;
+}
--- a/src/protocol/peer/PeerMessage.ts
+++ b/src/protocol/peer/PeerMessage.ts
@@ -4,6 +4,7 @@
 import { MoveStatus } from '../../state/MoveStatus.ts';
 import { NotRunReason, RequestStatus } from '../../state/Outcome.ts';
 import { Verdict } from '../../state/Verdict.ts';
+import { PlacementMessages } from './Placement.ts';
 
 /** Raised when a message changes in a way that an older process can't read. */
 export const PEER_PROTOCOL_VERSION = 1;
@@ -152,6 +153,8 @@
     id: Schema.NonEmptyString,
     finding: Schema.Literals(['waiting', 'granted', 'nothing', 'home_alive']),
   }),
+  // Between gateways
+  ...PlacementMessages,
 ]);
 export type PeerMessage = typeof PeerMessage.Type;
 
--- /dev/null
+++ b/src/protocol/peer/Placement.ts
@@ -0,0 +1,94 @@
+import * as Schema from 'effect/Schema';
+
+const Milliseconds = Schema.Finite;
+
+/** A request that waits for a slot at a model engine, as its gateway describes it to the scheduler. */
+export const PlacementTicket = Schema.Struct({
+  /** Unique to one try of one request. */
+  id: Schema.NonEmptyString,
+  service: Schema.NonEmptyString,
+  route: Schema.String,
+  account: Schema.optionalKey(Schema.String),
+  /** Rank; 0 is served first. */
+  priority: Schema.Finite,
+  promptTokens: Schema.Finite,
+  /** Expected length of the answer. */
+  outputTokens: Schema.Finite,
+  /** Units of the account's quota that it takes; 0 where they were taken before. */
+  quotaUnits: Schema.Finite,
+  /** Time left to the first token for the answer to be on time, when it was sent. */
+  targetMs: Milliseconds,
+  /** Longest pause between tokens for the answer to be on time. */
+  gapMs: Milliseconds,
+  /** Time left to the end of the answer, when it was sent. */
+  remainingMs: Milliseconds,
+  /** Endpoints that turned it away. */
+  avoid: Schema.Array(Schema.String).check(Schema.isMaxLength(16)),
+});
+export type PlacementTicket = typeof PlacementTicket.Type;
+
+/** A request that runs at an endpoint. */
+export const HeldPlacement = Schema.Struct({
+  ticket: PlacementTicket,
+  endpoint: Schema.NonEmptyString,
+  /** Time since the slot was granted. */
+  ageMs: Milliseconds,
+  /** Whether the first token has come. */
+  started: Schema.Boolean,
+});
+export type HeldPlacement = typeof HeldPlacement.Type;
+
+/** Why a request gets no slot. */
+export const PlacementRefusal = Schema.Literals([
+  'overload',
+  'quota',
+  'deadline',
+  'noEndpoint',
+  'unknownAccount',
+]);
+export type PlacementRefusal = typeof PlacementRefusal.Type;
+
+/** How a request at an endpoint ended, seen by the gateway that sent it. */
+export const PlacementResult = Schema.Struct({
+  /**
+   * `served`: complete; `failed`: the endpoint failed it; `turnedAway`: the endpoint stated that it
+   * didn't run; `unreachable`: no connection; `cancelled`: the caller left or its time was over;
+   * `unused`: the slot wasn't needed any more.
+   */
+  outcome: Schema.Literals(['served', 'failed', 'turnedAway', 'unreachable', 'cancelled', 'unused']),
+  firstTokenMs: Schema.optionalKey(Milliseconds),
+  decodeMs: Schema.optionalKey(Milliseconds),
+  outputTokens: Schema.optionalKey(Schema.Finite),
+});
+export type PlacementResult = typeof PlacementResult.Type;
+
+/** Messages between gateways and the one that schedules the model engines. */
+export const PlacementMessages = [
+  Schema.TaggedStruct('placementRequest', { tickets: Schema.Array(PlacementTicket) }),
+  Schema.TaggedStruct('placementGrant', { id: Schema.NonEmptyString, endpoint: Schema.NonEmptyString }),
+  Schema.TaggedStruct('placementRefusal', {
+    id: Schema.NonEmptyString,
+    reason: PlacementRefusal,
+    retryAfterMs: Milliseconds,
+  }),
+  Schema.TaggedStruct('placementWithdraw', { ids: Schema.Array(Schema.NonEmptyString) }),
+  Schema.TaggedStruct('placementStarted', { id: Schema.NonEmptyString }),
+  Schema.TaggedStruct('placementEnd', { id: Schema.NonEmptyString, result: PlacementResult }),
+  /** All that a gateway runs and waits for; replaces what the scheduler held of it. */
+  Schema.TaggedStruct('placementState', {
+    running: Schema.Array(HeldPlacement),
+    waiting: Schema.Array(PlacementTicket),
+  }),
+  /** Sign of life of the scheduler to those who wait. */
+  Schema.TaggedStruct('schedulerAlive', { configurationVersion: Schema.Finite }),
+  /** Engine speeds as the scheduler has learned them, for those who may have to decide alone. */
+  Schema.TaggedStruct('engineSpeeds', {
+    engines: Schema.Array(
+      Schema.Struct({
+        endpoint: Schema.NonEmptyString,
+        readMsPerToken: Milliseconds,
+        decodeMsPerToken: Milliseconds,
+      }),
+    ),
+  }),
+] as const;
--- a/src/state/documents/loadDocument.ts
+++ b/src/state/documents/loadDocument.ts
@@ -60,15 +60,18 @@
 /**
  * Reads a document of JSON with comments by its schema and reports everything that is wrong with it.
  *
- * @param schema - what the document must look like; keys that it doesn't name are problems
+ * @param schema - what the document must look like
  * @param text - the document
  * @param review - further problems of a value that fits the schema
+ * @param options - `onExcessProperty`: whether keys that the schema doesn't name are problems, as
+ *   they are unless stated otherwise
  * @returns the value, or all problems with their places
  */
 export const loadDocument = <S extends Schema.ConstraintDecoder<unknown>>(
   schema: S,
   text: string,
   review: (value: S['Type']) => readonly Finding[],
+  { onExcessProperty = 'error' }: { readonly onExcessProperty?: 'error' | 'ignore' } = {},
 ): Loaded<S['Type']> => {
   const errors: ParseError[] = [];
   const root = parseTree(text, errors, PARSE_OPTIONS);
@@ -78,7 +81,7 @@
     return { _tag: 'invalid', problems: found.length > 0 ? found : [empty] };
   }
   const source: unknown = getNodeValue(root);
-  const options = { errors: 'all', onExcessProperty: 'error' } as const;
+  const options = { errors: 'all', onExcessProperty } as const;
   const decoded = Schema.decodeUnknownResult(schema, options)(source);
   const findings = Result.isSuccess(decoded)
     ? review(decoded.success)
--- /dev/null
+++ b/src/state/gateway/GatewaySettings.ts
@@ -0,0 +1,48 @@
+import * as Schema from 'effect/Schema';
+
+const Port = Schema.Int.check(Schema.isBetween({ minimum: 1, maximum: 65_535 }));
+const NonNegative = Schema.Finite.check(Schema.isBetween({ minimum: 0, maximum: 1e12 }));
+
+/** An address to listen at. */
+export const ListenAddress = Schema.Struct({ host: Schema.NonEmptyString, port: Port });
+export type ListenAddress = typeof ListenAddress.Type;
+
+/** The figures of the deployment's promises that a gateway acts on. */
+export const GatewayBounds = Schema.Struct({
+  /** Time within which a leaving endpoint gets its last request. */
+  drainMs: NonNegative,
+  /** Time from SIGTERM to SIGKILL. */
+  graceMs: NonNegative,
+  /** Repeats that a service may get, as a share of its requests, over a window and with a slack. */
+  retryRatio: NonNegative,
+  retrySlack: NonNegative,
+  retryWindowMs: NonNegative,
+  /** How far the use of a quota may go over its window. */
+  quotaWindowMs: NonNegative,
+  quotaOvershoot: NonNegative,
+  quotaSlack: NonNegative,
+  /** Longest time that callers keep a list of addresses. */
+  addressesKeepMs: NonNegative,
+});
+export type GatewayBounds = typeof GatewayBounds.Type;
+
+/** What one gateway process is told at its start. */
+export const GatewaySettings = Schema.Struct({
+  instance: Schema.NonEmptyString,
+  failureDomain: Schema.NonEmptyString,
+  region: Schema.NonEmptyString,
+  /** Where callers send requests. */
+  callers: ListenAddress,
+  /** Where the platform asks whether this process is ready. */
+  readiness: ListenAddress,
+  /** Where callers ask which addresses to use. */
+  directory: ListenAddress,
+  peers: ListenAddress,
+  metrics: ListenAddress,
+  /** Peer addresses to begin with; some may be stale. */
+  seeds: Schema.Array(Schema.NonEmptyString),
+  /** `http://IP:PORT` of the platform's store. */
+  storeAddress: Schema.NonEmptyString,
+  bounds: GatewayBounds,
+});
+export type GatewaySettings = typeof GatewaySettings.Type;
--- /dev/null
+++ b/src/state/gateway/index.ts
@@ -0,0 +1,13 @@
+export { EndpointRecord } from './EndpointRecord.ts';
+export { GatewayBounds, GatewaySettings, ListenAddress } from './GatewaySettings.ts';
+export {
+  Account,
+  AccountQuota,
+  ClientLimits,
+  EngineLimits,
+  Route,
+  RouteKind,
+  RouteTable,
+  Service,
+  WeightedService,
+} from './RouteTable.ts';
--- /dev/null
+++ b/src/transport/gateway/index.ts
@@ -0,0 +1,7 @@
+export { EventCounter, EventCutter } from './EventCutter.ts';
+export type { WholeEvents } from './EventCutter.ts';
+export type { InboundAnswer, InboundRequest } from './InboundRequest.ts';
+export { makeGatewayServer } from './makeGatewayServer.ts';
+export type { GatewayServer, GatewayServerOptions } from './makeGatewayServer.ts';
+export { makePlainServer } from './makePlainServer.ts';
+export type { PlainAnswer, PlainHandler } from './makePlainServer.ts';
--- /dev/null
+++ b/src/transport/gateway/makePlainServer.ts
@@ -0,0 +1,50 @@
+import * as http from 'node:http';
+import type * as Effect from 'effect/Effect';
+import type * as Scope from 'effect/Scope';
+import type { ListenAddress } from '../../state/gateway/index.ts';
+import { listenAt } from './listenAt.ts';
+
+/** A small answer to a GET. */
+export interface PlainAnswer {
+  readonly status: number;
+  readonly contentType?: string;
+  readonly text?: string;
+}
+
+/** Answers a target, or says nothing where there is no such thing. */
+export type PlainHandler = (url: URL) => PlainAnswer | Promise<PlainAnswer> | undefined;
+
+const NOT_FOUND: PlainAnswer = { status: 404 };
+const FAILED: PlainAnswer = { status: 500 };
+
+const respond = (
+  response: http.ServerResponse,
+  { status, contentType = 'text/plain', text = '' }: PlainAnswer,
+): void => {
+  response.writeHead(status, {
+    'content-type': contentType,
+    'content-length': Buffer.byteLength(text),
+  });
+  response.end(text);
+};
+
+/**
+ * Starts a server for small questions: readiness, addresses, metrics. It closes with the scope.
+ *
+ * @param address - where to listen
+ * @param handle - gives the answers
+ */
+export const makePlainServer = (
+  address: ListenAddress,
+  handle: PlainHandler,
+): Effect.Effect<void, never, Scope.Scope> => {
+  const server = http.createServer((incoming, response) => {
+    incoming.resume();
+    const url = new URL(incoming.url ?? '/', 'http://localhost');
+    Promise.resolve(incoming.method === 'GET' ? handle(url) : undefined).then(
+      (answer) => respond(response, answer ?? NOT_FOUND),
+      () => respond(response, FAILED),
+    );
+  });
+  return listenAt(server, address);
+};
--- a/src/transport/http/exchange.ts
+++ b/src/transport/http/exchange.ts
@@ -10,6 +10,11 @@
   readonly method: string;
   readonly path: string;
   readonly headers: Readonly<Record<string, string>>;
+  /**
+   * Header lines to send as they are, name and value by turns, in place of `headers` and of the
+   * address as `Host`. The length of the body is added.
+   */
+  readonly headerLines?: readonly string[];
   readonly body: Uint8Array | undefined;
   /** Whether only a new connection will do. */
   readonly fresh: boolean;
@@ -32,6 +37,8 @@
       readonly _tag: 'head';
       readonly status: number;
       readonly headers: http.IncomingHttpHeaders;
+      /** Header lines as they came, name and value by turns. */
+      readonly headerLines: readonly string[];
     }
   | { readonly _tag: 'data'; readonly bytes: Buffer }
   /** The answer is complete as HTTP frames it. */
@@ -42,26 +49,42 @@
 export interface Exchange {
   /** Breaks the exchange off; no event follows. */
   readonly abort: () => void;
+  /** Stops reading the answer, for a reader that can't keep up. */
+  readonly pause: () => void;
+  readonly resume: () => void;
 }
 
 type Opened =
   | { readonly _tag: 'opened'; readonly outgoing: http.ClientRequest }
   | { readonly _tag: 'refused'; readonly detail: string };
 
+const linesOf = ({ headerLines, body }: HttpRequest): string[] | undefined =>
+  headerLines && [
+    ...headerLines,
+    ...(body ? ['Content-Length', String(body.length)] : []),
+    'Connection',
+    'keep-alive',
+  ];
+
+const fieldsOf = (
+  { address, headers, body }: HttpRequest,
+  asksFirst: boolean,
+): http.OutgoingHttpHeaders => ({
+  ...headers,
+  host: address.slice(SCHEME.length),
+  connection: 'keep-alive',
+  ...(body && { 'content-length': body.length }),
+  ...(asksFirst && { expect: '100-continue' }),
+});
+
 /** Node throws where a path or a header holds what HTTP can't carry; nothing is written then. */
 const openRequest = (request: HttpRequest, socket: Socket, asksFirst: boolean): Opened => {
-  const { address, method, path, headers, body } = request;
+  const { method, path } = request;
   try {
     const outgoing = http.request({
       method,
       path,
-      headers: {
-        ...headers,
-        host: address.slice(SCHEME.length),
-        connection: 'keep-alive',
-        ...(body && { 'content-length': body.length }),
-        ...(asksFirst && { expect: '100-continue' }),
-      },
+      headers: linesOf(request) ?? fieldsOf(request, asksFirst),
       createConnection: () => socket,
     });
     return { _tag: 'opened', outgoing };
@@ -85,6 +108,7 @@
 ): Exchange => {
   let ended = false;
   let outgoing: http.ClientRequest | undefined;
+  let incoming: http.IncomingMessage | undefined;
   let silence: NodeJS.Timeout | undefined;
   let patience: NodeJS.Timeout | undefined;
 
@@ -96,14 +120,24 @@
     if (event._tag === 'broken' || event._tag === 'refused') outgoing?.destroy();
     onEvent(event);
   };
-  const breakOff = (detail: string): void => finish({ _tag: 'broken', silent: false, detail });
+  const breakOff = (detail: string): void => {
+    // What follows a complete answer spoils the connection but not the answer, whose end is still due.
+    if (incoming?.complete === true && !incoming.destroyed) return;
+    finish({ _tag: 'broken', silent: false, detail });
+  };
   const onSilence = (): void => finish({ _tag: 'broken', silent: true, detail: 'no bytes' });
 
   const onResponse = (response: http.IncomingMessage): void => {
     if (ended) return;
     clearTimeout(patience);
     silence?.refresh();
-    onEvent({ _tag: 'head', status: response.statusCode ?? 0, headers: response.headers });
+    incoming = response;
+    onEvent({
+      _tag: 'head',
+      status: response.statusCode ?? 0,
+      headers: response.headers,
+      headerLines: response.rawHeaders,
+    });
     response.on('data', (bytes: Buffer) => {
       if (ended) return;
       silence?.refresh();
@@ -166,5 +200,7 @@
       stopConnecting();
       outgoing?.destroy();
     },
+    pause: () => incoming?.pause(),
+    resume: () => incoming?.resume(),
   };
 };
--- a/src/transport/http/requestWhole.ts
+++ b/src/transport/http/requestWhole.ts
@@ -42,7 +42,7 @@
   pool: ConnectionPool,
   request: WholeRequest,
   onOutcome: (outcome: WholeOutcome) => void,
-): Exchange => {
+): Pick<Exchange, 'abort'> => {
   let written = false;
   let settled = false;
   let timer: NodeJS.Timeout | undefined;
--- a/src/transport/platform/watchCollection.ts
+++ b/src/transport/platform/watchCollection.ts
@@ -30,7 +30,7 @@
   pool: ConnectionPool,
   target: WatchTarget,
   onEvent: (event: WatchEvent) => void,
-): Exchange => {
+): Pick<Exchange, 'abort'> => {
   const decoder = new StringDecoder('utf8');
   let ended = false;
   let rest = '';
