--- a/src/app/gateway/Gateway.ts
+++ b/src/app/gateway/Gateway.ts
@@ -68,7 +68,7 @@
         source,
         routes: table.routes.length,
         services: table.services.length,
-        accounts: table.accounts?.length,
+        accounts: table.accounts?.map(({ name, priority, quota }) => ({ name, priority, ...quota })),
       },
       'configuration in force',
     );
--- a/src/app/gateway/PlacementDesk.ts
+++ b/src/app/gateway/PlacementDesk.ts
@@ -57,8 +57,8 @@
 const ALIVE_INTERVAL_MS = 100;
 /** How often a gateway states all that it runs, which mends what lost messages left behind. */
 const STATE_INTERVAL_MS = 2_000;
-/** How often the scheduler shares what it has learned of the engines. */
-const SPEEDS_INTERVAL_MS = 2_000;
+/** How often the scheduler tells the others what one of them would need to take over. */
+const NOTES_INTERVAL_MS = 2_000;
 /** Time in which a gateway that asked something hears signs of life. */
 const INTERESTED_MS = 1_000;
 
@@ -85,7 +85,7 @@
 
   #stateSentAt = 0;
 
-  #speedsSentAt = 0;
+  #notesSentAt = 0;
 
   constructor(options: PlacementDeskOptions) {
     this.#options = options;
@@ -190,8 +190,9 @@
         this.scheduler.adopt(from, message.running, message.waiting, now);
         this.#decide(now);
         return;
-      case 'engineSpeeds':
+      case 'schedulerNotes':
         this.scheduler.adoptSpeeds(message.engines);
+        this.#options.quotas.adopt(message.quotaUses, now);
         return;
       case 'schedulerAlive':
         return;
@@ -252,8 +253,8 @@
         else group.send(incarnation, message);
       });
     }
-    if (now - this.#speedsSentAt < SPEEDS_INTERVAL_MS) return;
-    this.#speedsSentAt = now;
+    if (now - this.#notesSentAt < NOTES_INTERVAL_MS) return;
+    this.#notesSentAt = now;
     const engines = this.scheduler
       .engines()
       .filter(({ estimate }) => estimate.samples > 0)
@@ -262,7 +263,8 @@
         readMsPerToken: estimate.readMsPerToken,
         decodeMsPerToken: estimate.decodeMsPerToken,
       }));
-    if (engines.length > 0) group.broadcast({ _tag: 'engineSpeeds', engines });
+    const quotaUses = this.#options.quotas.uses(now);
+    if (engines.length > 0) group.broadcast({ _tag: 'schedulerNotes', engines, quotaUses });
   }
 
   #tickFollower(now: number): void {
@@ -384,10 +386,7 @@
 
   #refund(ticket: PlacementTicket, reason: PlacementRefusal): void {
     if (reason === 'quota' || ticket.quotaUnits === 0 || ticket.account === undefined) return;
-    const account = this.#options.findAccount(ticket.account);
-    const now = this.#options.now();
-    const share = this.#isLeader() ? this.#share(now) : this.#ownShare(now);
-    if (account) this.#options.quotas.refund(account, ticket.quotaUnits, share, now);
+    this.#options.quotas.refund(ticket.account, ticket.quotaUnits, this.#options.now());
   }
 
   #onGrant(from: string, id: string, endpoint: string, now: number): void {
--- a/src/app/routePeerMessage.ts
+++ b/src/app/routePeerMessage.ts
@@ -115,7 +115,7 @@
     case 'placementEnd':
     case 'placementState':
     case 'schedulerAlive':
-    case 'engineSpeeds':
+    case 'schedulerNotes':
       return [];
     default:
       return message satisfies never;
--- a/src/coordination/gateway/QuotaMeter.ts
+++ b/src/coordination/gateway/QuotaMeter.ts
@@ -1,28 +1,37 @@
-import type { Account, AccountQuota } from '../../state/gateway/index.ts';
-import { TokenBucket } from '../limits/TokenBucket.ts';
+import type { Account } from '../../state/gateway/index.ts';
 
 /** What bounds the use of quotas over all processes. */
 export interface QuotaBounds {
   readonly windowMs: number;
+  /** How far use may go over the quota, as a share of it. */
   readonly overshoot: number;
+  /** Tokens that use may go over the quota besides. */
   readonly slack: number;
 }
 
-/** Part of the allowed overshoot that is given out; the rest is for changes of the process that counts. */
-const OVERSHOOT_SHARE = 0.4;
-const MS_PER_SECOND = 1_000;
+/** Units used at one time, as one process counts them for an account. */
+interface Use {
+  readonly at: number;
+  units: number;
+}
 
-interface Meter {
-  readonly bucket: TokenBucket;
-  quota: AccountQuota;
-  share: number;
+/** The most recent use of an account's quota, told to a process that may have to go on counting. */
+export interface QuotaUse {
+  readonly account: string;
+  readonly units: number;
 }
 
-/** The use of each client account's quota, as one process counts it. */
+const MS_PER_SECOND = 1_000;
+/** Part of the bound that is given out; the rest is for what two processes count at once. */
+const USED_SHARE = 0.9;
+/** Wait told where a request alone is over the bound. */
+const NEVER_FITS_MS = 5_000;
+
+/** The use of each client account's quota over the last window, as one process counts it. */
 export class QuotaMeter {
   readonly #bounds: QuotaBounds;
 
-  readonly #meters = new Map<string, Meter>();
+  readonly #uses = new Map<string, Use[]>();
 
   constructor(bounds: QuotaBounds) {
     this.#bounds = bounds;
@@ -39,45 +48,70 @@
    */
   take(account: Account, units: number, share: number, now: number): number {
     if (account.quota.ratePerSecond <= 0) return 0;
-    const { bucket } = this.#meter(account, share, now);
-    const waitMs = bucket.waitFor(Math.min(units, account.quota.burst * share), now);
-    if (waitMs > 0) return waitMs;
-    bucket.take(units, now);
-    return 0;
+    const uses = this.#recent(account.name, now);
+    const limit = this.#limit(account, share);
+    const used = uses.reduce((sum, use) => sum + use.units, 0);
+    if (used + units <= limit) {
+      uses.push({ at: now, units });
+      return 0;
+    }
+    return this.#waitFor(used + units - limit, uses, now);
   }
 
-  /** Counts units that were used whatever the quota says. */
-  charge(account: Account, units: number, share: number, now: number): void {
-    if (account.quota.ratePerSecond > 0) this.#meter(account, share, now).bucket.take(units, now);
+  /** Gives units back that were taken last and not used. */
+  refund(account: string, units: number, now: number): void {
+    let left = units;
+    [...this.#recent(account, now)].reverse().forEach((use) => {
+      const entry = use;
+      const returned = Math.min(left, entry.units);
+      entry.units -= returned;
+      left -= returned;
+    });
   }
 
-  /** Gives units back that were not used. */
-  refund(account: Account, units: number, share: number, now: number): void {
-    if (account.quota.ratePerSecond > 0) this.#meter(account, share, now).bucket.put(units, now);
+  /** Gives the use of the last window, account by account. */
+  uses(now: number): QuotaUse[] {
+    return [...this.#uses.keys()]
+      .map((account) => ({
+        account,
+        units: this.#recent(account, now).reduce((sum, use) => sum + use.units, 0),
+      }))
+      .filter(({ units }) => units > 0);
   }
 
-  #meter(account: Account, share: number, now: number): Meter {
-    const { quota } = account;
-    const rate = quota.ratePerSecond * share;
-    const burst = this.#burst(quota) * share;
-    const held = this.#meters.get(account.name);
-    if (held === undefined) {
-      const meter = { bucket: new TokenBucket(rate, burst, now), quota, share };
-      this.#meters.set(account.name, meter);
-      return meter;
-    }
-    if (held.quota !== quota || held.share !== share) {
-      held.bucket.reconfigure(rate, burst, now);
-      held.quota = quota;
-      held.share = share;
-    }
-    return held;
+  /** Takes over what another process counted, where more was used than is known here. */
+  adopt(uses: readonly QuotaUse[], now: number): void {
+    uses.forEach(({ account, units }) => {
+      const recent = this.#recent(account, now);
+      const known = recent.reduce((sum, use) => sum + use.units, 0);
+      // How the use lies in the window isn't told; the middle is right on average.
+      if (units > known) recent.unshift({ at: now - this.#bounds.windowMs / 2, units: units - known });
+    });
   }
 
-  #burst({ ratePerSecond, burst, unit }: AccountQuota): number {
+  #limit({ quota }: Account, share: number): number {
     const { windowMs, overshoot, slack } = this.#bounds;
-    const nominal = (ratePerSecond * windowMs) / MS_PER_SECOND + burst;
-    const spare = nominal * overshoot + (unit === 'tokens' ? slack : 0);
-    return burst + OVERSHOOT_SHARE * spare;
+    const nominal = (quota.ratePerSecond * windowMs) / MS_PER_SECOND + quota.burst;
+    const spare = quota.unit === 'tokens' ? slack : 0;
+    return USED_SHARE * share * (nominal * (1 + overshoot) + spare);
+  }
+
+  #waitFor(excess: number, uses: readonly Use[], now: number): number {
+    let left = excess;
+    const freeing = uses.find((use) => {
+      left -= use.units;
+      return left <= 0;
+    });
+    return freeing === undefined
+      ? NEVER_FITS_MS
+      : Math.max(1, freeing.at + this.#bounds.windowMs - now);
+  }
+
+  #recent(account: string, now: number): Use[] {
+    const uses = this.#uses.get(account) ?? [];
+    this.#uses.set(account, uses);
+    const first = uses.findIndex(({ at }) => at > now - this.#bounds.windowMs);
+    uses.splice(0, first < 0 ? uses.length : first);
+    return uses;
   }
 }
--- a/src/protocol/peer/Placement.ts
+++ b/src/protocol/peer/Placement.ts
@@ -81,8 +81,8 @@
   }),
   /** Sign of life of the scheduler to those who wait. */
   Schema.TaggedStruct('schedulerAlive', { configurationVersion: Schema.Finite }),
-  /** Engine speeds as the scheduler has learned them, for those who may have to decide alone. */
-  Schema.TaggedStruct('engineSpeeds', {
+  /** What a gateway needs to schedule in the place of this one: engine speeds and the use of quotas. */
+  Schema.TaggedStruct('schedulerNotes', {
     engines: Schema.Array(
       Schema.Struct({
         endpoint: Schema.NonEmptyString,
@@ -90,5 +90,9 @@
         decodeMsPerToken: Milliseconds,
       }),
     ),
+    /** Units used within the last window. */
+    quotaUses: Schema.Array(
+      Schema.Struct({ account: Schema.NonEmptyString, units: Schema.Finite }),
+    ),
   }),
 ] as const;
--- a/src/transport/http/exchange.ts
+++ b/src/transport/http/exchange.ts
@@ -87,6 +87,8 @@
       headers: linesOf(request) ?? fieldsOf(request, asksFirst),
       createConnection: () => socket,
     });
+    // Without an agent Node takes this from header fields, but not from header lines.
+    outgoing.shouldKeepAlive = true;
     return { _tag: 'opened', outgoing };
   } catch (error) {
     return { _tag: 'refused', detail: String(error) };
