--- a/src/app/gateway/PlacementDesk.ts
+++ b/src/app/gateway/PlacementDesk.ts
@@ -192,7 +192,7 @@
         return;
       case 'schedulerNotes':
         this.scheduler.adoptSpeeds(message.engines);
-        this.#options.quotas.adopt(message.quotaUses, now);
+        this.#options.quotas.adopt(message.quotaLevels, now);
         return;
       case 'schedulerAlive':
         return;
@@ -263,8 +263,8 @@
         readMsPerToken: estimate.readMsPerToken,
         decodeMsPerToken: estimate.decodeMsPerToken,
       }));
-    const quotaUses = this.#options.quotas.uses(now);
-    if (engines.length > 0) group.broadcast({ _tag: 'schedulerNotes', engines, quotaUses });
+    const quotaLevels = this.#options.quotas.levels(now);
+    if (engines.length > 0) group.broadcast({ _tag: 'schedulerNotes', engines, quotaLevels });
   }
 
   #tickFollower(now: number): void {
--- a/src/app/gateway/RequestRun.ts
+++ b/src/app/gateway/RequestRun.ts
@@ -35,6 +35,8 @@
   headerLines: readonly string[];
   answer: AnswerFields | undefined;
   readonly parts: Buffer[];
+  /** Of this try alone: what one endpoint left unfinished doesn't go before what another one sends. */
+  readonly cutter: EventCutter;
   size: number;
   firstByteAt: number | undefined;
   streaming: boolean;
@@ -67,8 +69,6 @@
 
   readonly #avoid: string[] = [];
 
-  readonly #cutter = new EventCutter();
-
   #try: Try | undefined;
 
   #ticketId: string | undefined;
@@ -209,6 +209,7 @@
       headerLines: [],
       answer: undefined,
       parts: [],
+      cutter: new EventCutter(),
       size: 0,
       firstByteAt: undefined,
       streaming: false,
@@ -302,7 +303,7 @@
       this.#forward(current, bytes);
       return;
     }
-    const whole = this.#cutter.push(bytes);
+    const whole = current.cutter.push(bytes);
     if (whole.lastId !== undefined) this.#lastEventId = whole.lastId;
     if (whole.bytes.length > 0) this.#forward(current, whole.bytes);
   }
@@ -343,7 +344,7 @@
 
   #endStream(current: Try): void {
     if (!this.#begun) this.#forward(current, EMPTY);
-    const rest = this.#cutter.rest();
+    const rest = current.cutter.rest();
     if (rest.length > 0) this.#answer.write(rest);
     this.#finish('served', current.status, '', () => this.#answer.end());
   }
--- a/src/app/gateway/runGateway.ts
+++ b/src/app/gateway/runGateway.ts
@@ -120,11 +120,14 @@
     const holderGateway: { gateway?: Gateway } = {};
     const desk = new PlacementDesk({
       group,
-      quotas: new QuotaMeter({
-        windowMs: bounds.quotaWindowMs,
-        overshoot: bounds.quotaOvershoot,
-        slack: bounds.quotaSlack,
-      }),
+      quotas: new QuotaMeter(
+        {
+          windowMs: bounds.quotaWindowMs,
+          overshoot: bounds.quotaOvershoot,
+          slack: bounds.quotaSlack,
+        },
+        now(),
+      ),
       findAccount: (name) =>
         holderGateway.gateway?.index?.table.accounts?.find((account) => account.name === name),
       configurationVersion: () => holderGateway.gateway?.index?.table.version ?? 0,
--- a/src/coordination/gateway/QuotaMeter.ts
+++ b/src/coordination/gateway/QuotaMeter.ts
@@ -1,4 +1,5 @@
 import type { Account } from '../../state/gateway/index.ts';
+import { TokenBucket } from '../limits/TokenBucket.ts';
 
 /** What bounds the use of quotas over all processes. */
 export interface QuotaBounds {
@@ -9,32 +10,43 @@
   readonly slack: number;
 }
 
-/** Units used at one time, as one process counts them for an account. */
-interface Use {
-  readonly at: number;
-  units: number;
-}
-
-/** The most recent use of an account's quota, told to a process that may have to go on counting. */
-export interface QuotaUse {
+/** What is left of an account's burst, told to a process that may have to go on counting. */
+export interface QuotaLevel {
   readonly account: string;
   readonly units: number;
 }
 
+interface Meter {
+  readonly bucket: TokenBucket;
+  quota: Account['quota'];
+  share: number;
+}
+
 const MS_PER_SECOND = 1_000;
 /** Part of the bound that is given out; the rest is for what two processes count at once. */
 const USED_SHARE = 0.9;
-/** Wait told where a request alone is over the bound. */
-const NEVER_FITS_MS = 5_000;
+/** Part of a window's bound that may be used at once; the rest comes evenly over the window. */
+const BURST_SHARE = 0.2;
 
-/** The use of each client account's quota over the last window, as one process counts it. */
+/**
+ * The use of each client account's quota, as one process counts it. A process begins with an empty
+ * bucket: all may have been killed at once, and what they gave out before still counts within the
+ * window that spans the kill.
+ */
 export class QuotaMeter {
   readonly #bounds: QuotaBounds;
 
-  readonly #uses = new Map<string, Use[]>();
+  readonly #startedAt: number;
 
-  constructor(bounds: QuotaBounds) {
+  readonly #meters = new Map<string, Meter>();
+
+  /**
+   * @param bounds - what holds over all processes
+   * @param startedAt - start of this process, in ms
+   */
+  constructor(bounds: QuotaBounds, startedAt: number) {
     this.#bounds = bounds;
+    this.#startedAt = startedAt;
   }
 
   /**
@@ -48,47 +60,37 @@
    */
   take(account: Account, units: number, share: number, now: number): number {
     if (account.quota.ratePerSecond <= 0) return 0;
-    const uses = this.#recent(account.name, now);
-    const limit = this.#limit(account, share);
-    const used = uses.reduce((sum, use) => sum + use.units, 0);
-    if (used + units <= limit) {
-      uses.push({ at: now, units });
-      return 0;
-    }
-    return this.#waitFor(used + units - limit, uses, now);
+    const { bucket } = this.#meter(account, share, now);
+    // A request larger than the burst passes a full bucket, and its debt is waited off.
+    const burst = BURST_SHARE * this.#limit(account, share);
+    const waitMs = bucket.waitFor(Math.min(units, burst), now);
+    if (waitMs <= 0) bucket.take(units, now);
+    return waitMs;
   }
 
-  /** Gives units back that were taken last and not used. */
+  /** Gives units back that were taken and not used. */
   refund(account: string, units: number, now: number): void {
-    let left = units;
-    [...this.#recent(account, now)].reverse().forEach((use) => {
-      const entry = use;
-      const returned = Math.min(left, entry.units);
-      entry.units -= returned;
-      left -= returned;
-    });
+    this.#meters.get(account)?.bucket.put(units, now);
   }
 
-  /** Gives the use of the last window, account by account. */
-  uses(now: number): QuotaUse[] {
-    return [...this.#uses.keys()]
-      .map((account) => ({
-        account,
-        units: this.#recent(account, now).reduce((sum, use) => sum + use.units, 0),
-      }))
-      .filter(({ units }) => units > 0);
+  /** Gives what may be used at once, account by account. */
+  levels(now: number): QuotaLevel[] {
+    return [...this.#meters].map(([account, { bucket }]) => ({
+      account,
+      units: bucket.available(now),
+    }));
   }
 
-  /** Takes over what another process counted, where more was used than is known here. */
-  adopt(uses: readonly QuotaUse[], now: number): void {
-    uses.forEach(({ account, units }) => {
-      const recent = this.#recent(account, now);
-      const known = recent.reduce((sum, use) => sum + use.units, 0);
-      // How the use lies in the window isn't told; the middle is right on average.
-      if (units > known) recent.unshift({ at: now - this.#bounds.windowMs / 2, units: units - known });
+  /** Takes over what another process has left, where that is less. */
+  adopt(levels: readonly QuotaLevel[], now: number): void {
+    levels.forEach(({ account, units }) => {
+      const bucket = this.#meters.get(account)?.bucket;
+      if (bucket === undefined) return;
+      bucket.take(Math.max(0, bucket.available(now) - units), now);
     });
   }
 
+  /** Units that may be used within a window. */
   #limit({ quota }: Account, share: number): number {
     const { windowMs, overshoot, slack } = this.#bounds;
     const nominal = (quota.ratePerSecond * windowMs) / MS_PER_SECOND + quota.burst;
@@ -96,22 +98,22 @@
     return USED_SHARE * share * (nominal * (1 + overshoot) + spare);
   }
 
-  #waitFor(excess: number, uses: readonly Use[], now: number): number {
-    let left = excess;
-    const freeing = uses.find((use) => {
-      left -= use.units;
-      return left <= 0;
-    });
-    return freeing === undefined
-      ? NEVER_FITS_MS
-      : Math.max(1, freeing.at + this.#bounds.windowMs - now);
-  }
-
-  #recent(account: string, now: number): Use[] {
-    const uses = this.#uses.get(account) ?? [];
-    this.#uses.set(account, uses);
-    const first = uses.findIndex(({ at }) => at > now - this.#bounds.windowMs);
-    uses.splice(0, first < 0 ? uses.length : first);
-    return uses;
+  #meter(account: Account, share: number, now: number): Meter {
+    const { name, quota } = account;
+    const limit = this.#limit(account, share);
+    const burst = BURST_SHARE * limit;
+    const rate = ((limit - burst) * MS_PER_SECOND) / this.#bounds.windowMs;
+    const held = this.#meters.get(name);
+    if (held !== undefined) {
+      if (held.quota !== quota || held.share !== share) held.bucket.reconfigure(rate, burst, now);
+      held.quota = quota;
+      held.share = share;
+      return held;
+    }
+    const bucket = new TokenBucket(rate, burst, this.#startedAt);
+    bucket.take(burst, this.#startedAt);
+    const meter = { bucket, quota, share };
+    this.#meters.set(name, meter);
+    return meter;
   }
 }
--- a/src/protocol/peer/Placement.ts
+++ b/src/protocol/peer/Placement.ts
@@ -81,7 +81,7 @@
   }),
   /** Sign of life of the scheduler to those who wait. */
   Schema.TaggedStruct('schedulerAlive', { configurationVersion: Schema.Finite }),
-  /** What a gateway needs to schedule in the place of this one: engine speeds and the use of quotas. */
+  /** What a gateway needs to schedule in the place of this one: engine speeds and what is left of quotas. */
   Schema.TaggedStruct('schedulerNotes', {
     engines: Schema.Array(
       Schema.Struct({
@@ -90,8 +90,8 @@
         decodeMsPerToken: Milliseconds,
       }),
     ),
-    /** Units used within the last window. */
-    quotaUses: Schema.Array(
+    /** Units that may be used at once. */
+    quotaLevels: Schema.Array(
       Schema.Struct({ account: Schema.NonEmptyString, units: Schema.Finite }),
     ),
   }),
