--- a/src/app/gateway/PlacementDesk.ts
+++ b/src/app/gateway/PlacementDesk.ts
@@ -125,7 +125,7 @@
     const held = this.#held.get(id);
     if (held === undefined) return;
     held.started = true;
-    this.scheduler.started(id);
+    this.scheduler.started(id, this.#options.now());
     this.#tellLeader({ _tag: 'placementStarted', id });
   }
 
@@ -179,7 +179,7 @@
         message.ids.forEach((id) => this.scheduler.withdraw(id));
         return;
       case 'placementStarted':
-        this.scheduler.started(message.id);
+        this.scheduler.started(message.id, now);
         return;
       case 'placementEnd':
         this.scheduler.ended(message.id, message.result, now);
@@ -224,10 +224,9 @@
       'scheduler changed',
     );
     if (leader === group.incarnation) {
-      this.#pending.forEach((pending, id) => {
+      this.#pending.forEach((pending) => {
         pending.asked = leader;
         this.#enqueue(leader, this.#remaining(pending, now), 1, now);
-        this.scheduler.started(id);
       });
       return;
     }
--- a/src/app/gateway/RequestRun.ts
+++ b/src/app/gateway/RequestRun.ts
@@ -172,6 +172,7 @@
       quotaUnits,
       targetMs: this.#begun ? this.#endsAt - now : route.targetLatencyMs - waitedMs,
       gapMs: route.targetGapMs,
+      tokensPerEvent: service.engine?.tokensPerEvent ?? 1,
       remainingMs: this.#endsAt - now,
       avoid: this.#avoid.slice(-16),
     };
--- a/src/coordination/gateway/EngineLoad.ts
+++ b/src/coordination/gateway/EngineLoad.ts
@@ -24,6 +24,9 @@
 
   condition = new EndpointCondition();
 
+  /** When the prompts granted so far are expected to be read. */
+  #readUntil = Number.NEGATIVE_INFINITY;
+
   constructor(record: EndpointRecord) {
     this.record = record;
   }
@@ -37,13 +40,39 @@
     this.record = record;
   }
 
-  /** Prompt tokens granted to the engine whose first token hasn't come. */
-  tokensUnread(): number {
-    let tokens = 0;
-    this.running.forEach((placement) => {
-      if (!placement.started) tokens += placement.ticket.promptTokens;
-    });
-    return tokens;
+  /**
+   * Prompt tokens that the engine still has to read: prompts are read one after another.
+   *
+   * @param now - present time in ms
+   * @returns tokens granted and not yet read, as expected
+   */
+  tokensUnread(now: number): number {
+    return Math.max(0, this.#readUntil - now) / this.estimate.readMsPerToken;
+  }
+
+  /** Adds a request that gets a slot now. */
+  grant(placement: RunningPlacement): void {
+    this.running.set(placement.ticket.id, placement);
+    const readMs = placement.ticket.promptTokens * this.estimate.readMsPerToken;
+    this.#readUntil = Math.max(this.#readUntil, placement.grantedAt) + readMs;
+  }
+
+  /** Notes the first token of a request; once none waits for its own, nothing is left to read. */
+  start(id: string, now: number): void {
+    const placement = this.running.get(id);
+    if (placement === undefined) return;
+    placement.started = true;
+    this.#settleReading(now);
+  }
+
+  /** Frees a slot. */
+  end(id: string, now: number): void {
+    this.running.delete(id);
+    this.#settleReading(now);
+  }
+
+  #settleReading(now: number): void {
+    if ([...this.running.values()].every(({ started }) => started)) this.#readUntil = now;
   }
 
   /** Requests whose tokens a long prompt would delay. */
--- a/src/coordination/gateway/PlacementScheduler.ts
+++ b/src/coordination/gateway/PlacementScheduler.ts
@@ -32,8 +32,6 @@
       readonly expectedWaitMs: number;
     };
 
-/** Part of a time limit that an expected end may use, since expectations err. */
-const SAFE_SHARE = 0.9;
 /** Time for a grant to reach its gateway and show up in what that gateway states of itself. */
 const GRANT_TRAVEL_MS = 1_000;
 /** An answer that has this little time left isn't begun. */
@@ -93,9 +91,8 @@
   }
 
   /** Notes the first token of a running request. */
-  started(id: string): void {
-    const running = this.#findRunning(id);
-    if (running !== undefined) running.placement.started = true;
+  started(id: string, now: number): void {
+    this.#findRunning(id)?.engine.start(id, now);
   }
 
   /** Frees a slot and learns from how its request ended. */
@@ -103,7 +100,7 @@
     const running = this.#findRunning(id);
     if (running === undefined) return;
     const { engine, placement } = running;
-    engine.running.delete(id);
+    engine.end(id, now);
     switch (result.outcome) {
       case 'served':
         engine.condition.learn('served', now);
@@ -252,17 +249,19 @@
     if (usable.length === 0) return refuse('noEndpoint');
     const targetMs = ticket.targetMs - waitedMs;
     const choice = chooseEngine(ticket, usable, {
-      targetMs: targetMs * SAFE_SHARE,
-      remainingMs: remainingMs * SAFE_SHARE,
+      targetMs,
+      remainingMs,
+      now,
       slotsOf: (engine) => this.#slots(engine),
     });
     if (choice !== undefined) return this.#grant(entry, choice, now);
     const best = forecast(ticket, usable);
-    const isLate = expectedWaitMs + best.firstTokenMs > targetMs * SAFE_SHARE;
+    const isLate = expectedWaitMs + best.firstTokenMs > targetMs;
     if (!isLate) return undefined;
     const late = chooseEngine(ticket, usable, {
       targetMs: Number.POSITIVE_INFINITY,
-      remainingMs: remainingMs * SAFE_SHARE,
+      remainingMs,
+      now,
       slotsOf: (engine) => this.#slots(engine),
     });
     return late === undefined ? refuse('overload') : this.#grant(entry, late, now);
@@ -273,7 +272,7 @@
     { engine, firstTokenMs, tokensToRead }: EngineChoice,
     now: number,
   ): PlacementDecision {
-    engine.running.set(ticket.id, {
+    engine.grant({
       ticket,
       owner,
       grantedAt: now,
--- a/src/coordination/gateway/orderWaiting.ts
+++ b/src/coordination/gateway/orderWaiting.ts
@@ -12,7 +12,7 @@
 }
 
 /** Share of its requests that a route gets before any rank counts, so that none is starved. */
-const LEAST_SERVED_SHARE = 0.36;
+const LEAST_SERVED_SHARE = 0.2;
 
 /**
  * Orders what waits: first routes that get too little, then what can still be on time, then by rank
--- a/src/protocol/peer/Placement.ts
+++ b/src/protocol/peer/Placement.ts
@@ -20,6 +20,8 @@
   targetMs: Milliseconds,
   /** Longest pause between tokens for the answer to be on time. */
   gapMs: Milliseconds,
+  /** Tokens that one event of the answer holds. */
+  tokensPerEvent: Schema.Finite,
   /** Time left to the end of the answer, when it was sent. */
   remainingMs: Milliseconds,
   /** Endpoints that turned it away. */
--- /dev/null
+++ b/test/load/EngineModel.ts
@@ -0,0 +1,114 @@
+/** What one request asks of an engine. */
+export interface EngineWork {
+  readonly id: string;
+  readonly promptTokens: number;
+  readonly outputTokens: number;
+}
+
+/** How fast an engine is; times are multiplied by `slowness`. */
+export interface EngineShape {
+  readonly slots: number;
+  readonly slowness: number;
+}
+
+/** What an engine tells while it works. */
+export interface EngineListener {
+  readonly onToken: (id: string, now: number, tokens: number) => void;
+  readonly onEnd: (id: string, now: number) => void;
+}
+
+interface Running {
+  readonly work: EngineWork;
+  unread: number;
+  made: number;
+}
+
+/** Time of a step that makes one token for each running request. */
+const STEP_MS = 3.88;
+const STEP_MS_PER_REQUEST = 0.0276;
+const READ_TOKENS_PER_MS = 66.2;
+/** Prompt tokens that one step reads at most. */
+const CHUNK_TOKENS = 4_096;
+const FIRST_TOKEN_MS = 12;
+
+/** An engine with continuous batching: prompts are read in chunks between the tokens of other requests. */
+export class EngineModel {
+  readonly #shape: EngineShape;
+
+  readonly #listener: EngineListener;
+
+  readonly #running: Running[] = [];
+
+  readonly #queue: EngineWork[] = [];
+
+  /** End of the step under way; undefined while idle. */
+  nextAt: number | undefined;
+
+  constructor(shape: EngineShape, listener: EngineListener) {
+    this.#shape = shape;
+    this.#listener = listener;
+  }
+
+  /** Adds a request, which waits where all slots are taken. */
+  add(work: EngineWork, now: number): void {
+    this.#queue.push(work);
+    this.#admit();
+    this.nextAt ??= now + FIRST_TOKEN_MS * this.#shape.slowness;
+  }
+
+  /** Takes a request out. */
+  cancel(id: string): void {
+    const queued = this.#queue.findIndex((work) => work.id === id);
+    if (queued >= 0) this.#queue.splice(queued, 1);
+    const running = this.#running.findIndex(({ work }) => work.id === id);
+    if (running >= 0) this.#running.splice(running, 1);
+    this.#admit();
+  }
+
+  /** Ends the step that is due at `nextAt` and begins the next one. */
+  step(now: number): void {
+    this.#makeTokens(now);
+    this.#admit();
+    if (this.#running.length === 0) {
+      this.nextAt = undefined;
+      return;
+    }
+    const readMs = this.#read() / READ_TOKENS_PER_MS;
+    const stepMs = STEP_MS + STEP_MS_PER_REQUEST * this.#running.length;
+    this.nextAt = now + (stepMs + readMs) * this.#shape.slowness;
+  }
+
+  #admit(): void {
+    while (this.#running.length < this.#shape.slots) {
+      const work = this.#queue.shift();
+      if (work === undefined) return;
+      this.#running.push({ work, unread: work.promptTokens, made: 0 });
+    }
+  }
+
+  #read(): number {
+    let budget = CHUNK_TOKENS;
+    this.#running.forEach((running) => {
+      const entry = running;
+      const part = Math.min(budget, entry.unread);
+      entry.unread -= part;
+      budget -= part;
+    });
+    return CHUNK_TOKENS - budget;
+  }
+
+  #makeTokens(now: number): void {
+    const ended: Running[] = [];
+    this.#running.forEach((running) => {
+      const entry = running;
+      if (entry.unread > 0) return;
+      entry.made += 1;
+      this.#listener.onToken(entry.work.id, now, entry.made);
+      if (entry.made >= entry.work.outputTokens) ended.push(entry);
+    });
+    ended.forEach((entry) => {
+      this.#running.splice(this.#running.indexOf(entry), 1);
+      this.#listener.onEnd(entry.work.id, now);
+    });
+  }
+}
--- /dev/null
+++ b/test/load/loadPattern.ts
@@ -0,0 +1,149 @@
+import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64';
+import type { RandomGenerator } from 'pure-rand/types/RandomGenerator';
+
+/** A kind of request, with what it is worth to its caller. */
+export interface RequestKind {
+  readonly name: string;
+  readonly priority: number;
+  readonly perSecond: number;
+  readonly promptTokens: number;
+  readonly promptSpread: number;
+  readonly mostPromptTokens: number;
+  readonly outputTokens: number;
+  readonly outputSpread: number;
+  readonly mostOutputTokens: number;
+  readonly targetMs: number;
+  readonly deadlineMs: number;
+  readonly worth: number;
+  readonly lateWorth: number;
+}
+
+/** A time in which some or all kinds come more often. */
+export interface LoadBurst {
+  readonly fromMs: number;
+  readonly toMs: number;
+  readonly factor: number;
+  readonly kind?: string;
+}
+
+/** A request of a pattern. */
+export interface LoadRequest {
+  readonly id: string;
+  readonly kind: RequestKind;
+  readonly at: number;
+  readonly promptTokens: number;
+  readonly outputTokens: number;
+  /** The caller's estimate, right at the median and often far off. */
+  readonly expectedOutputTokens: number;
+  /** Share of the kind's worth, by size. */
+  readonly weight: number;
+}
+
+const HINT_SPREAD = 0.5;
+const PAUSE_MS = 500;
+
+/** The kinds of a brokerage: long readings first, then quotes, then briefs. */
+export const BROKERAGE: readonly RequestKind[] = [
+  {
+    name: 'review',
+    priority: 0,
+    perSecond: 12.3,
+    promptTokens: 6_670,
+    promptSpread: 1.4,
+    mostPromptTokens: 54_600,
+    outputTokens: 382,
+    outputSpread: 1.5,
+    mostOutputTokens: 3_800,
+    targetMs: 800,
+    deadlineMs: 15_000,
+    worth: 8,
+    lateWorth: 2.4,
+  },
+  {
+    name: 'quote',
+    priority: 1,
+    perSecond: 16,
+    promptTokens: 690,
+    promptSpread: 1,
+    mostPromptTokens: 3_400,
+    outputTokens: 291,
+    outputSpread: 1.5,
+    mostOutputTokens: 2_900,
+    targetMs: 500,
+    deadlineMs: 15_000,
+    worth: 1.5,
+    lateWorth: 0.45,
+  },
+  {
+    name: 'brief',
+    priority: 2,
+    perSecond: 17.3,
+    promptTokens: 1_860,
+    promptSpread: 1.3,
+    mostPromptTokens: 6_900,
+    outputTokens: 22,
+    outputSpread: 1.5,
+    mostOutputTokens: 225,
+    targetMs: 500,
+    deadlineMs: 3_000,
+    worth: 0.38,
+    lateWorth: 0.11,
+  },
+];
+
+/** Longest pause between tokens for an answer to be on time. */
+export const LONGEST_PAUSE_MS = PAUSE_MS;
+
+const normal = (random: RandomGenerator): number => {
+  const radius = Math.sqrt(-2 * Math.log(1 - uniformFloat64(random)));
+  return radius * Math.cos(2 * Math.PI * uniformFloat64(random));
+};
+
+/** A log-normal number of a mean, cut at a maximum. */
+const skewed = (random: RandomGenerator, mean: number, spread: number, most: number): number =>
+  Math.max(1, Math.min(most, Math.round(mean * Math.exp(spread * normal(random) - spread ** 2 / 2))));
+
+const rateAt = (kind: RequestKind, bursts: readonly LoadBurst[], at: number): number =>
+  bursts
+    .filter(({ fromMs, toMs, kind: name }) => at >= fromMs && at < toMs && (name ?? kind.name) === kind.name)
+    .reduce((rate, { factor }) => rate * factor, kind.perSecond);
+
+const makeRequest = (
+  kind: RequestKind,
+  index: number,
+  at: number,
+  random: RandomGenerator,
+): LoadRequest => {
+  const promptTokens = skewed(random, kind.promptTokens, kind.promptSpread, kind.mostPromptTokens);
+  const outputTokens = skewed(random, kind.outputTokens, kind.outputSpread, kind.mostOutputTokens);
+  const size = (promptTokens + 10 * outputTokens) / (kind.promptTokens + 10 * kind.outputTokens);
+  return {
+    id: `${kind.name}-${index}`,
+    kind,
+    at,
+    promptTokens,
+    outputTokens,
+    expectedOutputTokens: Math.max(1, outputTokens * Math.exp(HINT_SPREAD * normal(random))),
+    weight: Math.min(4, 0.3 + 0.7 * size),
+  };
+};
+
+/** Makes the requests of a pattern, in order of time. */
+export const makeLoad = (
+  kinds: readonly RequestKind[],
+  durationMs: number,
+  bursts: readonly LoadBurst[],
+  random: RandomGenerator,
+): LoadRequest[] =>
+  kinds
+    .flatMap((kind) => {
+      const requests: LoadRequest[] = [];
+      let at = 0;
+      while (at < durationMs) {
+        const rate = rateAt(kind, bursts, at);
+        at += (-Math.log(1 - uniformFloat64(random)) / rate) * 1_000;
+        requests.push(makeRequest(kind, requests.length, at, random));
+      }
+      return requests;
+    })
+    .sort((a, b) => a.at - b.at);
--- /dev/null
+++ b/test/load/playLoad.ts
@@ -0,0 +1,336 @@
+import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
+import { PlacementScheduler } from '../../src/coordination/gateway/index.ts';
+import { retryAfter } from '../../src/coordination/scheduling/retryAfter.ts';
+import type { EndpointRecord } from '../../src/state/gateway/index.ts';
+import { EngineModel, type EngineShape } from './EngineModel.ts';
+import {
+  LONGEST_PAUSE_MS,
+  makeLoad,
+  type LoadBurst,
+  type LoadRequest,
+  type RequestKind,
+} from './loadPattern.ts';
+
+/** A pattern of load with the engines that it meets. */
+export interface LoadPlay {
+  readonly kinds: readonly RequestKind[];
+  readonly engines: readonly EngineShape[];
+  readonly durationMs: number;
+  readonly bursts: readonly LoadBurst[];
+  readonly seed: number;
+}
+
+/** What became of one kind's requests. */
+export interface KindOutcome {
+  asked: number;
+  onTime: number;
+  late: number;
+  refused: number;
+  unfinished: number;
+  /** Late only because of a pause. */
+  paused: number;
+  worth: number;
+  owed: number;
+}
+
+/** What became of a play. */
+export interface LoadOutcome {
+  readonly kinds: ReadonlyMap<string, KindOutcome>;
+  /** Worth earned as a share of the worth asked for. */
+  readonly worth: number;
+  /** The same for the worst two seconds of arrivals. */
+  readonly worstWindow: number;
+  /** Time in ms for which refused requests were held before they were. */
+  readonly meanHeldMs: number;
+}
+
+interface Attempt {
+  readonly request: LoadRequest;
+  readonly number: number;
+  readonly arrivedAt: number;
+  engine: EngineModel | undefined;
+  sentAt: number;
+  firstAt: number | undefined;
+  lastAt: number;
+  longestPauseMs: number;
+  over: boolean;
+}
+
+const OWNER = 'gateway';
+const SERVICE = 'model';
+/** One way between a gateway, the scheduler and an engine. */
+const HOP_MS = 1.5;
+const TOKENS_PER_EVENT = 5;
+const RETRIES = 1;
+const WINDOW_MS = 2_000;
+const RUN_OUT_MS = 20_000;
+const SCHEDULER_TICK_MS = 25;
+
+type Event = { readonly at: number; readonly order: number; readonly run: (now: number) => void };
+
+/** Virtual time with events in order. */
+class Timeline {
+  #events: Event[] = [];
+
+  #order = 0;
+
+  add(at: number, run: (now: number) => void): void {
+    this.#order += 1;
+    const event = { at, order: this.#order, run };
+    let low = 0;
+    let high = this.#events.length;
+    while (low < high) {
+      const middle = Math.floor((low + high) / 2);
+      const other = this.#events[middle];
+      if (other !== undefined && other.at <= at) low = middle + 1;
+      else high = middle;
+    }
+    this.#events.splice(low, 0, event);
+  }
+
+  next(): Event | undefined {
+    return this.#events.shift();
+  }
+}
+
+class Play {
+  readonly #timeline = new Timeline();
+
+  readonly #scheduler = new PlacementScheduler();
+
+  readonly #engines = new Map<string, EngineModel>();
+
+  readonly #attempts = new Map<string, Attempt>();
+
+  readonly #kinds = new Map<string, KindOutcome>();
+
+  readonly #windows = new Map<number, { worth: number; owed: number }>();
+
+  readonly #options: LoadPlay;
+
+  #heldMs = 0;
+
+  #refusals = 0;
+
+  constructor(options: LoadPlay) {
+    this.#options = options;
+    const records = options.engines.map((shape, index): EndpointRecord => {
+      const id = `engine-${index}`;
+      this.#engines.set(
+        id,
+        new EngineModel(shape, {
+          onToken: (attempt, now, tokens) => this.#onToken(attempt, now, tokens),
+          onEnd: (attempt, now) => this.#onEnd(attempt, now),
+        }),
+      );
+      return {
+        id,
+        service: SERVICE,
+        address: `127.0.0.1:${index + 1}`,
+        failureDomain: 'a',
+        version: 'v1',
+        slots: shape.slots,
+        state: 'ready',
+        coldMs: 0,
+        bornAt: 0,
+      };
+    });
+    this.#scheduler.setEngines(records);
+  }
+
+  run(): LoadOutcome {
+    const { kinds, durationMs, bursts, seed } = this.#options;
+    const load = makeLoad(kinds, durationMs, bursts, xoroshiro128plus(seed));
+    load.forEach((request) => {
+      const kind = this.#kind(request.kind.name);
+      kind.asked += 1;
+      kind.owed += request.kind.worth * request.weight;
+      this.#window(request.at).owed += request.kind.worth * request.weight;
+      this.#timeline.add(request.at, (now) => this.#arrive(request, 0, now));
+    });
+    for (let at = 0; at < durationMs + RUN_OUT_MS; at += SCHEDULER_TICK_MS) {
+      this.#timeline.add(at, (now) => this.#decide(now));
+    }
+    let event = this.#timeline.next();
+    while (event !== undefined) {
+      event.run(event.at);
+      event = this.#timeline.next();
+    }
+    return this.#outcome();
+  }
+
+  #arrive(request: LoadRequest, number: number, now: number): void {
+    const id = `${request.id}/${number}`;
+    const { kind } = request;
+    this.#attempts.set(id, {
+      request,
+      number,
+      arrivedAt: now,
+      engine: undefined,
+      sentAt: 0,
+      firstAt: undefined,
+      lastAt: 0,
+      longestPauseMs: 0,
+      over: false,
+    });
+    const remainingMs = kind.deadlineMs - (now - request.at);
+    this.#timeline.add(now + remainingMs, () => this.#giveUp(id));
+    this.#timeline.add(now + HOP_MS, (at) => {
+      this.#scheduler.request(
+        OWNER,
+        {
+          id,
+          service: SERVICE,
+          route: kind.name,
+          priority: kind.priority,
+          promptTokens: request.promptTokens,
+          outputTokens: request.expectedOutputTokens,
+          quotaUnits: 0,
+          targetMs: kind.targetMs,
+          gapMs: LONGEST_PAUSE_MS,
+          tokensPerEvent: TOKENS_PER_EVENT,
+          remainingMs,
+          avoid: [],
+        },
+        at,
+      );
+      this.#decide(at);
+    });
+  }
+
+  #decide(now: number): void {
+    this.#scheduler.run(now).forEach((decision) => {
+      const { id } = decision.ticket;
+      if (decision._tag === 'grant') {
+        this.#timeline.add(now + 2 * HOP_MS, (at) => this.#send(id, decision.endpoint, at));
+        return;
+      }
+      const waitMs = retryAfter(id, decision.expectedWaitMs);
+      this.#timeline.add(now + HOP_MS, (at) => this.#refused(id, waitMs, at));
+    });
+  }
+
+  #send(id: string, endpoint: string, now: number): void {
+    const attempt = this.#attempts.get(id);
+    const engine = this.#engines.get(endpoint);
+    if (attempt === undefined || attempt.over || engine === undefined) {
+      this.#scheduler.ended(id, { outcome: 'unused' }, now);
+      return;
+    }
+    attempt.engine = engine;
+    attempt.sentAt = now;
+    const { promptTokens, outputTokens } = attempt.request;
+    const wasIdle = engine.nextAt === undefined;
+    engine.add({ id, promptTokens, outputTokens }, now);
+    if (wasIdle) this.#follow(engine);
+  }
+
+  #follow(engine: EngineModel): void {
+    if (engine.nextAt === undefined) return;
+    this.#timeline.add(engine.nextAt, (now) => {
+      engine.step(now);
+      this.#follow(engine);
+    });
+  }
+
+  #onToken(id: string, now: number, tokens: number): void {
+    const attempt = this.#attempts.get(id);
+    if (attempt === undefined || attempt.over) return;
+    if (attempt.firstAt === undefined) {
+      attempt.firstAt = now;
+      this.#timeline.add(now + HOP_MS, (at) => this.#scheduler.started(id, at));
+    } else if (tokens % TOKENS_PER_EVENT === 0) {
+      attempt.longestPauseMs = Math.max(attempt.longestPauseMs, now - attempt.lastAt);
+    } else {
+      return;
+    }
+    attempt.lastAt = now;
+  }
+
+  #onEnd(id: string, now: number): void {
+    const attempt = this.#attempts.get(id);
+    if (attempt === undefined || attempt.over) return;
+    attempt.over = true;
+    const { request, firstAt = now, sentAt } = attempt;
+    const { kind } = request;
+    const isOnTime =
+      firstAt - request.at <= kind.targetMs && attempt.longestPauseMs <= LONGEST_PAUSE_MS;
+    const worth = (isOnTime ? kind.worth : kind.lateWorth) * request.weight;
+    const outcome = this.#kind(kind.name);
+    if (isOnTime) outcome.onTime += 1;
+    else outcome.late += 1;
+    if (!isOnTime && firstAt - request.at <= kind.targetMs) outcome.paused += 1;
+    outcome.worth += worth;
+    this.#window(request.at).worth += worth;
+    this.#timeline.add(now + HOP_MS, (at) => {
+      this.#scheduler.ended(
+        id,
+        {
+          outcome: 'served',
+          firstTokenMs: firstAt - sentAt,
+          decodeMs: now - firstAt,
+          outputTokens: request.outputTokens,
+        },
+        at,
+      );
+      this.#decide(at);
+    });
+  }
+
+  #refused(id: string, waitMs: number, now: number): void {
+    const attempt = this.#attempts.get(id);
+    if (attempt === undefined || attempt.over) return;
+    attempt.over = true;
+    const { request, number, arrivedAt } = attempt;
+    this.#heldMs += now - arrivedAt;
+    this.#refusals += 1;
+    const leftMs = request.kind.deadlineMs - (now - request.at);
+    if (number >= RETRIES || waitMs > leftMs / 3) {
+      this.#kind(request.kind.name).refused += 1;
+      return;
+    }
+    this.#timeline.add(now + waitMs, (at) => this.#arrive(request, number + 1, at));
+  }
+
+  #giveUp(id: string): void {
+    const attempt = this.#attempts.get(id);
+    if (attempt === undefined || attempt.over) return;
+    attempt.over = true;
+    attempt.engine?.cancel(id);
+    this.#scheduler.withdraw(id);
+    this.#scheduler.ended(id, { outcome: 'cancelled' }, this.#options.durationMs);
+    this.#kind(attempt.request.kind.name).unfinished += 1;
+  }
+
+  #kind(name: string): KindOutcome {
+    const known = this.#kinds.get(name);
+    if (known !== undefined) return known;
+    const outcome = { asked: 0, onTime: 0, late: 0, refused: 0, unfinished: 0, paused: 0, worth: 0, owed: 0 };
+    this.#kinds.set(name, outcome);
+    return outcome;
+  }
+
+  #window(at: number): { worth: number; owed: number } {
+    const index = Math.floor(at / WINDOW_MS);
+    const known = this.#windows.get(index) ?? { worth: 0, owed: 0 };
+    this.#windows.set(index, known);
+    return known;
+  }
+
+  #outcome(): LoadOutcome {
+    const all = [...this.#kinds.values()];
+    const sum = (pick: (outcome: KindOutcome) => number): number =>
+      all.reduce((total, outcome) => total + pick(outcome), 0);
+    return {
+      kinds: this.#kinds,
+      worth: sum(({ worth }) => worth) / sum(({ owed }) => owed),
+      worstWindow: Math.min(
+        ...[...this.#windows.values()].map(({ worth, owed }) => (owed === 0 ? 1 : worth / owed)),
+      ),
+      meanHeldMs: this.#heldMs / Math.max(1, this.#refusals),
+    };
+  }
+}
+
+/** Plays a pattern of load against the scheduler in virtual time. */
+export const playLoad = (play: LoadPlay): LoadOutcome => new Play(play).run();
