--- /dev/null
+++ b/src/transport/http/exchange.test.ts
@@ -0,0 +1,121 @@
+import * as net from 'node:net';
+import type { AddressInfo } from 'node:net';
+import { describe, it } from 'node:test';
+import type { TestContext } from 'node:test';
+import { expect } from 'earl';
+import { ConnectionPool } from './ConnectionPool.ts';
+import { exchange, type ExchangeEvent } from './exchange.ts';
+
+const UNFRAMED = 'HTTP/1.1 200 OK\r\n\r\nabc';
+const FRAMED = 'HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabc';
+
+/** Answers each connection's first bytes with a script. */
+const startScript = async (
+  context: TestContext,
+  script: (socket: net.Socket, request: string) => void,
+): Promise<string> => {
+  const server = net.createServer((socket) => {
+    socket.on('error', () => {});
+    socket.on('data', (bytes) => script(socket, bytes.toString('latin1')));
+  });
+  await new Promise<void>((resolve) => {
+    server.listen(0, '127.0.0.1', resolve);
+  });
+  context.after(() => server.close());
+  return `http://127.0.0.1:${(server.address() as AddressInfo).port}`;
+};
+
+const makePool = (context: TestContext): ConnectionPool => {
+  const pool = new ConnectionPool({
+    connectTimeoutMs: 1_000,
+    connectionTrustMs: 60_000,
+    now: () => performance.now(),
+  });
+  context.after(() => pool.close());
+  return pool;
+};
+
+const run = (pool: ConnectionPool, address: string): Promise<ExchangeEvent[]> =>
+  new Promise((resolve) => {
+    const events: ExchangeEvent[] = [];
+    exchange(
+      pool,
+      {
+        address,
+        method: 'GET',
+        path: '/',
+        headers: {},
+        headerLines: ['Host', 'example', 'X-Mixed-Case', 'kept'],
+        body: undefined,
+        fresh: false,
+        silenceMs: undefined,
+      },
+      (event) => {
+        events.push(event);
+        if (event._tag === 'ended' || event._tag === 'broken' || event._tag === 'refused') {
+          // What follows in the same turn must not be told any more.
+          setImmediate(() => resolve(events));
+        }
+      },
+    );
+  });
+
+const lastOf = (events: readonly ExchangeEvent[]): string | undefined => events.at(-1)?._tag;
+
+describe('exchange', () => {
+  it('ends an answer without a length at the end of its connection', async (context) => {
+    const address = await startScript(context, (socket) => socket.end(UNFRAMED));
+    expect(lastOf(await run(makePool(context), address))).toEqual('ended');
+  });
+
+  it('breaks an answer without a length that is reset together with its last bytes', async (context) => {
+    const address = await startScript(context, (socket) => {
+      socket.write(UNFRAMED);
+      socket.resetAndDestroy();
+    });
+    expect(lastOf(await run(makePool(context), address))).toEqual('broken');
+  });
+
+  it('breaks an answer that ends before its length', async (context) => {
+    const address = await startScript(context, (socket) => socket.end(FRAMED.slice(0, -1)));
+    expect(lastOf(await run(makePool(context), address))).toEqual('broken');
+  });
+
+  it('keeps a whole answer that is followed by another one', async (context) => {
+    const address = await startScript(context, (socket) => socket.write(FRAMED + FRAMED));
+    expect(lastOf(await run(makePool(context), address))).toEqual('ended');
+  });
+
+  it('sends header lines as they are and uses the connection again', async (context) => {
+    const requests: string[] = [];
+    const ports = new Set<number | undefined>();
+    const address = await startScript(context, (socket, request) => {
+      requests.push(request);
+      ports.add(socket.remotePort);
+      socket.write(FRAMED);
+    });
+    const pool = makePool(context);
+    await run(pool, address);
+    await run(pool, address);
+    expect(requests[0]).toEqual(
+      'GET / HTTP/1.1\r\nHost: example\r\nX-Mixed-Case: kept\r\nConnection: keep-alive\r\n\r\n',
+    );
+    expect(ports.size).toEqual(1);
+  });
+
+  it('drops a connection on which an idle endpoint says more', async (context) => {
+    const ports = new Set<number | undefined>();
+    const address = await startScript(context, (socket) => {
+      ports.add(socket.remotePort);
+      socket.write(FRAMED);
+      setTimeout(() => socket.write(FRAMED), 10);
+    });
+    const pool = makePool(context);
+    await run(pool, address);
+    await new Promise((resolve) => {
+      setTimeout(resolve, 50);
+    });
+    await run(pool, address);
+    expect(ports.size).toEqual(2);
+  });
+});
--- a/src/transport/http/exchange.ts
+++ b/src/transport/http/exchange.ts
@@ -95,6 +95,36 @@
   }
 };
 
+/** Whether an answer's only end is that of its connection. */
+const isUnframed = ({ headers }: http.IncomingMessage): boolean =>
+  headers['content-length'] === undefined && headers['transfer-encoding'] === undefined;
+
+/**
+ * Tells the end of a connection from a reset. Where a reset arrives together with the last bytes,
+ * libuv reports an ordinary end; writing then fails, while a peer that has only finished still takes
+ * bytes.
+ */
+class EndProbe {
+  #state: 'unused' | 'writing' | 'sound' | 'reset' = 'unused';
+
+  #onSettled: () => void = () => {};
+
+  /** Writes what a server ignores between requests, once the connection's end was read. */
+  start(socket: Socket): void {
+    this.#state = 'writing';
+    socket.write('\r\n', (error) => {
+      this.#state = error ? 'reset' : 'sound';
+      this.#onSettled();
+    });
+  }
+
+  /** Calls back, now or later, with whether the connection was reset. */
+  settle(callback: (wasReset: boolean) => void): void {
+    this.#onSettled = () => callback(this.#state === 'reset');
+    if (this.#state !== 'writing') this.#onSettled();
+  }
+}
+
 /**
  * Sends one request and reports its answer. Never retries.
  *
@@ -122,6 +152,10 @@
     if (event._tag === 'broken' || event._tag === 'refused') outgoing?.destroy();
     onEvent(event);
   };
+  const endProbe = new EndProbe();
+  const onSocketEnd = (socket: Socket): void => {
+    if (incoming !== undefined && !incoming.complete && isUnframed(incoming)) endProbe.start(socket);
+  };
   const breakOff = (detail: string): void => {
     // What follows a complete answer spoils the connection but not the answer, whose end is still due.
     if (incoming?.complete === true && !incoming.destroyed) return;
@@ -146,8 +180,14 @@
       onEvent({ _tag: 'data', bytes });
     });
     response.on('end', () => {
-      if (response.complete) finish({ _tag: 'ended' });
-      else breakOff('answer is incomplete');
+      if (!response.complete) {
+        breakOff('answer is incomplete');
+        return;
+      }
+      endProbe.settle((wasReset) => {
+        if (wasReset) finish({ _tag: 'broken', silent: false, detail: 'reset with its last bytes' });
+        else finish({ _tag: 'ended' });
+      });
     });
     response.on('error', (error) => breakOff(error.message));
     response.on('close', () => breakOff('connection closed before the end of the answer'));
@@ -185,7 +225,13 @@
       return;
     }
     outgoing = opened.outgoing;
-    socket.once('free', () => pool.release(request.address, socket));
+    const probeEnd = (): void => onSocketEnd(socket);
+    // Before the listeners of Node, which close the connection for writing.
+    socket.prependListener('end', probeEnd);
+    socket.once('free', () => {
+      socket.removeListener('end', probeEnd);
+      pool.release(request.address, socket);
+    });
     outgoing.on('response', onResponse);
     outgoing.on('error', (error) => breakOff(error.message));
     outgoing.on('close', () => breakOff('connection closed before the answer'));
