--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -23,7 +23,7 @@
   .filter(({ from }) => from.length > 0);
 
 export default [
-  { ignores: ['dist/**', 'node_modules/**'] },
+  { ignores: ['dist/**', 'target/**', 'journal/**', 'node_modules/**'] },
   plugins.stylistic,
   plugins.importX,
   plugins.node,
--- a/src/app/gateway/Gateway.ts
+++ b/src/app/gateway/Gateway.ts
@@ -68,7 +68,11 @@
         source,
         routes: table.routes.length,
         services: table.services.length,
-        accounts: table.accounts?.map(({ name, priority, quota }) => ({ name, priority, ...quota })),
+        accounts: table.accounts?.map(({ name, priority, quota }) => ({
+          name,
+          priority,
+          ...quota,
+        })),
       },
       'configuration in force',
     );
@@ -148,8 +152,7 @@
     reason: string,
     retryAfterMs?: number,
   ): void {
-    const lines =
-      retryAfterMs === undefined ? [] : this.#parts.wire.retryAfterHeader(retryAfterMs);
+    const lines = retryAfterMs === undefined ? [] : this.#parts.wire.retryAfterHeader(retryAfterMs);
     answer.send(status, lines, EMPTY);
     this.#parts.metrics.countEnded('', 'turnedAway', status);
     this.#logger.info(
--- a/src/app/gateway/GatewayLog.ts
+++ b/src/app/gateway/GatewayLog.ts
@@ -41,6 +41,8 @@
   return {
     logger: pino({ base: { instance }, timestamp: pino.stdTimeFunctions.epochTime }, destination),
     dropped: () => dropped,
+    // The process ends right after it.
+    // eslint-disable-next-line n/no-sync
     flush: () => destination.flushSync(),
   };
 };
--- a/src/app/gateway/PlacementDesk.ts
+++ b/src/app/gateway/PlacementDesk.ts
@@ -62,6 +62,16 @@
 /** Time in which a gateway that asked something hears signs of life. */
 const INTERESTED_MS = 1_000;
 
+/** A ticket with the times that are left of it now. */
+const remaining = ({ ticket, askedAt }: Pending, now: number): PlacementTicket => {
+  const waitedMs = now - askedAt;
+  return {
+    ...ticket,
+    targetMs: ticket.targetMs - waitedMs,
+    remainingMs: ticket.remainingMs - waitedMs,
+  };
+};
+
 /**
  * Gets slots at model engines for the requests of this process. One gateway schedules for all; where
  * it can't be reached, each decides alone within its share. Every process can be the scheduler.
@@ -193,9 +203,7 @@
       case 'schedulerNotes':
         this.scheduler.adoptSpeeds(message.engines);
         this.#options.quotas.adopt(message.quotaLevels, now);
-        return;
-      case 'schedulerAlive':
-        return;
+        break;
       default:
     }
   }
@@ -224,15 +232,15 @@
       'scheduler changed',
     );
     if (leader === group.incarnation) {
-      this.#pending.forEach((pending) => {
-        pending.asked = leader;
-        this.#enqueue(leader, this.#remaining(pending, now), 1, now);
+      this.#pending.forEach((entry) => {
+        entry.asked = leader;
+        this.#enqueue(leader, remaining(entry, now), 1, now);
       });
       return;
     }
     this.scheduler.keepOnly(group.incarnation);
-    this.#pending.forEach((pending, id) => {
-      pending.asked = leader;
+    this.#pending.forEach((entry, id) => {
+      entry.asked = leader;
       this.scheduler.withdraw(id);
     });
     this.#sendState(now);
@@ -273,7 +281,9 @@
     }
     if (!this.#isSilent(now)) return;
     [...this.#pending.values()]
-      .filter(({ askedAt, asked }) => asked === this.#leader && now - askedAt >= SCHEDULER_SILENCE_MS)
+      .filter(
+        ({ askedAt, asked }) => asked === this.#leader && now - askedAt >= SCHEDULER_SILENCE_MS,
+      )
       .forEach(({ ticket }) => this.#decideAlone(ticket.id, now));
   }
 
@@ -310,12 +320,13 @@
       { ticket: id, scheduler: this.#leader, silentMs: Math.round(now - this.#leaderHeardAt) },
       'scheduler is silent; deciding alone',
     );
-    this.#enqueue(own, this.#remaining(pending, now), share, now);
+    this.#enqueue(own, remaining(pending, now), share, now);
     this.#decide(now);
   }
 
   #enqueue(owner: string, ticket: PlacementTicket, share: number, now: number): void {
-    const account = ticket.account === undefined ? undefined : this.#options.findAccount(ticket.account);
+    const account =
+      ticket.account === undefined ? undefined : this.#options.findAccount(ticket.account);
     if (account !== undefined && ticket.quotaUnits > 0) {
       const waitMs = this.#options.quotas.take(account, ticket.quotaUnits, share, now);
       if (waitMs > 0) {
@@ -425,15 +436,6 @@
     pending.onAnswer(answer);
   }
 
-  #remaining({ ticket, askedAt }: Pending, now: number): PlacementTicket {
-    const waitedMs = now - askedAt;
-    return {
-      ...ticket,
-      targetMs: ticket.targetMs - waitedMs,
-      remainingMs: ticket.remainingMs - waitedMs,
-    };
-  }
-
   #statedHeld(now: number) {
     return [...this.#held.values()].map(({ ticket, endpoint, grantedAt, started }) => ({
       ticket,
@@ -451,7 +453,7 @@
       running: this.#statedHeld(now),
       waiting: [...this.#pending.values()]
         .filter(({ asked }) => asked !== own)
-        .map((pending) => this.#remaining(pending, now)),
+        .map((pending) => remaining(pending, now)),
     });
   }
 
--- /dev/null
+++ b/src/app/gateway/RoutedRequest.ts
@@ -0,0 +1,14 @@
+import type { CallerFields } from '../../protocol/gateway/index.ts';
+import type { Account, Route, Service } from '../../state/gateway/index.ts';
+import type { InboundRequest } from '../../transport/gateway/index.ts';
+
+/** A request whose route, account and service are settled. */
+export interface RoutedRequest {
+  readonly id: string;
+  readonly inbound: InboundRequest;
+  readonly fields: CallerFields;
+  readonly route: Route;
+  readonly account: Account | undefined;
+  readonly service: Service;
+  readonly configurationVersion: number;
+}
--- a/src/app/gateway/runGateway.ts
+++ b/src/app/gateway/runGateway.ts
@@ -9,21 +9,26 @@
   PlainEndpoints,
   QuotaMeter,
   RetryBudget,
-  type DirectoryChange,
 } from '../../coordination/gateway/index.ts';
 import type { ObjectStore, WireAdapter } from '../../protocol/gateway/index.ts';
-import type { GatewaySettings } from '../../state/gateway/index.ts';
+import type { ClientLimits, GatewaySettings } from '../../state/gateway/index.ts';
 import { Timing } from '../../state/Settings.ts';
-import { makeGatewayServer, makePlainServer } from '../../transport/gateway/index.ts';
+import {
+  makeGatewayServer,
+  makePlainServer,
+  type PlainAnswer,
+} from '../../transport/gateway/index.ts';
 import { makeConnectionPool, type ConnectionPool } from '../../transport/http/index.ts';
 import { makePeerNetwork } from '../../transport/peer/index.ts';
 import { answerAddresses } from './answerAddresses.ts';
+import { drainGateway } from './drainGateway.ts';
 import { Gateway } from './Gateway.ts';
 import type { GatewayLog } from './GatewayLog.ts';
 import { GatewayMetrics } from './GatewayMetrics.ts';
+import { makeIncarnation } from './makeIncarnation.ts';
 import { PeerGroup } from './PeerGroup.ts';
 import { PlacementDesk } from './PlacementDesk.ts';
-import { StoreWatch, type StoreWatchListener } from './StoreWatch.ts';
+import { StoreFollower } from './StoreFollower.ts';
 
 /** What a gateway process is made of. */
 export interface GatewayOptions {
@@ -40,6 +45,14 @@
 
 /** A gateway that runs. */
 export interface RunningGateway {
+  /** Where it listens, `IP:PORT`. */
+  readonly addresses: {
+    readonly callers: string;
+    readonly readiness: string;
+    readonly directory: string;
+    readonly peers: string;
+    readonly metrics: string;
+  };
   /** Stops it gracefully; resolves when the process may end. */
   readonly stop: () => Promise<void>;
   /** Takes over what may change while it runs. */
@@ -51,18 +64,13 @@
 /** Endpoints close idle connections after some seconds; one that was idle for less is used again. */
 const ENDPOINT_IDLE_MS = 1_500;
 const STORE_IDLE_MS = 10_000;
-/** Longest wait of one watch: a connection that went silent is noticed within it. */
-const WATCH_WAIT_MS = 2_500;
 /** Callers keep addresses this long; short, so that a stopping instance is left soon. */
 const ADDRESSES_KEEP_MS = 2_000;
-/** Time of a drain after which connections on which nothing is asked are closed. */
-const DRAIN_IDLE_MS = 2_000;
-/** Time before the platform ends the process at which it ends itself. */
-const GRACE_MARGIN_MS = 350;
-const INCARNATION_TIME_DIGITS = 11;
+const METRICS_PATH = '/metrics';
+/** All on the internal network may join: the platform gives processes no secret of their own. */
 const PEER_SECRET = 'gateways-on-the-internal-network';
 
-/** Faster than the defaults: a few instances within a few milliseconds of each other. */
+/** Closer than the defaults: a few instances within a few milliseconds of each other. */
 const PEER_TIMING = {
   probeIntervalMs: 200,
   probeTimeoutMs: 150,
@@ -70,15 +78,49 @@
   incarnationLeaseMs: 3_000,
 };
 
-const monotonicNow = (): number => performance.now();
-
-// Sorts by start, so that the process that started first can be told without asking anyone.
-const makeIncarnation = (): string =>
-  `${Date.now().toString(36).padStart(INCARNATION_TIME_DIGITS, '0')}-${randomBytes(4).toString('hex')}`;
+/** Until a configuration says otherwise. */
+const FIRST_LIMITS: ClientLimits = {
+  maximumHeaderBytes: 16_384,
+  maximumBodyBytes: 4_194_304,
+  headerTimeoutMs: 3_000,
+  idleTimeoutMs: 15_000,
+};
 
 const addressOf = ({ host, port }: { readonly host: string; readonly port: number }): string =>
   `${host}:${port}`;
 
+/** A value that is set once, after those who use it were made. */
+class Late<T> {
+  #value: T | undefined;
+
+  set(value: T): void {
+    this.#value = value;
+  }
+
+  get(): T {
+    if (this.#value === undefined) throw new Error('used before it was set');
+    return this.#value;
+  }
+
+  peek(): T | undefined {
+    return this.#value;
+  }
+}
+
+const makePools = (now: () => number) =>
+  Effect.all({
+    endpointPool: makeConnectionPool({
+      connectTimeoutMs: CONNECT_TIMEOUT_MS,
+      connectionTrustMs: ENDPOINT_IDLE_MS,
+      now,
+    }),
+    storePool: makeConnectionPool({
+      connectTimeoutMs: CONNECT_TIMEOUT_MS,
+      connectionTrustMs: STORE_IDLE_MS,
+      now,
+    }),
+  });
+
 /**
  * Starts a gateway process; everything closes with the scope.
  *
@@ -92,34 +134,16 @@
     const { settings, wire, log } = options;
     const { logger } = log;
     const { bounds } = settings;
-    const now = monotonicNow;
+    const now = (): number => performance.now();
     const metrics = new GatewayMetrics();
     const directory = new EndpointDirectory();
     const plain = new PlainEndpoints();
-    const timing = Schema.decodeUnknownSync(Timing)(PEER_TIMING);
+    const timing = yield* Schema.decodeEffect(Timing)(PEER_TIMING).pipe(Effect.orDie);
+    const { endpointPool, storePool } = yield* makePools(now);
+    const late = { group: new Late<PeerGroup>(), gateway: new Late<Gateway>() };
 
-    const endpointPool = yield* makeConnectionPool({
-      connectTimeoutMs: CONNECT_TIMEOUT_MS,
-      connectionTrustMs: ENDPOINT_IDLE_MS,
-      now,
-    });
-    const storePool = yield* makeConnectionPool({
-      connectTimeoutMs: CONNECT_TIMEOUT_MS,
-      connectionTrustMs: STORE_IDLE_MS,
-      now,
-    });
-    const store = options.makeStore(storePool, (call) => metrics.countStoreCall(call));
-
-    const holder: { group?: PeerGroup } = {};
-    const group = (): PeerGroup => {
-      if (holder.group === undefined) throw new Error('used before the peers were started');
-      return holder.group;
-    };
-    const members = (): number => group().alive().length + group().cutOff(now()).length;
-
-    const holderGateway: { gateway?: Gateway } = {};
     const desk = new PlacementDesk({
-      group,
+      group: () => late.group.get(),
       quotas: new QuotaMeter(
         {
           windowMs: bounds.quotaWindowMs,
@@ -128,9 +152,8 @@
         },
         now(),
       ),
-      findAccount: (name) =>
-        holderGateway.gateway?.index?.table.accounts?.find((account) => account.name === name),
-      configurationVersion: () => holderGateway.gateway?.index?.table.version ?? 0,
+      findAccount: (name) => late.gateway.peek()?.index?.account(name),
+      configurationVersion: () => late.gateway.peek()?.index?.table.version ?? 0,
       metrics,
       logger,
       now,
@@ -150,20 +173,30 @@
       logger,
       now,
       random: Math.random,
-      members,
+      members: () => late.group.get().alive().length + late.group.get().cutOff(now()).length,
     });
-    holderGateway.gateway = gateway;
+    late.gateway.set(gateway);
 
+    const server = yield* makeGatewayServer({
+      address: settings.callers,
+      now,
+      limits: () => gateway.index?.table.limits ?? FIRST_LIMITS,
+      onRequest: (request, answer) => gateway.serve(request, answer),
+      onRejected: (status, reason) => {
+        metrics.countEnded('', 'rejected', status);
+        logger.info({ status, reason }, 'request rejected');
+      },
+    });
     const peers = yield* makePeerNetwork({
       address: addressOf(settings.peers),
       secret: PEER_SECRET,
-      incarnation: () => holder.group?.incarnation ?? '',
+      incarnation: () => late.group.peek()?.incarnation ?? '',
       now,
     });
-    holder.group = new PeerGroup({
+    const group = new PeerGroup({
       self: {
-        incarnation: makeIncarnation(),
-        callerAddress: addressOf(settings.callers),
+        incarnation: makeIncarnation(Date.now()),
+        callerAddress: server.address,
         peerAddress: peers.address,
         failureDomain: settings.failureDomain,
         region: settings.region,
@@ -175,193 +208,94 @@
       random: xoroshiro128plus(randomBytes(4).readInt32LE()),
       network: peers.network,
       logger,
-      nextIncarnation: makeIncarnation,
+      nextIncarnation: () => makeIncarnation(Date.now()),
       onMessage: (from, message, at) => desk.handle(from, message, at),
       onEnded: (incarnation) => desk.memberEnded(incarnation),
     });
-    peers.network.onDelivery(({ from, message }) => group().handle(from, message, now()));
-    group().join(settings.seeds, now());
+    late.group.set(group);
+    peers.network.onDelivery(({ from, message }) => group.handle(from, message, now()));
+    group.join(settings.seeds, now());
 
-    let endpointsKnown = false;
-    const isReady = (): boolean =>
-      gateway.phase._tag === 'serving' && gateway.index !== undefined && endpointsKnown;
-
-    const noteChanges = (changes: readonly DirectoryChange[]): void => {
-      changes.forEach(({ _tag, record }) => {
-        logger.info(
-          {
-            endpoint: record.id,
-            address: record.address,
-            service: record.service,
-            failureDomain: record.failureDomain,
-            version: record.version,
-            change: _tag,
-          },
-          'endpoint changed',
-        );
-      });
-    };
     const updateEngines = (): void => {
       desk.scheduler.setEngines(gateway.engines());
       plain.keep(new Set(directory.allReady().map(({ id }) => id)));
     };
-    const dependency = (name: string) => ({
-      onRegained: () => {
-        directory.storeAnswered(now());
-        logger.info({ dependency: name }, 'dependency regained');
-      },
-      onFailed: (detail: string) => {
-        directory.storeFailed();
-        logger.warn({ dependency: name, detail }, 'dependency lost');
-      },
-    });
-    const configurationListener: StoreWatchListener = {
-      ...dependency('store: configuration'),
-      onList: (objects) => objects.forEach(({ spec }) => takeConfiguration(spec)),
-      onChanges: (changes) => changes.forEach(({ object }) => takeConfiguration(object.spec)),
-    };
-    function takeConfiguration(spec: unknown): void {
-      const table = wire.readRouteTable(spec);
-      if (table === undefined) {
-        logger.warn('configuration in the store is unreadable');
-        return;
-      }
-      if (gateway.configure(table, 'store')) updateEngines();
-    }
-    const endpointsListener: StoreWatchListener = {
-      ...dependency('store: endpoints'),
-      onList: (objects) => {
-        const records = objects
-          .map(({ name, spec }) => wire.readEndpoint(name, spec))
-          .filter((record) => record !== undefined);
-        noteChanges(directory.replaceAll(records, now()));
-        endpointsKnown = true;
-        updateEngines();
-      },
-      onChanges: (changes) => {
-        changes.forEach(({ removed, object }) => {
-          const record = removed ? undefined : wire.readEndpoint(object.name, object.spec);
-          noteChanges(
-            record === undefined ? directory.remove(object.name, now()) : directory.put(record),
-          );
-        });
-        updateEngines();
-      },
-    };
-    const watches = [
-      new StoreWatch({
-        store,
-        kind: 'configuration',
-        listener: configurationListener,
-        waitMs: WATCH_WAIT_MS,
-        random: Math.random,
-      }),
-      new StoreWatch({
-        store,
-        kind: 'endpoints',
-        listener: endpointsListener,
-        waitMs: WATCH_WAIT_MS,
-        random: Math.random,
-      }),
-    ];
-    yield* Effect.acquireRelease(
+    const follower = yield* Effect.acquireRelease(
       Effect.sync(() => {
-        watches.forEach((watch) => {
-          watch.run().catch((error: Error) => logger.error({ err: error }, 'watch ended'));
+        const started = new StoreFollower({
+          store: options.makeStore(storePool, (call) => metrics.countStoreCall(call)),
+          wire,
+          directory,
+          logger,
+          now,
+          random: Math.random,
+          onConfiguration: (table) => {
+            if (gateway.configure(table, 'store')) updateEngines();
+          },
+          onEndpoints: updateEngines,
         });
+        started.start();
+        return started;
       }),
-      () => Effect.sync(() => watches.forEach((watch) => watch.stop())),
+      (started) => Effect.sync(() => started.stop()),
     );
 
-    const server = yield* makeGatewayServer({
-      address: settings.callers,
-      now,
-      limits: () =>
-        gateway.index?.table.limits ?? {
-          maximumHeaderBytes: 16_384,
-          maximumBodyBytes: 4_194_304,
-          headerTimeoutMs: 3_000,
-          idleTimeoutMs: 15_000,
-        },
-      onRequest: (request, answer) => gateway.serve(request, answer),
-      onRejected: (status, reason) => {
-        metrics.countEnded('', 'rejected', status);
-        logger.info({ status, reason }, 'request rejected');
-      },
-    });
-    yield* makePlainServer(settings.readiness, ({ pathname }) =>
+    const isReady = (): boolean =>
+      gateway.phase._tag === 'serving' && gateway.index !== undefined && follower.endpointsKnown;
+    const readiness = yield* makePlainServer(settings.readiness, ({ pathname }) =>
       pathname === options.paths.readiness ? { status: isReady() ? 200 : 503 } : undefined,
     );
     const keepMs = Math.min(ADDRESSES_KEEP_MS, bounds.addressesKeepMs);
-    yield* makePlainServer(settings.directory, (url) => {
-      if (url.pathname !== options.paths.addresses) return undefined;
-      const addresses = answerAddresses(group().serving(), group().cutOff(now()));
+    const listAddresses = (): PlainAnswer => {
+      const addresses = answerAddresses(group.serving(), group.cutOff(now()));
       if (addresses.length === 0) return { status: 503 };
-      return {
-        status: 200,
-        contentType: 'application/json',
-        text: options.formatAddresses(addresses, keepMs),
-      };
-    });
-    yield* makePlainServer(settings.metrics, ({ pathname }) =>
-      pathname === '/metrics'
-        ? metrics
-            .render({
-              configurationVersion: gateway.index?.table.version ?? 0,
-              members: group().alive().length,
-              ...desk.counts(),
-              droppedLogLines: log.dropped(),
-            })
-            .then((text) => ({ status: 200, text }))
-        : undefined,
+      const text = options.formatAddresses(addresses, keepMs);
+      return { status: 200, contentType: 'application/json', text };
+    };
+    const callerDirectory = yield* makePlainServer(settings.directory, ({ pathname }) =>
+      pathname === options.paths.addresses ? listAddresses() : undefined,
+    );
+    const renderMetrics = async (): Promise<PlainAnswer> => {
+      const text = await metrics.render({
+        configurationVersion: gateway.index?.table.version ?? 0,
+        members: group.alive().length,
+        ...desk.counts(),
+        droppedLogLines: log.dropped(),
+      });
+      return { status: 200, text };
+    };
+    const metricsServer = yield* makePlainServer(settings.metrics, ({ pathname }) =>
+      pathname === METRICS_PATH ? renderMetrics() : undefined,
     );
+
     yield* Effect.acquireRelease(
       Effect.sync(() =>
         setInterval(() => {
-          const at = now();
-          group().tick(at);
-          const changes = directory.tick(at);
-          noteChanges(changes);
-          if (changes.length > 0) updateEngines();
+          group.tick(now());
+          follower.tick();
           desk.tick();
         }, TICK_MS),
       ),
       (timer) => Effect.sync(() => clearInterval(timer)),
     );
+    const addresses = {
+      callers: server.address,
+      readiness,
+      directory: callerDirectory,
+      peers: peers.address,
+      metrics: metricsServer,
+    };
     logger.info(
-      { instance: settings.instance, address: addressOf(settings.callers), seeds: settings.seeds },
+      { addresses, seeds: settings.seeds, incarnation: group.incarnation },
       'gateway started',
     );
 
-    const stop = (): Promise<void> =>
-      new Promise((resolve) => {
-        const since = now();
-        logger.info({ inFlight: gateway.inFlight }, 'gateway is draining');
-        gateway.drain();
-        server.startDraining();
-        group().drain(since);
-        const timer = setInterval(() => {
-          const elapsedMs = now() - since;
-          if (elapsedMs > DRAIN_IDLE_MS) server.closeIdle();
-          const isIdle = gateway.inFlight === 0 && server.connections() === 0;
-          const isOver = elapsedMs > bounds.graceMs - GRACE_MARGIN_MS;
-          if (!isOver && !(isIdle && elapsedMs > DRAIN_IDLE_MS)) return;
-          clearInterval(timer);
-          if (gateway.inFlight > 0) {
-            logger.warn({ inFlight: gateway.inFlight }, 'grace is over; ending what is in flight');
-            gateway.abortAll();
-          }
-          group().leave(now());
-          logger.info({ afterMs: Math.round(elapsedMs) }, 'gateway stopped');
-          setTimeout(resolve, TICK_MS);
-        }, TICK_MS);
-      });
-
     return {
-      stop,
+      addresses,
+      stop: () => drainGateway({ gateway, server, group, logger, graceMs: bounds.graceMs, now }),
       reload: (changed) => {
         logger.info({ seeds: changed.seeds }, 'settings reloaded');
-        group().join(changed.seeds, now());
+        group.join(changed.seeds, now());
       },
     };
   });
--- a/src/coordination/gateway/EndpointCondition.ts
+++ b/src/coordination/gateway/EndpointCondition.ts
@@ -1,5 +1,4 @@
-/** What an endpoint did with a request. */
-export type EndpointSign = 'served' | 'failed' | 'unreachable';
+import type { PlacementResult } from '../../protocol/peer/Placement.ts';
 
 const FIRST_PAUSE_MS = 400;
 const LONGEST_PAUSE_MS = 3_000;
@@ -15,21 +14,29 @@
   #pausedUntil = Number.NEGATIVE_INFINITY;
 
   /**
-   * Learns from one request.
+   * Learns from one request. What its gateway gave up says nothing of the endpoint.
    *
-   * @param sign - what the endpoint did
+   * @param outcome - how the request ended
    * @param now - present time in ms
    */
-  learn(sign: EndpointSign, now: number): void {
-    const failed = sign === 'served' ? 0 : 1;
-    this.#failureRate += LEARNING_RATE * (failed - this.#failureRate);
-    if (sign !== 'unreachable') {
-      this.#unreachableInRow = 0;
-      return;
+  learn(outcome: PlacementResult['outcome'], now: number): void {
+    switch (outcome) {
+      case 'served':
+        this.#reached(0);
+        return;
+      case 'failed':
+        this.#reached(1);
+        return;
+      case 'unreachable':
+        this.#missed(now);
+        return;
+      case 'turnedAway':
+      case 'cancelled':
+      case 'unused':
+        return;
+      default:
+        outcome satisfies never;
     }
-    const pauseMs = Math.min(LONGEST_PAUSE_MS, FIRST_PAUSE_MS * 2 ** this.#unreachableInRow);
-    this.#unreachableInRow += 1;
-    this.#pausedUntil = now + pauseMs;
   }
 
   /** Tells whether requests may be sent to it now. */
@@ -41,4 +48,16 @@
   get failureRate(): number {
     return this.#failureRate;
   }
+
+  #reached(failure: 0 | 1): void {
+    this.#failureRate += LEARNING_RATE * (failure - this.#failureRate);
+    this.#unreachableInRow = 0;
+  }
+
+  #missed(now: number): void {
+    this.#failureRate += LEARNING_RATE * (1 - this.#failureRate);
+    const pauseMs = Math.min(LONGEST_PAUSE_MS, FIRST_PAUSE_MS * 2 ** this.#unreachableInRow);
+    this.#unreachableInRow += 1;
+    this.#pausedUntil = now + pauseMs;
+  }
 }
--- a/src/coordination/gateway/PlacementScheduler.ts
+++ b/src/coordination/gateway/PlacementScheduler.ts
@@ -101,23 +101,7 @@
     if (running === undefined) return;
     const { engine, placement } = running;
     engine.end(id, now);
-    switch (result.outcome) {
-      case 'served':
-        engine.condition.learn('served', now);
-        break;
-      case 'failed':
-        engine.condition.learn('failed', now);
-        break;
-      case 'unreachable':
-        engine.condition.learn('unreachable', now);
-        break;
-      case 'turnedAway':
-      case 'cancelled':
-      case 'unused':
-        break;
-      default:
-        result.outcome satisfies never;
-    }
+    engine.condition.learn(result.outcome, now);
     if (result.firstTokenMs === undefined) return;
     engine.estimate.learn({
       tokensToRead: placement.tokensToRead,
@@ -295,7 +279,11 @@
     return Math.max(1, Math.floor(record.slots * this.#scope.share));
   }
 
-  #adoptRunning(owner: string, { ticket, endpoint, ageMs, started }: HeldPlacement, now: number): void {
+  #adoptRunning(
+    owner: string,
+    { ticket, endpoint, ageMs, started }: HeldPlacement,
+    now: number,
+  ): void {
     const engine = this.#engines.get(endpoint);
     if (engine === undefined || engine.running.has(ticket.id)) return;
     engine.running.set(ticket.id, {
--- a/src/coordination/gateway/PlainEndpoints.ts
+++ b/src/coordination/gateway/PlainEndpoints.ts
@@ -1,5 +1,6 @@
 import type { EndpointRecord } from '../../state/gateway/index.ts';
-import { EndpointCondition, type EndpointSign } from './EndpointCondition.ts';
+import type { PlacementResult } from '../../protocol/peer/Placement.ts';
+import { EndpointCondition } from './EndpointCondition.ts';
 
 interface PlainEndpoint {
   inFlight: number;
@@ -49,19 +50,18 @@
     this.#of(record).inFlight += 1;
   }
 
-  /** Notes the end of a request, and how long it took where it was served. */
+  /** Notes how a request ended, and how long it took. */
   end(
     record: EndpointRecord,
-    sign: EndpointSign | undefined,
-    latencyMs: number,
+    outcome: PlacementResult['outcome'],
+    totalMs: number,
     now: number,
   ): void {
     const endpoint = this.#of(record);
     endpoint.inFlight = Math.max(0, endpoint.inFlight - 1);
-    if (sign === undefined) return;
-    endpoint.condition.learn(sign, now);
-    if (sign === 'unreachable') return;
-    endpoint.latencyMs += LATENCY_LEARNING_RATE * (latencyMs - endpoint.latencyMs);
+    endpoint.condition.learn(outcome, now);
+    if (outcome !== 'served' && outcome !== 'failed') return;
+    endpoint.latencyMs += LATENCY_LEARNING_RATE * (totalMs - endpoint.latencyMs);
   }
 
   /** Forgets endpoints that are gone. */
--- a/src/coordination/gateway/RouteIndex.ts
+++ b/src/coordination/gateway/RouteIndex.ts
@@ -16,6 +16,8 @@
 
   readonly #accounts = new Map<string, Account>();
 
+  readonly #accountsByName = new Map<string, Account>();
+
   readonly #services = new Map<string, Service>();
 
   constructor(table: RouteTable) {
@@ -27,9 +29,10 @@
     this.#routes.forEach((routes) =>
       routes.sort((a, b) => b.pathPrefix.length - a.pathPrefix.length),
     );
-    (table.accounts ?? []).forEach((account) =>
-      account.keys.forEach((key) => this.#accounts.set(key, account)),
-    );
+    (table.accounts ?? []).forEach((account) => {
+      this.#accountsByName.set(account.name, account);
+      account.keys.forEach((key) => this.#accounts.set(key, account));
+    });
     table.services.forEach((service) => this.#services.set(service.name, service));
   }
 
@@ -53,6 +56,11 @@
     return { _tag: 'matched', route, account };
   }
 
+  /** Gives a client account by its name. */
+  account(name: string): Account | undefined {
+    return this.#accountsByName.get(name);
+  }
+
   /** Gives a service by its name. */
   service(name: string): Service | undefined {
     return this.#services.get(name);
--- a/src/coordination/gateway/chooseEngine.ts
+++ b/src/coordination/gateway/chooseEngine.ts
@@ -46,7 +46,10 @@
 };
 
 /** Tells whether reading the prompt would hold up streams that already run there. */
-const delaysStreams = (ticket: PlacementTicket, { engine, tokensToRead }: EngineChoice): boolean => {
+const delaysStreams = (
+  ticket: PlacementTicket,
+  { engine, tokensToRead }: EngineChoice,
+): boolean => {
   if (engine.streaming() === 0) return false;
   const mostBetweenEvents = ticket.tokensPerEvent * READ_CHUNK_TOKENS;
   const readingMs = Math.min(tokensToRead, mostBetweenEvents) * engine.estimate.readMsPerToken;
--- a/src/protocol/gateway/ObjectStore.ts
+++ b/src/protocol/gateway/ObjectStore.ts
@@ -24,12 +24,20 @@
 }
 
 export type ListResult =
-  | { readonly _tag: 'listed'; readonly objects: readonly StoredObject[]; readonly revision: number }
+  | {
+      readonly _tag: 'listed';
+      readonly objects: readonly StoredObject[];
+      readonly revision: number;
+    }
   | StoreFailure;
 
 export type WatchResult =
   /** Empty where nothing changed within the wait. */
-  | { readonly _tag: 'changed'; readonly changes: readonly StoredChange[]; readonly revision: number }
+  | {
+      readonly _tag: 'changed';
+      readonly changes: readonly StoredChange[];
+      readonly revision: number;
+    }
   /** The store no longer has the history since that revision. */
   | { readonly _tag: 'expired' }
   | StoreFailure;
@@ -55,9 +63,5 @@
     status: unknown,
   ) => Promise<WriteResult>;
   /** Replaces the spec where the object is still at the revision given. */
-  readonly putSpec: (
-    kind: StoredKind,
-    object: StoredObject,
-    spec: unknown,
-  ) => Promise<WriteResult>;
+  readonly putSpec: (kind: StoredKind, object: StoredObject, spec: unknown) => Promise<WriteResult>;
 }
--- a/src/protocol/peer/Placement.ts
+++ b/src/protocol/peer/Placement.ts
@@ -57,7 +57,14 @@
    * didn't run; `unreachable`: no connection; `cancelled`: the caller left or its time was over;
    * `unused`: the slot wasn't needed any more.
    */
-  outcome: Schema.Literals(['served', 'failed', 'turnedAway', 'unreachable', 'cancelled', 'unused']),
+  outcome: Schema.Literals([
+    'served',
+    'failed',
+    'turnedAway',
+    'unreachable',
+    'cancelled',
+    'unused',
+  ]),
   firstTokenMs: Schema.optionalKey(Milliseconds),
   decodeMs: Schema.optionalKey(Milliseconds),
   outputTokens: Schema.optionalKey(Schema.Finite),
@@ -67,7 +74,10 @@
 /** Messages between gateways and the one that schedules the model engines. */
 export const PlacementMessages = [
   Schema.TaggedStruct('placementRequest', { tickets: Schema.Array(PlacementTicket) }),
-  Schema.TaggedStruct('placementGrant', { id: Schema.NonEmptyString, endpoint: Schema.NonEmptyString }),
+  Schema.TaggedStruct('placementGrant', {
+    id: Schema.NonEmptyString,
+    endpoint: Schema.NonEmptyString,
+  }),
   Schema.TaggedStruct('placementRefusal', {
     id: Schema.NonEmptyString,
     reason: PlacementRefusal,
--- a/src/state/gateway/GatewaySettings.ts
+++ b/src/state/gateway/GatewaySettings.ts
@@ -1,6 +1,7 @@
 import * as Schema from 'effect/Schema';
 
-const Port = Schema.Int.check(Schema.isBetween({ minimum: 1, maximum: 65_535 }));
+/** 0 takes any free port. */
+const Port = Schema.Int.check(Schema.isBetween({ minimum: 0, maximum: 65_535 }));
 const NonNegative = Schema.Finite.check(Schema.isBetween({ minimum: 0, maximum: 1e12 }));
 
 /** An address to listen at. */
--- a/src/transport/gateway/EventCutter.ts
+++ b/src/transport/gateway/EventCutter.ts
@@ -1,4 +1,3 @@
-const LINE_FEED = 10;
 const ID_FIELD = 'id:';
 
 /** Whole events of a stream, and the id of the last of them. */
@@ -41,21 +40,3 @@
     return this.#rest;
   }
 }
-
-/** Counts events in bytes that are passed on as they are, over the borders of parts. */
-export class EventCounter {
-  #endedInLineFeed = false;
-
-  count = 0;
-
-  push(bytes: Uint8Array): void {
-    bytes.forEach((byte) => {
-      if (byte === LINE_FEED && this.#endedInLineFeed) {
-        this.count += 1;
-        this.#endedInLineFeed = false;
-      } else {
-        this.#endedInLineFeed = byte === LINE_FEED;
-      }
-    });
-  }
-}
--- a/src/transport/gateway/index.ts
+++ b/src/transport/gateway/index.ts
@@ -1,4 +1,5 @@
-export { EventCounter, EventCutter } from './EventCutter.ts';
+export { EventCounter } from './EventCounter.ts';
+export { EventCutter } from './EventCutter.ts';
 export type { WholeEvents } from './EventCutter.ts';
 export type { InboundAnswer, InboundRequest } from './InboundRequest.ts';
 export { makeGatewayServer } from './makeGatewayServer.ts';
--- a/src/transport/gateway/listenAt.ts
+++ b/src/transport/gateway/listenAt.ts
@@ -1,4 +1,5 @@
 import type * as http from 'node:http';
+import type { AddressInfo } from 'node:net';
 import * as Effect from 'effect/Effect';
 import type * as Scope from 'effect/Scope';
 import type { ListenAddress } from '../../state/gateway/index.ts';
@@ -10,18 +11,22 @@
  * Makes a server listen, and close with the scope. An address in use is tried again until it is free.
  *
  * @param server - an HTTP server
- * @param address - where to listen
+ * @param address - where to listen; port 0 takes any free port
+ * @returns `IP:PORT` that it is bound to
  */
 export const listenAt = (
   server: http.Server,
   { host, port }: ListenAddress,
-): Effect.Effect<void, never, Scope.Scope> =>
+): Effect.Effect<string, never, Scope.Scope> =>
   Effect.acquireRelease(
-    Effect.callback<void>((resume) => {
+    Effect.callback<string>((resume) => {
       server.on('error', () => {
         setTimeout(() => server.listen(port, host), LISTEN_RETRY_MS);
       });
-      server.listen(port, host, () => resume(Effect.void));
+      server.listen(port, host, () => {
+        const bound = server.address() as AddressInfo;
+        resume(Effect.succeed(`${bound.address}:${bound.port}`));
+      });
     }),
     () =>
       Effect.sync(() => {
--- a/src/transport/gateway/makeGatewayServer.ts
+++ b/src/transport/gateway/makeGatewayServer.ts
@@ -19,6 +19,8 @@
 
 /** A server for callers that runs. */
 export interface GatewayServer {
+  /** `IP:PORT` that it is bound to. */
+  readonly address: string;
   /** Closes each connection with its next answer, and takes no long-lived ones any more. */
   readonly startDraining: () => void;
   /** Closes connections on which nothing is asked. */
@@ -33,6 +35,11 @@
   headerTooLarge: 431,
 } as const;
 
+const STATUS_BY_ERROR: Readonly<Record<string, number>> = {
+  HPE_HEADER_OVERFLOW: STATUS.headerTooLarge,
+  ERR_HTTP_REQUEST_TIMEOUT: STATUS.requestTimeout,
+};
+
 /** How often Node looks for clients that are too slow with a head. */
 const SLOW_CLIENT_CHECK_MS = 500;
 /** Above what any configuration asks for: the configured limit is checked once the head is read. */
@@ -177,12 +184,7 @@
 }
 
 const answerBroken = (error: NodeJS.ErrnoException, socket: Socket): number => {
-  const status =
-    error.code === 'HPE_HEADER_OVERFLOW'
-      ? STATUS.headerTooLarge
-      : error.code === 'ERR_HTTP_REQUEST_TIMEOUT'
-        ? STATUS.requestTimeout
-        : STATUS.badRequest;
+  const status = STATUS_BY_ERROR[error.code ?? ''] ?? STATUS.badRequest;
   if (!socket.writable || error.code === 'ECONNRESET') {
     socket.destroy();
     return status;
@@ -225,8 +227,9 @@
     server.on('clientError', (error, socket) => {
       options.onRejected(answerBroken(error, socket as Socket), error.message);
     });
-    yield* listenAt(server, options.address);
+    const address = yield* listenAt(server, options.address);
     return {
+      address,
       startDraining: () => {
         connections.draining = true;
       },
--- a/src/transport/gateway/makePlainServer.ts
+++ b/src/transport/gateway/makePlainServer.ts
@@ -33,11 +33,12 @@
  *
  * @param address - where to listen
  * @param handle - gives the answers
+ * @returns `IP:PORT` that it is bound to
  */
 export const makePlainServer = (
   address: ListenAddress,
   handle: PlainHandler,
-): Effect.Effect<void, never, Scope.Scope> => {
+): Effect.Effect<string, never, Scope.Scope> => {
   const server = http.createServer((incoming, response) => {
     incoming.resume();
     const url = new URL(incoming.url ?? '/', 'http://localhost');
--- a/src/transport/http/exchange.ts
+++ b/src/transport/http/exchange.ts
@@ -1,6 +1,7 @@
 import * as http from 'node:http';
 import type { Socket } from 'node:net';
 import type { ConnectionPool } from './ConnectionPool.ts';
+import { EndProbe } from './EndProbe.ts';
 
 const SCHEME = 'http://';
 
@@ -99,32 +100,6 @@
 const isUnframed = ({ headers }: http.IncomingMessage): boolean =>
   headers['content-length'] === undefined && headers['transfer-encoding'] === undefined;
 
-/**
- * Tells the end of a connection from a reset. Where a reset arrives together with the last bytes,
- * libuv reports an ordinary end; writing then fails, while a peer that has only finished still takes
- * bytes.
- */
-class EndProbe {
-  #state: 'unused' | 'writing' | 'sound' | 'reset' = 'unused';
-
-  #onSettled: () => void = () => {};
-
-  /** Writes what a server ignores between requests, once the connection's end was read. */
-  start(socket: Socket): void {
-    this.#state = 'writing';
-    socket.write('\r\n', (error) => {
-      this.#state = error ? 'reset' : 'sound';
-      this.#onSettled();
-    });
-  }
-
-  /** Calls back, now or later, with whether the connection was reset. */
-  settle(callback: (wasReset: boolean) => void): void {
-    this.#onSettled = () => callback(this.#state === 'reset');
-    if (this.#state !== 'writing') this.#onSettled();
-  }
-}
-
 /**
  * Sends one request and reports its answer. Never retries.
  *
@@ -154,7 +129,8 @@
   };
   const endProbe = new EndProbe();
   const onSocketEnd = (socket: Socket): void => {
-    if (incoming !== undefined && !incoming.complete && isUnframed(incoming)) endProbe.start(socket);
+    if (incoming !== undefined && !incoming.complete && isUnframed(incoming))
+      endProbe.start(socket);
   };
   const breakOff = (detail: string): void => {
     // What follows a complete answer spoils the connection but not the answer, whose end is still due.
@@ -185,7 +161,8 @@
         return;
       }
       endProbe.settle((wasReset) => {
-        if (wasReset) finish({ _tag: 'broken', silent: false, detail: 'reset with its last bytes' });
+        if (wasReset)
+          finish({ _tag: 'broken', silent: false, detail: 'reset with its last bytes' });
         else finish({ _tag: 'ended' });
       });
     });
--- a/test/load/loadPattern.ts
+++ b/test/load/loadPattern.ts
@@ -101,11 +101,17 @@
 
 /** A log-normal number of a mean, cut at a maximum. */
 const skewed = (random: RandomGenerator, mean: number, spread: number, most: number): number =>
-  Math.max(1, Math.min(most, Math.round(mean * Math.exp(spread * normal(random) - spread ** 2 / 2))));
+  Math.max(
+    1,
+    Math.min(most, Math.round(mean * Math.exp(spread * normal(random) - spread ** 2 / 2))),
+  );
 
 const rateAt = (kind: RequestKind, bursts: readonly LoadBurst[], at: number): number =>
   bursts
-    .filter(({ fromMs, toMs, kind: name }) => at >= fromMs && at < toMs && (name ?? kind.name) === kind.name)
+    .filter(
+      ({ fromMs, toMs, kind: name }) =>
+        at >= fromMs && at < toMs && (name ?? kind.name) === kind.name,
+    )
     .reduce((rate, { factor }) => rate * factor, kind.perSecond);
 
 const makeRequest = (
--- a/test/load/main.ts
+++ b/test/load/main.ts
@@ -6,7 +6,9 @@
 const round = (value: number): string => value.toFixed(3);
 
 Object.entries(PATTERNS).forEach(([name, pattern]) => {
-  const outcomes = Array.from({ length: seeds }, (_, seed) => playLoad({ ...pattern, seed: seed + 1 }));
+  const outcomes = Array.from({ length: seeds }, (_, seed) =>
+    playLoad({ ...pattern, seed: seed + 1 }),
+  );
   const mean = (pick: (outcome: (typeof outcomes)[number]) => number): number =>
     outcomes.reduce((sum, outcome) => sum + pick(outcome), 0) / outcomes.length;
   console.log(
--- a/test/load/playLoad.ts
+++ b/test/load/playLoad.ts
@@ -2,6 +2,7 @@
 import { PlacementScheduler } from '../../src/coordination/gateway/index.ts';
 import { retryAfter } from '../../src/coordination/scheduling/retryAfter.ts';
 import type { EndpointRecord } from '../../src/state/gateway/index.ts';
+import { Timeline } from './Timeline.ts';
 import { EngineModel, type EngineShape } from './EngineModel.ts';
 import {
   LONGEST_PAUSE_MS,
@@ -66,33 +67,6 @@
 const RUN_OUT_MS = 20_000;
 const SCHEDULER_TICK_MS = 25;
 
-type Event = { readonly at: number; readonly order: number; readonly run: (now: number) => void };
-
-/** Virtual time with events in order. */
-class Timeline {
-  #events: Event[] = [];
-
-  #order = 0;
-
-  add(at: number, run: (now: number) => void): void {
-    this.#order += 1;
-    const event = { at, order: this.#order, run };
-    let low = 0;
-    let high = this.#events.length;
-    while (low < high) {
-      const middle = Math.floor((low + high) / 2);
-      const other = this.#events[middle];
-      if (other !== undefined && other.at <= at) low = middle + 1;
-      else high = middle;
-    }
-    this.#events.splice(low, 0, event);
-  }
-
-  next(): Event | undefined {
-    return this.#events.shift();
-  }
-}
-
 class Play {
   readonly #timeline = new Timeline();
 
@@ -305,7 +279,16 @@
   #kind(name: string): KindOutcome {
     const known = this.#kinds.get(name);
     if (known !== undefined) return known;
-    const outcome = { asked: 0, onTime: 0, late: 0, refused: 0, unfinished: 0, paused: 0, worth: 0, owed: 0 };
+    const outcome = {
+      asked: 0,
+      onTime: 0,
+      late: 0,
+      refused: 0,
+      unfinished: 0,
+      paused: 0,
+      worth: 0,
+      owed: 0,
+    };
     this.#kinds.set(name, outcome);
     return outcome;
   }
