Know callers that come back, and tell them when congestion may be over

Cause: a caller's second try was taken for a new request that could be on time, and displaced others that could. Its deadline tells: callers of a route begin with the same one.

--- a/src/app/gateway/Gateway.ts
+++ b/src/app/gateway/Gateway.ts
@@ -1,5 +1,5 @@
 import type { Logger } from 'pino';
-import { RouteIndex, pickService } from '../../coordination/gateway/index.ts';
+import { CallerPatience, RouteIndex, pickService } from '../../coordination/gateway/index.ts';
 import type { EndpointRecord, RouteTable } from '../../state/gateway/index.ts';
 import type { InboundAnswer, InboundRequest } from '../../transport/gateway/index.ts';
 import type { GatewayParts } from './GatewayParts.ts';
@@ -28,6 +28,8 @@
 
   readonly #runs = new Set<RequestRun>();
 
+  readonly #patience = new CallerPatience();
+
   #index: RouteIndex | undefined;
 
   #phase: GatewayPhase = { _tag: 'serving' };
@@ -130,9 +132,13 @@
       return;
     }
     const configurationVersion = this.#index.table.version;
+    const waitedBeforeMs =
+      fields.deadlineMs === undefined
+        ? 0
+        : this.#patience.waitedBefore(route.name, fields.deadlineMs);
     const run = new RequestRun(
       this.#parts,
-      { id, inbound, fields, route, account, service, configurationVersion },
+      { id, inbound, fields, route, account, service, waitedBeforeMs, configurationVersion },
       answer,
     );
     this.#runs.add(run);
--- a/src/app/gateway/PlacementDesk.ts
+++ b/src/app/gateway/PlacementDesk.ts
@@ -337,6 +337,7 @@
           reason: 'quota',
           waitedMs: 0,
           expectedWaitMs: waitMs,
+          retryAfterMs: retryAfter(ticket.id, waitMs),
         });
         return;
       }
@@ -372,8 +373,7 @@
       else group.send(owner, { _tag: 'placementGrant', id: ticket.id, endpoint });
       return;
     }
-    const { reason, expectedWaitMs } = decision;
-    const retryAfterMs = retryAfter(ticket.id, expectedWaitMs);
+    const { reason, expectedWaitMs, retryAfterMs } = decision;
     logger.info(
       {
         ticket: ticket.id,
--- a/src/app/gateway/RoutedRequest.ts
+++ b/src/app/gateway/RoutedRequest.ts
@@ -10,5 +10,7 @@
   readonly route: Route;
   readonly account: Account | undefined;
   readonly service: Service;
+  /** How long the caller has waited in tries before this one. */
+  readonly waitedBeforeMs: number;
   readonly configurationVersion: number;
 }
--- a/src/app/gateway/makeTicket.ts
+++ b/src/app/gateway/makeTicket.ts
@@ -40,7 +40,7 @@
     promptTokens: fields.promptTokens,
     outputTokens: Math.min(expected, Math.max(1, fields.maximumOutputTokens)),
     quotaUnits: offer === 1 ? quotaUnitsOf(request) : 0,
-    targetMs: begun ? remainingMs : route.targetLatencyMs - waitedMs,
+    targetMs: begun ? remainingMs : route.targetLatencyMs - waitedMs - request.waitedBeforeMs,
     gapMs: route.targetGapMs,
     tokensPerEvent: service.engine?.tokensPerEvent ?? 1,
     remainingMs,
--- a/src/coordination/gateway/PlacementScheduler.ts
+++ b/src/coordination/gateway/PlacementScheduler.ts
@@ -5,6 +5,7 @@
   PlacementTicket,
 } from '../../protocol/peer/Placement.ts';
 import type { EndpointRecord } from '../../state/gateway/index.ts';
+import { adviseReturn } from './adviseReturn.ts';
 import { EngineLoad, type RunningPlacement } from './EngineLoad.ts';
 import { orderWaiting, type WaitingPlacement } from './orderWaiting.ts';
 import { chooseEngine, forecast, type EngineChoice } from './chooseEngine.ts';
@@ -30,6 +31,8 @@
       readonly waitedMs: number;
       /** Expected time until a slot would have been free. */
       readonly expectedWaitMs: number;
+      /** When its caller is best back. */
+      readonly retryAfterMs: number;
     };
 
 /** Time for a grant to reach its gateway and show up in what that gateway states of itself. */
@@ -224,6 +227,7 @@
       reason,
       waitedMs,
       expectedWaitMs,
+      retryAfterMs: adviseReturn(ticket.id, expectedWaitMs, this.#shares.share(ticket.route, now)),
     });
     const remainingMs = ticket.remainingMs - waitedMs;
     if (remainingMs < LEAST_REMAINING_MS) return refuse('deadline');
--- a/src/coordination/gateway/index.ts
+++ b/src/coordination/gateway/index.ts
@@ -1,3 +1,4 @@
+export { CallerPatience } from './CallerPatience.ts';
 export { EndpointCondition } from './EndpointCondition.ts';
 export { EndpointDirectory } from './EndpointDirectory.ts';
 export type { DirectoryChange } from './EndpointDirectory.ts';
--- /dev/null
+++ b/test/gateway/startObjectStore.ts
@@ -0,0 +1,146 @@
+import * as http from 'node:http';
+import type { AddressInfo } from 'node:net';
+import type { TestContext } from 'node:test';
+
+interface HeldObject {
+  readonly metadata: { readonly name: string; readonly revision: number };
+  readonly spec: unknown;
+  readonly status: unknown;
+}
+
+interface HeldEvent {
+  readonly kind: string;
+  readonly revision: number;
+  readonly removed: boolean;
+  readonly object: HeldObject;
+}
+
+/** The users' store, as far as a gateway speaks to it. */
+export interface ObjectStoreStandIn {
+  readonly address: string;
+  readonly put: (kind: string, name: string, spec: unknown) => void;
+  readonly remove: (kind: string, name: string) => void;
+  readonly get: (kind: string, name: string) => HeldObject | undefined;
+  /** Answers 503 to everything until it is set to false again. */
+  readonly setAway: (away: boolean) => void;
+  /** Forgets its history, so that watches from before end with 410. */
+  readonly compact: () => void;
+  /** Calls so far, as `METHOD path`. */
+  readonly calls: readonly string[];
+}
+
+const POLL_MS = 5;
+const PAGE = 3;
+
+const readBody = (request: http.IncomingMessage): Promise<string> =>
+  new Promise((resolve) => {
+    const chunks: Buffer[] = [];
+    request.on('data', (chunk: Buffer) => chunks.push(chunk));
+    request.on('end', () => resolve(Buffer.concat(chunks).toString()));
+  });
+
+/** Starts the store on a free port; it closes with the test. */
+export const startObjectStore = async (context: TestContext): Promise<ObjectStoreStandIn> => {
+  const kinds = new Map<string, Map<string, HeldObject>>();
+  const events: HeldEvent[] = [];
+  const calls: string[] = [];
+  let revision = 10;
+  let oldest = 0;
+  let away = false;
+
+  const kindOf = (kind: string): Map<string, HeldObject> => {
+    const held = kinds.get(kind) ?? new Map<string, HeldObject>();
+    kinds.set(kind, held);
+    return held;
+  };
+  const change = (kind: string, name: string, value: Omit<HeldObject, 'metadata'> | undefined) => {
+    revision += 1;
+    const held = kindOf(kind);
+    const before = held.get(name);
+    const content = value ?? { spec: before?.spec, status: before?.status };
+    const object = { metadata: { name, revision }, ...content };
+    if (value === undefined) held.delete(name);
+    else held.set(name, object);
+    events.push({ kind, revision, removed: value === undefined, object });
+    return object;
+  };
+
+  const list = (kind: string, after: string) => {
+    const names = [...kindOf(kind).keys()].sort().filter((name) => name > after);
+    const items = names.slice(0, PAGE).map((name) => kindOf(kind).get(name));
+    return { items, has_more: names.length > PAGE, store_revision: revision };
+  };
+  const watch = async (kind: string, from: number, waitMs: number) => {
+    const until = performance.now() + waitMs;
+    const news = () => events.filter((event) => event.kind === kind && event.revision > from);
+    while (news().length === 0 && performance.now() < until && from >= oldest && !away) {
+      await new Promise((resolve) => {
+        setTimeout(resolve, POLL_MS);
+      });
+    }
+    return {
+      events: news().map(({ removed, object }) => ({ removed, object })),
+      store_revision: revision,
+    };
+  };
+
+  const server = http.createServer((request, response) => {
+    const reply = (status: number, body: unknown): void => {
+      response.writeHead(status, { 'content-type': 'application/json' });
+      response.end(JSON.stringify(body));
+    };
+    const serve = async (): Promise<void> => {
+      const url = new URL(request.url ?? '/', 'http://store');
+      const [, , , kind = '', name, part] = url.pathname.split('/');
+      calls.push(`${request.method} ${url.pathname}`);
+      const body = await readBody(request);
+      if (away) return reply(503, { error: 'away' });
+      const from = url.searchParams.get('watch');
+      if (request.method === 'GET' && from !== null) {
+        const found = await watch(kind, Number(from), Number(url.searchParams.get('wait_ms')));
+        if (away) return reply(503, { error: 'away' });
+        return Number(from) < oldest ? reply(410, {}) : reply(200, found);
+      }
+      if (request.method === 'GET')
+        return reply(200, list(kind, url.searchParams.get('after') ?? ''));
+      const sent = JSON.parse(body);
+      const target = name ?? sent.metadata.name;
+      const held = kindOf(kind).get(target);
+      if (request.method === 'POST') {
+        return held ? reply(409, held) : reply(201, change(kind, target, sent));
+      }
+      if (held === undefined) return reply(404, {});
+      if (sent.metadata.revision !== held.metadata.revision) return reply(409, held);
+      const next =
+        part === 'status'
+          ? { spec: held.spec, status: sent.status }
+          : { spec: sent.spec, status: held.status };
+      return reply(200, change(kind, target, next));
+    };
+    serve().catch((error: Error) => reply(500, { error: error.message }));
+  });
+  await new Promise<void>((resolve) => {
+    server.listen(0, '127.0.0.1', resolve);
+  });
+  context.after(() => {
+    server.closeAllConnections();
+    server.close();
+  });
+  return {
+    address: `http://127.0.0.1:${(server.address() as AddressInfo).port}`,
+    put: (kind, name, spec) => {
+      change(kind, name, { spec, status: kindOf(kind).get(name)?.status ?? null });
+    },
+    remove: (kind, name) => {
+      change(kind, name, undefined);
+    },
+    get: (kind, name) => kindOf(kind).get(name),
+    setAway: (value) => {
+      away = value;
+    },
+    compact: () => {
+      oldest = revision;
+    },
+    calls,
+  };
+};
--- /dev/null
+++ b/test/load/patterns.test.ts
@@ -0,0 +1,78 @@
+import { describe, it } from 'node:test';
+import { expect } from 'earl';
+import { PATTERNS } from './patterns.ts';
+import { playLoad, type KindOutcome, type LoadOutcome, type LoadPlay } from './playLoad.ts';
+
+const SEEDS = [1, 2, 3, 4];
+
+const play = (pattern: Omit<LoadPlay, 'seed'>): readonly LoadOutcome[] =>
+  SEEDS.map((seed) => playLoad({ ...pattern, seed }));
+
+const mean = (outcomes: readonly LoadOutcome[], pick: (outcome: LoadOutcome) => number): number =>
+  outcomes.reduce((sum, outcome) => sum + pick(outcome), 0) / outcomes.length;
+
+const kindMean = (
+  outcomes: readonly LoadOutcome[],
+  name: string,
+  pick: (kind: KindOutcome) => number,
+): number =>
+  mean(outcomes, ({ kinds }) => {
+    const kind = kinds.get(name);
+    return kind === undefined ? 0 : pick(kind);
+  });
+
+const share = ({ worth, owed }: KindOutcome): number => worth / owed;
+
+describe('the scheduler of model engines', () => {
+  describe('on a calm day with a few answers of thousands of tokens', () => {
+    const outcomes = play(PATTERNS.calm);
+
+    it('tries long answers on the fastest engines in place of refusing them', () => {
+      expect(kindMean(outcomes, 'review', share)).toBeGreaterThan(0.96);
+      expect(kindMean(outcomes, 'review', ({ refused }) => refused)).toBeLessThan(2);
+    });
+
+    it('holds up hardly any running stream by reading prompts', () => {
+      expect(kindMean(outcomes, 'quote', ({ paused }) => paused)).toBeLessThan(5);
+    });
+  });
+
+  describe('in bursts of a few seconds', () => {
+    const outcomes = play(PATTERNS.shortBurst);
+
+    it('keeps the worst seconds of a burst from collapsing', () => {
+      expect(mean(outcomes, ({ worstWindow }) => worstWindow)).toBeGreaterThan(0.72);
+    });
+
+    it('keeps what is most urgent on time', () => {
+      expect(kindMean(outcomes, 'review', share)).toBeGreaterThan(0.94);
+    });
+  });
+
+  describe('under more than the engines can do for half a minute', () => {
+    const outcomes = play(PATTERNS.sustained);
+
+    it('gives no slot to a caller that came back late while others can still be on time', () => {
+      expect(mean(outcomes, ({ worth }) => worth)).toBeGreaterThan(0.765);
+      expect(kindMean(outcomes, 'brief', ({ late }) => late)).toBeLessThan(60);
+    });
+
+    it('refuses at once what it will not serve', () => {
+      expect(mean(outcomes, ({ meanHeldMs }) => meanHeldMs)).toBeLessThan(100);
+    });
+
+    it('serves a more urgent kind no less than a less urgent one', () => {
+      const [review = 0, quote = 0, brief = 0] = ['review', 'quote', 'brief'].map((name) =>
+        kindMean(outcomes, name, share),
+      );
+      expect(review).toBeGreaterThan(quote);
+      expect(quote).toBeGreaterThan(brief - 0.05);
+    });
+
+    it('starves no kind', () => {
+      expect(kindMean(outcomes, 'brief', ({ asked, onTime }) => onTime / asked)).toBeGreaterThan(
+        0.25,
+      );
+    });
+  });
+});
