Watch the store once for a failure domain

The strongest, then oldest member of a domain watches and relays with revisions; who hears nothing for 1.3 s, sees the watcher cut off from the store, or stays behind, watches itself from where it stands. The scheduler too is the strongest member, so that weak instances don't carry it.

--- a/src/app/gateway/PeerGroup.ts
+++ b/src/app/gateway/PeerGroup.ts
@@ -25,6 +25,15 @@
 /** Members lately found dead count as cut off, so that shares are kept for them. */
 const CUT_OFF_KEPT_MS = 10_000;
 
+/** The strongest member, and of equals the one that started first; suspected ones come last. */
+const firstByRank = (members: readonly Member[]): Member | undefined => {
+  const sound = members.filter(({ status }) => status === 'alive');
+  const candidates = sound.length > 0 ? sound : members;
+  return [...candidates].sort(
+    (a, b) => (b.strength ?? 0) - (a.strength ?? 0) || (a.incarnation < b.incarnation ? -1 : 1),
+  )[0];
+};
+
 /** The gateways that run, and which of them schedules. */
 export class PeerGroup {
   readonly #options: PeerGroupOptions;
@@ -84,17 +93,34 @@
   }
 
   /**
-   * Gives the member that schedules: the one that started first, of those that serve.
+   * Gives the member that schedules: the strongest of those that serve, and of equals the one that
+   * started first.
    *
    * @returns its incarnation; one's own where nobody else is known
    */
   scheduler(): string {
-    const serving = this.#membership.serving();
-    const sound = serving.filter(({ status }) => status === 'alive');
-    const [first] = (sound.length > 0 ? sound : serving)
-      .map(({ incarnation }) => incarnation)
-      .sort();
-    return first ?? this.incarnation;
+    return firstByRank(this.#membership.serving())?.incarnation ?? this.incarnation;
+  }
+
+  /**
+   * Gives the member that watches the store for its failure domain.
+   *
+   * @returns its incarnation; one's own where nobody else of the domain is known
+   */
+  storeWatcher(): string {
+    const { failureDomain } = this.#options.self;
+    const nearby = this.#membership
+      .serving()
+      .filter((member) => member.failureDomain === failureDomain);
+    return firstByRank(nearby)?.incarnation ?? this.incarnation;
+  }
+
+  /** Other members of the failure domain. */
+  nearby(): readonly Member[] {
+    const { failureDomain } = this.#options.self;
+    return this.alive().filter(
+      (member) => member.failureDomain === failureDomain && member.incarnation !== this.incarnation,
+    );
   }
 
   /** Members that serve, this one included unless it drains. */
--- a/src/app/gateway/StoreFollower.ts
+++ b/src/app/gateway/StoreFollower.ts
@@ -1,7 +1,14 @@
 import type { Logger } from 'pino';
-import type { DirectoryChange, EndpointDirectory } from '../../coordination/gateway/index.ts';
-import type { ObjectStore, WireAdapter } from '../../protocol/gateway/index.ts';
+import {
+  RelayTrust,
+  type DirectoryChange,
+  type EndpointDirectory,
+} from '../../coordination/gateway/index.ts';
+import type { ObjectStore, StoredChange, WireAdapter } from '../../protocol/gateway/index.ts';
+import type { PeerMessage } from '../../protocol/peer/PeerMessage.ts';
+import type { WatchedKind } from '../../protocol/peer/Placement.ts';
 import type { RouteTable } from '../../state/gateway/index.ts';
+import type { PeerGroup } from './PeerGroup.ts';
 import { StoreWatch, type StoreWatchListener } from './StoreWatch.ts';
 
 /** What a follower is made of. */
@@ -9,6 +16,7 @@
   readonly store: ObjectStore;
   readonly wire: Pick<WireAdapter, 'readRouteTable' | 'readEndpoint'>;
   readonly directory: EndpointDirectory;
+  readonly group: Pick<PeerGroup, 'incarnation' | 'storeWatcher' | 'nearby' | 'send'>;
   readonly logger: Logger;
   /** Present time in ms, monotonic. */
   readonly now: () => number;
@@ -20,12 +28,21 @@
 
 /** Longest wait of one watch: a connection that went silent is noticed within it. */
 const WATCH_WAIT_MS = 2_500;
+/** How often a watcher gives a sign of life to those who rely on it. */
+const SIGN_INTERVAL_MS = 400;
 
-/** Follows the configuration and the endpoints in the platform's store. */
+/**
+ * Follows the configuration and the endpoints in the platform's store. One member of each failure
+ * domain watches the store and tells the others of its domain; who can't rely on it watches itself.
+ */
 export class StoreFollower {
   readonly #options: StoreFollowerOptions;
 
-  readonly #watches: readonly StoreWatch[];
+  readonly #watches: Readonly<Record<WatchedKind, StoreWatch>>;
+
+  readonly #trust = new RelayTrust();
+
+  #signSentAt = Number.NEGATIVE_INFINITY;
 
   #endpointsKnown = false;
 
@@ -33,14 +50,17 @@
     this.#options = options;
     const { store, random } = options;
     const common = { store, random, waitMs: WATCH_WAIT_MS };
-    this.#watches = [
+    const watch = (kind: WatchedKind, listener: StoreWatchListener): StoreWatch =>
       new StoreWatch({
         ...common,
-        kind: 'configuration',
-        listener: this.#configurationListener(),
-      }),
-      new StoreWatch({ ...common, kind: 'endpoints', listener: this.#endpointsListener() }),
-    ];
+        kind,
+        listener,
+        onWatched: (from, to, changes) => this.#relay(kind, from, to, changes),
+      });
+    this.#watches = {
+      configuration: watch('configuration', this.#configurationListener()),
+      endpoints: watch('endpoints', this.#endpointsListener()),
+    };
   }
 
   /** Whether the endpoints have been listed once. */
@@ -49,7 +69,7 @@
   }
 
   start(): void {
-    this.#watches.forEach((watch) => {
+    Object.values(this.#watches).forEach((watch) => {
       watch.run().catch((error: Error) => {
         this.#options.logger.error({ err: error }, 'watch ended');
       });
@@ -57,13 +77,69 @@
   }
 
   stop(): void {
-    this.#watches.forEach((watch) => watch.stop());
+    Object.values(this.#watches).forEach((watch) => watch.stop());
   }
 
-  /** Removes endpoints that stayed missing after an outage of the store. */
+  /** Does what is due: removes endpoints that stayed missing, and decides who watches. */
   tick(): void {
-    const { directory, now } = this.#options;
+    const { directory, group, now } = this.#options;
     this.#note(directory.tick(now()));
+    const watcher = group.storeWatcher();
+    const isWatcher = watcher === group.incarnation;
+    if (isWatcher) this.#signal(now());
+    const { configuration, endpoints } = this.#watches;
+    const known = { configuration: configuration.revision, endpoints: endpoints.revision };
+    const relies = !isWatcher && this.#trust.mayRely(watcher, known, now());
+    configuration.setRelayed(relies);
+    endpoints.setRelayed(relies);
+  }
+
+  /** Takes a message of one that watches the store. */
+  handle(from: string, message: PeerMessage): void {
+    const { directory, now } = this.#options;
+    if (message._tag === 'storeWatcherAlive') this.#trust.hear(from, message, now());
+    if (message._tag !== 'storeChanges') return;
+    const { kind, fromRevision, toRevision, changes, afterOutage } = message;
+    if (afterOutage && !directory.isAfterOutage(now())) {
+      directory.storeFailed();
+      directory.storeAnswered(now());
+    }
+    this.#watches[kind].takeRelayed(fromRevision, toRevision, changes);
+  }
+
+  #signal(now: number): void {
+    if (now - this.#signSentAt < SIGN_INTERVAL_MS) return;
+    this.#signSentAt = now;
+    const { configuration, endpoints } = this.#watches;
+    this.#tellNearby({
+      _tag: 'storeWatcherAlive',
+      reached: configuration.reached && endpoints.reached,
+      configurationRevision: configuration.revision,
+      endpointsRevision: endpoints.revision,
+    });
+  }
+
+  #relay(
+    kind: WatchedKind,
+    fromRevision: number,
+    toRevision: number,
+    changes: readonly StoredChange[],
+  ): void {
+    const { group, directory, now } = this.#options;
+    if (group.storeWatcher() !== group.incarnation) return;
+    this.#tellNearby({
+      _tag: 'storeChanges',
+      kind,
+      fromRevision,
+      toRevision,
+      changes,
+      afterOutage: directory.isAfterOutage(now()),
+    });
+  }
+
+  #tellNearby(message: PeerMessage): void {
+    const { group } = this.#options;
+    group.nearby().forEach(({ incarnation }) => group.send(incarnation, message));
   }
 
   #configurationListener(): StoreWatchListener {
--- a/src/app/gateway/StoreWatch.ts
+++ b/src/app/gateway/StoreWatch.ts
@@ -24,6 +24,12 @@
   readonly waitMs: number;
   /** A random number from 0 up to 1. */
   readonly random: () => number;
+  /** Told of what a watch brought, to pass it on. */
+  readonly onWatched: (
+    fromRevision: number,
+    toRevision: number,
+    changes: readonly StoredChange[],
+  ) => void;
 }
 
 const FIRST_RETRY_MS = 60;
@@ -46,6 +52,10 @@
 
   #reached = false;
 
+  #relayed = false;
+
+  #onResumed: (() => void) | undefined;
+
   constructor(options: StoreWatchOptions) {
     this.#options = options;
   }
@@ -55,12 +65,53 @@
     // One call waits for the next, so that answers are taken in order.
     while (!this.#stopped) {
       // eslint-disable-next-line no-await-in-loop
-      await this.#step();
+      await (this.#relayed && this.#revision !== undefined ? this.#resumed() : this.#step());
     }
   }
 
+  /** Revision of the store up to which all is known; 0 before the first list. */
+  get revision(): number {
+    return this.#revision ?? 0;
+  }
+
+  /** Whether the last call was answered. */
+  get reached(): boolean {
+    return this.#reached && this.#failures === 0;
+  }
+
+  /**
+   * Changes between watching and being told.
+   *
+   * @param relayed - whether another process tells the changes
+   */
+  setRelayed(relayed: boolean): void {
+    if (this.#relayed === relayed) return;
+    this.#relayed = relayed;
+    if (!relayed) this.#onResumed?.();
+  }
+
+  /**
+   * Takes changes that another process has seen.
+   *
+   * @returns false where changes before them are missing, so that the store must be asked
+   */
+  takeRelayed(fromRevision: number, toRevision: number, changes: readonly StoredChange[]): boolean {
+    if (this.#revision === undefined || fromRevision > this.#revision) return false;
+    if (toRevision <= this.#revision) return true;
+    this.#revision = toRevision;
+    if (changes.length > 0) this.#options.listener.onChanges(changes);
+    return true;
+  }
+
   stop(): void {
     this.#stopped = true;
+    this.#onResumed?.();
+  }
+
+  #resumed(): Promise<void> {
+    return new Promise((resolve) => {
+      this.#onResumed = resolve;
+    });
   }
 
   async #step(): Promise<void> {
@@ -88,14 +139,22 @@
         return;
       case 'changed':
         this.#regained();
-        this.#revision = Math.max(this.#revision, result.revision);
-        if (result.changes.length > 0) listener.onChanges(result.changes);
+        this.#takeWatched(result.revision, result.changes);
         return;
       default:
         result satisfies never;
     }
   }
 
+  #takeWatched(revision: number, changes: readonly StoredChange[]): void {
+    const before = this.#revision ?? 0;
+    // What was relayed meanwhile is newer than an answer that was on its way.
+    if (revision <= before) return;
+    this.#revision = revision;
+    if (changes.length > 0) this.#options.listener.onChanges(changes);
+    this.#options.onWatched(before, revision, changes);
+  }
+
   #regained(): void {
     if (this.#reached && this.#failures === 0) return;
     this.#reached = true;
--- a/src/app/gateway/runGateway.ts
+++ b/src/app/gateway/runGateway.ts
@@ -140,7 +140,11 @@
     const plain = new PlainEndpoints();
     const timing = yield* Schema.decodeEffect(Timing)(PEER_TIMING).pipe(Effect.orDie);
     const { endpointPool, storePool } = yield* makePools(now);
-    const late = { group: new Late<PeerGroup>(), gateway: new Late<Gateway>() };
+    const late = {
+      group: new Late<PeerGroup>(),
+      gateway: new Late<Gateway>(),
+      follower: new Late<StoreFollower>(),
+    };
 
     const desk = new PlacementDesk({
       group: () => late.group.get(),
@@ -203,13 +207,17 @@
         status: 'alive',
         revision: 0,
         draining: false,
+        strength: settings.cores,
       },
       timing,
       random: xoroshiro128plus(randomBytes(4).readInt32LE()),
       network: peers.network,
       logger,
       nextIncarnation: () => makeIncarnation(Date.now()),
-      onMessage: (from, message, at) => desk.handle(from, message, at),
+      onMessage: (from, message, at) => {
+        desk.handle(from, message, at);
+        late.follower.peek()?.handle(from, message);
+      },
       onEnded: (incarnation) => desk.memberEnded(incarnation),
     });
     late.group.set(group);
@@ -226,6 +234,7 @@
           store: options.makeStore(storePool, (call) => metrics.countStoreCall(call)),
           wire,
           directory,
+          group,
           logger,
           now,
           random: Math.random,
@@ -234,6 +243,7 @@
           },
           onEndpoints: updateEngines,
         });
+        late.follower.set(started);
         started.start();
         return started;
       }),
--- a/src/app/routePeerMessage.ts
+++ b/src/app/routePeerMessage.ts
@@ -116,6 +116,8 @@
     case 'placementState':
     case 'schedulerAlive':
     case 'schedulerNotes':
+    case 'storeChanges':
+    case 'storeWatcherAlive':
       return [];
     default:
       return message satisfies never;
--- a/src/coordination/gateway/EndpointDirectory.ts
+++ b/src/coordination/gateway/EndpointDirectory.ts
@@ -44,6 +44,11 @@
     this.#graceUntil = now + LAPSE_GRACE_MS;
   }
 
+  /** Tells whether entries may be missing only because the store was away. */
+  isAfterOutage(now: number): boolean {
+    return this.#failing || now < this.#graceUntil;
+  }
+
   /**
    * Takes over a whole list.
    *
@@ -88,8 +93,7 @@
   remove(id: string, now: number): DirectoryChange[] {
     const entry = this.#entries.get(id);
     if (entry === undefined) return [];
-    const mayReturn = this.#failing || now < this.#graceUntil;
-    if (mayReturn && entry.record.state === 'ready') {
+    if (this.isAfterOutage(now) && entry.record.state === 'ready') {
       if (entry.missingSince !== undefined) return [];
       entry.missingSince = now;
       return [{ _tag: 'missing', record: entry.record }];
@@ -105,7 +109,7 @@
    * @returns what changed
    */
   tick(now: number): DirectoryChange[] {
-    if (this.#failing || now < this.#graceUntil) return [];
+    if (this.isAfterOutage(now)) return [];
     return [...this.#entries.values()]
       .filter(({ missingSince }) => missingSince !== undefined)
       .map(({ record }) => {
--- a/src/coordination/gateway/index.ts
+++ b/src/coordination/gateway/index.ts
@@ -8,6 +8,7 @@
 export { PlacementScheduler } from './PlacementScheduler.ts';
 export type { PlacementDecision } from './PlacementScheduler.ts';
 export { QuotaMeter } from './QuotaMeter.ts';
+export { RelayTrust } from './RelayTrust.ts';
 export { RetryBudget } from './RetryBudget.ts';
 export { RouteIndex } from './RouteIndex.ts';
 export type { RouteMatch } from './RouteIndex.ts';
--- a/src/protocol/peer/Placement.ts
+++ b/src/protocol/peer/Placement.ts
@@ -71,6 +71,10 @@
 });
 export type PlacementResult = typeof PlacementResult.Type;
 
+/** Kinds of the store's objects that every gateway follows. */
+export const WatchedKind = Schema.Literals(['configuration', 'endpoints']);
+export type WatchedKind = typeof WatchedKind.Type;
+
 /** Messages between gateways and the one that schedules the model engines. */
 export const PlacementMessages = [
   Schema.TaggedStruct('placementRequest', { tickets: Schema.Array(PlacementTicket) }),
@@ -107,4 +111,31 @@
       Schema.Struct({ account: Schema.NonEmptyString, units: Schema.Finite }),
     ),
   }),
+  /** Changes of the store, from one that watches it to those that don't. */
+  Schema.TaggedStruct('storeChanges', {
+    kind: WatchedKind,
+    /** The changes are complete between these two revisions of the store. */
+    fromRevision: Schema.Finite,
+    toRevision: Schema.Finite,
+    /** Whether the store was away a moment ago, so that missing endpoints may come back. */
+    afterOutage: Schema.Boolean,
+    changes: Schema.Array(
+      Schema.Struct({
+        removed: Schema.Boolean,
+        object: Schema.Struct({
+          name: Schema.String,
+          revision: Schema.Finite,
+          spec: Schema.Unknown,
+          status: Schema.Unknown,
+        }),
+      }),
+    ),
+  }),
+  /** Sign of life of one that watches the store for others. */
+  Schema.TaggedStruct('storeWatcherAlive', {
+    /** Whether the store answers it. */
+    reached: Schema.Boolean,
+    configurationRevision: Schema.Finite,
+    endpointsRevision: Schema.Finite,
+  }),
 ] as const;
--- a/src/state/Member.ts
+++ b/src/state/Member.ts
@@ -19,5 +19,7 @@
   revision: Schema.Int,
   /** Whether the member takes no new requests but still serves its old ones. */
   draining: Schema.Boolean,
+  /** What its instance can do against others: cores that it may use; left out where all are alike. */
+  strength: Schema.optionalKey(Schema.Finite),
 });
 export type Member = typeof Member.Type;
--- a/src/state/gateway/GatewaySettings.ts
+++ b/src/state/gateway/GatewaySettings.ts
@@ -44,6 +44,8 @@
   seeds: Schema.Array(Schema.NonEmptyString),
   /** `http://IP:PORT` of the platform's store. */
   storeAddress: Schema.NonEmptyString,
+  /** Cores that the process may use; the strongest instances do what is done for all. */
+  cores: Schema.Finite.check(Schema.isBetween({ minimum: 0.01, maximum: 4_096 })),
   bounds: GatewayBounds,
 });
 export type GatewaySettings = typeof GatewaySettings.Type;
--- a/test/gateway/startGateway.ts
+++ b/test/gateway/startGateway.ts
@@ -1,12 +1,14 @@
 import * as http from 'node:http';
 import type { TestContext } from 'node:test';
+import * as Effect from 'effect/Effect';
+import * as Exit from 'effect/Exit';
+import * as Scope from 'effect/Scope';
 import pino from 'pino';
 import { runGateway, type RunningGateway } from '../../src/app/gateway/index.ts';
 import { formatAddresses } from '../../platform/formatAddresses.ts';
 import { makeObjectStore } from '../../platform/makeObjectStore.ts';
 import { makeWireAdapter } from '../../platform/makeWireAdapter.ts';
 import { PATHS } from '../../platform/names.ts';
-import { runScoped } from '../support/scoped.ts';
 import { startObjectStore, type ObjectStoreStandIn } from './startObjectStore.ts';
 import type { RunnerStandIn } from './startRunner.ts';
 
@@ -16,6 +18,8 @@
   readonly gateway: RunningGateway;
   /** What the gateway logged, a line each. */
   readonly log: readonly Record<string, unknown>[];
+  /** Ends the gateway without a word to anyone. */
+  readonly kill: () => Promise<void>;
 }
 
 /** An answer as a caller got it. */
@@ -118,45 +122,67 @@
   ...more,
 });
 
-/** Starts a gateway with nothing in its store. */
-export const startGateway = async (context: TestContext): Promise<GatewayStandIns> => {
-  const store = await startObjectStore(context);
+/** What may differ between gateways of one test. */
+export interface GatewayDifferences {
+  readonly instance?: string;
+  readonly failureDomain?: string;
+  readonly seeds?: readonly string[];
+  readonly store?: ObjectStoreStandIn;
+}
+
+/** Starts a gateway, with a store of its own and nothing in it where none is given. */
+export const startGateway = async (
+  context: TestContext,
+  {
+    instance = 'front-a-1',
+    failureDomain = 'a',
+    seeds = [],
+    store: given,
+  }: GatewayDifferences = {},
+): Promise<GatewayStandIns> => {
+  const store = given ?? (await startObjectStore(context));
   const log: Record<string, unknown>[] = [];
   const logger = pino({}, { write: (line: string) => log.push(JSON.parse(line)) });
-  const gateway = await runScoped(
-    context,
-    runGateway({
-      settings: {
-        instance: 'front-a-1',
-        failureDomain: 'a',
-        region: 'here',
-        callers: ANY,
-        readiness: ANY,
-        directory: ANY,
-        peers: ANY,
-        metrics: ANY,
-        seeds: [],
-        storeAddress: store.address,
-        bounds: {
-          drainMs: 2_000,
-          graceMs: 3_000,
-          retryRatio: 0.2,
-          retrySlack: 20,
-          retryWindowMs: 10_000,
-          quotaWindowMs: 8_000,
-          quotaOvershoot: 0.1,
-          quotaSlack: 1_000,
-          addressesKeepMs: 5_000,
+  const scope = Scope.makeUnsafe();
+  const kill = (): Promise<void> => Effect.runPromise(Scope.close(scope, Exit.void));
+  context.after(kill);
+  const gateway = await Effect.runPromise(
+    Scope.provide(
+      runGateway({
+        settings: {
+          instance,
+          failureDomain,
+          region: 'here',
+          callers: ANY,
+          readiness: ANY,
+          directory: ANY,
+          peers: ANY,
+          metrics: ANY,
+          seeds,
+          cores: 1,
+          storeAddress: store.address,
+          bounds: {
+            drainMs: 2_000,
+            graceMs: 3_000,
+            retryRatio: 0.2,
+            retrySlack: 20,
+            retryWindowMs: 10_000,
+            quotaWindowMs: 8_000,
+            quotaOvershoot: 0.1,
+            quotaSlack: 1_000,
+            addressesKeepMs: 5_000,
+          },
         },
-      },
-      wire: makeWireAdapter(),
-      log: { logger, dropped: () => 0, flush: () => {} },
-      makeStore: (pool, onCall) => makeObjectStore({ address: store.address, pool, onCall }),
-      paths: PATHS,
-      formatAddresses,
-    }),
+        wire: makeWireAdapter(),
+        log: { logger, dropped: () => 0, flush: () => {} },
+        makeStore: (pool, onCall) => makeObjectStore({ address: store.address, pool, onCall }),
+        paths: PATHS,
+        formatAddresses,
+      }),
+      scope,
+    ),
   );
-  return { store, gateway, log };
+  return { store, gateway, log, kill };
 };
 
 /** Asks a small question at one of a gateway's addresses. */
--- a/test/gateway/startObjectStore.ts
+++ b/test/gateway/startObjectStore.ts
@@ -25,6 +25,8 @@
   readonly setAway: (away: boolean) => void;
   /** Forgets its history, so that watches from before end with 410. */
   readonly compact: () => void;
+  /** Watches that wait. */
+  readonly watching: () => number;
   /** Calls so far, as `METHOD path`. */
   readonly calls: readonly string[];
 }
@@ -47,6 +49,7 @@
   let revision = 10;
   let oldest = 0;
   let away = false;
+  let watching = 0;
 
   const kindOf = (kind: string): Map<string, HeldObject> => {
     const held = kinds.get(kind) ?? new Map<string, HeldObject>();
@@ -97,7 +100,9 @@
       if (away) return reply(503, { error: 'away' });
       const from = url.searchParams.get('watch');
       if (request.method === 'GET' && from !== null) {
+        watching += 1;
         const found = await watch(kind, Number(from), Number(url.searchParams.get('wait_ms')));
+        watching -= 1;
         if (away) return reply(503, { error: 'away' });
         return Number(from) < oldest ? reply(410, {}) : reply(200, found);
       }
@@ -141,6 +146,7 @@
     compact: () => {
       oldest = revision;
     },
+    watching: () => watching,
     calls,
   };
 };
