Take an account's rank before its route's, not in its place

First tries bear a deadline up to a sixth shorter than others, so a return is told by less than that.

--- a/src/app/gateway/PlacementDesk.ts
+++ b/src/app/gateway/PlacementDesk.ts
@@ -92,6 +92,9 @@
 
   #leader = '';
 
+  /** Whether quotas are counted here because the scheduler is silent. */
+  #countingAlone = false;
+
   #leaderHeardAt = Number.NEGATIVE_INFINITY;
 
   #aliveSentAt = 0;
@@ -174,7 +177,10 @@
 
   /** Takes a message of a peer. */
   handle(from: string, message: PeerMessage, now: number): void {
-    if (from === this.#leader) this.#leaderHeardAt = now;
+    if (from === this.#leader) {
+      this.#leaderHeardAt = now;
+      this.#countingAlone = false;
+    }
     switch (message._tag) {
       case 'placementRequest':
         this.#interested.set(from, now);
@@ -209,7 +215,6 @@
         return;
       case 'schedulerNotes':
         this.scheduler.adoptSpeeds(message.engines);
-        this.#options.quotas.adopt(message.quotaLevels, now);
         break;
       default:
     }
@@ -238,7 +243,9 @@
       { scheduler: leader, before: wasLeader, own: group.incarnation },
       'scheduler changed',
     );
+    this.#countingAlone = false;
     if (leader === group.incarnation) {
+      if (wasLeader !== '') this.#options.quotas.restart(now);
       this.#pending.forEach((entry) => {
         entry.asked = leader;
         this.#enqueue(leader, remaining(entry, now), 1, now);
@@ -277,8 +284,7 @@
         readMsPerToken: estimate.readMsPerToken,
         decodeMsPerToken: estimate.decodeMsPerToken,
       }));
-    const quotaLevels = this.#options.quotas.levels(now);
-    if (engines.length > 0) group.broadcast({ _tag: 'schedulerNotes', engines, quotaLevels });
+    if (engines.length > 0) group.broadcast({ _tag: 'schedulerNotes', engines });
   }
 
   #tickFollower(now: number): void {
@@ -321,6 +327,8 @@
     if (pending === undefined) return;
     const own = this.#options.group().incarnation;
     pending.asked = own;
+    if (!this.#countingAlone) this.#options.quotas.restart(now);
+    this.#countingAlone = true;
     const share = this.#ownShare(now);
     this.scheduler.setScope({ share });
     this.#options.logger.warn(
--- a/src/app/gateway/RequestRun.ts
+++ b/src/app/gateway/RequestRun.ts
@@ -306,6 +306,8 @@
         promptTokens: fields.promptTokens,
         maximumOutputTokens: fields.maximumOutputTokens,
         expectedOutputTokens: fields.expectedOutputTokens,
+        deadlineMs: fields.deadlineMs,
+        waitedBeforeMs: this.#request.waitedBeforeMs,
         firstByteMs: Math.round(this.#firstByteMs),
         totalMs: Math.round(this.#parts.now() - inbound.arrivedAt),
         configurationVersion,
--- a/src/coordination/gateway/CallerPatience.ts
+++ b/src/coordination/gateway/CallerPatience.ts
@@ -1,44 +1,31 @@
-interface RouteDeadlines {
-  /** Deadline that most callers of the route begin with. */
-  usualMs: number;
-  /** How far the usual one leads over others. */
-  lead: number;
-}
-
-const LARGEST_LEAD = 50;
+/** First tries of a route's callers have at least this part of the longest deadline left. */
+const LEAST_FIRST_SHARE = 0.84;
+/** How fast the longest deadline is forgotten where no caller begins with it any more. */
+const FORGETTING = 0.01;
 
 /**
- * Tells a request that its caller sends once more from a first one. Callers of a route begin with the
- * same deadline, and one that comes back has less of it left.
+ * Tells a request that its caller sends once more from a first one. Callers of a route begin with
+ * about the same deadline, and one that comes back has much less of it left.
  */
 export class CallerPatience {
-  readonly #routes = new Map<string, RouteDeadlines>();
+  readonly #longestMs = new Map<string, number>();
 
   /**
    * Learns from a request, and tells how long its caller has waited already.
    *
    * @param route - the route's name
    * @param deadlineMs - how long the caller will still wait
-   * @returns time since the caller's first try, in ms; 0 for a first one
+   * @returns time since the caller's first try, in ms; 0 for what may be a first one
    */
   waitedBefore(route: string, deadlineMs: number): number {
-    const usual = this.#learn(route, deadlineMs);
-    return Math.max(0, usual - deadlineMs);
+    const longest = this.#learn(route, deadlineMs);
+    return deadlineMs < longest * LEAST_FIRST_SHARE ? longest - deadlineMs : 0;
   }
 
-  /** Majority vote in constant space: the usual deadline outlasts all others together. */
   #learn(route: string, deadlineMs: number): number {
-    const held = this.#routes.get(route);
-    if (held === undefined) {
-      this.#routes.set(route, { usualMs: deadlineMs, lead: 1 });
-      return deadlineMs;
-    }
-    if (held.usualMs === deadlineMs) held.lead = Math.min(LARGEST_LEAD, held.lead + 1);
-    else held.lead -= 1;
-    if (held.lead < 0) {
-      held.usualMs = deadlineMs;
-      held.lead = 1;
-    }
-    return held.usualMs;
+    const held = this.#longestMs.get(route) ?? deadlineMs;
+    const longest = Math.max(deadlineMs, held - FORGETTING * (held - deadlineMs));
+    this.#longestMs.set(route, longest);
+    return longest;
   }
 }
--- a/src/coordination/gateway/QuotaMeter.ts
+++ b/src/coordination/gateway/QuotaMeter.ts
@@ -10,12 +10,6 @@
   readonly slack: number;
 }
 
-/** What is left of an account's burst, told to a process that may have to go on counting. */
-export interface QuotaLevel {
-  readonly account: string;
-  readonly units: number;
-}
-
 interface Meter {
   readonly bucket: TokenBucket;
   quota: Account['quota'];
@@ -36,7 +30,7 @@
 export class QuotaMeter {
   readonly #bounds: QuotaBounds;
 
-  readonly #startedAt: number;
+  #startedAt: number;
 
   readonly #meters = new Map<string, Meter>();
 
@@ -73,21 +67,15 @@
     this.#meters.get(account)?.bucket.put(units, now);
   }
 
-  /** Gives what may be used at once, account by account. */
-  levels(now: number): QuotaLevel[] {
-    return [...this.#meters].map(([account, { bucket }]) => ({
-      account,
-      units: bucket.available(now),
-    }));
-  }
-
-  /** Takes over what another process has left, where that is less. */
-  adopt(levels: readonly QuotaLevel[], now: number): void {
-    levels.forEach(({ account, units }) => {
-      const bucket = this.#meters.get(account)?.bucket;
-      if (bucket === undefined) return;
-      bucket.take(Math.max(0, bucket.available(now) - units), now);
-    });
+  /**
+   * Begins to count with empty buckets, where this process takes over from another one that counted,
+   * or goes on alone.
+   *
+   * @param now - present time in ms
+   */
+  restart(now: number): void {
+    this.#startedAt = now;
+    this.#meters.clear();
   }
 
   /** Units that may be used within a window. */
--- a/src/coordination/gateway/orderWaiting.ts
+++ b/src/coordination/gateway/orderWaiting.ts
@@ -55,6 +55,7 @@
     (a, b) =>
       a.starved - b.starved ||
       a.late - b.late ||
+      a.entry.ticket.accountPriority - b.entry.ticket.accountPriority ||
       a.entry.ticket.priority - b.entry.ticket.priority ||
       b.worthPerMs - a.worthPerMs,
   );
--- a/src/protocol/peer/Placement.ts
+++ b/src/protocol/peer/Placement.ts
@@ -9,7 +9,9 @@
   service: Schema.NonEmptyString,
   route: Schema.String,
   account: Schema.optionalKey(Schema.String),
-  /** Rank; 0 is served first. */
+  /** Rank of the client account, which goes before that of the route; 0 is served first. */
+  accountPriority: Schema.Finite,
+  /** Rank of the route; 0 is served first. */
   priority: Schema.Finite,
   promptTokens: Schema.Finite,
   /** Expected length of the answer. */
@@ -97,7 +99,7 @@
   }),
   /** Sign of life of the scheduler to those who wait. */
   Schema.TaggedStruct('schedulerAlive', { configurationVersion: Schema.Finite }),
-  /** What a gateway needs to schedule in the place of this one: engine speeds and what is left of quotas. */
+  /** What a gateway needs to schedule in the place of this one: the speeds of engines. */
   Schema.TaggedStruct('schedulerNotes', {
     engines: Schema.Array(
       Schema.Struct({
@@ -106,10 +108,6 @@
         decodeMsPerToken: Milliseconds,
       }),
     ),
-    /** Units that may be used at once. */
-    quotaLevels: Schema.Array(
-      Schema.Struct({ account: Schema.NonEmptyString, units: Schema.Finite }),
-    ),
   }),
   /** Changes of the store, from one that watches it to those that don't. */
   Schema.TaggedStruct('storeChanges', {
--- a/test/load/playLoad.ts
+++ b/test/load/playLoad.ts
@@ -194,6 +194,7 @@
           id,
           service: SERVICE,
           route: kind.name,
+          accountPriority: 1,
           priority: kind.priority,
           promptTokens: request.promptTokens,
           outputTokens: request.expectedOutputTokens,
