--- a/test/load/loadPattern.ts
+++ b/test/load/loadPattern.ts
@@ -35,11 +35,15 @@
   readonly outputTokens: number;
   /** The caller's estimate, right at the median and often far off. */
   readonly expectedOutputTokens: number;
+  /** Time that this caller waits; callers of a kind differ a little. */
+  readonly patienceMs: number;
   /** Share of the kind's worth, by size. */
   readonly weight: number;
 }
 
 const HINT_SPREAD = 0.5;
+/** Part of the deadline by which some callers wait less. */
+const PATIENCE_SPREAD = 0.15;
 const PAUSE_MS = 500;
 
 /** The kinds of a brokerage: long readings first, then quotes, then briefs. */
@@ -130,6 +134,7 @@
     promptTokens,
     outputTokens,
     expectedOutputTokens: Math.max(1, outputTokens * Math.exp(HINT_SPREAD * normal(random))),
+    patienceMs: kind.deadlineMs * (1 - PATIENCE_SPREAD * uniformFloat64(random)),
     weight: Math.min(4, 0.3 + 0.7 * size),
   };
 };
--- a/test/load/playLoad.ts
+++ b/test/load/playLoad.ts
@@ -1,5 +1,5 @@
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
-import { PlacementScheduler } from '../../src/coordination/gateway/index.ts';
+import { CallerPatience, PlacementScheduler } from '../../src/coordination/gateway/index.ts';
 import type { EndpointRecord } from '../../src/state/gateway/index.ts';
 import { Timeline } from './Timeline.ts';
 import { boundOf } from './boundOf.ts';
@@ -104,6 +104,8 @@
 
   readonly #scheduler = new PlacementScheduler();
 
+  readonly #patience = new CallerPatience();
+
   readonly #engines = new Map<string, EngineModel>();
 
   readonly #attempts = new Map<string, Attempt>();
@@ -185,7 +187,8 @@
       longestPauseMs: 0,
       over: false,
     });
-    const remainingMs = kind.deadlineMs - (now - request.at);
+    const remainingMs = request.patienceMs - (now - request.at);
+    const waitedBeforeMs = this.#patience.waitedBefore(kind.name, remainingMs);
     this.#timeline.add(now + remainingMs, () => this.#giveUp(id));
     this.#timeline.add(now + HOP_MS, (at) => {
       this.#scheduler.request(
@@ -199,7 +202,7 @@
           promptTokens: request.promptTokens,
           outputTokens: request.expectedOutputTokens,
           quotaUnits: 0,
-          targetMs: kind.targetMs - (now - request.at),
+          targetMs: kind.targetMs - waitedBeforeMs,
           gapMs: LONGEST_PAUSE_MS,
           tokensPerEvent: TOKENS_PER_EVENT,
           remainingMs,
@@ -299,7 +302,7 @@
     this.#heldMs += now - arrivedAt;
     this.#cost += costOfRefusal(request, number, now - arrivedAt);
     this.#refusals += 1;
-    const leftMs = request.kind.deadlineMs - (now - request.at);
+    const leftMs = request.patienceMs - (now - request.at);
     if (number >= RETRIES) {
       const outcome = this.#kind(request.kind.name);
       outcome.refused += 1;
