--- a/src/app/gateway/EndpointTry.ts
+++ b/src/app/gateway/EndpointTry.ts
@@ -172,7 +172,8 @@
   #onFirstByte(): void {
     const { parts, ticketId } = this.#options;
     this.#firstByteAt = parts.now();
-    if (ticketId !== undefined) parts.desk.started(ticketId);
+    if (ticketId !== undefined && this.#isStream())
+      parts.desk.started(ticketId, this.#firstByteAt - this.#sentAt);
   }
 
   #onStreamed(bytes: Buffer): void {
@@ -251,12 +252,11 @@
   #measured(
     outcome: PlacementResult['outcome'],
     now: number,
-  ): Pick<PlacementResult, 'firstTokenMs' | 'decodeMs' | 'outputTokens'> {
+  ): Pick<PlacementResult, 'decodeMs' | 'outputTokens'> {
     const firstByteAt = this.#firstByteAt;
     if (outcome !== 'served' || firstByteAt === undefined) return {};
     const tokensPerEvent = this.#options.request.service.engine?.tokensPerEvent ?? 1;
     return {
-      firstTokenMs: firstByteAt - this.#sentAt,
       decodeMs: now - firstByteAt,
       outputTokens: Math.max(0, this.#counter.count - 1) * tokensPerEvent,
     };
--- a/src/app/gateway/PeerGroup.ts
+++ b/src/app/gateway/PeerGroup.ts
@@ -22,6 +22,9 @@
   readonly onEnded: (incarnation: string) => void;
 }
 
+/** Time in which seeds are tried often: after a loss of power all gateways start at about the same time. */
+const EAGER_JOIN_MS = 15_000;
+const EAGER_JOIN_INTERVAL_MS = 150;
 /** Members lately found dead count as cut off, so that shares are kept for them. */
 const CUT_OFF_KEPT_MS = 10_000;
 
@@ -44,6 +47,12 @@
 
   readonly #reported = new Set<string>();
 
+  #seeds: readonly string[] = [];
+
+  #eagerUntil = Number.NEGATIVE_INFINITY;
+
+  #contactAt = Number.NEGATIVE_INFINITY;
+
   constructor(options: PeerGroupOptions) {
     this.#options = options;
     this.#membership = new Membership(options);
@@ -53,9 +62,11 @@
     return this.#membership.members()[0]?.incarnation ?? '';
   }
 
-  /** Makes contact with addresses of gateways. */
+  /** Makes contact with addresses of gateways; those that don't answer are tried again. */
   join(addresses: readonly string[], now: number): void {
-    this.#run(this.#membership.join(addresses, now), now);
+    this.#seeds = addresses;
+    this.#eagerUntil = now + EAGER_JOIN_MS;
+    this.#contactSeeds(now);
   }
 
   /** Does what is due. */
@@ -64,6 +75,7 @@
       this.#run(this.#membership.restart(this.#options.nextIncarnation(), now), now);
     }
     this.#run(this.#membership.tick(now), now);
+    if (now < this.#eagerUntil && now >= this.#contactAt) this.#contactSeeds(now);
     this.#noteEnded(now);
   }
 
@@ -154,6 +166,11 @@
       .forEach(({ peerAddress }) => this.#options.network.send(peerAddress, message));
   }
 
+  #contactSeeds(now: number): void {
+    this.#contactAt = now + EAGER_JOIN_INTERVAL_MS;
+    this.#run(this.#membership.join(this.#seeds, now), now);
+  }
+
   #run(actions: readonly Action[], now: number): void {
     actions.forEach((action) => {
       switch (action._tag) {
--- a/src/app/gateway/PlacementDesk.ts
+++ b/src/app/gateway/PlacementDesk.ts
@@ -141,12 +141,12 @@
   }
 
   /** Notes the first token of a request. */
-  started(id: string): void {
+  started(id: string, firstTokenMs: number): void {
     const held = this.#held.get(id);
     if (held === undefined) return;
     held.started = true;
-    this.scheduler.started(id, this.#options.now());
-    this.#tellLeader({ _tag: 'placementStarted', id });
+    this.scheduler.started(id, firstTokenMs, this.#options.now());
+    this.#tellLeader({ _tag: 'placementStarted', id, firstTokenMs });
   }
 
   /** Gives a slot back. */
@@ -202,7 +202,7 @@
         message.ids.forEach((id) => this.scheduler.withdraw(id));
         return;
       case 'placementStarted':
-        this.scheduler.started(message.id, now);
+        this.scheduler.started(message.id, message.firstTokenMs, now);
         return;
       case 'placementEnd':
         this.scheduler.ended(message.id, message.result, now);
--- a/src/coordination/gateway/EngineEstimate.ts
+++ b/src/coordination/gateway/EngineEstimate.ts
@@ -1,15 +1,5 @@
 import { LogMean } from '../scheduling/LogMean.ts';
 
-/** What a finished request showed of its engine. */
-export interface EngineSample {
-  /** Prompt tokens that the engine had to read before the first token, those queued before included. */
-  readonly tokensToRead: number;
-  readonly firstTokenMs: number;
-  /** From the first token to the last. */
-  readonly decodeMs: number;
-  readonly outputTokens: number;
-}
-
 /** Stand in until something is learned; what is learned replaces them within a few requests. */
 const DEFAULT_READ_MS_PER_TOKEN = 0.02;
 const DEFAULT_DECODE_MS_PER_TOKEN = 6;
@@ -42,16 +32,29 @@
   /** Time to make a token, in ms. */
   decodeMsPerToken = DEFAULT_DECODE_MS_PER_TOKEN;
 
-  /** Learns from a finished request. */
-  learn({ tokensToRead, firstTokenMs, decodeMs, outputTokens }: EngineSample): void {
-    if (tokensToRead >= LEAST_TOKENS_TO_LEARN.read) {
-      const perToken = Math.max(1, firstTokenMs - FIRST_TOKEN_BASE_MS) / tokensToRead;
-      this.#read.learn(Math.log(perToken / DEFAULT_READ_MS_PER_TOKEN), 1);
-      this.#samples += 1;
-    }
-    if (outputTokens >= LEAST_TOKENS_TO_LEARN.decode && decodeMs > 0) {
-      this.#decode.learn(Math.log(decodeMs / outputTokens / DEFAULT_DECODE_MS_PER_TOKEN), 1);
-    }
+  /**
+   * Learns from a first token.
+   *
+   * @param tokensToRead - prompt tokens that were read before it, of requests before included
+   * @param firstTokenMs - time from sending the request, in ms
+   */
+  learnRead(tokensToRead: number, firstTokenMs: number): void {
+    if (tokensToRead < LEAST_TOKENS_TO_LEARN.read) return;
+    const perToken = Math.max(1, firstTokenMs - FIRST_TOKEN_BASE_MS) / tokensToRead;
+    this.#read.learn(Math.log(perToken / DEFAULT_READ_MS_PER_TOKEN), 1);
+    this.#samples += 1;
+    this.#update();
+  }
+
+  /**
+   * Learns from a finished answer.
+   *
+   * @param outputTokens - tokens after the first
+   * @param decodeMs - time from the first token to the last, in ms
+   */
+  learnDecode(outputTokens: number, decodeMs: number): void {
+    if (outputTokens < LEAST_TOKENS_TO_LEARN.decode || decodeMs <= 0) return;
+    this.#decode.learn(Math.log(decodeMs / outputTokens / DEFAULT_DECODE_MS_PER_TOKEN), 1);
     this.#update();
   }
 
--- a/src/coordination/gateway/PlacementScheduler.ts
+++ b/src/coordination/gateway/PlacementScheduler.ts
@@ -100,25 +100,25 @@
     this.#waiting.delete(id);
   }
 
-  /** Notes the first token of a running request. */
-  started(id: string, now: number): void {
-    this.#findRunning(id)?.engine.start(id, now);
+  /** Notes the first token of a running request, and learns from the time that it took. */
+  started(id: string, firstTokenMs: number, now: number): void {
+    const running = this.#findRunning(id);
+    if (running === undefined) return;
+    const { engine, placement } = running;
+    if (!placement.started) engine.estimate.learnRead(placement.tokensToRead, firstTokenMs);
+    engine.start(id, now);
   }
 
   /** Frees a slot and learns from how its request ended. */
   ended(id: string, result: PlacementResult, now: number): void {
     const running = this.#findRunning(id);
     if (running === undefined) return;
-    const { engine, placement } = running;
+    const { engine } = running;
     engine.end(id, now);
     engine.condition.learn(result.outcome, now);
-    if (result.firstTokenMs === undefined) return;
-    engine.estimate.learn({
-      tokensToRead: placement.tokensToRead,
-      firstTokenMs: result.firstTokenMs,
-      decodeMs: result.decodeMs ?? 0,
-      outputTokens: result.outputTokens ?? 0,
-    });
+    const { decodeMs, outputTokens } = result;
+    if (decodeMs === undefined || outputTokens === undefined) return;
+    engine.estimate.learnDecode(outputTokens, decodeMs);
   }
 
   /** Replaces all that is held of one gateway by what it says of itself. */
--- a/src/protocol/peer/Placement.ts
+++ b/src/protocol/peer/Placement.ts
@@ -67,7 +67,6 @@
     'cancelled',
     'unused',
   ]),
-  firstTokenMs: Schema.optionalKey(Milliseconds),
   decodeMs: Schema.optionalKey(Milliseconds),
   outputTokens: Schema.optionalKey(Schema.Finite),
 });
@@ -90,7 +89,10 @@
     retryAfterMs: Milliseconds,
   }),
   Schema.TaggedStruct('placementWithdraw', { ids: Schema.Array(Schema.NonEmptyString) }),
-  Schema.TaggedStruct('placementStarted', { id: Schema.NonEmptyString }),
+  Schema.TaggedStruct('placementStarted', {
+    id: Schema.NonEmptyString,
+    firstTokenMs: Milliseconds,
+  }),
   Schema.TaggedStruct('placementEnd', { id: Schema.NonEmptyString, result: PlacementResult }),
   /** All that a gateway runs and waits for; replaces what the scheduler held of it. */
   Schema.TaggedStruct('placementState', {
--- a/test/load/playLoad.ts
+++ b/test/load/playLoad.ts
@@ -254,7 +254,8 @@
     if (attempt === undefined || attempt.over) return;
     if (attempt.firstAt === undefined) {
       attempt.firstAt = now;
-      this.#timeline.add(now + HOP_MS, (at) => this.#scheduler.started(id, at));
+      const firstTokenMs = now - attempt.sentAt;
+      this.#timeline.add(now + HOP_MS, (at) => this.#scheduler.started(id, firstTokenMs, at));
     } else if (tokens % TOKENS_PER_EVENT === 0) {
       attempt.longestPauseMs = Math.max(attempt.longestPauseMs, now - attempt.lastAt);
     } else {
@@ -267,7 +268,7 @@
     const attempt = this.#attempts.get(id);
     if (attempt === undefined || attempt.over) return;
     attempt.over = true;
-    const { request, firstAt = now, sentAt } = attempt;
+    const { request, firstAt = now } = attempt;
     const { kind } = request;
     const isOnTime =
       firstAt - request.at <= kind.targetMs && attempt.longestPauseMs <= LONGEST_PAUSE_MS;
@@ -284,7 +285,6 @@
         id,
         {
           outcome: 'served',
-          firstTokenMs: firstAt - sentAt,
           decodeMs: now - firstAt,
           outputTokens: request.outputTokens,
         },
