--- a/src/coordination/gateway/EngineGroup.ts
+++ b/src/coordination/gateway/EngineGroup.ts
@@ -12,6 +12,10 @@
   readonly engineMs: number;
 }
 
+/** An engine whose failure rate is so far above the mean of all is only probed. */
+const FAILURE_MARGIN = 0.3;
+/** Requests that an engine gets at once while it is only probed. */
+const PROBES = 1;
 /** Keeps ratios to the time that a request takes finite. */
 const LEAST_ENGINE_MS = 0.1;
 
@@ -27,6 +31,8 @@
 
   readonly #meanSlots: number;
 
+  readonly #meanFailureRate: number;
+
   constructor(engines: readonly EngineLoad[]) {
     this.engines = engines;
     const reads = engines.map(({ estimate }) => estimate.readMsPerToken);
@@ -35,9 +41,22 @@
     this.#fastestRead = Math.min(...reads);
     this.#meanRead = mean(reads);
     this.#meanDecode = mean(engines.map(({ estimate }) => estimate.decodeMsPerToken));
+    this.#meanFailureRate = mean(engines.map(({ condition }) => condition.failureRate));
     this.#meanSlots = Math.max(1, mean(engines.map(({ record }) => record.slots)));
   }
 
+  /**
+   * Tells how many requests an engine may run now. One that fails much more than the others gets few:
+   * it ends what it gets soonest, and would draw everything.
+   *
+   * @param engine - an engine of the group
+   * @param slots - what it may run while it is sound
+   */
+  slots(engine: EngineLoad, slots: number): number {
+    const isFailing = engine.condition.failureRate > this.#meanFailureRate + FAILURE_MARGIN;
+    return isFailing ? Math.min(PROBES, slots) : slots;
+  }
+
   /** Tells how long a request would take; without engines there is no first token. */
   forecast({ promptTokens, outputTokens }: PlacementTicket): Forecast {
     const decodeMs = outputTokens * this.#meanDecode;
--- a/src/coordination/gateway/PlacementScheduler.ts
+++ b/src/coordination/gateway/PlacementScheduler.ts
@@ -10,6 +10,7 @@
 import { EngineLoad, type RunningPlacement } from './EngineLoad.ts';
 import { orderWaiting, shareGroup, type WaitingPlacement } from './orderWaiting.ts';
 import { chooseEngine, type EngineChoice } from './chooseEngine.ts';
+import { preferTrusted } from './preferTrusted.ts';
 import { RouteSizes } from './RouteSizes.ts';
 import { ServedShares } from './ServedShares.ts';
 
@@ -201,7 +202,7 @@
 
   #runService(service: string, now: number): PlacementDecision[] {
     const engines = [...this.#engines.values()].filter(({ record }) => record.service === service);
-    const group = new EngineGroup(engines.filter(({ condition }) => condition.isReachable(now)));
+    const group = new EngineGroup(preferTrusted(engines, ({ condition }) => condition, now));
     const waiting = [...this.#waiting.values()].filter(({ ticket }) => ticket.service === service);
     const ordered = orderWaiting(waiting, {
       group,
@@ -258,7 +259,7 @@
       targetMs,
       remainingMs,
       now,
-      slotsOf: (engine) => this.#slots(engine),
+      slotsOf: (engine) => group.slots(engine, this.#slots(engine)),
     });
     if (choice !== undefined) return this.#grant(entry, choice, now);
     const isLate = expectedWaitMs + group.forecast(ticket).firstTokenMs > targetMs;
@@ -267,7 +268,7 @@
       targetMs: Number.POSITIVE_INFINITY,
       remainingMs,
       now,
-      slotsOf: (engine) => this.#slots(engine),
+      slotsOf: (engine) => group.slots(engine, this.#slots(engine)),
     });
     return late === undefined ? refuse('overload') : this.#grant(entry, late, now);
   }
--- a/src/coordination/gateway/PlainEndpoints.ts
+++ b/src/coordination/gateway/PlainEndpoints.ts
@@ -1,6 +1,7 @@
 import type { EndpointRecord } from '../../state/gateway/index.ts';
 import type { PlacementResult } from '../../protocol/peer/Placement.ts';
 import { EndpointCondition } from './EndpointCondition.ts';
+import { preferTrusted } from './preferTrusted.ts';
 
 interface PlainEndpoint {
   inFlight: number;
@@ -34,8 +35,10 @@
     fraction: number,
     now: number,
   ): EndpointRecord | undefined {
-    const usable = records.filter(
-      (record) => !avoid.includes(record.id) && this.#of(record).condition.isReachable(now),
+    const usable = preferTrusted(
+      records.filter(({ id }) => !avoid.includes(id)),
+      (record) => this.#of(record).condition,
+      now,
     );
     const start = Math.floor(fraction * usable.length);
     const turned = [...usable.slice(start), ...usable.slice(0, start)];
--- a/test/load/EngineModel.ts
+++ b/test/load/EngineModel.ts
@@ -9,6 +9,12 @@
 export interface EngineShape {
   readonly slots: number;
   readonly slowness: number;
+  /** A time in which the engine does nothing with what it gets, and says so at once. */
+  readonly fault?: {
+    readonly outcome: 'failed' | 'turnedAway';
+    readonly fromMs: number;
+    readonly toMs: number;
+  };
 }
 
 /** What an engine tells while it works. */
@@ -49,6 +55,14 @@
     this.#listener = listener;
   }
 
+  /** How the engine ends a request at once that comes now, or undefined where it takes it. */
+  faultAt(now: number): 'failed' | 'turnedAway' | undefined {
+    const { fault } = this.#shape;
+    return fault !== undefined && now >= fault.fromMs && now < fault.toMs
+      ? fault.outcome
+      : undefined;
+  }
+
   /** Adds a request, which waits where all slots are taken. */
   add(work: EngineWork, now: number): void {
     this.#queue.push(work);
--- a/test/load/patterns.test.ts
+++ b/test/load/patterns.test.ts
@@ -49,6 +49,27 @@
     });
   });
 
+  describe('while one engine fails at once whatever it gets', () => {
+    const outcomes = play(PATTERNS.failing);
+
+    it('sends it few requests, though it always has a free slot', () => {
+      const lost = ['review', 'quote', 'brief'].map((name) =>
+        kindMean(outcomes, name, ({ unfinished }) => unfinished),
+      );
+      expect(Math.max(...lost)).toBeLessThan(20);
+      expect(mean(outcomes, ({ worstWindow }) => worstWindow)).toBeGreaterThan(0.65);
+    });
+  });
+
+  describe('while one engine turns everything away at once', () => {
+    const outcomes = play(PATTERNS.turningAway);
+
+    it('loses hardly any request to it', () => {
+      expect(kindMean(outcomes, 'review', ({ unfinished }) => unfinished)).toBeLessThan(6);
+      expect(kindMean(outcomes, 'review', share)).toBeGreaterThan(0.93);
+    });
+  });
+
   describe('under more than the engines can do for half a minute', () => {
     const outcomes = play(PATTERNS.sustained);
 
--- a/test/load/patterns.ts
+++ b/test/load/patterns.ts
@@ -8,6 +8,13 @@
 /** Four fast engines and two that take more than four times as long. */
 export const UNLIKE_ENGINES: readonly EngineShape[] = [FAST, FAST, SLOW, FAST, FAST, SLOW];
 
+const FAULT_MS = { fromMs: 8_000, toMs: 16_000 };
+
+const withFault = (outcome: 'failed' | 'turnedAway'): readonly EngineShape[] => [
+  { ...FAST, fault: { ...FAULT_MS, outcome } },
+  ...UNLIKE_ENGINES.slice(1),
+];
+
 const times = (kinds: readonly RequestKind[], factor: number): readonly RequestKind[] =>
   kinds.map((kind) => ({ ...kind, perSecond: kind.perSecond * factor }));
 
@@ -29,4 +36,18 @@
     durationMs: 30_000,
     bursts: [{ fromMs: 3_000, toMs: 8_000, factor: 1.6 }],
   },
+  /** One engine fails at once whatever it gets, for eight seconds. */
+  failing: {
+    kinds: times(BROKERAGE, 1.4),
+    engines: withFault('failed'),
+    durationMs: 30_000,
+    bursts: [],
+  },
+  /** One engine turns everything away at once, for eight seconds. */
+  turningAway: {
+    kinds: times(BROKERAGE, 1.4),
+    engines: withFault('turnedAway'),
+    durationMs: 30_000,
+    bursts: [],
+  },
 } satisfies Record<string, Omit<LoadPlay, 'seed'>>;
--- a/test/load/playLoad.ts
+++ b/test/load/playLoad.ts
@@ -64,6 +64,10 @@
   lastAt: number;
   longestPauseMs: number;
   over: boolean;
+  /** Engines that turned it away. */
+  readonly avoid: string[];
+  readonly remainingMs: number;
+  readonly waitedBeforeMs: number;
 }
 
 const OWNER = 'gateway';
@@ -72,6 +76,8 @@
 const HOP_MS = 1.5;
 const TOKENS_PER_EVENT = 5;
 const RETRIES = 1;
+/** Engines that a request is offered to before it is lost. */
+const OFFERS = 3;
 /** Part of the time left that a caller waits at most before it comes back. */
 const LONGEST_RETURN_SHARE = 1 / 3;
 const WINDOW_MS = 2_000;
@@ -175,8 +181,8 @@
 
   #arrive(request: LoadRequest, number: number, now: number): void {
     const id = `${request.id}/${number}`;
-    const { kind } = request;
-    this.#attempts.set(id, {
+    const remainingMs = request.patienceMs - (now - request.at);
+    const attempt: Attempt = {
       request,
       number,
       arrivedAt: now,
@@ -186,32 +192,39 @@
       lastAt: 0,
       longestPauseMs: 0,
       over: false,
-    });
-    const remainingMs = request.patienceMs - (now - request.at);
-    const waitedBeforeMs = this.#patience.waitedBefore(kind.name, remainingMs);
+      avoid: [],
+      remainingMs,
+      waitedBeforeMs: this.#patience.waitedBefore(request.kind.name, remainingMs),
+    };
+    this.#attempts.set(id, attempt);
     this.#timeline.add(now + remainingMs, () => this.#giveUp(id));
-    this.#timeline.add(now + HOP_MS, (at) => {
-      this.#scheduler.request(
-        OWNER,
-        {
-          id,
-          service: SERVICE,
-          route: kind.name,
-          accountPriority: 1,
-          priority: kind.priority,
-          promptTokens: request.promptTokens,
-          outputTokens: request.expectedOutputTokens,
-          quotaUnits: 0,
-          targetMs: kind.targetMs - waitedBeforeMs,
-          gapMs: LONGEST_PAUSE_MS,
-          tokensPerEvent: TOKENS_PER_EVENT,
-          remainingMs,
-          avoid: [],
-        },
-        at,
-      );
-      this.#decide(at);
-    });
+    this.#timeline.add(now + HOP_MS, (at) => this.#request(id, attempt, at));
+  }
+
+  #request(id: string, attempt: Attempt, now: number): void {
+    const { request, arrivedAt, remainingMs, waitedBeforeMs, avoid } = attempt;
+    const { kind, promptTokens, expectedOutputTokens } = request;
+    const waitedMs = now - arrivedAt;
+    this.#scheduler.request(
+      OWNER,
+      {
+        id,
+        service: SERVICE,
+        route: kind.name,
+        accountPriority: 1,
+        priority: kind.priority,
+        promptTokens,
+        outputTokens: expectedOutputTokens,
+        quotaUnits: 0,
+        targetMs: kind.targetMs - waitedBeforeMs - waitedMs,
+        gapMs: LONGEST_PAUSE_MS,
+        tokensPerEvent: TOKENS_PER_EVENT,
+        remainingMs: remainingMs - waitedMs,
+        avoid: [...avoid],
+      },
+      now,
+    );
+    this.#decide(now);
   }
 
   #decide(now: number): void {
@@ -233,6 +246,11 @@
       this.#scheduler.ended(id, { outcome: 'unused' }, now);
       return;
     }
+    const fault = engine.faultAt(now);
+    if (fault !== undefined) {
+      this.#endAtOnce(id, attempt, endpoint, fault, now);
+      return;
+    }
     attempt.engine = engine;
     attempt.sentAt = now;
     const { promptTokens, outputTokens } = attempt.request;
@@ -241,6 +259,32 @@
     if (wasIdle) this.#follow(engine);
   }
 
+  /** A failure loses the request; what was turned away is offered to another engine. */
+  #endAtOnce(
+    id: string,
+    attempt: Attempt,
+    endpoint: string,
+    outcome: 'failed' | 'turnedAway',
+    now: number,
+  ): void {
+    this.#timeline.add(now + HOP_MS, (at) => {
+      this.#scheduler.ended(id, { outcome }, at);
+      if (outcome === 'turnedAway' && attempt.avoid.length < OFFERS) {
+        attempt.avoid.push(endpoint);
+        this.#request(id, attempt, at);
+        return;
+      }
+      this.#lose(attempt);
+    });
+  }
+
+  #lose(attempt: Attempt): void {
+    const lost = attempt;
+    if (lost.over) return;
+    lost.over = true;
+    this.#kind(lost.request.kind.name).unfinished += 1;
+  }
+
   #follow(engine: EngineModel): void {
     if (engine.nextAt === undefined) return;
     this.#timeline.add(engine.nextAt, (now) => {
