Find out within a second a watcher that is cut off from the store

Watchers now tell all members how far they see, at once where something changed; who stays behind for 400 ms watches itself.

--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -20,7 +20,13 @@
       .map((other) => `./src/${other}`),
     message: `src/${layer} may import only: ${[layer, ...allowed].join(', ')}`,
   }))
-  .filter(({ from }) => from.length > 0);
+  .filter(({ from }) => from.length > 0)
+  // An adapter is known to the start of its program only, which stands beside it.
+  .concat({
+    target: './src',
+    from: ['./platform'],
+    message: 'src may not import an adapter',
+  });
 
 export default [
   { ignores: ['dist/**', 'target/**', 'journal/**', 'node_modules/**'] },
--- a/src/app/gateway/StoreFollower.ts
+++ b/src/app/gateway/StoreFollower.ts
@@ -16,7 +16,7 @@
   readonly store: ObjectStore;
   readonly wire: Pick<WireAdapter, 'readRouteTable' | 'readEndpoint'>;
   readonly directory: EndpointDirectory;
-  readonly group: Pick<PeerGroup, 'incarnation' | 'storeWatcher' | 'nearby' | 'send'>;
+  readonly group: Pick<PeerGroup, 'incarnation' | 'storeWatcher' | 'nearby' | 'send' | 'broadcast'>;
   readonly logger: Logger;
   /** Present time in ms, monotonic. */
   readonly now: () => number;
@@ -26,8 +26,8 @@
   readonly onEndpoints: () => void;
 }
 
-/** Longest wait of one watch: a connection that went silent is noticed within it. */
-const WATCH_WAIT_MS = 2_500;
+/** Longest wait of one watch: a connection that went silent is noticed soon after it. */
+const WATCH_WAIT_MS = 900;
 /** How often a watcher gives a sign of life to those who rely on it. */
 const SIGN_INTERVAL_MS = 400;
 
@@ -102,8 +102,10 @@
 
   /** Takes a message of one that watches the store. */
   handle(from: string, message: PeerMessage): void {
-    const { directory, now } = this.#options;
-    if (message._tag === 'storeWatcherAlive') this.#trust.hear(from, message, now());
+    const { directory, group, now } = this.#options;
+    if (message._tag === 'storeWatcherAlive') {
+      this.#trust.hear(from, group.storeWatcher(), message, now());
+    }
     if (message._tag !== 'storeChanges') return;
     const { kind, fromRevision, toRevision, changes, afterOutage } = message;
     if (afterOutage && !directory.isAfterOutage(now())) {
@@ -113,15 +115,16 @@
     this.#watches[kind].takeRelayed(fromRevision, toRevision, changes);
   }
 
-  #signal(now: number): void {
-    if (now - this.#signSentAt < SIGN_INTERVAL_MS) return;
+  /** Tells all members how far the store is seen here: often, and at once where something changed. */
+  #signal(now: number, isDue = now - this.#signSentAt >= SIGN_INTERVAL_MS): void {
+    if (!isDue) return;
     this.#signSentAt = now;
     const { configuration, endpoints } = this.#watches;
-    this.#tellNearby({
+    this.#options.group.broadcast({
       _tag: 'storeWatcherAlive',
       reached: configuration.reached && endpoints.reached,
-      configurationRevision: configuration.revision,
-      endpointsRevision: endpoints.revision,
+      configurationRevision: configuration.changedRevision,
+      endpointsRevision: endpoints.changedRevision,
     });
   }
 
@@ -133,19 +136,17 @@
   ): void {
     const { group, directory, now } = this.#options;
     if (group.storeWatcher() !== group.incarnation) return;
-    this.#tellNearby({
+    const afterOutage = directory.isAfterOutage(now());
+    const message: PeerMessage = {
       _tag: 'storeChanges',
       kind,
       fromRevision,
       toRevision,
       changes,
-      afterOutage: directory.isAfterOutage(now()),
-    });
-  }
-
-  #tellNearby(message: PeerMessage): void {
-    const { group } = this.#options;
+      afterOutage,
+    };
     group.nearby().forEach(({ incarnation }) => group.send(incarnation, message));
+    if (changes.length > 0) this.#signal(now(), true);
   }
 
   #configurationListener(): StoreWatchListener {
@@ -180,7 +181,7 @@
   }
 
   #dependency(name: string): Pick<StoreWatchListener, 'onRegained' | 'onFailed'> {
-    const { directory, logger, now } = this.#options;
+    const { directory, group, logger, now } = this.#options;
     return {
       onRegained: () => {
         directory.storeAnswered(now());
@@ -188,6 +189,7 @@
       },
       onFailed: (detail) => {
         directory.storeFailed();
+        if (group.storeWatcher() === group.incarnation) this.#signal(now(), true);
         logger.warn({ dependency: name, detail }, 'dependency lost');
       },
     };
--- a/src/app/gateway/StoreWatch.ts
+++ b/src/app/gateway/StoreWatch.ts
@@ -33,7 +33,8 @@
 }
 
 const FIRST_RETRY_MS = 60;
-const LONGEST_RETRY_MS = 600;
+const LONGEST_RETRY_MS = 400;
+const RECOVERY_WAIT_MS = 150;
 
 const sleep = (ms: number): Promise<void> =>
   new Promise((resolve) => {
@@ -48,6 +49,8 @@
 
   #revision: number | undefined;
 
+  #changedRevision = 0;
+
   #failures = 0;
 
   #reached = false;
@@ -74,6 +77,11 @@
     return this.#revision ?? 0;
   }
 
+  /** Store revision of the last change that was seen here, however it came. */
+  get changedRevision(): number {
+    return this.#changedRevision;
+  }
+
   /** Whether the last call was answered. */
   get reached(): boolean {
     return this.#reached && this.#failures === 0;
@@ -99,7 +107,7 @@
     if (this.#revision === undefined || fromRevision > this.#revision) return false;
     if (toRevision <= this.#revision) return true;
     this.#revision = toRevision;
-    if (changes.length > 0) this.#options.listener.onChanges(changes);
+    this.#take(changes);
     return true;
   }
 
@@ -128,7 +136,9 @@
       listener.onList(result.objects);
       return;
     }
-    const result = await store.watch(kind, this.#revision, waitMs);
+    // After a failure the store is asked to answer soon: a wait would hide for longer that it is back.
+    const patienceMs = this.#failures > 0 ? Math.min(waitMs, RECOVERY_WAIT_MS) : waitMs;
+    const result = await store.watch(kind, this.#revision, patienceMs);
     if (this.#stopped) return;
     switch (result._tag) {
       case 'unavailable':
@@ -151,10 +161,17 @@
     // What was relayed meanwhile is newer than an answer that was on its way.
     if (revision <= before) return;
     this.#revision = revision;
-    if (changes.length > 0) this.#options.listener.onChanges(changes);
+    this.#take(changes);
     this.#options.onWatched(before, revision, changes);
   }
 
+  #take(changes: readonly StoredChange[]): void {
+    if (changes.length === 0) return;
+    const revisions = changes.map(({ object }) => object.revision);
+    this.#changedRevision = Math.max(this.#changedRevision, ...revisions);
+    this.#options.listener.onChanges(changes);
+  }
+
   #regained(): void {
     if (this.#reached && this.#failures === 0) return;
     this.#reached = true;
@@ -163,9 +180,9 @@
   }
 
   async #backOff(detail: string): Promise<void> {
-    if (this.#failures === 0) this.#options.listener.onFailed(detail);
     const delayMs = Math.min(LONGEST_RETRY_MS, FIRST_RETRY_MS * 2 ** this.#failures);
     this.#failures += 1;
+    if (this.#failures === 1) this.#options.listener.onFailed(detail);
     await sleep(delayMs * (0.5 + 0.5 * this.#options.random()));
   }
 }
--- a/src/coordination/gateway/RelayTrust.ts
+++ b/src/coordination/gateway/RelayTrust.ts
@@ -1,11 +1,12 @@
 /** What one that watches the store for others says of itself. */
 export interface WatcherSign {
   readonly reached: boolean;
+  /** Store revisions of the last changes that it has seen. */
   readonly configurationRevision: number;
   readonly endpointsRevision: number;
 }
 
-/** Up to where a process knows the store. */
+/** Up to which revision a process knows the store. */
 export interface KnownRevisions {
   readonly configuration: number;
   readonly endpoints: number;
@@ -13,23 +14,41 @@
 
 /** Silence after which a watcher is no longer relied on; three of its signs of life. */
 const SILENCE_MS = 1_300;
-/** Time in which changes that a sign of life tells of must have come. */
-const CATCH_UP_MS = 700;
+/** Time in which a change that any watcher has seen must have come. */
+const CATCH_UP_MS = 400;
 
-/** Whether a process may rely on another one to tell it what changes in the store. */
+/**
+ * Whether a process may rely on another one to tell it what changes in the store. The watchers of all
+ * failure domains say how far they see, so that one that is cut off without knowing it is found out.
+ */
 export class RelayTrust {
   #watcher = '';
 
-  #sign: WatcherSign | undefined;
+  #reached = false;
 
   #heardAt = Number.NEGATIVE_INFINITY;
 
+  #changed: KnownRevisions = { configuration: 0, endpoints: 0 };
+
   #behindSince: number | undefined;
 
-  /** Takes a sign of life. */
-  hear(watcher: string, sign: WatcherSign, now: number): void {
-    this.#watcher = watcher;
-    this.#sign = sign;
+  /**
+   * Takes a sign of life.
+   *
+   * @param from - the watcher that gave it
+   * @param watcher - the one that is relied on here
+   * @param sign - what it says
+   * @param now - present time in ms
+   */
+  hear(from: string, watcher: string, sign: WatcherSign, now: number): void {
+    const { configuration, endpoints } = this.#changed;
+    this.#changed = {
+      configuration: Math.max(configuration, sign.configurationRevision),
+      endpoints: Math.max(endpoints, sign.endpointsRevision),
+    };
+    if (from !== watcher) return;
+    this.#watcher = from;
+    this.#reached = sign.reached;
     this.#heardAt = now;
   }
 
@@ -42,19 +61,13 @@
    * @returns false where the store must be watched here
    */
   mayRely(watcher: string, known: KnownRevisions, now: number): boolean {
-    const sign = this.#sign;
-    const isHeard = this.#watcher === watcher && now - this.#heardAt <= SILENCE_MS;
-    if (sign === undefined || !isHeard || !sign.reached) {
-      this.#behindSince = undefined;
-      return false;
-    }
     const isBehind =
-      known.configuration < sign.configurationRevision || known.endpoints < sign.endpointsRevision;
-    if (!isBehind) {
-      this.#behindSince = undefined;
-      return true;
-    }
-    this.#behindSince ??= now;
-    return now - this.#behindSince <= CATCH_UP_MS;
+      known.configuration < this.#changed.configuration ||
+      known.endpoints < this.#changed.endpoints;
+    if (!isBehind) this.#behindSince = undefined;
+    else this.#behindSince ??= now;
+    const isLeftBehind = this.#behindSince !== undefined && now - this.#behindSince > CATCH_UP_MS;
+    const isHeard = this.#watcher === watcher && now - this.#heardAt <= SILENCE_MS;
+    return isHeard && this.#reached && !isLeftBehind;
   }
 }
--- a/src/protocol/peer/Placement.ts
+++ b/src/protocol/peer/Placement.ts
@@ -135,6 +135,7 @@
   Schema.TaggedStruct('storeWatcherAlive', {
     /** Whether the store answers it. */
     reached: Schema.Boolean,
+    /** Store revisions of the last changes that it has seen. */
     configurationRevision: Schema.Finite,
     endpointsRevision: Schema.Finite,
   }),
