Remove what the gateway doesn't use, and answer small questions in a file of their own

No change of behaviour: the store's writes, prompt parts and the drain bound were read or declared and never used; readiness, addresses and metrics leave runGateway.

--- a/src/app/gateway/runGateway.ts
+++ b/src/app/gateway/runGateway.ts
@@ -13,14 +13,10 @@
 import type { ObjectStore, WireAdapter } from '../../protocol/gateway/index.ts';
 import type { ClientLimits, GatewaySettings } from '../../state/gateway/index.ts';
 import { Timing } from '../../state/Settings.ts';
-import {
-  makeGatewayServer,
-  makePlainServer,
-  type PlainAnswer,
-} from '../../transport/gateway/index.ts';
+import { makeGatewayServer } from '../../transport/gateway/index.ts';
 import { makeConnectionPool, type ConnectionPool } from '../../transport/http/index.ts';
 import { makePeerNetwork } from '../../transport/peer/index.ts';
-import { answerAddresses } from './answerAddresses.ts';
+import { answerQuestions } from './answerQuestions.ts';
 import { drainGateway } from './drainGateway.ts';
 import { Gateway } from './Gateway.ts';
 import type { GatewayLog } from './GatewayLog.ts';
@@ -64,9 +60,6 @@
 /** Endpoints close idle connections after some seconds; one that was idle for less is used again. */
 const ENDPOINT_IDLE_MS = 1_500;
 const STORE_IDLE_MS = 10_000;
-/** Callers keep addresses this long; short, so that a stopping instance is left soon. */
-const ADDRESSES_KEEP_MS = 2_000;
-const METRICS_PATH = '/metrics';
 /** All on the internal network may join: the platform gives processes no secret of their own. */
 const PEER_SECRET = 'gateways-on-the-internal-network';
 
@@ -250,33 +243,15 @@
       (started) => Effect.sync(() => started.stop()),
     );
 
-    const isReady = (): boolean =>
-      gateway.phase._tag === 'serving' && gateway.index !== undefined && follower.endpointsKnown;
-    const readiness = yield* makePlainServer(settings.readiness, ({ pathname }) =>
-      pathname === options.paths.readiness ? { status: isReady() ? 200 : 503 } : undefined,
-    );
-    const keepMs = Math.min(ADDRESSES_KEEP_MS, bounds.addressesKeepMs);
-    const listAddresses = (): PlainAnswer => {
-      const addresses = answerAddresses(group.serving(), group.cutOff(now()));
-      if (addresses.length === 0) return { status: 503 };
-      const text = options.formatAddresses(addresses, keepMs);
-      return { status: 200, contentType: 'application/json', text };
-    };
-    const callerDirectory = yield* makePlainServer(settings.directory, ({ pathname }) =>
-      pathname === options.paths.addresses ? listAddresses() : undefined,
-    );
-    const renderMetrics = async (): Promise<PlainAnswer> => {
-      const text = await metrics.render({
-        configurationVersion: gateway.index?.table.version ?? 0,
-        members: group.alive().length,
-        ...desk.counts(),
-        droppedLogLines: log.dropped(),
-      });
-      return { status: 200, text };
-    };
-    const metricsServer = yield* makePlainServer(settings.metrics, ({ pathname }) =>
-      pathname === METRICS_PATH ? renderMetrics() : undefined,
-    );
+    const questions = yield* answerQuestions({
+      ...options,
+      gateway,
+      follower,
+      group,
+      desk,
+      metrics,
+      now,
+    });
 
     yield* Effect.acquireRelease(
       Effect.sync(() =>
@@ -290,10 +265,8 @@
     );
     const addresses = {
       callers: server.address,
-      readiness,
-      directory: callerDirectory,
       peers: peers.address,
-      metrics: metricsServer,
+      ...questions,
     };
     logger.info(
       { addresses, seeds: settings.seeds, incarnation: group.incarnation },
--- a/src/protocol/gateway/ObjectStore.ts
+++ b/src/protocol/gateway/ObjectStore.ts
@@ -1,5 +1,5 @@
-/** The kinds of objects that a gateway deals with. */
-export type StoredKind = 'configuration' | 'endpoints' | 'rollouts' | 'gateways';
+/** The kinds of objects that a gateway follows. */
+export type StoredKind = 'configuration' | 'endpoints';
 
 /** An object of the platform's store. */
 export interface StoredObject {
@@ -42,26 +42,9 @@
   | { readonly _tag: 'expired' }
   | StoreFailure;
 
-export type WriteResult =
-  | { readonly _tag: 'written'; readonly object: StoredObject }
-  /** Someone else changed it; the object as it is now, where the store gave it. */
-  | { readonly _tag: 'conflict'; readonly object: StoredObject | undefined }
-  | { readonly _tag: 'absent' }
-  /** It may have been done, now or a little later. */
-  | StoreFailure;
-
-/** The platform's store as a gateway uses it. Every call counts against a rate and costs. */
+/** The platform's store as a gateway reads it; it writes nothing. Every call counts against a rate and costs. */
 export interface ObjectStore {
   readonly list: (kind: StoredKind) => Promise<ListResult>;
   /** Waits for changes after a revision, `waitMs` at most. */
   readonly watch: (kind: StoredKind, revision: number, waitMs: number) => Promise<WatchResult>;
-  readonly create: (kind: StoredKind, name: string, spec: unknown) => Promise<WriteResult>;
-  /** Replaces the status where the object is still at the revision given. */
-  readonly putStatus: (
-    kind: StoredKind,
-    object: StoredObject,
-    status: unknown,
-  ) => Promise<WriteResult>;
-  /** Replaces the spec where the object is still at the revision given. */
-  readonly putSpec: (kind: StoredKind, object: StoredObject, spec: unknown) => Promise<WriteResult>;
 }
--- a/src/protocol/gateway/WireAdapter.ts
+++ b/src/protocol/gateway/WireAdapter.ts
@@ -12,8 +12,6 @@
   readonly expectedOutputTokens: number | undefined;
   /** Whether the request states its size in tokens. */
   readonly sized: boolean;
-  /** Ids of the prompt's parts, in order. */
-  readonly promptParts: readonly string[];
   /** Id of the last event that the caller has, where it resumes a stream. */
   readonly lastEventId: string | undefined;
 }
--- a/src/protocol/gateway/index.ts
+++ b/src/protocol/gateway/index.ts
@@ -6,7 +6,6 @@
   StoredObject,
   StoreFailure,
   WatchResult,
-  WriteResult,
 } from './ObjectStore.ts';
 export type {
   AnswerFields,
--- a/src/state/documents/index.ts
+++ b/src/state/documents/index.ts
@@ -5,3 +5,4 @@
 export { loadBundle } from './loadBundle.ts';
 export { loadSettings } from './loadSettings.ts';
 export { leastDurationMs } from './reviewBundle.ts';
+export { loadDocument } from './loadDocument.ts';
--- a/src/state/gateway/GatewaySettings.ts
+++ b/src/state/gateway/GatewaySettings.ts
@@ -10,8 +10,6 @@
 
 /** The figures of the deployment's promises that a gateway acts on. */
 export const GatewayBounds = Schema.Struct({
-  /** Time within which a leaving endpoint gets its last request. */
-  drainMs: NonNegative,
   /** Time from SIGTERM to SIGKILL. */
   graceMs: NonNegative,
   /** Repeats that a service may get, as a share of its requests, over a window and with a slack. */
--- a/test/gateway/startGateway.ts
+++ b/test/gateway/startGateway.ts
@@ -162,7 +162,6 @@
           cores: 1,
           storeAddress: store.address,
           bounds: {
-            drainMs: 2_000,
             graceMs: 3_000,
             retryRatio: 0.2,
             retrySlack: 20,
