Test that a store that was away is asked to answer soon

The test is red without the short wait (900 in place of under 450 ms) and green with it; no product code changes.

--- /dev/null
+++ b/src/app/gateway/StoreWatch.test.ts
@@ -0,0 +1,54 @@
+import { describe, it } from 'node:test';
+import { expect } from 'earl';
+import type { ObjectStore, WatchResult } from '../../protocol/gateway/index.ts';
+import { StoreWatch } from './StoreWatch.ts';
+
+const WAIT_MS = 900;
+
+/** A store whose watches give these results in turn; the last one stops the watch. */
+const play = async (results: readonly WatchResult[]) => {
+  const waits: number[] = [];
+  const told: string[] = [];
+  const holder: { watch?: StoreWatch } = {};
+  const store: ObjectStore = {
+    list: () => Promise.resolve({ _tag: 'listed', objects: [], revision: 10 }),
+    watch: (_kind, _revision, waitMs) => {
+      const result = results[waits.length] ?? { _tag: 'expired' };
+      waits.push(waitMs);
+      if (waits.length > results.length) holder.watch?.stop();
+      return Promise.resolve(result);
+    },
+  };
+  holder.watch = new StoreWatch({
+    store,
+    kind: 'configuration',
+    waitMs: WAIT_MS,
+    random: () => 0,
+    onWatched: () => {},
+    listener: {
+      onList: () => told.push('list'),
+      onChanges: () => told.push('changes'),
+      onRegained: () => told.push('regained'),
+      onFailed: () => told.push(`failed, reached ${holder.watch?.reached}`),
+    },
+  });
+  await holder.watch.run();
+  return { waits, told };
+};
+
+describe('StoreWatch', () => {
+  it('asks a store that was away to answer soon, so that its return is not missed', async () => {
+    const { waits } = await play([
+      { _tag: 'unavailable', detail: 'no answer' },
+      { _tag: 'changed', changes: [], revision: 11 },
+    ]);
+    expect(waits[0]).toEqual(WAIT_MS);
+    expect(waits[1] ?? WAIT_MS).toBeLessThan(WAIT_MS / 2);
+    expect(waits[2]).toEqual(WAIT_MS);
+  });
+
+  it('no longer counts as reaching the store when it tells of a failure', async () => {
+    const { told } = await play([{ _tag: 'unavailable', detail: 'no answer' }]);
+    expect(told).toEqual(['regained', 'list', 'failed, reached false']);
+  });
+});
