Add a fault soak of the real gateway processes, and mend what it found at their start

An error while answering a question is logged too; it was swallowed.

A gateway may advertise another address to its peers than the one it listens at (port mapping), which the links need.

Ruled out: load.

--- a/scripts/buildPlatform.mjs
+++ b/scripts/buildPlatform.mjs
@@ -1,5 +1,7 @@
-// Bundles the gateway for the users' platform into target/gateway.cjs.
+// Bundles the gateway for the users' platform: `node scripts/buildPlatform.mjs [FILE]`.
 import { fileURLToPath } from 'node:url';
 import { bundle } from './bundle.mjs';
 
-await bundle('platform/main.ts', fileURLToPath(new URL('../target/gateway.cjs', import.meta.url)));
+const DEFAULT_FILE = fileURLToPath(new URL('../target/gateway.cjs', import.meta.url));
+
+await bundle('platform/main.ts', process.argv[2] ?? DEFAULT_FILE);
--- a/src/app/gateway/answerQuestions.ts
+++ b/src/app/gateway/answerQuestions.ts
@@ -71,15 +71,25 @@
     });
     return { status: 200, text };
   };
-  return Effect.all({
-    readiness: makePlainServer(settings.readiness, ({ pathname }) =>
-      pathname === paths.readiness ? { status: isReady() ? 200 : 503 } : undefined,
+  const onProblem = (detail: string): void => log.logger.warn({ detail }, 'question not answered');
+  // One that can't listen yet doesn't hold up the others.
+  const servers = {
+    readiness: makePlainServer(
+      settings.readiness,
+      ({ pathname }) =>
+        pathname === paths.readiness ? { status: isReady() ? 200 : 503 } : undefined,
+      onProblem,
     ),
-    directory: makePlainServer(settings.directory, ({ pathname }) =>
-      pathname === paths.addresses ? listAddresses() : undefined,
+    directory: makePlainServer(
+      settings.directory,
+      ({ pathname }) => (pathname === paths.addresses ? listAddresses() : undefined),
+      onProblem,
     ),
-    metrics: makePlainServer(settings.metrics, ({ pathname }) =>
-      pathname === METRICS_PATH ? renderMetrics() : undefined,
+    metrics: makePlainServer(
+      settings.metrics,
+      ({ pathname }) => (pathname === METRICS_PATH ? renderMetrics() : undefined),
+      onProblem,
     ),
-  });
+  };
+  return Effect.all(servers, { concurrency: 'unbounded' });
 };
--- a/src/app/gateway/runGateway.ts
+++ b/src/app/gateway/runGateway.ts
@@ -183,6 +183,7 @@
         metrics.countEnded('', 'rejected', status);
         logger.info({ status, reason }, 'request rejected');
       },
+      onUnavailable: (reason) => logger.warn({ reason }, 'cannot listen for callers yet'),
     });
     const peers = yield* makePeerNetwork({
       address: addressOf(settings.peers),
@@ -194,7 +195,7 @@
       self: {
         incarnation: makeIncarnation(Date.now()),
         callerAddress: server.address,
-        peerAddress: peers.address,
+        peerAddress: settings.advertisedPeerAddress ?? peers.address,
         failureDomain: settings.failureDomain,
         region: settings.region,
         status: 'alive',
--- a/src/state/gateway/GatewaySettings.ts
+++ b/src/state/gateway/GatewaySettings.ts
@@ -37,6 +37,8 @@
   /** Where callers ask which addresses to use. */
   directory: ListenAddress,
   peers: ListenAddress,
+  /** `IP:PORT` under which peers reach this one, where it isn't the address that it listens at. */
+  advertisedPeerAddress: Schema.optionalKey(Schema.NonEmptyString),
   metrics: ListenAddress,
   /** Peer addresses to begin with; some may be stale. */
   seeds: Schema.Array(Schema.NonEmptyString),
--- a/src/transport/gateway/listenAt.ts
+++ b/src/transport/gateway/listenAt.ts
@@ -12,15 +12,20 @@
  *
  * @param server - an HTTP server
  * @param address - where to listen; port 0 takes any free port
+ * @param onUnavailable - told once of each reason for which the address can't be had
  * @returns `IP:PORT` that it is bound to
  */
 export const listenAt = (
   server: http.Server,
   { host, port }: ListenAddress,
+  onUnavailable: (reason: string) => void,
 ): Effect.Effect<string, never, Scope.Scope> =>
   Effect.acquireRelease(
     Effect.callback<string>((resume) => {
-      server.on('error', () => {
+      const told = new Set<string>();
+      server.on('error', ({ message }) => {
+        if (!told.has(message)) onUnavailable(message);
+        told.add(message);
         setTimeout(() => server.listen(port, host), LISTEN_RETRY_MS);
       });
       server.listen(port, host, () => {
--- a/src/transport/gateway/makeGatewayServer.ts
+++ b/src/transport/gateway/makeGatewayServer.ts
@@ -15,6 +15,8 @@
   readonly onRequest: (request: InboundRequest, answer: InboundAnswer) => void;
   /** Told of requests that are refused before they reach `onRequest`. */
   readonly onRejected: (status: number, reason: string) => void;
+  /** Told why its address can't be had yet. */
+  readonly onUnavailable: (reason: string) => void;
 }
 
 /** A server for callers that runs. */
@@ -227,7 +229,7 @@
     server.on('clientError', (error, socket) => {
       options.onRejected(answerBroken(error, socket as Socket), error.message);
     });
-    const address = yield* listenAt(server, options.address);
+    const address = yield* listenAt(server, options.address, options.onUnavailable);
     return {
       address,
       startDraining: () => {
--- a/src/transport/gateway/makePlainServer.ts
+++ b/src/transport/gateway/makePlainServer.ts
@@ -33,19 +33,24 @@
  *
  * @param address - where to listen
  * @param handle - gives the answers
+ * @param onProblem - told of an address that can't be had, and of questions that can't be answered
  * @returns `IP:PORT` that it is bound to
  */
 export const makePlainServer = (
   address: ListenAddress,
   handle: PlainHandler,
+  onProblem: (detail: string) => void,
 ): Effect.Effect<string, never, Scope.Scope> => {
   const server = http.createServer((incoming, response) => {
     incoming.resume();
     const url = new URL(incoming.url ?? '/', 'http://localhost');
     Promise.resolve(incoming.method === 'GET' ? handle(url) : undefined).then(
       (answer) => respond(response, answer ?? NOT_FOUND),
-      () => respond(response, FAILED),
+      (error: Error) => {
+        onProblem(`${url.pathname}: ${error.message}`);
+        respond(response, FAILED);
+      },
     );
   });
-  return listenAt(server, address);
+  return listenAt(server, address, onProblem);
 };
--- a/test/gateway/startObjectStore.ts
+++ b/test/gateway/startObjectStore.ts
@@ -1,6 +1,6 @@
 import * as http from 'node:http';
 import type { AddressInfo } from 'node:net';
-import type { TestContext } from 'node:test';
+import type { Owner } from '../support/Owner.ts';
 
 interface HeldObject {
   readonly metadata: { readonly name: string; readonly revision: number };
@@ -15,6 +15,17 @@
   readonly object: HeldObject;
 }
 
+/** How the store answers. */
+export type StoreCondition =
+  | { readonly _tag: 'sound' }
+  /** 503 to everything. */
+  | { readonly _tag: 'away' }
+  /** No answer to anything. */
+  | { readonly _tag: 'silent' }
+  | { readonly _tag: 'slow'; readonly ms: number }
+  /** Calls are done, and their answers don't arrive. */
+  | { readonly _tag: 'losesAnswers' };
+
 /** The users' store, as far as a gateway speaks to it. */
 export interface ObjectStoreStandIn {
   readonly address: string;
@@ -23,6 +34,7 @@
   readonly get: (kind: string, name: string) => HeldObject | undefined;
   /** Answers 503 to everything until it is set to false again. */
   readonly setAway: (away: boolean) => void;
+  readonly setCondition: (condition: StoreCondition) => void;
   /** Forgets its history, so that watches from before end with 410. */
   readonly compact: () => void;
   /** Watches that wait. */
@@ -34,6 +46,11 @@
 const POLL_MS = 5;
 const PAGE = 3;
 
+const wait = (ms: number): Promise<void> =>
+  new Promise((resolve) => {
+    setTimeout(resolve, ms);
+  });
+
 const readBody = (request: http.IncomingMessage): Promise<string> =>
   new Promise((resolve) => {
     const chunks: Buffer[] = [];
@@ -41,16 +58,18 @@
     request.on('end', () => resolve(Buffer.concat(chunks).toString()));
   });
 
-/** Starts the store on a free port; it closes with the test. */
-export const startObjectStore = async (context: TestContext): Promise<ObjectStoreStandIn> => {
+/** Starts the store on a free port; its owner closes it. */
+export const startObjectStore = async (owner: Owner): Promise<ObjectStoreStandIn> => {
   const kinds = new Map<string, Map<string, HeldObject>>();
   const events: HeldEvent[] = [];
   const calls: string[] = [];
   let revision = 10;
   let oldest = 0;
-  let away = false;
+  let condition: StoreCondition = { _tag: 'sound' };
   let watching = 0;
 
+  const isAway = (): boolean => condition._tag === 'away';
+
   const kindOf = (kind: string): Map<string, HeldObject> => {
     const held = kinds.get(kind) ?? new Map<string, HeldObject>();
     kinds.set(kind, held);
@@ -76,10 +95,8 @@
   const watch = async (kind: string, from: number, waitMs: number) => {
     const until = performance.now() + waitMs;
     const news = () => events.filter((event) => event.kind === kind && event.revision > from);
-    while (news().length === 0 && performance.now() < until && from >= oldest && !away) {
-      await new Promise((resolve) => {
-        setTimeout(resolve, POLL_MS);
-      });
+    while (news().length === 0 && performance.now() < until && from >= oldest && !isAway()) {
+      await wait(POLL_MS);
     }
     return {
       events: news().map(({ removed, object }) => ({ removed, object })),
@@ -88,7 +105,13 @@
   };
 
   const server = http.createServer((request, response) => {
-    const reply = (status: number, body: unknown): void => {
+    const reply = async (status: number, body: unknown): Promise<void> => {
+      if (condition._tag === 'silent') return;
+      if (condition._tag === 'losesAnswers') {
+        response.socket?.destroy();
+        return;
+      }
+      if (condition._tag === 'slow') await wait(condition.ms);
       response.writeHead(status, { 'content-type': 'application/json' });
       response.end(JSON.stringify(body));
     };
@@ -97,13 +120,13 @@
       const [, , , kind = '', name, part] = url.pathname.split('/');
       calls.push(`${request.method} ${url.pathname}`);
       const body = await readBody(request);
-      if (away) return reply(503, { error: 'away' });
+      if (isAway()) return reply(503, { error: 'away' });
       const from = url.searchParams.get('watch');
       if (request.method === 'GET' && from !== null) {
         watching += 1;
         const found = await watch(kind, Number(from), Number(url.searchParams.get('wait_ms')));
         watching -= 1;
-        if (away) return reply(503, { error: 'away' });
+        if (isAway()) return reply(503, { error: 'away' });
         return Number(from) < oldest ? reply(410, {}) : reply(200, found);
       }
       if (request.method === 'GET')
@@ -127,7 +150,7 @@
   await new Promise<void>((resolve) => {
     server.listen(0, '127.0.0.1', resolve);
   });
-  context.after(() => {
+  owner.after(() => {
     server.closeAllConnections();
     server.close();
   });
@@ -140,8 +163,11 @@
       change(kind, name, undefined);
     },
     get: (kind, name) => kindOf(kind).get(name),
-    setAway: (value) => {
-      away = value;
+    setAway: (away) => {
+      condition = { _tag: away ? 'away' : 'sound' };
+    },
+    setCondition: (value) => {
+      condition = value;
     },
     compact: () => {
       oldest = revision;
--- /dev/null
+++ b/test/soak/planSoak.ts
@@ -0,0 +1,130 @@
+import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64';
+import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
+
+/** Something that is done to the system. Indices are taken modulo the number there is. */
+export type SoakAction =
+  | { readonly _tag: 'killGateways'; readonly gateways: readonly number[]; readonly downMs: number }
+  | { readonly _tag: 'stopGateway'; readonly gateway: number; readonly downMs: number }
+  | { readonly _tag: 'pauseGateway'; readonly gateway: number; readonly forMs: number }
+  | {
+      readonly _tag: 'changeSettings';
+      readonly gateway: number;
+      readonly signalled: boolean;
+    }
+  | {
+      readonly _tag: 'harmLink';
+      readonly link: 'store' | 'peers' | 'callers' | 'runner';
+      readonly index: number;
+      readonly how: 'delay' | 'silence' | 'silenceToServer' | 'silenceToCaller' | 'reset';
+      readonly forMs: number;
+    }
+  | {
+      readonly _tag: 'harmStore';
+      readonly how: 'away' | 'silent' | 'slow' | 'losesAnswers';
+      readonly forMs: number;
+    }
+  | { readonly _tag: 'compactStore' }
+  | { readonly _tag: 'crashRunner'; readonly runner: number; readonly downMs: number }
+  | { readonly _tag: 'replaceRunner'; readonly runner: number }
+  | {
+      readonly _tag: 'harmRunner';
+      readonly runner: number;
+      readonly how: 'fails' | 'garbles' | 'truncates' | 'losesAnswers' | 'slow';
+      readonly forMs: number;
+    }
+  | { readonly _tag: 'changeConfiguration' };
+
+/** An action with its time from the start of the traffic, in ms. */
+export interface SoakStep {
+  readonly at: number;
+  readonly action: SoakAction;
+}
+
+/** What a plan is made for. */
+export interface SoakShape {
+  readonly seed: number;
+  /** Time in which faults begin. */
+  readonly faultsMs: number;
+  readonly gateways: number;
+}
+
+/** Mean pause between two actions; actions last longer than that, so that they overlap. */
+const MEAN_PAUSE_MS = 700;
+const LONGEST_FAULT_MS = 4_000;
+const SHORTEST_FAULT_MS = 150;
+/** Longest series of the same action on gateways in turn, as when all are restarted. */
+const LONGEST_SERIES = 4;
+const SERIES_GAP_MS = 600;
+
+const LINKS = ['store', 'peers', 'callers', 'runner'] as const;
+const LINK_HARMS = ['delay', 'silence', 'silenceToServer', 'silenceToCaller', 'reset'] as const;
+const STORE_HARMS = ['away', 'silent', 'slow', 'losesAnswers'] as const;
+const RUNNER_HARMS = ['fails', 'garbles', 'truncates', 'losesAnswers', 'slow'] as const;
+
+/**
+ * Plans what is done to a system, from a seed alone.
+ *
+ * @param shape - seed, time and size
+ * @returns steps in order of time
+ */
+export const planSoak = ({ seed, faultsMs, gateways }: SoakShape): SoakStep[] => {
+  const generator = xoroshiro128plus(seed);
+  const fraction = (): number => uniformFloat64(generator);
+  const below = (count: number): number => Math.floor(fraction() * count);
+  const pick = <T>(values: readonly T[]): T => values[below(values.length)] as T;
+  const forMs = (): number =>
+    Math.round(SHORTEST_FAULT_MS + fraction() ** 2 * (LONGEST_FAULT_MS - SHORTEST_FAULT_MS));
+
+  const makers: readonly (() => SoakAction)[] = [
+    () => ({
+      _tag: 'killGateways',
+      // Mostly one, at times many at the same moment.
+      gateways: Array.from({ length: fraction() < 0.8 ? 1 : 1 + below(gateways) }, () =>
+        below(gateways),
+      ),
+      downMs: forMs(),
+    }),
+    () => ({ _tag: 'stopGateway', gateway: below(gateways), downMs: forMs() }),
+    () => ({ _tag: 'pauseGateway', gateway: below(gateways), forMs: forMs() }),
+    () => ({ _tag: 'changeSettings', gateway: below(gateways), signalled: fraction() < 0.5 }),
+    () => ({
+      _tag: 'harmLink',
+      link: pick(LINKS),
+      index: below(100),
+      how: pick(LINK_HARMS),
+      forMs: forMs(),
+    }),
+    () => ({
+      _tag: 'harmLink',
+      link: 'peers',
+      index: below(gateways),
+      how: pick(LINK_HARMS),
+      forMs: forMs(),
+    }),
+    () => ({ _tag: 'harmStore', how: pick(STORE_HARMS), forMs: forMs() }),
+    () => ({ _tag: 'compactStore' }),
+    () => ({ _tag: 'crashRunner', runner: below(100), downMs: forMs() }),
+    () => ({ _tag: 'replaceRunner', runner: below(100) }),
+    () => ({ _tag: 'harmRunner', runner: below(100), how: pick(RUNNER_HARMS), forMs: forMs() }),
+    () => ({ _tag: 'changeConfiguration' }),
+  ];
+
+  const steps: SoakStep[] = [];
+  let at = 0;
+  while (at < faultsMs) {
+    const action = pick(makers)();
+    steps.push({ at: Math.round(at), action });
+    if (action._tag === 'stopGateway' || action._tag === 'changeConfiguration') {
+      const repeats = below(LONGEST_SERIES);
+      for (let turn = 1; turn <= repeats; turn += 1) {
+        const next = action._tag === 'stopGateway' ? { gateway: action.gateway + turn } : {};
+        steps.push({
+          at: Math.round(at + turn * SERIES_GAP_MS * fraction()),
+          action: { ...action, ...next },
+        });
+      }
+    }
+    at += -Math.log(1 - fraction()) * MEAN_PAUSE_MS;
+  }
+  return steps.filter((step) => step.at < faultsMs).sort((a, b) => a.at - b.at);
+};
