Count quotas once and always when the scheduler changes

Now a gateway says of each waiting ticket whether it was counted (asked for before the scheduler was last heard), the rest is counted at take-over, and whoever begins to count does so with nothing left. A ticket that is restated to the same scheduler isn't counted again.

The tickets of a desk have a file of their own (DeskTickets).

--- a/src/app/gateway/PlacementDesk.ts
+++ b/src/app/gateway/PlacementDesk.ts
@@ -12,35 +12,11 @@
 } from '../../protocol/peer/Placement.ts';
 import type { PeerMessage } from '../../protocol/peer/PeerMessage.ts';
 import type { Account } from '../../state/gateway/index.ts';
+import { DeskTickets, remaining, type PlacementAnswer } from './DeskTickets.ts';
 import type { GatewayMetrics } from './GatewayMetrics.ts';
 import { logPlacement } from './logPlacement.ts';
 import type { PeerGroup } from './PeerGroup.ts';
 
-/** What becomes of a ticket. */
-export type PlacementAnswer =
-  | { readonly _tag: 'granted'; readonly endpoint: string; readonly by: string }
-  | {
-      readonly _tag: 'refused';
-      readonly reason: PlacementRefusal;
-      readonly retryAfterMs: number;
-      readonly by: string;
-    };
-
-interface Pending {
-  readonly ticket: PlacementTicket;
-  readonly askedAt: number;
-  readonly onAnswer: (answer: PlacementAnswer) => void;
-  /** Incarnation of the scheduler that was asked. */
-  asked: string;
-}
-
-interface Held {
-  readonly ticket: PlacementTicket;
-  readonly endpoint: string;
-  readonly grantedAt: number;
-  started: boolean;
-}
-
 /** What a desk is made of. */
 export interface PlacementDeskOptions {
   readonly group: () => PeerGroup;
@@ -65,16 +41,6 @@
 /** Time in which a gateway that asked something hears signs of life. */
 const INTERESTED_MS = 1_000;
 
-/** A ticket with the times that are left of it now. */
-const remaining = ({ ticket, askedAt }: Pending, now: number): PlacementTicket => {
-  const waitedMs = now - askedAt;
-  return {
-    ...ticket,
-    targetMs: ticket.targetMs - waitedMs,
-    remainingMs: ticket.remainingMs - waitedMs,
-  };
-};
-
 /**
  * Gets slots at model engines for the requests of this process. One gateway schedules for all; where
  * it can't be reached, each decides alone within its share. Every process can be the scheduler.
@@ -84,16 +50,14 @@
 
   readonly scheduler = new PlacementScheduler();
 
-  readonly #pending = new Map<string, Pending>();
-
-  readonly #held = new Map<string, Held>();
+  readonly #tickets = new DeskTickets();
 
   readonly #interested = new Map<string, number>();
 
   #leader = '';
 
-  /** Whether quotas are counted here because the scheduler is silent. */
-  #countingAlone = false;
+  /** Whether quotas are counted here: as the scheduler, alone, or for those who take this process for it. */
+  #isCounting = false;
 
   #leaderHeardAt = Number.NEGATIVE_INFINITY;
 
@@ -117,7 +81,7 @@
     const group = this.#options.group();
     this.#followLeader(now);
     const leader = this.#leader;
-    this.#pending.set(ticket.id, { ticket, askedAt: now, onAnswer, asked: leader });
+    this.#tickets.add({ ticket, askedAt: now, onAnswer, asked: leader });
     if (leader === group.incarnation) {
       this.#enqueue(leader, ticket, 1, now);
       this.#decide(now);
@@ -133,25 +97,21 @@
 
   /** Takes a ticket back that wasn't answered yet. */
   withdraw(id: string): void {
-    const pending = this.#pending.get(id);
-    if (pending === undefined) return;
-    this.#pending.delete(id);
+    if (!this.#tickets.withdraw(id)) return;
     this.scheduler.withdraw(id);
     this.#tellLeader({ _tag: 'placementWithdraw', ids: [id] });
   }
 
   /** Notes the first token of a request. */
   started(id: string, firstTokenMs: number): void {
-    const held = this.#held.get(id);
-    if (held === undefined) return;
-    held.started = true;
+    if (!this.#tickets.start(id)) return;
     this.scheduler.started(id, firstTokenMs, this.#options.now());
     this.#tellLeader({ _tag: 'placementStarted', id, firstTokenMs });
   }
 
   /** Gives a slot back. */
   ended(id: string, result: PlacementResult): void {
-    if (!this.#held.delete(id)) return;
+    if (!this.#tickets.end(id)) return;
     const now = this.#options.now();
     this.scheduler.ended(id, result, now);
     this.#tellLeader({ _tag: 'placementEnd', id, result });
@@ -160,7 +120,7 @@
 
   /** Counts of tickets that wait and of slots that are held. */
   counts(): { readonly waiting: number; readonly running: number } {
-    return { waiting: this.#pending.size, running: this.#held.size };
+    return { waiting: this.#tickets.waitingCount, running: this.#tickets.heldCount };
   }
 
   /** Does what is due. */
@@ -179,11 +139,12 @@
   handle(from: string, message: PeerMessage, now: number): void {
     if (from === this.#leader) {
       this.#leaderHeardAt = now;
-      this.#countingAlone = false;
+      this.#isCounting = false;
     }
     switch (message._tag) {
       case 'placementRequest':
         this.#interested.set(from, now);
+        this.#beginCounting(now);
         message.tickets.forEach((ticket) => this.#enqueue(from, ticket, this.#share(now), now));
         this.#decide(now);
         return;
@@ -191,7 +152,7 @@
         this.#onGrant(from, message.id, message.endpoint, now);
         return;
       case 'placementRefusal':
-        this.#answer(message.id, {
+        this.#tickets.answer(message.id, {
           _tag: 'refused',
           reason: message.reason,
           retryAfterMs: message.retryAfterMs,
@@ -210,7 +171,8 @@
         return;
       case 'placementState':
         this.#interested.set(from, now);
-        this.scheduler.adopt(from, message.running, message.waiting, now);
+        this.scheduler.adopt(from, message.running, now);
+        message.waiting.forEach((ticket) => this.#enqueue(from, ticket, this.#share(now), now));
         this.#decide(now);
         return;
       case 'schedulerNotes':
@@ -237,25 +199,26 @@
     const leader = group.scheduler();
     if (leader === this.#leader) return;
     const wasLeader = this.#leader;
+    this.#tickets.markCounted(this.#leader, this.#leaderHeardAt);
     this.#leader = leader;
     this.#leaderHeardAt = now;
     this.#options.logger.info(
       { scheduler: leader, before: wasLeader, own: group.incarnation },
       'scheduler changed',
     );
-    this.#countingAlone = false;
+    this.#isCounting = false;
     if (leader === group.incarnation) {
-      if (wasLeader !== '') this.#options.quotas.restart(now);
-      this.#pending.forEach((entry) => {
+      this.#beginCounting(now);
+      this.#tickets.pending().forEach((entry) => {
         entry.asked = leader;
         this.#enqueue(leader, remaining(entry, now), 1, now);
       });
       return;
     }
     this.scheduler.keepOnly(group.incarnation);
-    this.#pending.forEach((entry, id) => {
+    this.#tickets.pending().forEach((entry) => {
       entry.asked = leader;
-      this.scheduler.withdraw(id);
+      this.scheduler.withdraw(entry.ticket.id);
     });
     this.#sendState(now);
   }
@@ -289,11 +252,15 @@
 
   #tickFollower(now: number): void {
     this.scheduler.setScope({ share: this.#ownShare(now) });
-    if (now - this.#stateSentAt >= STATE_INTERVAL_MS && this.#held.size + this.#pending.size > 0) {
+    if (
+      now - this.#stateSentAt >= STATE_INTERVAL_MS &&
+      this.#tickets.heldCount + this.#tickets.waitingCount > 0
+    ) {
       this.#sendState(now);
     }
     if (!this.#isSilent(now)) return;
-    [...this.#pending.values()]
+    this.#tickets
+      .pending()
       .filter(
         ({ askedAt, asked }) => asked === this.#leader && now - askedAt >= SCHEDULER_SILENCE_MS,
       )
@@ -306,7 +273,7 @@
 
   /** Whether the scheduler had the chance to answer something and didn't. */
   #hasWaitedLong(now: number): boolean {
-    return [...this.#pending.values()].some(({ askedAt }) => now - askedAt > SCHEDULER_SILENCE_MS);
+    return this.#tickets.pending().some(({ askedAt }) => now - askedAt > SCHEDULER_SILENCE_MS);
   }
 
   /** Part of the engines that the scheduler of all may use: what may be used by those cut off is left. */
@@ -323,12 +290,11 @@
   }
 
   #decideAlone(id: string, now: number): void {
-    const pending = this.#pending.get(id);
+    const pending = this.#tickets.findPending(id);
     if (pending === undefined) return;
     const own = this.#options.group().incarnation;
+    this.#beginCounting(now);
     pending.asked = own;
-    if (!this.#countingAlone) this.#options.quotas.restart(now);
-    this.#countingAlone = true;
     const share = this.#ownShare(now);
     this.scheduler.setScope({ share });
     this.#options.logger.warn(
@@ -339,7 +305,16 @@
     this.#decide(now);
   }
 
+  /** Another process may have counted until now, so that nothing is known to be left of any quota. */
+  #beginCounting(now: number): void {
+    if (this.#isCounting) return;
+    this.#isCounting = true;
+    this.#tickets.markCounted(this.#leader, this.#leaderHeardAt);
+    this.#options.quotas.restart(now);
+  }
+
   #enqueue(owner: string, ticket: PlacementTicket, share: number, now: number): void {
+    if (this.scheduler.knows(ticket.id)) return;
     const account =
       ticket.account === undefined ? undefined : this.#options.findAccount(ticket.account);
     if (account !== undefined && ticket.quotaUnits > 0) {
@@ -394,7 +369,7 @@
     const { reason, retryAfterMs } = decision;
     this.#refund(ticket, reason);
     if (isOwn) {
-      this.#answer(ticket.id, { _tag: 'refused', reason, retryAfterMs, by: owner });
+      this.#tickets.answer(ticket.id, { _tag: 'refused', reason, retryAfterMs, by: owner });
     } else {
       group.send(owner, { _tag: 'placementRefusal', id: ticket.id, reason, retryAfterMs });
     }
@@ -406,7 +381,7 @@
   }
 
   #onGrant(from: string, id: string, endpoint: string, now: number): void {
-    const pending = this.#pending.get(id);
+    const pending = this.#tickets.findPending(id);
     if (pending === undefined || pending.asked === this.#options.group().incarnation) {
       this.#options.group().send(from, {
         _tag: 'placementEnd',
@@ -417,38 +392,16 @@
     }
     this.scheduler.adopt(
       this.#options.group().incarnation,
-      [...this.#statedHeld(now), { ticket: pending.ticket, endpoint, ageMs: 0, started: false }],
-      [],
+      [...this.#tickets.held(now), { ticket: pending.ticket, endpoint, ageMs: 0, started: false }],
       now,
     );
     this.#hold(id, endpoint, from);
   }
 
   #hold(id: string, endpoint: string, by: string): void {
-    const pending = this.#pending.get(id);
-    if (pending === undefined) {
-      this.scheduler.ended(id, { outcome: 'unused' }, this.#options.now());
-      return;
-    }
-    const { ticket } = pending;
-    this.#held.set(id, { ticket, endpoint, grantedAt: this.#options.now(), started: false });
-    this.#answer(id, { _tag: 'granted', endpoint, by });
-  }
-
-  #answer(id: string, answer: PlacementAnswer): void {
-    const pending = this.#pending.get(id);
-    if (pending === undefined) return;
-    this.#pending.delete(id);
-    pending.onAnswer(answer);
-  }
-
-  #statedHeld(now: number) {
-    return [...this.#held.values()].map(({ ticket, endpoint, grantedAt, started }) => ({
-      ticket,
-      endpoint,
-      ageMs: now - grantedAt,
-      started,
-    }));
+    const now = this.#options.now();
+    if (this.#tickets.grant(id, endpoint, by, now)) return;
+    this.scheduler.ended(id, { outcome: 'unused' }, now);
   }
 
   #sendState(now: number): void {
@@ -456,8 +409,9 @@
     const own = this.#options.group().incarnation;
     this.#tellLeader({
       _tag: 'placementState',
-      running: this.#statedHeld(now),
-      waiting: [...this.#pending.values()]
+      running: this.#tickets.held(now),
+      waiting: this.#tickets
+        .pending()
         .filter(({ asked }) => asked !== own)
         .map((pending) => remaining(pending, now)),
     });
--- a/src/app/gateway/RequestRun.ts
+++ b/src/app/gateway/RequestRun.ts
@@ -3,7 +3,7 @@
 import { EndpointTry, type TryReport } from './EndpointTry.ts';
 import type { GatewayParts } from './GatewayParts.ts';
 import { makeTicket } from './makeTicket.ts';
-import type { PlacementAnswer } from './PlacementDesk.ts';
+import type { PlacementAnswer } from './DeskTickets.ts';
 import type { RoutedRequest } from './RoutedRequest.ts';
 
 /** How a request ended, for logs and metrics. */
--- a/src/coordination/gateway/PlacementScheduler.ts
+++ b/src/coordination/gateway/PlacementScheduler.ts
@@ -88,7 +88,7 @@
 
   /** Adds a ticket to the queue; one that already waits or runs is left as it is. */
   request(owner: string, ticket: PlacementTicket, now: number): void {
-    if (this.#waiting.has(ticket.id) || this.#findRunning(ticket.id) !== undefined) return;
+    if (this.knows(ticket.id)) return;
     if (ticket.avoid.length === 0) {
       this.#sizes.learn(ticket);
       this.#shares.countAsked(shareGroup(ticket, this.#sizes), now);
@@ -96,6 +96,11 @@
     this.#waiting.set(ticket.id, { owner, ticket, arrivedAt: now });
   }
 
+  /** Tells whether a ticket waits or runs. */
+  knows(id: string): boolean {
+    return this.#waiting.has(id) || this.#findRunning(id) !== undefined;
+  }
+
   /** Takes a ticket out of the queue. */
   withdraw(id: string): void {
     this.#waiting.delete(id);
@@ -122,13 +127,8 @@
     engine.estimate.learnDecode(outputTokens, decodeMs);
   }
 
-  /** Replaces all that is held of one gateway by what it says of itself. */
-  adopt(
-    owner: string,
-    running: readonly HeldPlacement[],
-    waiting: readonly PlacementTicket[],
-    now: number,
-  ): void {
+  /** Replaces all that runs for one gateway by what it says of itself. */
+  adopt(owner: string, running: readonly HeldPlacement[], now: number): void {
     const stated = new Set(running.map(({ ticket }) => ticket.id));
     // A grant on its way isn't known to its owner yet.
     const isStale = (placement: RunningPlacement): boolean =>
@@ -139,7 +139,6 @@
       }),
     );
     running.forEach((held) => this.#adoptRunning(owner, held, now));
-    waiting.forEach((ticket) => this.request(owner, ticket, now));
   }
 
   /** Forgets all that a gateway holds, once it is gone. */
--- a/src/coordination/gateway/decisions.test.ts
+++ b/src/coordination/gateway/decisions.test.ts
@@ -257,9 +257,10 @@
       ageMs: 100,
       started: true,
     }));
-    scheduler.adopt('g', running, [ticket('3')], 0);
+    scheduler.adopt('g', running, 0);
+    scheduler.request('g', ticket('3'), 0);
     expect(outcomes(scheduler, 0)).toEqual([]);
-    scheduler.adopt('g', [], [], 2_000);
+    scheduler.adopt('g', [], 2_000);
     expect(outcomes(scheduler, 2_000)).toEqual(['grant 3']);
   });
 
