Spend less while nothing happens

- Timers are looked at every 50 ms instead of 25, members probed every 250 ms instead of 200.
- A watcher of the store no longer relays every watch that saw nothing, and gives its sign of life to other failure domains every 1.6 s, and at once where something changed.

--- a/src/app/gateway/StoreFollower.ts
+++ b/src/app/gateway/StoreFollower.ts
@@ -1,6 +1,7 @@
 import type { Logger } from 'pino';
 import {
   RelayTrust,
+  ToldRevisions,
   type DirectoryChange,
   type EndpointDirectory,
 } from '../../coordination/gateway/index.ts';
@@ -28,8 +29,12 @@
 
 /** Longest wait of one watch: a connection that went silent is noticed soon after it. */
 const WATCH_WAIT_MS = 900;
+/** The same where nobody else relies on the watch; each call is paid for. */
+const OWN_WATCH_WAIT_MS = 2_000;
 /** How often a watcher gives a sign of life to those who rely on it. */
 const SIGN_INTERVAL_MS = 400;
+/** How often it gives one to the others, who hear of changes at once besides. */
+const FAR_SIGN_INTERVAL_MS = 1_600;
 
 /**
  * Follows the configuration and the endpoints in the platform's store. One member of each failure
@@ -44,14 +49,24 @@
 
   #relies = false;
 
+  /** Up to where those who rely on this process were told. */
+  readonly #told: Readonly<Record<WatchedKind, ToldRevisions>> = {
+    configuration: new ToldRevisions(),
+    endpoints: new ToldRevisions(),
+  };
+
+  #farSignSentAt = Number.NEGATIVE_INFINITY;
+
   #signSentAt = Number.NEGATIVE_INFINITY;
 
   #endpointsKnown = false;
 
   constructor(options: StoreFollowerOptions) {
     this.#options = options;
-    const { store, random } = options;
-    const common = { store, random, waitMs: WATCH_WAIT_MS };
+    const { store, random, group } = options;
+    const waitMs = (): number =>
+      group.storeWatcher() === group.incarnation ? WATCH_WAIT_MS : OWN_WATCH_WAIT_MS;
+    const common = { store, random, waitMs };
     const watch = (kind: WatchedKind, listener: StoreWatchListener): StoreWatch =>
       new StoreWatch({
         ...common,
@@ -92,6 +107,8 @@
     const { configuration, endpoints } = this.#watches;
     const known = { configuration: configuration.revision, endpoints: endpoints.revision };
     const relies = !isWatcher && this.#trust.mayRely(watcher, known, now());
+    // What another one tells meanwhile isn't told on from here.
+    if (relies) Object.values(this.#told).forEach((told) => told.forget());
     if (relies !== this.#relies) {
       this.#relies = relies;
       this.#options.logger.info({ watcher, relies, known }, 'store watcher changed');
@@ -115,17 +132,24 @@
     this.#watches[kind].takeRelayed(fromRevision, toRevision, changes);
   }
 
-  /** Tells all members how far the store is seen here: often, and at once where something changed. */
-  #signal(now: number, isDue = now - this.#signSentAt >= SIGN_INTERVAL_MS): void {
-    if (!isDue) return;
+  /** Tells members how far the store is seen here: often, and all of them at once where something changed. */
+  #signal(now: number, isNews = false): void {
+    if (!isNews && now - this.#signSentAt < SIGN_INTERVAL_MS) return;
     this.#signSentAt = now;
     const { configuration, endpoints } = this.#watches;
-    this.#options.group.broadcast({
+    const sign: PeerMessage = {
       _tag: 'storeWatcherAlive',
       reached: configuration.reached && endpoints.reached,
       configurationRevision: configuration.changedRevision,
       endpointsRevision: endpoints.changedRevision,
-    });
+    };
+    const { group } = this.#options;
+    if (isNews || now - this.#farSignSentAt >= FAR_SIGN_INTERVAL_MS) {
+      this.#farSignSentAt = now;
+      group.broadcast(sign);
+    } else {
+      group.nearby().forEach(({ incarnation }) => group.send(incarnation, sign));
+    }
   }
 
   #relay(
@@ -137,10 +161,17 @@
     const { group, directory, now } = this.#options;
     if (group.storeWatcher() !== group.incarnation) return;
     const afterOutage = directory.isAfterOutage(now());
+    const watched = {
+      from: fromRevision,
+      to: toRevision,
+      isNews: changes.length > 0 || afterOutage,
+    };
+    const from = this.#told[kind].next(watched, now());
+    if (from === undefined) return;
     const message: PeerMessage = {
       _tag: 'storeChanges',
       kind,
-      fromRevision,
+      fromRevision: from,
       toRevision,
       changes,
       afterOutage,
@@ -152,7 +183,10 @@
   #configurationListener(): StoreWatchListener {
     return {
       ...this.#dependency('store: configuration'),
-      onList: (objects) => objects.forEach(({ spec }) => this.#takeConfiguration(spec)),
+      onList: (objects) => {
+        this.#told.configuration.forget();
+        objects.forEach(({ spec }) => this.#takeConfiguration(spec));
+      },
       onChanges: (changes) => changes.forEach(({ object }) => this.#takeConfiguration(object.spec)),
     };
   }
@@ -166,6 +200,7 @@
           .map(({ name, spec }) => wire.readEndpoint(name, spec))
           .filter((record) => record !== undefined);
         this.#endpointsKnown = true;
+        this.#told.endpoints.forget();
         this.#note(directory.replaceAll(records, now()));
       },
       onChanges: (changes) => {
--- a/src/app/gateway/StoreWatch.test.ts
+++ b/src/app/gateway/StoreWatch.test.ts
@@ -22,7 +22,7 @@
   holder.watch = new StoreWatch({
     store,
     kind: 'configuration',
-    waitMs: WAIT_MS,
+    waitMs: () => WAIT_MS,
     random: () => 0,
     onWatched: () => {},
     listener: {
--- a/src/app/gateway/StoreWatch.ts
+++ b/src/app/gateway/StoreWatch.ts
@@ -21,7 +21,7 @@
   readonly kind: StoredKind;
   readonly listener: StoreWatchListener;
   /** Longest wait of one call; also the longest time for which a silent connection goes unnoticed. */
-  readonly waitMs: number;
+  readonly waitMs: () => number;
   /** A random number from 0 up to 1. */
   readonly random: () => number;
   /** Told of what a watch brought, to pass it on. */
@@ -137,7 +137,7 @@
       return;
     }
     // After a failure the store is asked to answer soon: a wait would hide for longer that it is back.
-    const patienceMs = this.#failures > 0 ? Math.min(waitMs, RECOVERY_WAIT_MS) : waitMs;
+    const patienceMs = this.#failures > 0 ? Math.min(waitMs(), RECOVERY_WAIT_MS) : waitMs();
     const result = await store.watch(kind, this.#revision, patienceMs);
     if (this.#stopped) return;
     switch (result._tag) {
--- a/src/app/gateway/runGateway.ts
+++ b/src/app/gateway/runGateway.ts
@@ -55,7 +55,8 @@
   readonly reload: (settings: GatewaySettings) => void;
 }
 
-const TICK_MS = 25;
+/** How often timers are looked at; what waits for a slot is decided when one is freed. */
+const TICK_MS = 50;
 const CONNECT_TIMEOUT_MS = 300;
 /** Endpoints close idle connections after some seconds; one that was idle for less is used again. */
 const ENDPOINT_IDLE_MS = 1_500;
@@ -65,7 +66,7 @@
 
 /** Closer than the defaults: a few instances within a few milliseconds of each other. */
 const PEER_TIMING = {
-  probeIntervalMs: 200,
+  probeIntervalMs: 250,
   probeTimeoutMs: 150,
   suspicionMs: 600,
   incarnationLeaseMs: 3_000,
--- a/src/coordination/gateway/index.ts
+++ b/src/coordination/gateway/index.ts
@@ -12,3 +12,4 @@
 export { RetryBudget } from './RetryBudget.ts';
 export { RouteIndex } from './RouteIndex.ts';
 export type { RouteMatch } from './RouteIndex.ts';
+export { ToldRevisions } from './ToldRevisions.ts';
