Ask a store that is away less often where another process watches it

Ruled out: lists from a copy that may lag (a tenth of the price), as a first watch would have to follow at once and costs the whole price.

--- a/src/app/gateway/StoreFollower.ts
+++ b/src/app/gateway/StoreFollower.ts
@@ -64,9 +64,9 @@
   constructor(options: StoreFollowerOptions) {
     this.#options = options;
     const { store, random, group } = options;
-    const waitMs = (): number =>
-      group.storeWatcher() === group.incarnation ? WATCH_WAIT_MS : OWN_WATCH_WAIT_MS;
-    const common = { store, random, waitMs };
+    const isReliedOn = (): boolean => group.storeWatcher() === group.incarnation;
+    const waitMs = (): number => (isReliedOn() ? WATCH_WAIT_MS : OWN_WATCH_WAIT_MS);
+    const common = { store, random, waitMs, isReliedOn };
     const watch = (kind: WatchedKind, listener: StoreWatchListener): StoreWatch =>
       new StoreWatch({
         ...common,
@@ -220,6 +220,7 @@
     return {
       onRegained: () => {
         directory.storeAnswered(now());
+        if (group.storeWatcher() === group.incarnation) this.#signal(now(), true);
         logger.info({ dependency: name }, 'dependency regained');
       },
       onFailed: (detail) => {
--- a/src/app/gateway/StoreWatch.test.ts
+++ b/src/app/gateway/StoreWatch.test.ts
@@ -23,6 +23,7 @@
     store,
     kind: 'configuration',
     waitMs: () => WAIT_MS,
+    isReliedOn: () => true,
     random: () => 0,
     onWatched: () => {},
     listener: {
--- a/src/app/gateway/StoreWatch.ts
+++ b/src/app/gateway/StoreWatch.ts
@@ -1,3 +1,4 @@
+import { retryPause } from '../../coordination/gateway/index.ts';
 import type {
   ObjectStore,
   StoredChange,
@@ -22,6 +23,8 @@
   readonly listener: StoreWatchListener;
   /** Longest wait of one call; also the longest time for which a silent connection goes unnoticed. */
   readonly waitMs: () => number;
+  /** Whether other processes rely on this watch now. */
+  readonly isReliedOn: () => boolean;
   /** A random number from 0 up to 1. */
   readonly random: () => number;
   /** Told of what a watch brought, to pass it on. */
@@ -32,8 +35,6 @@
   ) => void;
 }
 
-const FIRST_RETRY_MS = 60;
-const LONGEST_RETRY_MS = 400;
 const RECOVERY_WAIT_MS = 150;
 
 const sleep = (ms: number): Promise<void> =>
@@ -180,9 +181,10 @@
   }
 
   async #backOff(detail: string): Promise<void> {
-    const delayMs = Math.min(LONGEST_RETRY_MS, FIRST_RETRY_MS * 2 ** this.#failures);
+    const { random, isReliedOn } = this.#options;
+    const pauseMs = retryPause(this.#failures, isReliedOn(), random());
     this.#failures += 1;
     if (this.#failures === 1) this.#options.listener.onFailed(detail);
-    await sleep(delayMs * (0.5 + 0.5 * this.#options.random()));
+    await sleep(pauseMs);
   }
 }
--- a/src/coordination/gateway/index.ts
+++ b/src/coordination/gateway/index.ts
@@ -10,6 +10,7 @@
 export { QuotaMeter } from './QuotaMeter.ts';
 export { RelayTrust } from './RelayTrust.ts';
 export { RetryBudget } from './RetryBudget.ts';
+export { retryPause } from './retryPause.ts';
 export { RouteIndex } from './RouteIndex.ts';
 export type { RouteMatch } from './RouteIndex.ts';
 export { ToldRevisions } from './ToldRevisions.ts';
