Stop accepting connections before a draining gateway ends

Now the listener is closed first, and the process ends once the next check finds nothing either.

Ruled out: the grace (4.5 s of 8 had passed) and the closing of idle connections (the connection was new). drainGateway.test.ts fails without the change.

--- a/src/app/gateway/drainGateway.ts
+++ b/src/app/gateway/drainGateway.ts
@@ -42,6 +42,7 @@
     gateway.drain();
     server.startDraining();
     group.drain(since);
+    let accepting = true;
     const timer = setInterval(() => {
       const elapsedMs = now() - since;
       const isPastIdle = elapsedMs > IDLE_CONNECTIONS_KEPT_MS;
@@ -49,6 +50,12 @@
       const isIdle = isPastIdle && gateway.inFlight === 0 && server.connections() === 0;
       const isOver = elapsedMs > graceMs - GRACE_MARGIN_MS;
       if (!isOver && !isIdle) return;
+      if (!isOver && accepting) {
+        // What was accepted until now is seen by the next check, and nothing comes after it.
+        accepting = false;
+        server.stopAccepting();
+        return;
+      }
       clearInterval(timer);
       if (gateway.inFlight > 0) {
         logger.warn({ inFlight: gateway.inFlight }, 'grace is over; ending what is in flight');
--- a/src/transport/gateway/makeGatewayServer.ts
+++ b/src/transport/gateway/makeGatewayServer.ts
@@ -27,6 +27,8 @@
   readonly startDraining: () => void;
   /** Closes connections on which nothing is asked. */
   readonly closeIdle: () => void;
+  /** Takes no new connections; open ones stay. */
+  readonly stopAccepting: () => void;
   readonly connections: () => number;
 }
 
@@ -236,6 +238,9 @@
         connections.draining = true;
       },
       closeIdle: () => connections.closeIdle(),
+      stopAccepting: () => {
+        server.close();
+      },
       connections: () => connections.size,
     };
   });
