Clear every timer of the soak's callers

A caller's pending timer could be dropped from the list that is cleared at the end; it then set the next one for ever. One timer a route is kept now.

--- a/test/soak/SoakCallers.ts
+++ b/test/soak/SoakCallers.ts
@@ -86,7 +86,8 @@
 
   readonly #callers: readonly Caller[];
 
-  readonly #timers: NodeJS.Timeout[] = [];
+  /** The next request of each route. */
+  readonly #timers = new Map<CallerRoute, NodeJS.Timeout>();
 
   #sent = 0;
 
@@ -110,13 +111,11 @@
     this.#options.routes.forEach((route) => {
       const schedule = (): void => {
         const pauseMs = (-Math.log(1 - this.#options.fraction()) * 1_000) / route.rate;
-        this.#timers.push(
-          setTimeout(() => {
-            schedule();
-            this.#request(route);
-          }, pauseMs),
-        );
-        if (this.#timers.length > 2 * this.#options.routes.length) this.#timers.shift();
+        const timer = setTimeout(() => {
+          schedule();
+          this.#request(route);
+        }, pauseMs);
+        this.#timers.set(route, timer);
       };
       schedule();
     });
