--- a/test/soak/FaultLink.ts
+++ b/test/soak/FaultLink.ts
@@ -1,6 +1,7 @@
 import * as net from 'node:net';
 import type { Owner } from '../support/Owner.ts';
 import { Lane, type LinkCondition } from './Lane.ts';
+import { resetSocket } from './resetSocket.ts';
 
 const CLEAR: LinkCondition = { _tag: 'clear' };
 
@@ -58,7 +59,7 @@
 
   #accept(caller: net.Socket, target: string): void {
     if (this.#condition._tag === 'reset') {
-      caller.resetAndDestroy();
+      resetSocket(caller);
       return;
     }
     const [host, port] = target.split(':');
@@ -82,6 +83,6 @@
   }
 
   #reset(): void {
-    this.#sockets.forEach((socket) => socket.resetAndDestroy());
+    this.#sockets.forEach((socket) => resetSocket(socket));
   }
 }
--- a/test/soak/SoakRunner.ts
+++ b/test/soak/SoakRunner.ts
@@ -1,6 +1,7 @@
 import * as http from 'node:http';
 import type { AddressInfo } from 'node:net';
 import type { Owner } from '../support/Owner.ts';
+import { resetSocket } from './resetSocket.ts';
 
 /** What a runner does wrong. */
 export type RunnerHarm = 'fails' | 'garbles' | 'truncates' | 'losesAnswers' | 'slow';
@@ -203,7 +204,7 @@
         response.end();
         return;
       case 'losesAnswers':
-        response.socket?.resetAndDestroy();
+        if (response.socket !== null) resetSocket(response.socket);
         return;
       case 'garbles':
         response.socket?.write('these bytes are no answer\r\n\r\n');
