Log outages of the store, relays and the source of each endpoint change

In the record of the incident, gateway front-quebec-est-a-13 sent a request to an endpoint whose entry had been removed 3.2 s before. Whether it had not been told of the removal, or had been told and kept the entry, could only be inferred from other endpoints: no line says that a gateway believes the store to be in an outage, or drops relayed changes.

New lines: `store outage` (phase and number of missing entries), `store listed`, `store changes relayed`, `store changes not relayed`, `relayed changes not applied`. `endpoint changed` names the source and the store revision, `configuration in force` the source, `store watcher changed` the revisions that watchers reported. New metrics: store_relays_total, missing_endpoints, store_outage.

No decision changes.

--- a/src/app/gateway/GatewayMetrics.ts
+++ b/src/app/gateway/GatewayMetrics.ts
@@ -17,6 +17,10 @@
   /** Slots that this process holds at model engines. */
   readonly running: number;
   readonly droppedLogLines: number;
+  /** Endpoints that the store no longer lists and that are kept in use around an outage. */
+  readonly missingEndpoints: number;
+  /** 1 during an outage of the store and the grace time after it, else 0. */
+  readonly storeOutage: number;
 }
 
 /** Counters, gauges and latency percentiles of a gateway, rendered as Prometheus text. */
@@ -44,6 +48,13 @@
     registers: [this.#registry],
   });
 
+  readonly #relays = new Counter({
+    name: 'corianderwick_gateway_store_relays_total',
+    help: 'Relayed messages with changes of the store by kind of object and what became of them.',
+    labelNames: ['kind', 'result'],
+    registers: [this.#registry],
+  });
+
   readonly #placements = new Counter({
     name: 'corianderwick_gateway_placements_total',
     help: 'Decisions of this process as the scheduler of model engines.',
@@ -66,6 +77,11 @@
     waiting: this.#makeGauge('waiting', 'Requests that wait for a slot in this process.'),
     running: this.#makeGauge('running', 'Requests that this process has at endpoints.'),
     droppedLogLines: this.#makeGauge('dropped_log_lines', 'Log lines dropped since the start.'),
+    missingEndpoints: this.#makeGauge(
+      'missing_endpoints',
+      'Endpoints that the store no longer lists and that are kept in use around an outage.',
+    ),
+    storeOutage: this.#makeGauge('store_outage', 'Whether missing endpoints are kept in use.'),
   };
 
   /**
@@ -94,6 +110,11 @@
     this.#storeCalls.inc({ call });
   }
 
+  /** Counts a message of relayed changes: `applied`, or `gap` if changes before them are missing. */
+  countRelay(kind: string, result: string): void {
+    this.#relays.inc({ kind, result });
+  }
+
   /** Counts a decision of the local scheduler: `grant` or the reason of the refusal. */
   countPlacement(route: string, decision: string): void {
     this.#placements.inc({ route, decision });
--- a/src/app/gateway/StoreSubscription.ts
+++ b/src/app/gateway/StoreSubscription.ts
@@ -4,13 +4,17 @@
   RelayedRevisions,
   type EndpointChange,
   type EndpointDirectory,
+  type OutagePhase,
 } from '../../coordination/gateway/index.ts';
 import type { ObjectStore, StoreChange, WireAdapter } from '../../protocol/gateway/index.ts';
 import type { PeerMessage } from '../../protocol/peer/PeerMessage.ts';
 import type { WatchedKind } from '../../protocol/peer/GatewayMessages.ts';
 import type { RouteTable } from '../../state/gateway/index.ts';
 import type { PeerGroup } from './PeerGroup.ts';
-import { StoreWatch, type StoreWatchListener } from './StoreWatch.ts';
+import { StoreWatch, type StoreChangeSource, type StoreWatchListener } from './StoreWatch.ts';
+
+/** What became of relayed changes: `gap` if changes before them are missing here. */
+export type RelayResult = 'applied' | 'gap';
 
 /** Collaborators and callbacks of a store subscription. */
 export interface StoreSubscriptionOptions {
@@ -27,9 +31,11 @@
   /** A random number in [0, 1). */
   readonly random: () => number;
   /** Called for each readable configuration, also for one that is not newer than the last. */
-  readonly onConfiguration: (table: RouteTable) => void;
+  readonly onConfiguration: (table: RouteTable, source: StoreChangeSource) => void;
   /** Called after changes in the directory of endpoints. */
   readonly onEndpointsChanged: () => void;
+  /** Called for each message of relayed changes, with what became of it. */
+  readonly onRelayReceived: (kind: WatchedKind, result: RelayResult) => void;
 }
 
 /** Longest wait of one watch call that others rely on; a dead connection is detected soon after it. */
@@ -68,6 +74,8 @@
 
   #endpointsListed = false;
 
+  #reportedOutagePhase: OutagePhase = 'none';
+
   constructor(options: StoreSubscriptionOptions) {
     this.#options = options;
     const { store, random, group } = options;
@@ -113,7 +121,8 @@
    */
   tick(): void {
     const { directory, group, now } = this.#options;
-    this.#reportChanges(directory.removeMissing(now()));
+    this.#reportChanges(directory.removeMissing(now()), 'graceExpired');
+    this.#reportOutage();
     const watcher = group.storeWatcher();
     const isWatcher = watcher === group.incarnation;
     if (isWatcher) this.#sendHeartbeat(now());
@@ -125,7 +134,8 @@
     if (relies) Object.values(this.#relayedRevisions).forEach((revisions) => revisions.reset());
     if (relies !== this.#isRelying) {
       this.#isRelying = relies;
-      this.#options.logger.info({ watcher, relies, known }, 'store watcher changed');
+      const reported = this.#watcherMonitor.latestRevisions;
+      this.#options.logger.info({ watcher, relies, known, reported }, 'store watcher changed');
     }
     configuration.setRelayed(relies);
     endpoints.setRelayed(relies);
@@ -138,7 +148,7 @@
    * @param message - the decoded message
    */
   handle(from: string, message: PeerMessage): void {
-    const { directory, group, now } = this.#options;
+    const { directory, group, now, logger, onRelayReceived } = this.#options;
     if (message._tag === 'storeWatcherAlive') {
       this.#watcherMonitor.recordHeartbeat(from, group.storeWatcher(), message, now());
     }
@@ -150,7 +160,12 @@
       directory.recordStoreFailure();
       directory.recordStoreResponse(now());
     }
-    this.#watches[kind].applyRelayed(fromRevision, toRevision, changes);
+    const watch = this.#watches[kind];
+    const known = watch.revision;
+    const isApplied = watch.applyRelayed(fromRevision, toRevision, changes);
+    onRelayReceived(kind, isApplied ? 'applied' : 'gap');
+    if (isApplied) return;
+    logger.warn({ kind, from, fromRevision, toRevision, known }, 'relayed changes not applied');
   }
 
   /**
@@ -182,8 +197,14 @@
     toRevision: number,
     changes: readonly StoreChange[],
   ): void {
-    const { group, directory, now } = this.#options;
-    if (group.storeWatcher() !== group.incarnation) return;
+    const { group, directory, now, logger } = this.#options;
+    const watcher = group.storeWatcher();
+    if (watcher !== group.incarnation) {
+      if (changes.length > 0) {
+        logger.info({ kind, fromRevision, toRevision, watcher }, 'store changes not relayed');
+      }
+      return;
+    }
     const afterOutage = directory.isInOutageOrGrace(now());
     const watched = {
       from: fromRevision,
@@ -200,8 +221,12 @@
       changes,
       afterOutage,
     };
-    group.sameDomainPeers().forEach(({ incarnation }) => group.send(incarnation, message));
-    if (changes.length > 0) this.#sendHeartbeat(now(), true);
+    const peers = group
+      .sameDomainPeers()
+      .filter(({ incarnation }) => group.send(incarnation, message)).length;
+    if (changes.length === 0) return;
+    logger.info({ kind, fromRevision: from, toRevision, peers }, 'store changes relayed');
+    this.#sendHeartbeat(now(), true);
   }
 
   #makeConfigurationListener(): StoreWatchListener {
@@ -209,10 +234,11 @@
       ...this.#makeHealthListener('store: configuration'),
       onList: (objects) => {
         this.#relayedRevisions.configuration.reset();
-        objects.forEach(({ spec }) => this.#applyConfiguration(spec));
+        this.#logList('configuration', objects.length);
+        objects.forEach(({ spec }) => this.#applyConfiguration(spec, 'list'));
       },
-      onChanges: (changes) =>
-        changes.forEach(({ object }) => this.#applyConfiguration(object.spec)),
+      onChanges: (changes, source) =>
+        changes.forEach(({ object }) => this.#applyConfiguration(object.spec, source)),
     };
   }
 
@@ -226,16 +252,17 @@
           .filter((record) => record !== undefined);
         this.#endpointsListed = true;
         this.#relayedRevisions.endpoints.reset();
-        this.#reportChanges(directory.replaceAll(records, now()));
+        this.#logList('endpoints', objects.length);
+        this.#reportChanges(directory.replaceAll(records, now()), 'list');
       },
-      onChanges: (changes) => {
+      onChanges: (changes, source) => {
         const directoryChanges = changes.flatMap(({ removed, object }) => {
           const record = removed ? undefined : wire.readEndpoint(object.name, object.spec);
           return record === undefined
             ? directory.remove(object.name, now())
             : directory.put(record);
         });
-        this.#reportChanges(directoryChanges);
+        this.#reportChanges(directoryChanges, source);
       },
     };
   }
@@ -256,14 +283,31 @@
     };
   }
 
-  #applyConfiguration(spec: unknown): void {
+  #logList(kind: WatchedKind, objects: number): void {
+    const { revision } = this.#watches[kind];
+    this.#options.logger.info({ kind, revision, objects }, 'store listed');
+  }
+
+  #reportOutage(): void {
+    const { directory, now, logger } = this.#options;
+    const phase = directory.outagePhase(now());
+    if (phase === this.#reportedOutagePhase) return;
+    const before = this.#reportedOutagePhase;
+    this.#reportedOutagePhase = phase;
+    logger.info({ phase, before, missing: directory.missingCount }, 'store outage');
+  }
+
+  #applyConfiguration(spec: unknown, source: StoreChangeSource): void {
     const table = this.#options.wire.readRouteTable(spec);
     if (table === undefined)
       this.#options.logger.warn('configuration in the store cannot be parsed');
-    else this.#options.onConfiguration(table);
+    else this.#options.onConfiguration(table, source);
   }
 
-  #reportChanges(changes: readonly EndpointChange[]): void {
+  #reportChanges(
+    changes: readonly EndpointChange[],
+    source: StoreChangeSource | 'graceExpired',
+  ): void {
     changes.forEach(({ _tag, record }) => {
       this.#options.logger.info(
         {
@@ -273,6 +317,8 @@
           failureDomain: record.failureDomain,
           version: record.version,
           change: _tag,
+          source,
+          revision: this.#watches.endpoints.revision,
         },
         'endpoint changed',
       );
--- a/src/app/gateway/StoreWatch.ts
+++ b/src/app/gateway/StoreWatch.ts
@@ -6,6 +6,9 @@
   StoreObject,
 } from '../../protocol/gateway/index.ts';
 
+/** How a process received changes of the store. */
+export type StoreChangeSource = 'list' | 'watch' | 'relay';
+
 /** Callbacks of a store watch. */
 export interface StoreWatchListener {
   /**
@@ -13,8 +16,8 @@
    * since the known revision.
    */
   readonly onList: (objects: readonly StoreObject[]) => void;
-  /** Called with the changes since the last list or change, whether watched or relayed. */
-  readonly onChanges: (changes: readonly StoreChange[]) => void;
+  /** Called with the changes since the last list or change, and how they were received. */
+  readonly onChanges: (changes: readonly StoreChange[], source: StoreChangeSource) => void;
   /** Called when the store answers for the first time or again after a failure. */
   readonly onAvailable: () => void;
   /** Called when a call to the store fails, but not for further failures in a row. */
@@ -119,7 +122,7 @@
     if (this.#revision === undefined || fromRevision > this.#revision) return false;
     if (toRevision <= this.#revision) return true;
     this.#revision = toRevision;
-    this.#apply(changes);
+    this.#apply(changes, 'relay');
     return true;
   }
 
@@ -174,15 +177,15 @@
     // Changes that were relayed during the call are newer than its result.
     if (revision <= before) return;
     this.#revision = revision;
-    this.#apply(changes);
+    this.#apply(changes, 'watch');
     this.#options.onWatchResult(before, revision, changes);
   }
 
-  #apply(changes: readonly StoreChange[]): void {
+  #apply(changes: readonly StoreChange[], source: StoreChangeSource): void {
     if (changes.length === 0) return;
     const revisions = changes.map(({ object }) => object.revision);
     this.#lastChangeRevision = Math.max(this.#lastChangeRevision, ...revisions);
-    this.#options.listener.onChanges(changes);
+    this.#options.listener.onChanges(changes, source);
   }
 
   #reportAvailable(): void {
--- a/src/app/gateway/runGateway.ts
+++ b/src/app/gateway/runGateway.ts
@@ -238,10 +238,11 @@
           logger,
           now,
           random: Math.random,
-          onConfiguration: (table) => {
-            if (gateway.configure(table, 'store')) updateEngines();
+          onConfiguration: (table, source) => {
+            if (gateway.configure(table, source)) updateEngines();
           },
           onEndpointsChanged: updateEngines,
+          onRelayReceived: (kind, result) => metrics.countRelay(kind, result),
         });
         lateBound.storeSubscription.set(subscription);
         subscription.start();
@@ -253,6 +254,7 @@
     const statusAddresses = yield* startStatusServers({
       ...options,
       gateway,
+      directory,
       storeSubscription,
       group,
       placements,
--- a/src/app/gateway/startStatusServers.ts
+++ b/src/app/gateway/startStatusServers.ts
@@ -1,5 +1,6 @@
 import * as Effect from 'effect/Effect';
 import type * as Scope from 'effect/Scope';
+import type { EndpointDirectory } from '../../coordination/gateway/index.ts';
 import { makePlainServer, type PlainAnswer } from '../../transport/gateway/index.ts';
 import { listAddressesForCallers } from './listAddressesForCallers.ts';
 import type { Gateway } from './Gateway.ts';
@@ -15,6 +16,7 @@
   'settings' | 'paths' | 'formatAddresses' | 'log'
 > {
   readonly gateway: Gateway;
+  readonly directory: EndpointDirectory;
   readonly storeSubscription: StoreSubscription;
   readonly group: PeerGroup;
   readonly placements: PlacementCoordinator;
@@ -51,6 +53,7 @@
   formatAddresses,
   log,
   gateway,
+  directory,
   storeSubscription,
   group,
   placements,
@@ -75,6 +78,8 @@
     const text = await metrics.render({
       configurationVersion: gateway.routeIndex?.table.version ?? 0,
       members: group.liveMembers().length,
+      missingEndpoints: directory.missingCount,
+      storeOutage: Number(directory.outagePhase(now()) !== 'none'),
       ...placements.countTickets(),
       droppedLogLines: log.droppedLines(),
     });
--- a/src/coordination/gateway/EndpointDirectory.ts
+++ b/src/coordination/gateway/EndpointDirectory.ts
@@ -23,6 +23,9 @@
   | { readonly _tag: 'missing'; readonly record: EndpointRecord }
   | { readonly _tag: 'removed'; readonly record: EndpointRecord };
 
+/** Whether the store is unavailable, or was so recently that entries may still be missing. */
+export type OutagePhase = 'none' | 'unavailable' | 'grace';
+
 /**
  * The endpoints that the store lists. An entry that goes missing during an outage of the store, or
  * shortly after, is kept until its endpoint has had time to register again. At any other time a
@@ -52,6 +55,23 @@
     this.#graceUntil = now + MISSING_ENTRY_GRACE_MS;
   }
 
+  /**
+   * Returns the phase of the present outage.
+   *
+   * @param now - current time, in ms
+   * @returns `none` if a missing entry means that its endpoint has left
+   */
+  outagePhase(now: number): OutagePhase {
+    if (this.#isStoreFailing) return 'unavailable';
+    return now < this.#graceUntil ? 'grace' : 'none';
+  }
+
+  /** Number of entries that the store no longer lists and that are kept in use. */
+  get missingCount(): number {
+    return [...this.#entries.values()].filter(({ missingSince }) => missingSince !== undefined)
+      .length;
+  }
+
   /**
    * Whether entries may be missing only because of an outage of the store.
    *
@@ -59,7 +79,7 @@
    * @returns true during an outage and the grace time after it
    */
   isInOutageOrGrace(now: number): boolean {
-    return this.#isStoreFailing || now < this.#graceUntil;
+    return this.outagePhase(now) !== 'none';
   }
 
   /**
--- a/src/coordination/gateway/StoreWatcherMonitor.ts
+++ b/src/coordination/gateway/StoreWatcherMonitor.ts
@@ -35,6 +35,11 @@
 
   #laggingSince: number | undefined;
 
+  /** Highest revisions of changes that any watcher has reported. */
+  get latestRevisions(): KnownRevisions {
+    return this.#latestRevisions;
+  }
+
   /**
    * Records the heartbeat of any watcher.
    *
--- a/src/coordination/gateway/index.ts
+++ b/src/coordination/gateway/index.ts
@@ -1,7 +1,7 @@
 export { CallerRetryDetector } from './CallerRetryDetector.ts';
 export { EndpointAvailability } from './EndpointAvailability.ts';
 export { EndpointDirectory } from './EndpointDirectory.ts';
-export type { EndpointChange } from './EndpointDirectory.ts';
+export type { EndpointChange, OutagePhase } from './EndpointDirectory.ts';
 export { EngineSpeed } from './EngineSpeed.ts';
 export { pickService } from './pickService.ts';
 export { PlainServiceBalancer } from './PlainServiceBalancer.ts';
