End a gateway's outage of the store when it relies on its store watcher

Cause: the endpoint directory keeps entries that go missing in an outage of the store and for 2.2 s after it. A failed call of the process began the outage, and only an answered call of the same process ended it. A process that begins to rely on the watcher of its failure domain makes no more calls, so its outage lasted until it watched the store itself again, and every entry whose removal was relayed meanwhile stayed in use.

Evidence: in the record the store turned some gateways away at 10 to 11 s.

A process that relies on a watcher now reaches the store through it: its own outage ends, failures of its calls that are still on their way begin none, and a suspended watch forgets its failures.

--- a/src/app/gateway/StoreSubscription.ts
+++ b/src/app/gateway/StoreSubscription.ts
@@ -122,7 +122,6 @@
   tick(): void {
     const { directory, group, now } = this.#options;
     this.#reportChanges(directory.removeMissing(now()), 'graceExpired');
-    this.#reportOutage();
     const watcher = group.storeWatcher();
     const isWatcher = watcher === group.incarnation;
     if (isWatcher) this.#sendHeartbeat(now());
@@ -134,11 +133,16 @@
     if (relies) Object.values(this.#relayedRevisions).forEach((revisions) => revisions.reset());
     if (relies !== this.#isRelying) {
       this.#isRelying = relies;
+      const isFailing = Object.values(this.#watches).some((watch) => watch.isFailing);
+      if (!relies && isFailing) directory.recordStoreFailure();
       const reported = this.#watcherMonitor.latestRevisions;
       this.#options.logger.info({ watcher, relies, known, reported }, 'store watcher changed');
     }
     configuration.setRelayed(relies);
     endpoints.setRelayed(relies);
+    // A process that relies on the watcher makes no calls that could end an outage of its own.
+    if (relies) directory.recordStoreResponse(now());
+    this.#reportOutage();
   }
 
   /**
@@ -276,7 +280,7 @@
         logger.info({ dependency: name }, 'dependency regained');
       },
       onUnavailable: (detail) => {
-        directory.recordStoreFailure();
+        if (!this.#isRelying) directory.recordStoreFailure();
         if (group.storeWatcher() === group.incarnation) this.#sendHeartbeat(now(), true);
         logger.warn({ dependency: name, detail }, 'dependency lost');
       },
--- a/src/app/gateway/StoreWatch.ts
+++ b/src/app/gateway/StoreWatch.ts
@@ -99,6 +99,11 @@
     return this.#reached && this.#failures === 0;
   }
 
+  /** Whether the last call failed, and no other process has relayed changes since. */
+  get isFailing(): boolean {
+    return this.#failures > 0;
+  }
+
   /**
    * Suspends or resumes calls to the store; a call in progress is completed.
    *
@@ -133,6 +138,8 @@
   }
 
   #waitUntilResumed(): Promise<void> {
+    // Earlier failures say nothing about the store at the time of the next call.
+    this.#failures = 0;
     return new Promise((resolve) => {
       this.#resume = resolve;
     });
