Simulate gateways that follow the store through faults

The simulation plays eight or four StoreSubscriptions with a store and a network in virtual time: kills, pauses, cuts to the store and between gateways, lost messages, wrong suspicions, outages and compactions of the store, from plans that fast-check draws and shrinks. It asserts the two promises that depend on the age of a view, DRAIN and CONFIG (2 s, for gateways undisturbed for 3 s). StoreWatch takes its delay as an option, so that it can wait in virtual time.

--- a/src/app/gateway/StoreSubscription.test.ts
+++ b/src/app/gateway/StoreSubscription.test.ts
@@ -74,6 +74,10 @@
     logger: pino({ level: 'silent' }),
     now: () => now,
     random: () => 0,
+    sleep: (ms) =>
+      new Promise((resolve) => {
+        setTimeout(resolve, ms);
+      }),
     onConfiguration: () => {},
     onEndpointsChanged: () => {},
     onRelayReceived: () => {},
--- a/src/app/gateway/StoreSubscription.ts
+++ b/src/app/gateway/StoreSubscription.ts
@@ -30,6 +30,8 @@
   readonly now: () => number;
   /** A random number in [0, 1). */
   readonly random: () => number;
+  /** Resolves after a time in ms. */
+  readonly sleep: (ms: number) => Promise<void>;
   /** Called for each readable configuration, also for one that is not newer than the last. */
   readonly onConfiguration: (table: RouteTable, source: StoreChangeSource) => void;
   /** Called after changes in the directory of endpoints. */
@@ -78,10 +80,10 @@
 
   constructor(options: StoreSubscriptionOptions) {
     this.#options = options;
-    const { store, random, group } = options;
+    const { store, random, sleep, group } = options;
     const isReliedOn = (): boolean => group.storeWatcher() === group.incarnation;
     const waitMs = (): number => (isReliedOn() ? SHARED_WATCH_WAIT_MS : PRIVATE_WATCH_WAIT_MS);
-    const common = { store, random, waitMs, isReliedOn };
+    const common = { store, random, sleep, waitMs, isReliedOn };
     const watch = (kind: WatchedKind, listener: StoreWatchListener): StoreWatch =>
       new StoreWatch({
         ...common,
--- a/src/app/gateway/StoreWatch.test.ts
+++ b/src/app/gateway/StoreWatch.test.ts
@@ -1,4 +1,5 @@
 import { describe, it } from 'node:test';
+import { setTimeout } from 'node:timers/promises';
 import { expect } from 'earl';
 import type { ObjectStore, WatchResult } from '../../protocol/gateway/index.ts';
 import { StoreWatch } from './StoreWatch.ts';
@@ -25,6 +26,7 @@
     waitMs: () => WAIT_MS,
     isReliedOn: () => true,
     random: () => 0,
+    sleep: (ms) => setTimeout(ms),
     onWatchResult: () => {},
     listener: {
       onList: () => events.push('list'),
--- a/src/app/gateway/StoreWatch.ts
+++ b/src/app/gateway/StoreWatch.ts
@@ -35,6 +35,8 @@
   readonly isReliedOn: () => boolean;
   /** A random number in [0, 1). */
   readonly random: () => number;
+  /** Resolves after a time in ms. */
+  readonly sleep: (ms: number) => Promise<void>;
   /** Called with the result of each watch call that raised the revision, to relay it. */
   readonly onWatchResult: (
     fromRevision: number,
@@ -46,11 +48,6 @@
 /** Longest wait of a watch call after a failure. */
 const RECOVERY_WATCH_WAIT_MS = 150;
 
-const sleep = (ms: number): Promise<void> =>
-  new Promise((resolve) => {
-    setTimeout(resolve, ms);
-  });
-
 /** Follows the objects of one kind in the store: lists them once, then watches for changes. */
 export class StoreWatch {
   readonly #options: StoreWatchOptions;
@@ -203,7 +200,7 @@
   }
 
   async #backOff(detail: string): Promise<void> {
-    const { random, isReliedOn } = this.#options;
+    const { random, sleep, isReliedOn } = this.#options;
     const pauseMs = storeRetryDelay(this.#failures, isReliedOn(), random());
     this.#failures += 1;
     if (this.#failures === 1) this.#options.listener.onUnavailable(detail);
--- a/src/app/gateway/runGateway.ts
+++ b/src/app/gateway/runGateway.ts
@@ -1,5 +1,6 @@
 import { randomBytes } from 'node:crypto';
 import { performance } from 'node:perf_hooks';
+import { setTimeout as sleep } from 'node:timers/promises';
 import * as Effect from 'effect/Effect';
 import * as Schema from 'effect/Schema';
 import type * as Scope from 'effect/Scope';
@@ -238,6 +239,7 @@
           logger,
           now,
           random: Math.random,
+          sleep: (ms) => sleep(ms),
           onConfiguration: (table, source) => {
             if (gateway.configure(table, source)) updateEngines();
           },
--- /dev/null
+++ b/test/replication/ReplicationPlan.ts
@@ -0,0 +1,88 @@
+import fc from 'fast-check';
+
+/** Something that happens in a simulation. Indices are taken modulo the number there is. */
+export type ReplicationAction =
+  /** An endpoint leaves: it drains first, or its entry is removed at once. */
+  | { readonly _tag: 'leave'; readonly endpoint: number; readonly drains: boolean }
+  | { readonly _tag: 'configure' }
+  | { readonly _tag: 'kill'; readonly gateways: readonly number[]; readonly downMs: number }
+  | { readonly _tag: 'pause'; readonly gateway: number; readonly forMs: number }
+  | {
+      readonly _tag: 'cutStore';
+      readonly gateways: readonly number[];
+      readonly how: 'refused' | 'silent';
+      readonly forMs: number;
+    }
+  | { readonly _tag: 'storeDown'; readonly how: 'refused' | 'silent'; readonly forMs: number }
+  /** Watches hear nothing for a while; then the history is gone and they are cut. */
+  | { readonly _tag: 'compact'; readonly mutedMs: number; readonly leaves: boolean }
+  | { readonly _tag: 'cutPeers'; readonly gateway: number; readonly forMs: number }
+  /** The next messages from one gateway to another are lost. */
+  | { readonly _tag: 'loseMessages'; readonly from: number; readonly to: number }
+  /** A gateway takes another one for gone although it runs. */
+  | {
+      readonly _tag: 'suspect';
+      readonly by: number;
+      readonly about: number;
+      readonly forMs: number;
+    };
+
+/** An action with its time in ms. */
+export interface ReplicationStep {
+  readonly at: number;
+  readonly action: ReplicationAction;
+}
+
+/** Faults begin within this time. */
+export const FAULTS_MS = 12_000;
+const LONGEST_FAULT_MS = 4_000;
+const MOST_STEPS = 14;
+
+const index = fc.nat({ max: 11 });
+const indices = fc.array(index, { minLength: 1, maxLength: 4 });
+const forMs = fc.integer({ min: 20, max: LONGEST_FAULT_MS });
+const how = fc.constantFrom('refused' as const, 'silent' as const);
+
+const action: fc.Arbitrary<ReplicationAction> = fc.oneof(
+  {
+    weight: 4,
+    arbitrary: fc.record({ _tag: fc.constant('leave'), endpoint: index, drains: fc.boolean() }),
+  },
+  { weight: 3, arbitrary: fc.record({ _tag: fc.constant('configure') }) },
+  {
+    weight: 2,
+    arbitrary: fc.record({ _tag: fc.constant('kill'), gateways: indices, downMs: forMs }),
+  },
+  { weight: 1, arbitrary: fc.record({ _tag: fc.constant('pause'), gateway: index, forMs }) },
+  {
+    weight: 2,
+    arbitrary: fc.record({ _tag: fc.constant('cutStore'), gateways: indices, how, forMs }),
+  },
+  { weight: 1, arbitrary: fc.record({ _tag: fc.constant('storeDown'), how, forMs }) },
+  {
+    weight: 2,
+    arbitrary: fc.record({
+      _tag: fc.constant('compact'),
+      mutedMs: fc.integer({ min: 0, max: 1_000 }),
+      leaves: fc.boolean(),
+    }),
+  },
+  { weight: 1, arbitrary: fc.record({ _tag: fc.constant('cutPeers'), gateway: index, forMs }) },
+  {
+    weight: 1,
+    arbitrary: fc.record({ _tag: fc.constant('loseMessages'), from: index, to: index }),
+  },
+  {
+    weight: 2,
+    arbitrary: fc.record({ _tag: fc.constant('suspect'), by: index, about: index, forMs }),
+  },
+);
+
+/** Plans of a simulation: steps in order of time. */
+export const replicationPlan: fc.Arbitrary<readonly ReplicationStep[]> = fc
+  .array(fc.record({ at: fc.nat({ max: FAULTS_MS }), action }), {
+    minLength: 1,
+    maxLength: MOST_STEPS,
+    size: 'max',
+  })
+  .map((steps) => [...steps].sort((a, b) => a.at - b.at));
--- /dev/null
+++ b/test/replication/SimulatedGateway.ts
@@ -0,0 +1,133 @@
+import pino from 'pino';
+import { StoreSubscription } from '../../src/app/gateway/StoreSubscription.ts';
+import { EndpointDirectory } from '../../src/coordination/gateway/index.ts';
+import type { PeerMessage } from '../../src/protocol/peer/PeerMessage.ts';
+import type { EndpointRecord, RouteTable } from '../../src/state/gateway/index.ts';
+import type { Member } from '../../src/state/Member.ts';
+import type { SimulatedStore, StorePath } from './SimulatedStore.ts';
+import type { VirtualClock } from './VirtualClock.ts';
+
+/** Name of the one plain service of a simulation. */
+export const SERVICE = 'plain';
+
+/** One gateway process of a simulation: its view of the store and of the other processes. */
+export class SimulatedGateway {
+  readonly directory = new EndpointDirectory();
+
+  readonly failureDomain: string;
+
+  readonly incarnation: string;
+
+  readonly #subscription: StoreSubscription;
+
+  readonly #serving = new Map<string, SimulatedGateway>();
+
+  /** Version of the configuration in force; 0 before the first one. */
+  configurationVersion = 0;
+
+  /** Messages and ticks wait while the process stands still. */
+  paused = false;
+
+  readonly #backlog: (() => void)[] = [];
+
+  constructor(options: {
+    readonly clock: VirtualClock;
+    readonly store: SimulatedStore;
+    readonly path: () => StorePath;
+    readonly incarnation: string;
+    readonly failureDomain: string;
+    readonly random: () => number;
+    /** Sends a message; false if it is certainly lost. */
+    readonly send: (to: SimulatedGateway, message: PeerMessage) => boolean;
+    readonly onLog?: (line: Record<string, unknown>) => void;
+  }) {
+    const { clock, store, path, send, random, onLog } = options;
+    this.incarnation = options.incarnation;
+    this.failureDomain = options.failureDomain;
+    this.#subscription = new StoreSubscription({
+      store: store.reachedBy(path),
+      wire: {
+        readRouteTable: (spec) => spec as RouteTable,
+        readEndpoint: (_name, spec) => spec as EndpointRecord,
+      },
+      directory: this.directory,
+      group: {
+        incarnation: this.incarnation,
+        storeWatcher: () => this.#storeWatcher(),
+        sameDomainPeers: () =>
+          this.#peers().filter(
+            ({ failureDomain }) => failureDomain === this.failureDomain,
+          ) as unknown as readonly Member[],
+        send: (to, message) => {
+          const peer = this.#serving.get(to);
+          return peer !== undefined && send(peer, message);
+        },
+        broadcast: (message) => this.#peers().forEach((peer) => send(peer, message)),
+      },
+      logger:
+        onLog === undefined
+          ? pino({ level: 'silent' })
+          : pino({}, { write: (line: string) => onLog(JSON.parse(line)) }),
+      now: () => clock.now,
+      random,
+      sleep: clock.sleep,
+      onConfiguration: ({ version }) => {
+        this.configurationVersion = Math.max(this.configurationVersion, version);
+      },
+      onEndpointsChanged: () => {},
+      onRelayReceived: () => {},
+    });
+  }
+
+  start(): void {
+    this.#subscription.start();
+  }
+
+  stop(): void {
+    this.#subscription.stop();
+  }
+
+  tick(): void {
+    this.#whenRunning(() => this.#subscription.tick());
+  }
+
+  receive(from: string, message: PeerMessage): void {
+    this.#whenRunning(() => this.#subscription.handle(from, message));
+  }
+
+  /** Learns that another process serves. */
+  learn(peer: SimulatedGateway): void {
+    this.#serving.set(peer.incarnation, peer);
+  }
+
+  /** Takes another process for gone. */
+  forget(peer: SimulatedGateway): void {
+    this.#serving.delete(peer.incarnation);
+  }
+
+  /** Goes on after a pause, with what arrived meanwhile. */
+  resume(): void {
+    this.paused = false;
+    this.#backlog.splice(0).forEach((run) => run());
+  }
+
+  readyEndpoints(): ReadonlySet<string> {
+    return new Set(this.directory.listReady(SERVICE).map(({ id }) => id));
+  }
+
+  #whenRunning(run: () => void): void {
+    if (this.paused) this.#backlog.push(run);
+    else run();
+  }
+
+  #peers(): readonly SimulatedGateway[] {
+    return [...this.#serving.values()];
+  }
+
+  #storeWatcher(): string {
+    const domain = this.#peers()
+      .filter(({ failureDomain }) => failureDomain === this.failureDomain)
+      .map(({ incarnation }) => incarnation);
+    return [this.incarnation, ...domain].sort()[0] as string;
+  }
+}
--- /dev/null
+++ b/test/replication/SimulatedStore.ts
@@ -0,0 +1,195 @@
+import type {
+  ListResult,
+  ObjectStore,
+  StoreChange,
+  StoreFailure,
+  StoreObject,
+  StoreObjectKind,
+  WatchResult,
+} from '../../src/protocol/gateway/index.ts';
+import type { VirtualClock } from './VirtualClock.ts';
+
+/** How calls reach the store: answered, refused at once, or neither answered nor refused. */
+export type StorePath = 'open' | 'refused' | 'silent';
+
+interface LoggedChange extends StoreChange {
+  readonly kind: StoreObjectKind;
+}
+
+interface WaitingCall {
+  readonly path: () => StorePath;
+  /** Answers the call if there is news or its wait is over. */
+  readonly poll: () => void;
+  readonly fail: () => void;
+}
+
+const LATENCY_MS = 4;
+/** Interval at which bytes that a silent path held back are sent again. */
+const RETRANSMISSION_MS = 50;
+/** Time for an answer beyond the wait of a watch, after which the client gives up. */
+const WATCH_ANSWER_TIMEOUT_MS = 500;
+const LIST_TIMEOUT_MS = 1_000;
+const FIRST_REVISION = 10;
+const UNAVAILABLE: StoreFailure = { _tag: 'unavailable', detail: 'simulated' };
+
+/** The platform's store in virtual time. */
+export class SimulatedStore {
+  readonly #clock: VirtualClock;
+
+  readonly #objects = {
+    configuration: new Map<string, StoreObject>(),
+    endpoints: new Map<string, StoreObject>(),
+  };
+
+  readonly #history: LoggedChange[] = [];
+
+  #revision = FIRST_REVISION;
+
+  #oldestWatchable = 0;
+
+  #muted = false;
+
+  readonly #waiting = new Set<WaitingCall>();
+
+  /** How all calls reach the store. */
+  path: StorePath = 'open';
+
+  /** Number of calls so far. */
+  calls = 0;
+
+  constructor(clock: VirtualClock) {
+    this.#clock = clock;
+  }
+
+  put(kind: StoreObjectKind, name: string, spec: unknown): void {
+    this.#revision += 1;
+    const object = { name, revision: this.#revision, spec, status: null };
+    this.#objects[kind].set(name, object);
+    this.#record({ kind, removed: false, object });
+  }
+
+  remove(kind: StoreObjectKind, name: string): void {
+    const before = this.#objects[kind].get(name);
+    if (before === undefined) return;
+    this.#revision += 1;
+    this.#objects[kind].delete(name);
+    this.#record({ kind, removed: true, object: { ...before, revision: this.#revision } });
+  }
+
+  /** Stops delivering changes to waiting watches. */
+  mute(): void {
+    this.#muted = true;
+  }
+
+  /** Discards the history and cuts the waiting watches. */
+  compact(): void {
+    this.#muted = false;
+    this.#oldestWatchable = this.#revision;
+    [...this.#waiting].forEach(({ fail }) => fail());
+  }
+
+  /** Applies a change of a path to the calls that wait on it. */
+  refresh(): void {
+    [...this.#waiting].forEach((call) => {
+      if (this.#effective(call.path()) === 'refused') call.fail();
+      else this.#clock.after(RETRANSMISSION_MS, call.poll);
+    });
+  }
+
+  /** Returns the store as one process reaches it. */
+  reachedBy(path: () => StorePath): ObjectStore {
+    return {
+      list: (kind) =>
+        this.#call<ListResult>(path, LIST_TIMEOUT_MS, (answer) =>
+          answer({
+            _tag: 'listed',
+            objects: [...this.#objects[kind].values()],
+            revision: this.#revision,
+          }),
+        ),
+      watch: (kind, revision, waitMs) => {
+        const until = this.#clock.now + waitMs;
+        return this.#call<WatchResult>(path, waitMs + WATCH_ANSWER_TIMEOUT_MS, (answer) => {
+          if (revision < this.#oldestWatchable) {
+            answer({ _tag: 'expired' });
+            return;
+          }
+          const changes = this.#muted
+            ? []
+            : this.#history.filter(
+                (change) => change.kind === kind && change.object.revision > revision,
+              );
+          if (changes.length === 0 && this.#clock.now < until) return;
+          // A muted watch must not raise its reader's revision past changes that it didn't deliver.
+          const reached = this.#muted ? revision : this.#revision;
+          answer({ _tag: 'changed', changes, revision: reached });
+        });
+      },
+    };
+  }
+
+  #effective(path: StorePath): StorePath {
+    return this.path === 'open' ? path : this.path;
+  }
+
+  #record(change: LoggedChange): void {
+    this.#history.push(change);
+    [...this.#waiting].forEach(({ poll }) => poll());
+  }
+
+  /** Delivers an answer: later if the path is silent meanwhile, and never if it is reset. */
+  #deliver(path: () => StorePath, resolve: () => void, fail: () => void): void {
+    switch (this.#effective(path())) {
+      case 'open':
+        resolve();
+        return;
+      case 'refused':
+        fail();
+        return;
+      case 'silent':
+        this.#clock.after(RETRANSMISSION_MS, () => this.#deliver(path, resolve, fail));
+        return;
+      default:
+        throw new Error('unknown path');
+    }
+  }
+
+  #call<A extends ListResult | WatchResult>(
+    path: () => StorePath,
+    timeoutMs: number,
+    tryAnswer: (answer: (result: A) => void) => void,
+  ): Promise<A | StoreFailure> {
+    this.calls += 1;
+    return new Promise((resolve) => {
+      const waiting: WaitingCall = {
+        path,
+        fail: () => {
+          this.#waiting.delete(waiting);
+          resolve(UNAVAILABLE);
+        },
+        poll: () => {
+          if (!this.#waiting.has(waiting) || this.#effective(path()) !== 'open') return;
+          tryAnswer((result) => {
+            this.#waiting.delete(waiting);
+            this.#clock.after(LATENCY_MS, () =>
+              this.#deliver(path, () => resolve(result), waiting.fail),
+            );
+          });
+        },
+      };
+      this.#clock.after(timeoutMs, () => {
+        this.#waiting.delete(waiting);
+        resolve(UNAVAILABLE);
+      });
+      this.#clock.after(LATENCY_MS, () => {
+        if (this.#effective(path()) === 'refused') {
+          resolve(UNAVAILABLE);
+          return;
+        }
+        this.#waiting.add(waiting);
+        waiting.poll();
+        this.#clock.after(timeoutMs - WATCH_ANSWER_TIMEOUT_MS, () => waiting.poll());
+      });
+    });
+  }
+}
--- /dev/null
+++ b/test/replication/main.ts
@@ -0,0 +1,43 @@
+import { parseArgs } from 'node:util';
+import fc from 'fast-check';
+import { playReplication } from './playReplication.ts';
+import { replicationPlan } from './ReplicationPlan.ts';
+
+const { values } = parseArgs({
+  options: {
+    runs: { type: 'string', default: '10000' },
+    seed: { type: 'string', default: '1' },
+    path: { type: 'string' },
+    log: { type: 'boolean', default: false },
+  },
+});
+
+const start = performance.now();
+let calls = 0;
+let played = 0;
+const result = await fc.check(
+  fc.asyncProperty(fc.integer(), replicationPlan, async (seed, plan) => {
+    const { stale, storeCalls } = await playReplication(seed, plan);
+    calls += storeCalls;
+    played += 1;
+    return stale.length === 0;
+  }),
+  {
+    numRuns: Number(values.runs),
+    seed: Number(values.seed),
+    ...(values.path === undefined ? {} : { path: values.path }),
+  },
+);
+const seconds = Math.round((performance.now() - start) / 1_000);
+console.log(
+  `seed ${values.seed}: ${result.numRuns} of ${values.runs} runs in ${seconds} s, ${(calls / played).toFixed(1)} store calls a run`,
+);
+if (result.counterexample !== null) {
+  process.exitCode = 1;
+  const [seed, plan] = result.counterexample;
+  const onLog = values.log ? (line: unknown) => console.log(JSON.stringify(line)) : undefined;
+  const { stale } = await playReplication(seed, plan, onLog);
+  console.log(`stale view after ${result.numShrinks} shrinks, path ${result.counterexamplePath}`);
+  console.log(JSON.stringify({ seed, plan }));
+  console.log(JSON.stringify(stale[0]));
+}
--- /dev/null
+++ b/test/replication/playReplication.ts
@@ -0,0 +1,400 @@
+import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64';
+import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
+import type { PeerMessage } from '../../src/protocol/peer/PeerMessage.ts';
+import { SERVICE, SimulatedGateway } from './SimulatedGateway.ts';
+import { SimulatedStore, type StorePath } from './SimulatedStore.ts';
+import { VirtualClock } from './VirtualClock.ts';
+import { FAULTS_MS, type ReplicationAction, type ReplicationStep } from './ReplicationPlan.ts';
+
+/** A gateway that acted on a view of the store that is older than the bound. */
+export interface StaleView {
+  readonly promise: 'DRAIN' | 'CONFIG';
+  readonly at: number;
+  readonly gateway: string;
+  readonly detail: string;
+}
+
+/** What came of a simulation. */
+export interface ReplicationResult {
+  readonly stale: readonly StaleView[];
+  readonly storeCalls: number;
+}
+
+/** Promises to the users: time after which a change of the store is in force in every gateway. */
+const BOUND_MS = 2_000;
+/** Time without disturbance after which the promises hold for a gateway. */
+const CONTACT_MS = 3_000;
+const TICK_MS = 50;
+const DOMAINS = ['a', 'b'];
+const GATEWAYS_PER_DOMAIN = 4;
+const ENDPOINTS = 6;
+const START_MS = 4_000;
+const END_MS = START_MS + FAULTS_MS + 8_000;
+const PEER_LATENCY_MS = 2;
+/** Messages that a broken link loses before it is found lost. */
+const LOST_MESSAGES = 2;
+const DETECTION_MS = { least: 250, most: 1_000 };
+const JOIN_MS = { least: 20, most: 400 };
+/** Time for which a draining endpoint stays listed. */
+const DRAINING_LISTED_MS = 2_500;
+
+/** A place of a gateway process, which is replaced when the process is killed. */
+interface Place {
+  readonly failureDomain: string;
+  process: SimulatedGateway | undefined;
+  /** Set while the path between the place and the store is cut. */
+  path: StorePath;
+  arePeersCut: boolean;
+  lastDisturbedAt: number;
+  /** Disturbances that go on. */
+  disturbances: number;
+}
+
+/** Plays gateways, which follow a store through faults, and checks how old their views get. */
+class ReplicationSimulation {
+  readonly #clock = new VirtualClock();
+
+  readonly #store = new SimulatedStore(this.#clock);
+
+  readonly #random: () => number;
+
+  readonly #places: Place[];
+
+  readonly #stale: StaleView[] = [];
+
+  readonly #departures = new Map<
+    string,
+    { readonly at: number; readonly isCalm: boolean; readonly drains: boolean }
+  >();
+
+  readonly #versions: { readonly version: number; readonly at: number }[] = [];
+
+  readonly #lossBudget = new Map<string, number>();
+
+  readonly #onLog: ((line: Record<string, unknown>) => void) | undefined;
+
+  #starts = 0;
+
+  #endpoints: string[] = [];
+
+  #created = 0;
+
+  #storeDisturbances = 0;
+
+  #storeDisturbedAt = Number.NEGATIVE_INFINITY;
+
+  constructor(seed: number, onLog?: (line: Record<string, unknown>) => void) {
+    const generator = xoroshiro128plus(seed);
+    this.#random = () => uniformFloat64(generator);
+    this.#onLog = onLog;
+    // With one failure domain no other watchers tell that the domain's own one lags.
+    const domains = this.#random() < 0.5 ? DOMAINS : DOMAINS.slice(0, 1);
+    this.#places = domains.flatMap((failureDomain) =>
+      Array.from({ length: GATEWAYS_PER_DOMAIN }, () => ({
+        failureDomain,
+        process: undefined,
+        path: 'open' as const,
+        arePeersCut: false,
+        lastDisturbedAt: Number.NEGATIVE_INFINITY,
+        disturbances: 0,
+      })),
+    );
+  }
+
+  async play(plan: readonly ReplicationStep[]): Promise<ReplicationResult> {
+    for (let count = 0; count < ENDPOINTS; count += 1) this.#addEndpoint();
+    this.#configure();
+    this.#places.forEach((place) => this.#start(place));
+    plan.forEach(({ at, action }) => this.#clock.after(START_MS + at, () => this.#perform(action)));
+    for (let at = TICK_MS; at <= END_MS && this.#stale.length === 0; at += TICK_MS) {
+      await this.#clock.runUntil(at);
+      this.#places.forEach(({ process }) => process?.tick());
+      if (at > START_MS) this.#check();
+    }
+    this.#places.forEach(({ process }) => process?.stop());
+    return { stale: this.#stale, storeCalls: this.#store.calls };
+  }
+
+  #between({ least, most }: { readonly least: number; readonly most: number }): number {
+    return least + this.#random() * (most - least);
+  }
+
+  #placeAt(index: number): Place {
+    return this.#places[index % this.#places.length] as Place;
+  }
+
+  #perform(action: ReplicationAction): void {
+    switch (action._tag) {
+      case 'leave':
+        this.#leave(action.endpoint, action.drains);
+        return;
+      case 'configure':
+        this.#configure();
+        return;
+      case 'kill':
+        new Set(action.gateways.map((index) => this.#placeAt(index))).forEach((place) =>
+          this.#kill(place, action.downMs),
+        );
+        return;
+      case 'pause':
+        this.#pause(this.#placeAt(action.gateway), action.forMs);
+        return;
+      case 'cutStore':
+        new Set(action.gateways.map((index) => this.#placeAt(index))).forEach((place) =>
+          this.#cutStore(place, action.how, action.forMs),
+        );
+        return;
+      case 'storeDown':
+        this.#disturbStore(action.forMs);
+        this.#store.path = action.how;
+        this.#store.refresh();
+        this.#clock.after(action.forMs, () => {
+          this.#store.path = 'open';
+          this.#store.refresh();
+        });
+        return;
+      case 'compact':
+        this.#compact(action.mutedMs, action.leaves);
+        return;
+      case 'cutPeers':
+        this.#cutPeers(this.#placeAt(action.gateway), action.forMs);
+        return;
+      case 'loseMessages': {
+        const [from, to] = [this.#placeAt(action.from).process, this.#placeAt(action.to).process];
+        if (from === undefined || to === undefined) return;
+        this.#lossBudget.set(`${from.incarnation}>${to.incarnation}`, LOST_MESSAGES);
+        return;
+      }
+      case 'suspect': {
+        const [by, about] = [this.#placeAt(action.by).process, this.#placeAt(action.about).process];
+        if (by === undefined || about === undefined || by === about) return;
+        by.forget(about);
+        this.#clock.after(action.forMs, () => this.#introduce(by, about));
+        return;
+      }
+      default:
+        action satisfies never;
+    }
+  }
+
+  #isRunning(process: SimulatedGateway): boolean {
+    return this.#places.some((place) => place.process === process);
+  }
+
+  #introduce(to: SimulatedGateway, peer: SimulatedGateway): void {
+    if (this.#isRunning(to) && this.#isRunning(peer)) to.learn(peer);
+  }
+
+  #start(place: Place): void {
+    this.#starts += 1;
+    const process: SimulatedGateway = new SimulatedGateway({
+      clock: this.#clock,
+      store: this.#store,
+      path: () => place.path,
+      incarnation: String(this.#starts).padStart(4, '0'),
+      failureDomain: place.failureDomain,
+      random: this.#random,
+      send: (to, message) => this.#send(place, process, to, message),
+      ...(this.#onLog === undefined
+        ? {}
+        : {
+            onLog: (line) =>
+              this.#onLog?.({ at: this.#clock.now, gateway: process.incarnation, ...line }),
+          }),
+    });
+    Object.assign(place, { process });
+    process.start();
+    this.#places.forEach(({ process: peer }) => {
+      if (peer === undefined || peer === process) return;
+      this.#clock.after(this.#between(JOIN_MS), () => this.#introduce(process, peer));
+      this.#clock.after(this.#between(JOIN_MS), () => this.#introduce(peer, process));
+    });
+  }
+
+  #kill(place: Place, downMs: number): void {
+    const { process } = place;
+    if (process === undefined) return;
+    process.stop();
+    Object.assign(place, { process: undefined });
+    this.#disturb(place, downMs);
+    this.#places.forEach(({ process: peer }) => {
+      if (peer !== undefined)
+        this.#clock.after(this.#between(DETECTION_MS), () => peer.forget(process));
+    });
+    this.#clock.after(downMs, () => {
+      if (place.process === undefined) this.#start(place);
+    });
+  }
+
+  #pause(place: Place, forMs: number): void {
+    const { process } = place;
+    if (process === undefined) return;
+    this.#disturb(place, forMs);
+    process.paused = true;
+    this.#clock.after(forMs, () => process.resume());
+  }
+
+  #cutStore(place: Place, how: StorePath, forMs: number): void {
+    this.#disturb(place, forMs);
+    Object.assign(place, { path: how });
+    this.#store.refresh();
+    this.#clock.after(forMs, () => {
+      Object.assign(place, { path: 'open' });
+      this.#store.refresh();
+    });
+  }
+
+  #cutPeers(place: Place, forMs: number): void {
+    this.#disturb(place, forMs);
+    Object.assign(place, { arePeersCut: true });
+    const own = place.process;
+    this.#clock.after(forMs, () => Object.assign(place, { arePeersCut: false }));
+    this.#places.forEach(({ process: peer }) => {
+      if (own === undefined || peer === undefined || peer === own) return;
+      [[own, peer] as const, [peer, own] as const].forEach(([to, other]) => {
+        const detectMs = this.#between(DETECTION_MS);
+        if (detectMs < forMs) this.#clock.after(detectMs, () => to.forget(other));
+        this.#clock.after(forMs + this.#between(JOIN_MS), () => this.#introduce(to, other));
+      });
+    });
+  }
+
+  #compact(mutedMs: number, leaves: boolean): void {
+    this.#disturbStore(mutedMs);
+    this.#store.mute();
+    if (leaves) this.#clock.after(mutedMs / 2, () => this.#leave(0, true));
+    this.#clock.after(mutedMs / 2, () => this.#configure());
+    this.#clock.after(mutedMs, () => this.#store.compact());
+  }
+
+  #send(
+    fromPlace: Place,
+    from: SimulatedGateway,
+    to: SimulatedGateway,
+    message: PeerMessage,
+  ): boolean {
+    const link = `${from.incarnation}>${to.incarnation}`;
+    const budget = this.#lossBudget.get(link) ?? 0;
+    if (budget > 0) {
+      this.#lossBudget.set(link, budget - 1);
+      return false;
+    }
+    const toPlace = this.#places.find(({ process }) => process === to);
+    if (toPlace === undefined || fromPlace.arePeersCut || toPlace.arePeersCut) return false;
+    this.#clock.after(PEER_LATENCY_MS, () => {
+      if (this.#isRunning(to)) to.receive(from.incarnation, message);
+    });
+    return true;
+  }
+
+  #disturb(place: Place, forMs: number): void {
+    Object.assign(place, { disturbances: place.disturbances + 1 });
+    this.#clock.after(forMs, () =>
+      Object.assign(place, {
+        disturbances: place.disturbances - 1,
+        lastDisturbedAt: this.#clock.now,
+      }),
+    );
+  }
+
+  #disturbStore(forMs: number): void {
+    this.#storeDisturbances += 1;
+    this.#clock.after(forMs, () => {
+      this.#storeDisturbances -= 1;
+      this.#storeDisturbedAt = this.#clock.now;
+    });
+  }
+
+  #addEndpoint(): void {
+    this.#created += 1;
+    const id = `endpoint-${this.#created}`;
+    this.#endpoints.push(id);
+    this.#putEndpoint(id, 'ready');
+  }
+
+  #putEndpoint(id: string, state: 'ready' | 'draining'): void {
+    this.#store.put('endpoints', id, {
+      id,
+      service: SERVICE,
+      address: '10.0.0.1:80',
+      failureDomain: 'a',
+      version: 'v1',
+      slots: 4,
+      state,
+      coldMs: 0,
+      bornAt: 1,
+    });
+  }
+
+  #leave(index: number, drains: boolean): void {
+    const id = this.#endpoints[index % this.#endpoints.length] as string;
+    this.#endpoints = this.#endpoints.filter((other) => other !== id);
+    const { now } = this.#clock;
+    this.#departures.set(id, { at: now, isCalm: this.#isStoreCalm(), drains });
+    if (drains) {
+      this.#putEndpoint(id, 'draining');
+      this.#clock.after(DRAINING_LISTED_MS, () => this.#store.remove('endpoints', id));
+    } else this.#store.remove('endpoints', id);
+    this.#clock.after(500, () => this.#addEndpoint());
+  }
+
+  #configure(): void {
+    const version = (this.#versions.at(-1)?.version ?? 0) + 1;
+    this.#store.put('configuration', 'main', { version });
+    this.#versions.push({ version, at: this.#clock.now });
+  }
+
+  #isStoreCalm(): boolean {
+    return this.#storeDisturbances === 0 && this.#clock.now - this.#storeDisturbedAt >= CONTACT_MS;
+  }
+
+  #isInTouch({ process, disturbances, lastDisturbedAt }: Place): boolean {
+    return (
+      process !== undefined &&
+      disturbances === 0 &&
+      this.#clock.now - lastDisturbedAt >= CONTACT_MS &&
+      this.#isStoreCalm()
+    );
+  }
+
+  #check(): void {
+    const { now } = this.#clock;
+    const due = now - BOUND_MS;
+    const owedVersion = this.#versions.findLast(({ at }) => at < due)?.version ?? 0;
+    const departed = [...this.#departures].filter(
+      // The promise counts from an acknowledgement that the store gave while it was stable.
+      ([, { at, isCalm }]) => at < due && isCalm,
+    );
+    this.#places
+      .filter((place) => this.#isInTouch(place))
+      .forEach(({ process }) => {
+        if (process === undefined) return;
+        const gateway = process.incarnation;
+        if (process.configurationVersion < owedVersion) {
+          const detail = `version ${process.configurationVersion} in force, ${owedVersion} owed`;
+          this.#stale.push({ promise: 'CONFIG', at: now, gateway, detail });
+        }
+        const ready = process.readyEndpoints();
+        departed
+          .filter(([id]) => ready.has(id))
+          .forEach(([id, { at, drains }]) => {
+            const detail = `${id} left at ${at} (${drains ? 'drained' : 'removed'}) and is used`;
+            this.#stale.push({ promise: 'DRAIN', at: now, gateway, detail });
+          });
+      });
+  }
+}
+
+/**
+ * Plays one simulation. It ends at the first view that is too old.
+ *
+ * @param seed - seed of delays and of the processes' own randomness
+ * @param plan - what happens
+ * @param onLog - receives the processes' log lines, with the time and the process
+ * @returns views that were too old, and the number of calls to the store
+ */
+export const playReplication = (
+  seed: number,
+  plan: readonly ReplicationStep[],
+  onLog?: (line: Record<string, unknown>) => void,
+): Promise<ReplicationResult> => new ReplicationSimulation(seed, onLog).play(plan);
--- /dev/null
+++ b/test/replication/replication.test.ts
@@ -0,0 +1,26 @@
+import { describe, it } from 'node:test';
+import { expect } from 'earl';
+import { playReplication } from './playReplication.ts';
+import type { ReplicationStep } from './ReplicationPlan.ts';
+
+const SEED = 0;
+
+const findStaleViews = async (plan: readonly ReplicationStep[]) =>
+  (await playReplication(SEED, plan)).stale;
+
+const cutStore = (gateways: readonly number[], forMs: number) =>
+  ({ _tag: 'cutStore', gateways, how: 'refused', forMs }) as const;
+
+const removeEndpoint = { _tag: 'leave', endpoint: 0, drains: false } as const;
+
+describe('Gateways that follow a store', () => {
+  // DRAIN: requests reached an endpoint long after its entry was removed from the store.
+  it('drop a removed endpoint after their own calls failed and a watcher took over', async () => {
+    const plan: readonly ReplicationStep[] = [
+      { at: 0, action: removeEndpoint },
+      { at: 0, action: { _tag: 'storeDown', how: 'refused', forMs: 20 } },
+      { at: 0, action: cutStore([5], 207) },
+    ];
+    expect(await findStaleViews(plan)).toEqual([]);
+  });
+});
