Relay what a list after a gap shows, and tell how complete the watcher is

Cause: when the store had discarded its history, the watcher of a failure domain listed anew and applied the list, but relayed nothing of it, and the revision of the last change in its heartbeats didn't move. Its followers refused the next relayed span, because it began after what they knew, and went on taking themselves for current until the next change of the same kind. A watcher that had just started looked the same: it knows only a list.

StoreWatch now derives from a list what changed since the revision that it knows, and relays that like the result of a watch. Heartbeats tell from which revision on a complete view holds all that the watcher's view holds; a follower below it watches the store itself.

--- a/src/app/gateway/StoreSubscription.ts
+++ b/src/app/gateway/StoreSubscription.ts
@@ -187,6 +187,10 @@
       reached: configuration.reached && endpoints.reached,
       configurationRevision: configuration.lastChangeRevision,
       endpointsRevision: endpoints.lastChangeRevision,
+      completeSince: {
+        configuration: configuration.completeSince,
+        endpoints: endpoints.completeSince,
+      },
     };
     const { group } = this.#options;
     if (isUrgent || now - this.#broadcastSentAt >= BROADCAST_INTERVAL_MS) {
@@ -239,7 +243,6 @@
     return {
       ...this.#makeHealthListener('store: configuration'),
       onList: (objects) => {
-        this.#relayedRevisions.configuration.reset();
         this.#logList('configuration', objects.length);
         objects.forEach(({ spec }) => this.#applyConfiguration(spec, 'list'));
       },
@@ -257,7 +260,6 @@
           .map(({ name, spec }) => wire.readEndpoint(name, spec))
           .filter((record) => record !== undefined);
         this.#endpointsListed = true;
-        this.#relayedRevisions.endpoints.reset();
         this.#logList('endpoints', objects.length);
         this.#reportChanges(directory.replaceAll(records, now()), 'list');
       },
--- a/src/app/gateway/StoreWatch.ts
+++ b/src/app/gateway/StoreWatch.ts
@@ -37,7 +37,10 @@
   readonly random: () => number;
   /** Resolves after a time in ms. */
   readonly sleep: (ms: number) => Promise<void>;
-  /** Called with the result of each watch call that raised the revision, to relay it. */
+  /**
+   * Called with the changes of each call that raised the revision, to relay them. After the first list
+   * there is nothing to relay, because it doesn't tell what changed.
+   */
   readonly onWatchResult: (
     fromRevision: number,
     toRevision: number,
@@ -56,8 +59,16 @@
 
   #revision: number | undefined;
 
+  /** Whether the store has discarded the history since the known revision. */
+  #isListDue = false;
+
+  /** Revisions of the known objects by name. */
+  readonly #objectRevisions = new Map<string, number>();
+
   #lastChangeRevision = 0;
 
+  #completeSince = 0;
+
   #failures = 0;
 
   #reached = false;
@@ -91,6 +102,14 @@
     return this.#lastChangeRevision;
   }
 
+  /**
+   * Lowest store revision at which a complete view is as complete as this one: nothing is known to have
+   * changed between it and `revision`.
+   */
+  get completeSince(): number {
+    return this.#completeSince;
+  }
+
   /** Whether the store answered the last call. */
   get reached(): boolean {
     return this.#reached && this.#failures === 0;
@@ -123,6 +142,7 @@
   applyRelayed(fromRevision: number, toRevision: number, changes: readonly StoreChange[]): boolean {
     if (this.#revision === undefined || fromRevision > this.#revision) return false;
     if (toRevision <= this.#revision) return true;
+    this.#isListDue = false;
     this.#revision = toRevision;
     this.#apply(changes, 'relay');
     return true;
@@ -143,8 +163,8 @@
   }
 
   async #listOrWatch(): Promise<void> {
-    const { store, kind, listener, waitMs } = this.#options;
-    if (this.#revision === undefined) {
+    const { store, kind, waitMs } = this.#options;
+    if (this.#revision === undefined || this.#isListDue) {
       const result = await store.list(kind);
       if (this.#stopped) return;
       if (result._tag === 'unavailable') {
@@ -152,8 +172,7 @@
         return;
       }
       this.#reportAvailable();
-      this.#revision = result.revision;
-      listener.onList(result.objects);
+      this.#applyList(result.revision, result.objects);
       return;
     }
     // After a failure the wait is short, because a long one would delay the detection of the recovery.
@@ -165,7 +184,7 @@
         await this.#backOff(result.detail);
         return;
       case 'expired':
-        this.#revision = undefined;
+        this.#isListDue = true;
         return;
       case 'changed':
         this.#reportAvailable();
@@ -176,6 +195,34 @@
     }
   }
 
+  #applyList(revision: number, objects: readonly StoreObject[]): void {
+    const before = this.#revision;
+    this.#isListDue = false;
+    // Changes that were relayed during the call are newer than its result.
+    if (before !== undefined && revision <= before) return;
+    const changes = this.#compareWithKnown(revision, objects);
+    this.#revision = revision;
+    this.#recordChanges(changes);
+    if (before === undefined || changes.length > 0) this.#completeSince = revision;
+    this.#options.listener.onList(objects);
+    if (before !== undefined) this.#options.onWatchResult(before, revision, changes);
+  }
+
+  /** Derives from a list what changed since the known revision. */
+  #compareWithKnown(revision: number, objects: readonly StoreObject[]): readonly StoreChange[] {
+    const listed = new Set(objects.map(({ name }) => name));
+    const removed = [...this.#objectRevisions.keys()].filter((name) => !listed.has(name));
+    return [
+      ...objects
+        .filter((object) => this.#objectRevisions.get(object.name) !== object.revision)
+        .map((object) => ({ removed: false, object })),
+      ...removed.map((name) => ({
+        removed: true,
+        object: { name, revision, spec: null, status: null },
+      })),
+    ];
+  }
+
   #applyWatched(revision: number, changes: readonly StoreChange[]): void {
     const before = this.#revision ?? 0;
     // Changes that were relayed during the call are newer than its result.
@@ -187,11 +234,19 @@
 
   #apply(changes: readonly StoreChange[], source: StoreChangeSource): void {
     if (changes.length === 0) return;
-    const revisions = changes.map(({ object }) => object.revision);
-    this.#lastChangeRevision = Math.max(this.#lastChangeRevision, ...revisions);
+    this.#recordChanges(changes);
     this.#options.listener.onChanges(changes, source);
   }
 
+  #recordChanges(changes: readonly StoreChange[]): void {
+    changes.forEach(({ removed, object: { name, revision } }) => {
+      if (removed) this.#objectRevisions.delete(name);
+      else this.#objectRevisions.set(name, revision);
+      this.#lastChangeRevision = Math.max(this.#lastChangeRevision, revision);
+    });
+    this.#completeSince = Math.max(this.#completeSince, this.#lastChangeRevision);
+  }
+
   #reportAvailable(): void {
     if (this.#reached && this.#failures === 0) return;
     this.#reached = true;
--- a/src/coordination/gateway/StoreWatcherMonitor.ts
+++ b/src/coordination/gateway/StoreWatcherMonitor.ts
@@ -6,6 +6,8 @@
   readonly configurationRevision: number;
   /** Store revision of the last endpoint change that the watcher has seen. */
   readonly endpointsRevision: number;
+  /** Store revisions at which a complete view holds all that the watcher's view holds. */
+  readonly completeSince?: KnownRevisions;
 }
 
 /** Store revisions up to which a process has received all changes. */
@@ -14,11 +16,16 @@
   readonly endpoints: number;
 }
 
+const NO_REVISIONS: KnownRevisions = { configuration: 0, endpoints: 0 };
+
 /** Time without a heartbeat after which a watcher is unreliable; three heartbeat intervals. */
 const HEARTBEAT_TIMEOUT_MS = 1_300;
 /** Time within which a change that any watcher has seen must be received. */
 const MAXIMUM_LAG_MS = 400;
 
+const isBehind = (known: KnownRevisions, required: KnownRevisions): boolean =>
+  known.configuration < required.configuration || known.endpoints < required.endpoints;
+
 /**
  * Decides whether a process may rely on a store watcher for the store's changes. The watchers of
  * all failure domains report the revisions that they have seen, so that a watcher that is
@@ -31,10 +38,13 @@
 
   #lastHeartbeatAt = Number.NEGATIVE_INFINITY;
 
-  #latestRevisions: KnownRevisions = { configuration: 0, endpoints: 0 };
+  #latestRevisions: KnownRevisions = NO_REVISIONS;
 
   #laggingSince: number | undefined;
 
+  /** Store revisions that this process needs to hold all that its watcher holds. */
+  #requiredRevisions: KnownRevisions = NO_REVISIONS;
+
   /** Highest revisions of changes that any watcher has reported. */
   get latestRevisions(): KnownRevisions {
     return this.#latestRevisions;
@@ -57,6 +67,7 @@
     if (from !== watcher) return;
     this.#lastHeartbeatFrom = from;
     this.#reachesStore = heartbeat.reached;
+    this.#requiredRevisions = heartbeat.completeSince ?? NO_REVISIONS;
     this.#lastHeartbeatAt = now;
   }
 
@@ -66,18 +77,17 @@
    * @param watcher - incarnation of the member that is assigned as watcher
    * @param known - store revisions that this process has received
    * @param now - current time, in ms
-   * @returns false if the watcher is silent, can't reach the store or lags, so that this process
-   *   must watch the store itself
+   * @returns false if the watcher is silent, can't reach the store or lags, or if this process lacks
+   *   changes that the watcher has, so that it must watch the store itself
    */
   isReliable(watcher: string, known: KnownRevisions, now: number): boolean {
-    const isLagging =
-      known.configuration < this.#latestRevisions.configuration ||
-      known.endpoints < this.#latestRevisions.endpoints;
-    if (!isLagging) this.#laggingSince = undefined;
+    if (!isBehind(known, this.#latestRevisions)) this.#laggingSince = undefined;
     else this.#laggingSince ??= now;
     const isStale = this.#laggingSince !== undefined && now - this.#laggingSince > MAXIMUM_LAG_MS;
     const isAlive =
       this.#lastHeartbeatFrom === watcher && now - this.#lastHeartbeatAt <= HEARTBEAT_TIMEOUT_MS;
-    return isAlive && this.#reachesStore && !isStale;
+    // Relayed changes arrive before the heartbeat that follows them, so what is missing was lost.
+    const isComplete = !isBehind(known, this.#requiredRevisions);
+    return isAlive && this.#reachesStore && !isStale && isComplete;
   }
 }
--- a/src/protocol/peer/GatewayMessages.ts
+++ b/src/protocol/peer/GatewayMessages.ts
@@ -141,5 +141,12 @@
     configurationRevision: Schema.Finite,
     /** Store revision of the last endpoint change that the sender has seen. */
     endpointsRevision: Schema.Finite,
+    /**
+     * Store revisions at which a complete view holds all that the sender's view holds. They may be
+     * higher than those of the last changes, because a list doesn't tell what it left out.
+     */
+    completeSince: Schema.optionalKey(
+      Schema.Struct({ configuration: Schema.Finite, endpoints: Schema.Finite }),
+    ),
   }),
 ] as const;
--- a/test/replication/replication.test.ts
+++ b/test/replication/replication.test.ts
@@ -23,4 +23,13 @@
     ];
     expect(await findStaleViews(plan)).toEqual([]);
   });
+
+  // CONFIG: gateways answered by an old configuration until the next change of the store.
+  it('learn what their watcher read from a list after the store discarded its history', async () => {
+    const plan: readonly ReplicationStep[] = [
+      { at: 0, action: cutStore([1], 61) },
+      { at: 0, action: { _tag: 'compact', mutedMs: 0, leaves: false } },
+    ];
+    expect(await findStaleViews(plan)).toEqual([]);
+  });
 });
