Don't relay a span over changes that were left to another watcher

A span of relayed changes promises that it holds all changes between its revisions. While two gateways each take the other for the watcher, or one of them changes its mind, a watch of this process may return changes that it leaves to the other one; its next span then began at what it had relayed last, over those changes. A follower that accepted it would never learn of them, and nothing would tell it.

The span now reaches back only over results of this process's own watches that follow one another without a change. The test fails before (11 in place of 13).

--- a/src/coordination/gateway/RelayedRevisions.test.ts
+++ b/src/coordination/gateway/RelayedRevisions.test.ts
@@ -24,4 +24,11 @@
     relayed.reset();
     expect(relayed.planRelay({ from: 40, to: 41, isNews: false }, 500)).toEqual(40);
   });
+
+  // DRAIN, CONFIG: a member that accepted such a span never learned of the change in it.
+  it('does not span a change that it left to another watcher', () => {
+    const relayed = new RelayedRevisions();
+    relayed.planRelay({ from: 10, to: 11, isNews: true }, 0);
+    expect(relayed.planRelay({ from: 13, to: 14, isNews: true }, 500)).toEqual(13);
+  });
 });
--- a/src/coordination/gateway/RelayedRevisions.ts
+++ b/src/coordination/gateway/RelayedRevisions.ts
@@ -6,7 +6,15 @@
  * results of several watches without changes are combined into one message.
  */
 export class RelayedRevisions {
-  #lastRelayed: { readonly revision: number; readonly at: number } | undefined;
+  #last:
+    | {
+        /** Revision up to which all changes were relayed. */
+        readonly relayedTo: number;
+        /** Revision up to which this process has watched since, without any change. */
+        readonly watchedTo: number;
+        readonly relayedAt: number;
+      }
+    | undefined;
 
   /**
    * Decides whether the result of a watch is relayed, and from which revision on.
@@ -20,18 +28,17 @@
     watched: { readonly from: number; readonly to: number; readonly isNews: boolean },
     now: number,
   ): number | undefined {
-    const previous = this.#lastRelayed;
-    if (
-      previous !== undefined &&
-      !watched.isNews &&
-      now - previous.at < UNCHANGED_RELAY_INTERVAL_MS
-    ) {
+    // Revisions between two results that follow from no watch of this process, or from one whose
+    // changes were left to another watcher, may hold changes that weren't relayed from here.
+    const previous = this.#last?.watchedTo === watched.from ? this.#last : undefined;
+    const isRecent =
+      previous !== undefined && now - previous.relayedAt < UNCHANGED_RELAY_INTERVAL_MS;
+    if (isRecent && !watched.isNews) {
+      this.#last = { ...previous, watchedTo: watched.to };
       return undefined;
     }
-    this.#lastRelayed = { revision: watched.to, at: now };
-    // Every change is relayed at once, so the revisions since the last relayed one hold no changes
-    // and the span may include them.
-    return Math.min(watched.from, previous?.revision ?? watched.from);
+    this.#last = { relayedTo: watched.to, watchedTo: watched.to, relayedAt: now };
+    return previous?.relayedTo ?? watched.from;
   }
 
   /**
@@ -40,6 +47,6 @@
    * must not include them, and receivers detect the gap.
    */
   reset(): void {
-    this.#lastRelayed = undefined;
+    this.#last = undefined;
   }
 }
