Rely on a watcher only while the store has confirmed its view lately

A follower relied on its watcher for 1.3 s after the last heartbeat, however long ago the store had last answered that watcher. A watcher whose path to the store had fallen silent finds out within 1.4 s; if it also stands still meanwhile, its followers went on for up to 2.2 s in all, over the 2 s after which a change must be in force, where no watcher of another failure domain told them better.

Heartbeats now tell how long ago the store last confirmed the watcher's view, and a follower relies on it for 1.6 s from then: a watch call (0.9 s) and a heartbeat interval (0.45 s) stay within it, and its own call takes a few milliseconds. What a gateway believes rests on the store's word and its age, no more on the health of a neighbour.

The new test fails with the monitor of the commit before.

--- a/src/app/gateway/StoreSubscription.ts
+++ b/src/app/gateway/StoreSubscription.ts
@@ -80,10 +80,10 @@
 
   constructor(options: StoreSubscriptionOptions) {
     this.#options = options;
-    const { store, random, sleep, group } = options;
+    const { store, now, random, sleep, group } = options;
     const isReliedOn = (): boolean => group.storeWatcher() === group.incarnation;
     const waitMs = (): number => (isReliedOn() ? SHARED_WATCH_WAIT_MS : PRIVATE_WATCH_WAIT_MS);
-    const common = { store, random, sleep, waitMs, isReliedOn };
+    const common = { store, now, random, sleep, waitMs, isReliedOn };
     const watch = (kind: WatchedKind, listener: StoreWatchListener): StoreWatch =>
       new StoreWatch({
         ...common,
@@ -191,6 +191,7 @@
         configuration: configuration.completeSince,
         endpoints: endpoints.completeSince,
       },
+      confirmedMsAgo: now - Math.min(configuration.confirmedAt, endpoints.confirmedAt),
     };
     const { group } = this.#options;
     if (isUrgent || now - this.#broadcastSentAt >= BROADCAST_INTERVAL_MS) {
--- a/src/app/gateway/StoreWatch.test.ts
+++ b/src/app/gateway/StoreWatch.test.ts
@@ -25,6 +25,7 @@
     kind: 'configuration',
     waitMs: () => WAIT_MS,
     isReliedOn: () => true,
+    now: () => 0,
     random: () => 0,
     sleep: (ms) => setTimeout(ms),
     onWatchResult: () => {},
--- a/src/app/gateway/StoreWatch.ts
+++ b/src/app/gateway/StoreWatch.ts
@@ -33,6 +33,8 @@
   readonly waitMs: () => number;
   /** Returns whether other processes rely on this watch now, so that it retries sooner. */
   readonly isReliedOn: () => boolean;
+  /** Present time in ms, monotonic. */
+  readonly now: () => number;
   /** A random number in [0, 1). */
   readonly random: () => number;
   /** Resolves after a time in ms. */
@@ -69,6 +71,8 @@
 
   #completeSince = 0;
 
+  #confirmedAt = 0;
+
   #failures = 0;
 
   #reached = false;
@@ -110,6 +114,11 @@
     return this.#completeSince;
   }
 
+  /** When the store last answered, and so confirmed the view, in ms; 0 before the first answer. */
+  get confirmedAt(): number {
+    return this.#confirmedAt;
+  }
+
   /** Whether the store answered the last call. */
   get reached(): boolean {
     return this.#reached && this.#failures === 0;
@@ -248,6 +257,7 @@
   }
 
   #reportAvailable(): void {
+    this.#confirmedAt = this.#options.now();
     if (this.#reached && this.#failures === 0) return;
     this.#reached = true;
     this.#failures = 0;
--- a/src/coordination/gateway/StoreWatcherMonitor.test.ts
+++ b/src/coordination/gateway/StoreWatcherMonitor.test.ts
@@ -41,4 +41,20 @@
     expect(monitor.isReliable('w', knownRevisions(10), 501)).toEqual(false);
     expect(monitor.isReliable('w', knownRevisions(12), 600)).toEqual(true);
   });
+
+  it('requires what the watcher knows only from a list', () => {
+    const monitor = new StoreWatcherMonitor();
+    const listed = { ...heartbeat(10), completeSince: knownRevisions(20) };
+    monitor.recordHeartbeat('w', 'w', listed, 0);
+    expect(monitor.isReliable('w', knownRevisions(19), 10)).toEqual(false);
+    expect(monitor.isReliable('w', knownRevisions(20), 10)).toEqual(true);
+  });
+
+  // DRAIN, CONFIG: a watcher that stood still vouched for a view that the store had not confirmed.
+  it('stops relying on a watcher whose view the store has not confirmed for long', () => {
+    const monitor = new StoreWatcherMonitor();
+    monitor.recordHeartbeat('w', 'w', { ...heartbeat(10), confirmedMsAgo: 900 }, 0);
+    expect(monitor.isReliable('w', knownRevisions(10), 600)).toEqual(true);
+    expect(monitor.isReliable('w', knownRevisions(10), 800)).toEqual(false);
+  });
 });
--- a/src/coordination/gateway/StoreWatcherMonitor.ts
+++ b/src/coordination/gateway/StoreWatcherMonitor.ts
@@ -8,6 +8,8 @@
   readonly endpointsRevision: number;
   /** Store revisions at which a complete view holds all that the watcher's view holds. */
   readonly completeSince?: KnownRevisions;
+  /** Time since the store last confirmed the watcher's view, in ms. */
+  readonly confirmedMsAgo?: number;
 }
 
 /** Store revisions up to which a process has received all changes. */
@@ -20,6 +22,11 @@
 
 /** Time without a heartbeat after which a watcher is unreliable; three heartbeat intervals. */
 const HEARTBEAT_TIMEOUT_MS = 1_300;
+/**
+ * Longest time since the store confirmed the watcher's view. It leaves time for a call of this process
+ * before a change is 2 s old, and is longer than a watch call and a heartbeat interval together.
+ */
+const MAXIMUM_CONFIRMATION_AGE_MS = 1_600;
 /** Time within which a change that any watcher has seen must be received. */
 const MAXIMUM_LAG_MS = 400;
 
@@ -38,6 +45,9 @@
 
   #lastHeartbeatAt = Number.NEGATIVE_INFINITY;
 
+  /** When the store last confirmed the watcher's view, in ms. */
+  #confirmedAt = Number.NEGATIVE_INFINITY;
+
   #latestRevisions: KnownRevisions = NO_REVISIONS;
 
   #laggingSince: number | undefined;
@@ -69,6 +79,7 @@
     this.#reachesStore = heartbeat.reached;
     this.#requiredRevisions = heartbeat.completeSince ?? NO_REVISIONS;
     this.#lastHeartbeatAt = now;
+    this.#confirmedAt = now - (heartbeat.confirmedMsAgo ?? 0);
   }
 
   /**
@@ -88,6 +99,7 @@
       this.#lastHeartbeatFrom === watcher && now - this.#lastHeartbeatAt <= HEARTBEAT_TIMEOUT_MS;
     // Relayed changes arrive before the heartbeat that follows them, so what is missing was lost.
     const isComplete = !isBehind(known, this.#requiredRevisions);
-    return isAlive && this.#reachesStore && !isStale && isComplete;
+    const isConfirmed = now - this.#confirmedAt <= MAXIMUM_CONFIRMATION_AGE_MS;
+    return isAlive && this.#reachesStore && isConfirmed && !isStale && isComplete;
   }
 }
--- a/src/protocol/peer/GatewayMessages.ts
+++ b/src/protocol/peer/GatewayMessages.ts
@@ -148,5 +148,7 @@
     completeSince: Schema.optionalKey(
       Schema.Struct({ configuration: Schema.Finite, endpoints: Schema.Finite }),
     ),
+    /** Time since the store last confirmed the sender's view of both kinds. */
+    confirmedMsAgo: Schema.optionalKey(Milliseconds),
   }),
 ] as const;
