End the grace time after an outage at the same time in all followers

A watcher whose own path to the store had failed for a moment keeps missing entries for a grace time of 2.2 s, and said so with its relayed changes as a yes or no. Each follower then began a whole grace time of its own, although it had seen no outage, and a follower that became the watcher passed it on again. An endpoint whose removal was relayed late in the grace time stayed in use for up to 2.2 s more (DRAIN, bound 2 s).

The message now carries what is left of the sender's grace time, and followers end theirs with it.

--- a/src/app/gateway/StoreSubscription.ts
+++ b/src/app/gateway/StoreSubscription.ts
@@ -1,5 +1,6 @@
 import type { Logger } from 'pino';
 import {
+  MISSING_ENTRY_GRACE_MS,
   StoreWatcherMonitor,
   RelayedRevisions,
   type EndpointChange,
@@ -159,13 +160,9 @@
       this.#watcherMonitor.recordHeartbeat(from, group.storeWatcher(), message, now());
     }
     if (message._tag !== 'storeChanges') return;
-    const { kind, fromRevision, toRevision, changes, afterOutage } = message;
-    // The watcher has seen an outage of the store that this process has not: the grace time after it
-    // starts here too.
-    if (afterOutage && !directory.isInOutageOrGrace(now())) {
-      directory.recordStoreFailure();
-      directory.recordStoreResponse(now());
-    }
+    const { kind, fromRevision, toRevision, changes, afterOutage, graceMs } = message;
+    // The watcher has seen an outage of the store that this process may not have seen.
+    if (afterOutage) directory.extendGrace(graceMs ?? MISSING_ENTRY_GRACE_MS, now());
     const watch = this.#watches[kind];
     const known = watch.revision;
     const isApplied = watch.applyRelayed(fromRevision, toRevision, changes);
@@ -216,7 +213,8 @@
       }
       return;
     }
-    const afterOutage = directory.isInOutageOrGrace(now());
+    const graceMs = directory.remainingGraceMs(now());
+    const afterOutage = graceMs > 0;
     const watched = {
       from: fromRevision,
       to: toRevision,
@@ -231,6 +229,7 @@
       toRevision,
       changes,
       afterOutage,
+      graceMs,
     };
     const peers = group
       .sameDomainPeers()
--- a/src/coordination/gateway/EndpointDirectory.ts
+++ b/src/coordination/gateway/EndpointDirectory.ts
@@ -4,7 +4,7 @@
  * Time after an outage of the store in which missing entries are kept. Entries that expired during
  * the outage are registered again within 2 s of its end if their endpoint is alive.
  */
-const MISSING_ENTRY_GRACE_MS = 2_200;
+export const MISSING_ENTRY_GRACE_MS = 2_200;
 
 /** An endpoint's entry in the directory. */
 interface DirectoryEntry {
@@ -52,7 +52,7 @@
   recordStoreResponse(now: number): void {
     if (!this.#isStoreFailing) return;
     this.#isStoreFailing = false;
-    this.#graceUntil = now + MISSING_ENTRY_GRACE_MS;
+    this.extendGrace(MISSING_ENTRY_GRACE_MS, now);
   }
 
   /**
@@ -66,6 +66,26 @@
     return now < this.#graceUntil ? 'grace' : 'none';
   }
 
+  /**
+   * Returns for how long missing entries are still kept after an outage.
+   *
+   * @param now - current time, in ms
+   * @returns the remaining grace time in ms, the whole of it during an outage; 0 if there was none
+   */
+  remainingGraceMs(now: number): number {
+    return this.#isStoreFailing ? MISSING_ENTRY_GRACE_MS : Math.max(0, this.#graceUntil - now);
+  }
+
+  /**
+   * Takes over the grace time of another process, whose view of the store this one receives.
+   *
+   * @param remainingMs - the rest of that grace time, in ms
+   * @param now - current time, in ms
+   */
+  extendGrace(remainingMs: number, now: number): void {
+    this.#graceUntil = Math.max(this.#graceUntil, now + remainingMs);
+  }
+
   /** Number of entries that the store no longer lists and that are kept in use. */
   get missingCount(): number {
     return [...this.#entries.values()].filter(({ missingSince }) => missingSince !== undefined)
--- a/src/coordination/gateway/index.ts
+++ b/src/coordination/gateway/index.ts
@@ -1,6 +1,6 @@
 export { CallerRetryDetector } from './CallerRetryDetector.ts';
 export { EndpointAvailability } from './EndpointAvailability.ts';
-export { EndpointDirectory } from './EndpointDirectory.ts';
+export { EndpointDirectory, MISSING_ENTRY_GRACE_MS } from './EndpointDirectory.ts';
 export type { EndpointChange, OutagePhase } from './EndpointDirectory.ts';
 export { EngineSpeed } from './EngineSpeed.ts';
 export { pickService } from './pickService.ts';
--- a/src/protocol/peer/GatewayMessages.ts
+++ b/src/protocol/peer/GatewayMessages.ts
@@ -121,6 +121,8 @@
     toRevision: Schema.Finite,
     /** Whether the store was unavailable shortly before, so that missing endpoints may reappear. */
     afterOutage: Schema.Boolean,
+    /** Time for which the sender still keeps missing endpoints, so that all stop at the same time. */
+    graceMs: Schema.optionalKey(Milliseconds),
     changes: Schema.Array(
       Schema.Struct({
         removed: Schema.Boolean,
--- a/test/replication/replication.test.ts
+++ b/test/replication/replication.test.ts
@@ -32,4 +32,13 @@
     ];
     expect(await findStaleViews(plan)).toEqual([]);
   });
+
+  // DRAIN: followers kept an endpoint in use for longer than the watcher that had seen an outage.
+  it('keep missing endpoints no longer than the watcher whose outage they did not see', async () => {
+    const plan: readonly ReplicationStep[] = [
+      { at: 0, action: cutStore([0], 20) },
+      { at: 2_061, action: removeEndpoint },
+    ];
+    expect(await findStaleViews(plan)).toEqual([]);
+  });
 });
