--- a/test/replication/SimulatedStore.ts
+++ b/test/replication/SimulatedStore.ts
@@ -165,25 +165,25 @@
         path,
         fail: () => {
           this.#waiting.delete(waiting);
-          resolve(UNAVAILABLE);
+          this.#clock.resolve(resolve, UNAVAILABLE);
         },
         poll: () => {
           if (!this.#waiting.has(waiting) || this.#effective(path()) !== 'open') return;
           tryAnswer((result) => {
             this.#waiting.delete(waiting);
             this.#clock.after(LATENCY_MS, () =>
-              this.#deliver(path, () => resolve(result), waiting.fail),
+              this.#deliver(path, () => this.#clock.resolve(resolve, result), waiting.fail),
             );
           });
         },
       };
       this.#clock.after(timeoutMs, () => {
         this.#waiting.delete(waiting);
-        resolve(UNAVAILABLE);
+        this.#clock.resolve(resolve, UNAVAILABLE);
       });
       this.#clock.after(LATENCY_MS, () => {
         if (this.#effective(path()) === 'refused') {
-          resolve(UNAVAILABLE);
+          this.#clock.resolve(resolve, UNAVAILABLE);
           return;
         }
         this.#waiting.add(waiting);
--- a/test/replication/VirtualClock.ts
+++ b/test/replication/VirtualClock.ts
@@ -4,7 +4,7 @@
   readonly run: () => void;
 }
 
-/** Turns of the microtask queue after each timer; more than any chain of promises under test has. */
+/** Turns of the microtask queue after a promise was resolved; more than any chain of promises under test has. */
 const MICROTASK_TURNS = 16;
 
 /** Virtual time: runs timers in order and lets promises settle between them. */
@@ -15,6 +15,8 @@
 
   #scheduled = 0;
 
+  #unsettled = false;
+
   /** Current time, in ms. */
   get now(): number {
     return this.#now;
@@ -29,10 +31,16 @@
     this.#timers.splice(index, 0, timer);
   }
 
+  /** Resolves a promise; the clock then waits until what follows from it is done. */
+  resolve<T>(resolve: (value: T) => void, value: T): void {
+    this.#unsettled = true;
+    resolve(value);
+  }
+
   /** Resolves after a delay in ms. */
   readonly sleep = (delayMs: number): Promise<void> =>
     new Promise((resolve) => {
-      this.after(delayMs, resolve);
+      this.after(delayMs, () => this.resolve(resolve, undefined));
     });
 
   /** Runs all timers up to a time in ms. */
@@ -41,8 +49,13 @@
       const timer = this.#timers.shift() as Timer;
       this.#now = timer.at;
       timer.run();
-      for (let turn = 0; turn < MICROTASK_TURNS; turn += 1) await Promise.resolve();
+      if (this.#unsettled) await this.#settle();
     }
     this.#now = end;
   }
+
+  async #settle(): Promise<void> {
+    this.#unsettled = false;
+    for (let turn = 0; turn < MICROTASK_TURNS; turn += 1) await Promise.resolve();
+  }
 }
