--- a/src/app/gateway/StoreWatch.test.ts
+++ b/src/app/gateway/StoreWatch.test.ts
@@ -1,4 +1,5 @@
 import { describe, it } from 'node:test';
+import { setTimeout } from 'node:timers/promises';
 import { expect } from 'earl';
 import type { ObjectStore, WatchResult } from '../../protocol/gateway/index.ts';
 import { StoreWatch } from './StoreWatch.ts';
@@ -24,7 +25,9 @@
     kind: 'configuration',
     waitMs: () => WAIT_MS,
     isReliedOn: () => true,
+    now: () => 0,
     random: () => 0,
+    sleep: (ms) => setTimeout(ms),
     onWatchResult: () => {},
     listener: {
       onList: () => events.push('list'),
--- a/src/app/gateway/StoreWatch.ts
+++ b/src/app/gateway/StoreWatch.ts
@@ -6,6 +6,9 @@
   StoreObject,
 } from '../../protocol/gateway/index.ts';
 
+/** How a process received changes of the store. */
+export type StoreChangeSource = 'list' | 'watch' | 'relay';
+
 /** Callbacks of a store watch. */
 export interface StoreWatchListener {
   /**
@@ -13,8 +16,8 @@
    * since the known revision.
    */
   readonly onList: (objects: readonly StoreObject[]) => void;
-  /** Called with the changes since the last list or change, whether watched or relayed. */
-  readonly onChanges: (changes: readonly StoreChange[]) => void;
+  /** Called with the changes since the last list or change, and how they were received. */
+  readonly onChanges: (changes: readonly StoreChange[], source: StoreChangeSource) => void;
   /** Called when the store answers for the first time or again after a failure. */
   readonly onAvailable: () => void;
   /** Called when a call to the store fails, but not for further failures in a row. */
@@ -30,9 +33,16 @@
   readonly waitMs: () => number;
   /** Returns whether other processes rely on this watch now, so that it retries sooner. */
   readonly isReliedOn: () => boolean;
+  /** Present time in ms, monotonic. */
+  readonly now: () => number;
   /** A random number in [0, 1). */
   readonly random: () => number;
-  /** Called with the result of each watch call that raised the revision, to relay it. */
+  /** Resolves after a time in ms. */
+  readonly sleep: (ms: number) => Promise<void>;
+  /**
+   * Called with the changes of each call that raised the revision, to relay them. After the first list
+   * there is nothing to relay, because it doesn't tell what changed.
+   */
   readonly onWatchResult: (
     fromRevision: number,
     toRevision: number,
@@ -43,11 +53,6 @@
 /** Longest wait of a watch call after a failure. */
 const RECOVERY_WATCH_WAIT_MS = 150;
 
-const sleep = (ms: number): Promise<void> =>
-  new Promise((resolve) => {
-    setTimeout(resolve, ms);
-  });
-
 /** Follows the objects of one kind in the store: lists them once, then watches for changes. */
 export class StoreWatch {
   readonly #options: StoreWatchOptions;
@@ -56,8 +61,18 @@
 
   #revision: number | undefined;
 
+  /** Whether the store has discarded the history since the known revision. */
+  #isListDue = false;
+
+  /** Revisions of the known objects by name. */
+  readonly #objectRevisions = new Map<string, number>();
+
   #lastChangeRevision = 0;
 
+  #completeSince = 0;
+
+  #confirmedAt = 0;
+
   #failures = 0;
 
   #reached = false;
@@ -91,11 +106,29 @@
     return this.#lastChangeRevision;
   }
 
+  /**
+   * Lowest store revision at which a complete view is as complete as this one: nothing is known to have
+   * changed between it and `revision`.
+   */
+  get completeSince(): number {
+    return this.#completeSince;
+  }
+
+  /** When the store last answered, and so confirmed the view, in ms; 0 before the first answer. */
+  get confirmedAt(): number {
+    return this.#confirmedAt;
+  }
+
   /** Whether the store answered the last call. */
   get reached(): boolean {
     return this.#reached && this.#failures === 0;
   }
 
+  /** Whether the last call failed, and no other process has relayed changes since. */
+  get isFailing(): boolean {
+    return this.#failures > 0;
+  }
+
   /**
    * Suspends or resumes calls to the store; a call in progress is completed.
    *
@@ -118,8 +151,9 @@
   applyRelayed(fromRevision: number, toRevision: number, changes: readonly StoreChange[]): boolean {
     if (this.#revision === undefined || fromRevision > this.#revision) return false;
     if (toRevision <= this.#revision) return true;
+    this.#isListDue = false;
     this.#revision = toRevision;
-    this.#apply(changes);
+    this.#apply(changes, 'relay');
     return true;
   }
 
@@ -130,14 +164,16 @@
   }
 
   #waitUntilResumed(): Promise<void> {
+    // Earlier failures say nothing about the store at the time of the next call.
+    this.#failures = 0;
     return new Promise((resolve) => {
       this.#resume = resolve;
     });
   }
 
   async #listOrWatch(): Promise<void> {
-    const { store, kind, listener, waitMs } = this.#options;
-    if (this.#revision === undefined) {
+    const { store, kind, waitMs } = this.#options;
+    if (this.#revision === undefined || this.#isListDue) {
       const result = await store.list(kind);
       if (this.#stopped) return;
       if (result._tag === 'unavailable') {
@@ -145,8 +181,7 @@
         return;
       }
       this.#reportAvailable();
-      this.#revision = result.revision;
-      listener.onList(result.objects);
+      this.#applyList(result.revision, result.objects);
       return;
     }
     // After a failure the wait is short, because a long one would delay the detection of the recovery.
@@ -158,7 +193,7 @@
         await this.#backOff(result.detail);
         return;
       case 'expired':
-        this.#revision = undefined;
+        this.#isListDue = true;
         return;
       case 'changed':
         this.#reportAvailable();
@@ -169,23 +204,60 @@
     }
   }
 
+  #applyList(revision: number, objects: readonly StoreObject[]): void {
+    const before = this.#revision;
+    this.#isListDue = false;
+    // Changes that were relayed during the call are newer than its result.
+    if (before !== undefined && revision <= before) return;
+    const changes = this.#compareWithKnown(revision, objects);
+    this.#revision = revision;
+    this.#recordChanges(changes);
+    if (before === undefined || changes.length > 0) this.#completeSince = revision;
+    this.#options.listener.onList(objects);
+    if (before !== undefined) this.#options.onWatchResult(before, revision, changes);
+  }
+
+  /** Derives from a list what changed since the known revision. */
+  #compareWithKnown(revision: number, objects: readonly StoreObject[]): readonly StoreChange[] {
+    const listed = new Set(objects.map(({ name }) => name));
+    const removed = [...this.#objectRevisions.keys()].filter((name) => !listed.has(name));
+    return [
+      ...objects
+        .filter((object) => this.#objectRevisions.get(object.name) !== object.revision)
+        .map((object) => ({ removed: false, object })),
+      ...removed.map((name) => ({
+        removed: true,
+        object: { name, revision, spec: null, status: null },
+      })),
+    ];
+  }
+
   #applyWatched(revision: number, changes: readonly StoreChange[]): void {
     const before = this.#revision ?? 0;
     // Changes that were relayed during the call are newer than its result.
     if (revision <= before) return;
     this.#revision = revision;
-    this.#apply(changes);
+    this.#apply(changes, 'watch');
     this.#options.onWatchResult(before, revision, changes);
   }
 
-  #apply(changes: readonly StoreChange[]): void {
+  #apply(changes: readonly StoreChange[], source: StoreChangeSource): void {
     if (changes.length === 0) return;
-    const revisions = changes.map(({ object }) => object.revision);
-    this.#lastChangeRevision = Math.max(this.#lastChangeRevision, ...revisions);
-    this.#options.listener.onChanges(changes);
+    this.#recordChanges(changes);
+    this.#options.listener.onChanges(changes, source);
+  }
+
+  #recordChanges(changes: readonly StoreChange[]): void {
+    changes.forEach(({ removed, object: { name, revision } }) => {
+      if (removed) this.#objectRevisions.delete(name);
+      else this.#objectRevisions.set(name, revision);
+      this.#lastChangeRevision = Math.max(this.#lastChangeRevision, revision);
+    });
+    this.#completeSince = Math.max(this.#completeSince, this.#lastChangeRevision);
   }
 
   #reportAvailable(): void {
+    this.#confirmedAt = this.#options.now();
     if (this.#reached && this.#failures === 0) return;
     this.#reached = true;
     this.#failures = 0;
@@ -193,7 +265,7 @@
   }
 
   async #backOff(detail: string): Promise<void> {
-    const { random, isReliedOn } = this.#options;
+    const { random, sleep, isReliedOn } = this.#options;
     const pauseMs = storeRetryDelay(this.#failures, isReliedOn(), random());
     this.#failures += 1;
     if (this.#failures === 1) this.#options.listener.onUnavailable(detail);
--- a/src/app/gateway/runGateway.ts
+++ b/src/app/gateway/runGateway.ts
@@ -1,5 +1,6 @@
 import { randomBytes } from 'node:crypto';
 import { performance } from 'node:perf_hooks';
+import { setTimeout as sleep } from 'node:timers/promises';
 import * as Effect from 'effect/Effect';
 import * as Schema from 'effect/Schema';
 import type * as Scope from 'effect/Scope';
@@ -238,10 +239,12 @@
           logger,
           now,
           random: Math.random,
-          onConfiguration: (table) => {
-            if (gateway.configure(table, 'store')) updateEngines();
+          sleep: (ms) => sleep(ms),
+          onConfiguration: (table, source) => {
+            if (gateway.configure(table, source)) updateEngines();
           },
           onEndpointsChanged: updateEngines,
+          onRelayReceived: (kind, result) => metrics.countRelay(kind, result),
         });
         lateBound.storeSubscription.set(subscription);
         subscription.start();
@@ -253,6 +256,7 @@
     const statusAddresses = yield* startStatusServers({
       ...options,
       gateway,
+      directory,
       storeSubscription,
       group,
       placements,
--- a/src/coordination/gateway/EndpointDirectory.ts
+++ b/src/coordination/gateway/EndpointDirectory.ts
@@ -2,16 +2,24 @@
 
 /**
  * Time after an outage of the store in which missing entries are kept. Entries that expired during
- * the outage are registered again within 2 s of its end if their endpoint is alive.
+ * the outage are registered again within 2 s of its end if their endpoint is alive. Together with the
+ * longest delay before this process notices the end, it is over within the 3 s after which a gateway
+ * counts as undisturbed.
  */
-const MISSING_ENTRY_GRACE_MS = 2_200;
+export const MISSING_ENTRY_GRACE_MS = 2_050;
+
+/**
+ * Longest time for which an entry is kept that was removed after the end of an outage. Most such
+ * endpoints have left, and none may be used for longer than 2 s after that.
+ */
+const REMOVED_ENTRY_RETENTION_MS = 1_800;
 
 /** An endpoint's entry in the directory. */
 interface DirectoryEntry {
   readonly record: EndpointRecord;
   /**
    * When the store stopped listing the entry, in or after an outage; kept in use until the grace
-   * time ends.
+   * time ends, or for the retention time if it was removed after the outage.
    */
   missingSince?: number | undefined;
 }
@@ -23,6 +31,9 @@
   | { readonly _tag: 'missing'; readonly record: EndpointRecord }
   | { readonly _tag: 'removed'; readonly record: EndpointRecord };
 
+/** Whether the store is unavailable, or was so recently that entries may still be missing. */
+export type OutagePhase = 'none' | 'unavailable' | 'grace';
+
 /**
  * The endpoints that the store lists. An entry that goes missing during an outage of the store, or
  * shortly after, is kept until its endpoint has had time to register again. At any other time a
@@ -33,6 +44,9 @@
 
   #isStoreFailing = false;
 
+  /** End of the last outage that this process saw, in ms. */
+  #outageEndedAt = Number.NEGATIVE_INFINITY;
+
   /** End of the grace time after the last outage, in ms. */
   #graceUntil = Number.NEGATIVE_INFINITY;
 
@@ -49,7 +63,45 @@
   recordStoreResponse(now: number): void {
     if (!this.#isStoreFailing) return;
     this.#isStoreFailing = false;
-    this.#graceUntil = now + MISSING_ENTRY_GRACE_MS;
+    this.#outageEndedAt = now;
+    this.extendGrace(MISSING_ENTRY_GRACE_MS, now);
+  }
+
+  /**
+   * Returns the phase of the present outage.
+   *
+   * @param now - current time, in ms
+   * @returns `none` if a missing entry means that its endpoint has left
+   */
+  outagePhase(now: number): OutagePhase {
+    if (this.#isStoreFailing) return 'unavailable';
+    return now < this.#graceUntil ? 'grace' : 'none';
+  }
+
+  /**
+   * Returns for how long missing entries are still kept after an outage.
+   *
+   * @param now - current time, in ms
+   * @returns the remaining grace time in ms, the whole of it during an outage; 0 if there was none
+   */
+  remainingGraceMs(now: number): number {
+    return this.#isStoreFailing ? MISSING_ENTRY_GRACE_MS : Math.max(0, this.#graceUntil - now);
+  }
+
+  /**
+   * Takes over the grace time of another process, whose view of the store this one receives.
+   *
+   * @param remainingMs - the rest of that grace time, in ms
+   * @param now - current time, in ms
+   */
+  extendGrace(remainingMs: number, now: number): void {
+    this.#graceUntil = Math.max(this.#graceUntil, now + remainingMs);
+  }
+
+  /** Number of entries that the store no longer lists and that are kept in use. */
+  get missingCount(): number {
+    return [...this.#entries.values()].filter(({ missingSince }) => missingSince !== undefined)
+      .length;
   }
 
   /**
@@ -59,7 +111,7 @@
    * @returns true during an outage and the grace time after it
    */
   isInOutageOrGrace(now: number): boolean {
-    return this.#isStoreFailing || now < this.#graceUntil;
+    return this.outagePhase(now) !== 'none';
   }
 
   /**
@@ -118,21 +170,29 @@
   }
 
   /**
-   * Removes the entries that are still missing once the grace time after an outage is over.
+   * Removes the entries that are still missing at the end of the grace time after an outage, or of
+   * their retention time if they were removed after the outage.
    *
    * @param now - current time, in ms
    * @returns the removed endpoints
    */
   removeMissing(now: number): EndpointChange[] {
-    if (this.isInOutageOrGrace(now)) return [];
+    if (this.#isStoreFailing) return [];
     return [...this.#entries.values()]
-      .filter(({ missingSince }) => missingSince !== undefined)
+      .filter(({ missingSince }) => missingSince !== undefined && this.#isDue(missingSince, now))
       .map(({ record }) => {
         this.#entries.delete(record.id);
         return { _tag: 'removed', record };
       });
   }
 
+  #isDue(missingSince: number, now: number): boolean {
+    const hasExpiredInOutage = missingSince <= this.#outageEndedAt;
+    return hasExpiredInOutage
+      ? now >= this.#outageEndedAt + MISSING_ENTRY_GRACE_MS
+      : now >= Math.min(this.#graceUntil, missingSince + REMOVED_ENTRY_RETENTION_MS);
+  }
+
   /** Lists the endpoints of a service that accept new requests. */
   listReady(service: string): EndpointRecord[] {
     return [...this.#entries.values()]
--- a/src/protocol/peer/GatewayMessages.ts
+++ b/src/protocol/peer/GatewayMessages.ts
@@ -121,6 +121,8 @@
     toRevision: Schema.Finite,
     /** Whether the store was unavailable shortly before, so that missing endpoints may reappear. */
     afterOutage: Schema.Boolean,
+    /** Time for which the sender still keeps missing endpoints, so that all stop at the same time. */
+    graceMs: Schema.optionalKey(Milliseconds),
     changes: Schema.Array(
       Schema.Struct({
         removed: Schema.Boolean,
@@ -141,5 +143,14 @@
     configurationRevision: Schema.Finite,
     /** Store revision of the last endpoint change that the sender has seen. */
     endpointsRevision: Schema.Finite,
+    /**
+     * Store revisions at which a complete view holds all that the sender's view holds. They may be
+     * higher than those of the last changes, because a list doesn't tell what it left out.
+     */
+    completeSince: Schema.optionalKey(
+      Schema.Struct({ configuration: Schema.Finite, endpoints: Schema.Finite }),
+    ),
+    /** Time since the store last confirmed the sender's view of both kinds. */
+    confirmedMsAgo: Schema.optionalKey(Milliseconds),
   }),
 ] as const;
