Stop reporting leaving instances once a process is no longer a relay

A relay reports the instances that it saw leave every 3 s. When a member that ranks before it joined, it stopped watching the platform but went on repeating its last report for as long as it ran, so that an endpoint that came back at its address stayed unused in the failure domain.

A process now forgets its report with the role; the reports of the present relays hold.

Found by reading. The test fails on the commit before (["127.0.0.1:2"] in place of []).

--- a/src/coordination/configuration/ConfigurationReplica.test.ts
+++ b/src/coordination/configuration/ConfigurationReplica.test.ts
@@ -10,6 +10,7 @@
 import { moveKey } from '../../state/moveKey.ts';
 import type { Action } from '../Action.ts';
 import { ConfigurationReplica } from './ConfigurationReplica.ts';
+import { isRelay } from './isRelay.ts';
 
 const MOVE = makeMove();
 const KEY = moveKey(MOVE);
@@ -105,6 +106,16 @@
 const NAMES = ['one', 'two', 'three', 'four'];
 const MEMBERS = NAMES.map((name) => member(name));
 
+// An endpoint that came back at its address stayed unused: a former relay went on reporting it.
+test('a process that is no longer a relay stops reporting what it saw leave', () => {
+  const former = NAMES.find((name) => !isRelay(name, 'a', MEMBERS)) as string;
+  const replica = makeReplica(former);
+  replica.tick(0, [member(former)]);
+  replica.reportLeaving(['127.0.0.1:2'], 0);
+  for (let now = 1_000; now <= 20_000; now += 1_000) replica.tick(now, MEMBERS);
+  expect([...replica.leavingAddresses()]).toEqual([]);
+});
+
 const messagesOf = (from: string, actions: readonly Action[]) =>
   actions.flatMap((action) =>
     action._tag === 'send' ? [{ from, to: action.to, message: action.message }] : [],
--- a/src/coordination/configuration/ConfigurationReplica.ts
+++ b/src/coordination/configuration/ConfigurationReplica.ts
@@ -8,6 +8,7 @@
 import { moveKey } from '../../state/moveKey.ts';
 import type { Action } from '../Action.ts';
 import { deriveRoutings, type MoveSnapshot } from './deriveRoutings.ts';
+import { isRelay } from './isRelay.ts';
 import { LeavingEndpoints } from './LeavingEndpoints.ts';
 import { MoveRecords } from './MoveRecords.ts';
 import { pickRandom } from './pickRandom.ts';
@@ -146,11 +147,14 @@
    * are due, and expires old reports of other relays.
    *
    * @param now - present monotonic time in ms
-   * @param members - members that accept new requests, with or without this process
+   * @param members - members that accept new requests; this process is a relay only if it is one of them
    * @returns messages to peers
    */
   tick(now: number, members: readonly Member[]): readonly Action[] {
-    this.peers = members.filter(({ incarnation }) => incarnation !== this.identity.incarnation);
+    const { incarnation: own, failureDomain } = this.identity;
+    this.peers = members.filter(({ incarnation }) => incarnation !== own);
+    // Only a relay watches the platform and learns when an instance no longer leaves.
+    if (!isRelay(own, failureDomain, members)) this.observedLeavingAddresses = [];
     this.leavingEndpoints.expire(now);
     return [...this.sendPeriodicDigest(now), ...this.repeatLeavingReport(now)];
   }
