Tell a process at its start which instances are leaving

Every process reads the platform's list of instances when it starts, but only a relay took the leaving ones from it; the others could use such an endpoint until a relay next repeated its report, up to 3 s later.

They now count what they read until the relays have reported; it expires like a report.

Found by reading. The test fails on the commit before ([] in place of ["127.0.0.1:2"]).

--- a/src/coordination/configuration/ConfigurationReplica.ts
+++ b/src/coordination/configuration/ConfigurationReplica.ts
@@ -240,6 +240,17 @@
     return sendToAll(this.failureDomainPeers(), message);
   }
 
+  /**
+   * Records the leaving instances that this process finds in the platform's instance list while it isn't
+   * a relay, as at its start. They count until the relays of its failure domain have reported.
+   *
+   * @param addresses - `IP:PORT` of all leaving instances
+   * @param now - present monotonic time in ms
+   */
+  observeLeaving(addresses: readonly string[], now: number): void {
+    this.leavingEndpoints.report(this.identity.incarnation, addresses, now);
+  }
+
   private apply(configuration: Configuration): void {
     this.configuration = configuration;
     const { moves } = configuration.bundle;
--- a/src/coordination/configuration/runRelay.test.ts
+++ b/src/coordination/configuration/runRelay.test.ts
@@ -70,6 +70,23 @@
   );
 });
 
+// DRAIN: a process that had just started used a leaving endpoint until a relay repeated its report.
+test('a process that is not a relay knows at startup which endpoints are leaving', async () => {
+  const platform = new MemoryPlatform();
+  const address = '127.0.0.1:2';
+  const instance = { name: 'engine', role: 'endpoint', address, state: 'leaving' };
+  await Effect.runPromise(platform.create('instances', 'engine', instance));
+  await run(
+    Effect.scoped(
+      Effect.gen(function* session() {
+        const replica = yield* start(platform, false);
+        yield* TestClock.adjust(1_000);
+        expect([...replica.leavingAddresses()]).toEqual([address]);
+      }),
+    ),
+  );
+});
+
 test('a roll whose bundle does not match its digest is not applied', async () => {
   const platform = new MemoryPlatform();
   const forged = { ...makeRoll(1), bundle: makeBundle(9) };
--- a/src/coordination/configuration/runRelay.ts
+++ b/src/coordination/configuration/runRelay.ts
@@ -153,14 +153,11 @@
     const { configurationReplica, now, onActions, onInstances, isRelay } = this.options;
     const instances = [...this.instances.values()];
     onInstances(instances);
-    if (!isRelay()) return;
-    const leaving = instances.filter(({ state }) => state === 'leaving');
-    onActions(
-      configurationReplica.reportLeaving(
-        leaving.map(({ address }) => address),
-        now(),
-      ),
-    );
+    const leaving = instances
+      .filter(({ state }) => state === 'leaving')
+      .map(({ address }) => address);
+    if (isRelay()) onActions(configurationReplica.reportLeaving(leaving, now()));
+    else configurationReplica.observeLeaving(leaving, now());
   }
 
   private jitter(maximumMs: number): number {
