--- a/src/app/gateway/StoreSubscription.test.ts
+++ b/src/app/gateway/StoreSubscription.test.ts
@@ -111,12 +111,12 @@
   return { directory, answerWatches, receive, pass, settle };
 };
 
-const removal = (name: string, revision: number, afterOutage = false): PeerMessage => ({
+const removal = (name: string, revision: number): PeerMessage => ({
   _tag: 'storeChanges',
   kind: 'endpoints',
   fromRevision: revision - 1,
   toRevision: revision,
-  afterOutage,
+  afterOutage: false,
   changes: [{ removed: true, object: { name, revision, spec: record(name), status: null } }],
 });
 
