Log how the end of an endpoint's answer is marked

The logs didn't show whether the answer had a length, chunks or neither, nor whether it ended inside an event, which tells a clean end of the connection from a reset that was missed. 'request ended' and 'try ended' now carry the framing, the number of events and the bytes after the last one.

--- a/src/app/gateway/EndpointAttempt.ts
+++ b/src/app/gateway/EndpointAttempt.ts
@@ -2,7 +2,12 @@
 import type { PlacementResult } from '../../protocol/peer/GatewayMessages.ts';
 import type { EndpointRecord } from '../../state/gateway/index.ts';
 import { EventCounter, EventCutter } from '../../transport/gateway/index.ts';
-import { exchange, type Exchange, type ExchangeEvent } from '../../transport/http/index.ts';
+import {
+  exchange,
+  type AnswerFraming,
+  type Exchange,
+  type ExchangeEvent,
+} from '../../transport/http/index.ts';
 import type { GatewayContext } from './GatewayContext.ts';
 import type { RoutedRequest } from './RoutedRequest.ts';
 
@@ -71,6 +76,9 @@
   /** Header lines of the answer: alternating names and values. */
   headerLines: readonly string[] = [];
 
+  /** How the end of the answer is marked; undefined until its head arrives. */
+  framing: AnswerFraming | undefined;
+
   constructor(options: EndpointAttemptOptions) {
     this.#options = options;
     this.#sentAt = options.context.now();
@@ -86,6 +94,12 @@
     return this.#ended;
   }
 
+  /** What was received of a stream, for the log. */
+  get streamProgress(): { readonly events: number; readonly unfinishedBytes: number } {
+    const { count, unfinishedBytes } = this.#eventCounter;
+    return { events: count, unfinishedBytes };
+  }
+
   /** Sends the request; the outcome is reported to `onEvent`. Call it once. */
   start(): void {
     const { context, request, endpoint, ticketId, remainingMs, lastEventId } = this.#options;
@@ -140,6 +154,7 @@
         this.#emit({ _tag: 'notRun', arrived: false, detail: event.detail });
         return;
       case 'head':
+        this.framing = event.framing;
         this.#onHead(event.status, event.headerLines);
         return;
       case 'data':
@@ -257,6 +272,8 @@
           address: endpoint.address,
           outcome,
           detail,
+          framing: this.framing,
+          ...this.streamProgress,
           afterMs: Math.round(totalMs),
         },
         'try ended',
--- a/src/app/gateway/RequestHandler.ts
+++ b/src/app/gateway/RequestHandler.ts
@@ -330,6 +330,8 @@
         status,
         reason,
         endpoint: this.#attempt?.endpoint.id,
+        framing: this.#attempt?.framing,
+        ...this.#attempt?.streamProgress,
         offers: this.#placementCount,
         runs: this.#executionCount,
         promptTokens: fields.promptTokens,
--- a/src/transport/http/exchange.ts
+++ b/src/transport/http/exchange.ts
@@ -28,6 +28,9 @@
   readonly continueWithinMs?: number;
 }
 
+/** How the end of an answer is marked; `close` means by the end of its connection alone. */
+export type AnswerFraming = 'length' | 'chunked' | 'close';
+
 /** What happens to an exchange, in order; `refused`, `ended` or `broken` comes last and once. */
 export type ExchangeEvent =
   /** The request was not written, or not as a whole, so the server can't have run it. */
@@ -40,6 +43,7 @@
       readonly headers: http.IncomingHttpHeaders;
       /** Header lines as they came, name and value by turns. */
       readonly headerLines: readonly string[];
+      readonly framing: AnswerFraming;
     }
   | { readonly _tag: 'data'; readonly bytes: Buffer }
   /** The answer is complete as HTTP frames it. */
@@ -96,9 +100,10 @@
   }
 };
 
-/** Whether an answer's only end is that of its connection. */
-const isUnframed = ({ headers }: http.IncomingMessage): boolean =>
-  headers['content-length'] === undefined && headers['transfer-encoding'] === undefined;
+const framingOf = ({ headers }: http.IncomingMessage): AnswerFraming => {
+  if (headers['transfer-encoding'] !== undefined) return 'chunked';
+  return headers['content-length'] === undefined ? 'close' : 'length';
+};
 
 /**
  * Sends one request and reports its answer. Never retries.
@@ -129,7 +134,7 @@
   };
   const endProbe = new EndProbe();
   const onSocketEnd = (socket: Socket): void => {
-    if (incoming !== undefined && !incoming.complete && isUnframed(incoming))
+    if (incoming !== undefined && !incoming.complete && framingOf(incoming) === 'close')
       endProbe.start(socket);
   };
   const breakOff = (detail: string): void => {
@@ -149,6 +154,7 @@
       status: response.statusCode ?? 0,
       headers: response.headers,
       headerLines: response.rawHeaders,
+      framing: framingOf(response),
     });
     response.on('data', (bytes: Buffer) => {
       if (ended) return;
--- a/src/transport/http/index.ts
+++ b/src/transport/http/index.ts
@@ -1,7 +1,7 @@
 export { ConnectionPool } from './ConnectionPool.ts';
 export type { ConnectionPoolOptions } from './ConnectionPool.ts';
 export { exchange } from './exchange.ts';
-export type { Exchange, ExchangeEvent, HttpRequest } from './exchange.ts';
+export type { AnswerFraming, Exchange, ExchangeEvent, HttpRequest } from './exchange.ts';
 export { makeConnectionPool } from './makeConnectionPool.ts';
 export { requestWhole } from './requestWhole.ts';
 export type { WholeOutcome, WholeRequest } from './requestWhole.ts';
