Show that streams which end inside an event reach their callers as complete

A runner's stream may come without a length and end with its connection; one that ends inside an event has been broken off.

No part of the stand-in is more than the record shows: 200, the runner's own signature, a body that ends short, a clean end of the connection.

--- a/test/gateway/requests.test.ts
+++ b/test/gateway/requests.test.ts
@@ -20,6 +20,7 @@
   signed,
   startRunner,
   streamHead,
+  unframedStreamHead,
   type ArrivedRequest,
   type RunnerScript,
 } from './startRunner.ts';
@@ -334,6 +335,72 @@
     expect(sound.arrived.at(-1)?.headers['last-event-id']).toEqual('1');
   });
 
+  /** Streams that end cleanly as HTTP frames them, but inside an event. */
+  const TORN: readonly { readonly framing: string; readonly script: RunnerScript }[] = [
+    {
+      framing: 'the end of its connection',
+      script: (request) => request.socket.end(`${unframedStreamHead(request)}${event(1)}id: 2\nda`),
+    },
+    {
+      framing: 'the end of its connection, before its first event',
+      script: (request) => request.socket.end(unframedStreamHead(request)),
+    },
+    {
+      framing: 'chunks',
+      script: write((request) => `${streamHead(request)}${chunk(`${event(1)}id: 2\nda`)}${END}`),
+    },
+  ];
+  TORN.forEach(({ framing, script }) => {
+    // Guards against a broken stream that reaches its caller framed as complete.
+    it(`never lets a stream look complete that ends inside an event by ${framing}`, async (context) => {
+      const runner = await startRunner(context, script);
+      const { gateway } = await startReadyGateway(context, { 'i-1': runnerSpec('model', runner) });
+      const got = await call(gateway.addresses.callers, { path: '/stream/', method: 'POST' });
+      expect(got.complete && got.status === 200).toEqual(false);
+    });
+
+    // Guards against a resumable stream that isn't resumed because its torn end counted as its end.
+    it(`resumes a stream that ends inside an event by ${framing}`, async (context) => {
+      const torn = await startRunner(context, script);
+      const all = [1, 2, 3].map(event);
+      const sound = await startRunner(
+        context,
+        write((request) => {
+          const lastId = Number(request.headers['last-event-id'] ?? 0);
+          return streamHead(request) + chunk(all.slice(lastId).join('')) + END;
+        }),
+      );
+      const { gateway } = await startReadyGateway(context, {
+        'i-1': runnerSpec('model', torn),
+        'i-2': runnerSpec('model', sound),
+      });
+      const got = await call(gateway.addresses.callers, { path: '/resumed/', method: 'POST' });
+      expect([got.status, got.complete]).toEqual([200, true]);
+      expect(got.body).toEqual(all.join(''));
+    });
+  });
+
+  it('takes a stream without a length for complete that ends after an event', async (context) => {
+    const runner = await startRunner(context, (request) =>
+      request.socket.end(`${unframedStreamHead(request)}${event(1)}${event(2)}`),
+    );
+    const { gateway } = await startReadyGateway(context, { 'i-1': runnerSpec('model', runner) });
+    const got = await call(gateway.addresses.callers, { path: '/stream/', method: 'POST' });
+    expect([got.status, got.complete]).toEqual([200, true]);
+    expect(got.body).toEqual(event(1) + event(2));
+  });
+
+  it('passes on events whose lines end with CR and LF', async (context) => {
+    const text = (event(1) + event(2)).replaceAll('\n', '\r\n');
+    const runner = await startRunner(
+      context,
+      write((request) => streamHead(request) + chunk(text) + END),
+    );
+    const { gateway } = await startReadyGateway(context, { 'i-1': runnerSpec('model', runner) });
+    const got = await call(gateway.addresses.callers, { path: '/resumed/', method: 'POST' });
+    expect([got.status, got.complete, got.body]).toEqual([200, true, text]);
+  });
+
   it('refuses with a time to come back where no engine can be reached', async (context) => {
     const runner = await startRunner(context, whole);
     const { gateway, log } = await startReadyGateway(context, {
--- a/test/gateway/startRunner.ts
+++ b/test/gateway/startRunner.ts
@@ -59,6 +59,10 @@
 export const streamHead = (request: ArrivedRequest): string =>
   `${signed(request, '200 OK', 'Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n')}\r\n`;
 
+/** The head of a stream whose only end is that of its connection. */
+export const unframedStreamHead = (request: ArrivedRequest): string =>
+  `${signed(request, '200 OK', 'Content-Type: text/event-stream\r\n')}\r\n`;
+
 /** One chunk of a stream. */
 export const chunk = (text: string): string => `${text.length.toString(16)}\r\n${text}\r\n`;
 
