Take a stream that ends inside an event for broken off

Cause: the gateway took every clean end of a stream's framing for the end of the stream. EndpointAttempt even passed on what had come of an unfinished event, and then ended the answer as complete. A runner's stream may have neither a length nor chunks; then the end of its connection is its only end, and a runner that breaks off closes the connection inside an event. The probe for a reset can't see that, because nothing was reset.

Change: streams of all routes are cut after complete events (EventCutter reads LF, CR and both as line ends; EventCounter goes). One that ends inside an event, or without a length before its first event, has failed: it is resumed where the route allows it, else the caller's connection closes without the end of the answer.

--- a/src/app/gateway/EndpointAttempt.ts
+++ b/src/app/gateway/EndpointAttempt.ts
@@ -1,7 +1,7 @@
 import type { DecodedResponseHeaders } from '../../protocol/gateway/index.ts';
 import type { PlacementResult } from '../../protocol/peer/GatewayMessages.ts';
 import type { EndpointRecord } from '../../state/gateway/index.ts';
-import { EventCounter, EventCutter } from '../../transport/gateway/index.ts';
+import { EventCutter } from '../../transport/gateway/index.ts';
 import {
   exchange,
   type AnswerFraming,
@@ -13,7 +13,7 @@
 
 /** Progress of an attempt, in order; `streamEnded`, `answered`, `notRun` or `broken` is the last event. */
 export type AttemptEvent =
-  /** Bytes of a successful stream; only complete events if the route is resumable. */
+  /** Complete events of a successful stream, or what follows the last one at its end. */
   | { readonly _tag: 'streamed'; readonly bytes: Uint8Array; readonly lastEventId?: string }
   | { readonly _tag: 'streamEnded' }
   | { readonly _tag: 'answered'; readonly body: Uint8Array }
@@ -55,8 +55,6 @@
 
   readonly #eventCutter = new EventCutter();
 
-  readonly #eventCounter = new EventCounter();
-
   #bufferedBytes = 0;
 
   #exchange: Exchange | undefined;
@@ -96,8 +94,8 @@
 
   /** What was received of a stream, for the log. */
   get streamProgress(): { readonly events: number; readonly unfinishedBytes: number } {
-    const { count, unfinishedBytes } = this.#eventCounter;
-    return { events: count, unfinishedBytes };
+    const { count, pendingSize } = this.#eventCutter;
+    return { events: count, unfinishedBytes: pendingSize };
   }
 
   /** Sends the request; the outcome is reported to `onEvent`. Call it once. */
@@ -205,16 +203,11 @@
   }
 
   #forwardStream(bytes: Buffer): void {
-    this.#eventCounter.push(bytes);
-    if (!this.#options.request.route.resumable) {
-      this.#emit({ _tag: 'streamed', bytes });
-      return;
-    }
-    const { bytes: wholeEvents, lastId } = this.#eventCutter.push(bytes);
-    if (wholeEvents.length === 0) return;
+    const { bytes: completeEvents, lastId } = this.#eventCutter.push(bytes);
+    if (completeEvents.length === 0) return;
     this.#emit({
       _tag: 'streamed',
-      bytes: wholeEvents,
+      bytes: completeEvents,
       ...(lastId !== undefined && { lastEventId: lastId }),
     });
   }
@@ -231,10 +224,7 @@
       return;
     }
     if (this.#isStream()) {
-      const rest = this.#eventCutter.rest();
-      if (rest.length > 0) this.#emit({ _tag: 'streamed', bytes: rest });
-      this.#end('served', '');
-      this.#emit({ _tag: 'streamEnded' });
+      this.#onStreamEnded();
       return;
     }
     const failed = status >= FIRST_SERVER_ERROR;
@@ -242,6 +232,23 @@
     this.#emit({ _tag: 'answered', body: Buffer.concat(this.#bodyChunks) });
   }
 
+  #onStreamEnded(): void {
+    const { isInsideEvent, count } = this.#eventCutter;
+    if (isInsideEvent) {
+      this.#fail('stream ended inside an event');
+      return;
+    }
+    // The end of the connection is no sign that an answer without a length is complete.
+    if (this.framing === 'close' && count === 0) {
+      this.#fail('stream without a length ended before its first event');
+      return;
+    }
+    const rest = this.#eventCutter.rest();
+    if (rest.length > 0) this.#emit({ _tag: 'streamed', bytes: rest });
+    this.#end('served', '');
+    this.#emit({ _tag: 'streamEnded' });
+  }
+
   #fail(detail: string): void {
     this.#exchange?.abort();
     this.#end('failed', detail);
@@ -294,7 +301,7 @@
     return {
       decodeMs: now - firstByteAt,
       // The time starts at the first event, so that the tokens of this event are not counted.
-      outputTokens: Math.max(0, this.#eventCounter.count - 1) * tokensPerEvent,
+      outputTokens: Math.max(0, this.#eventCutter.count - 1) * tokensPerEvent,
     };
   }
 }
--- a/src/transport/gateway/EventCutter.ts
+++ b/src/transport/gateway/EventCutter.ts
@@ -1,42 +1,105 @@
+const LINE_FEED = 10;
+const CARRIAGE_RETURN = 13;
+const COLON = 58;
 const ID_FIELD = 'id:';
 
-/** Whole events of a stream, and the id of the last of them. */
-export interface WholeEvents {
+/** Complete events of a stream. */
+export interface CompleteEvents {
   readonly bytes: Buffer;
+  /** Id of the last event that has one; undefined if none has. */
   readonly lastId: string | undefined;
-  readonly count: number;
 }
 
-const NOTHING: WholeEvents = { bytes: Buffer.alloc(0), lastId: undefined, count: 0 };
+const EMPTY = Buffer.alloc(0);
 
-const lastIdOf = (text: string): string | undefined => {
-  const line = text
-    .split('\n')
-    .reverse()
-    .find((candidate) => candidate.startsWith(ID_FIELD));
-  return line?.slice(ID_FIELD.length).trim();
-};
+const findLastId = (events: Buffer): string | undefined =>
+  events
+    .toString('latin1')
+    .split(/[\r\n]+/)
+    .findLast((line) => line.startsWith(ID_FIELD))
+    ?.slice(ID_FIELD.length)
+    .trim();
 
-/** Cuts a byte stream of server-sent events after whole events. */
+/**
+ * Cuts a byte stream of server-sent events after complete events. Lines end with LF, CR or both, as the
+ * format allows.
+ */
 export class EventCutter {
-  #rest: Buffer = NOTHING.bytes;
-
-  /** Takes bytes and gives the events that they complete. */
-  push(bytes: Uint8Array): WholeEvents {
-    const all = this.#rest.length === 0 ? Buffer.from(bytes) : Buffer.concat([this.#rest, bytes]);
-    const end = all.lastIndexOf('\n\n');
-    if (end < 0) {
-      this.#rest = all;
-      return NOTHING;
+  /** Bytes after the last complete event. */
+  #pending: Buffer[] = [];
+
+  #pendingSize = 0;
+
+  #isLineEmpty = true;
+
+  #followsCarriageReturn = false;
+
+  #hasPendingField = false;
+
+  /** Number of complete events so far. */
+  count = 0;
+
+  /**
+   * Whether the stream stands inside an event. Comments and empty lines after the last event belong to
+   * none.
+   */
+  get isInsideEvent(): boolean {
+    return this.#hasPendingField;
+  }
+
+  /** Number of bytes after the last complete event. */
+  get pendingSize(): number {
+    return this.#pendingSize;
+  }
+
+  /**
+   * Reads the next bytes.
+   *
+   * @param bytes - any part of the stream
+   * @returns the events that these bytes complete; `bytes` is empty if they complete none
+   */
+  push(bytes: Buffer): CompleteEvents {
+    let end = 0;
+    bytes.forEach((byte, index) => {
+      if (this.#readByte(byte)) end = index + 1;
+    });
+    if (end === 0) {
+      this.#keep(bytes);
+      return { bytes: EMPTY, lastId: undefined };
     }
-    const whole = all.subarray(0, end + 2);
-    this.#rest = all.subarray(end + 2);
-    const text = whole.toString('latin1');
-    return { bytes: whole, lastId: lastIdOf(text), count: text.split('\n\n').length - 1 };
+    const complete = Buffer.concat([...this.#pending, bytes.subarray(0, end)]);
+    this.#pending = [];
+    this.#pendingSize = 0;
+    this.#keep(bytes.subarray(end));
+    return { bytes: complete, lastId: findLastId(complete) };
   }
 
-  /** Gives what followed the last whole event. */
+  /** Returns the bytes after the last complete event. */
   rest(): Buffer {
-    return this.#rest;
+    return Buffer.concat(this.#pending);
+  }
+
+  /** Reads one byte and returns whether it ends an empty line, which ends the event before it. */
+  #readByte(byte: number): boolean {
+    const completesLineEnd = byte === LINE_FEED && this.#followsCarriageReturn;
+    this.#followsCarriageReturn = byte === CARRIAGE_RETURN;
+    if (completesLineEnd) return this.#isLineEmpty && !this.#hasPendingField;
+    if (byte !== LINE_FEED && byte !== CARRIAGE_RETURN) {
+      if (this.#isLineEmpty && byte !== COLON) this.#hasPendingField = true;
+      this.#isLineEmpty = false;
+      return false;
+    }
+    const endsEvent = this.#isLineEmpty;
+    this.#isLineEmpty = true;
+    if (!endsEvent) return false;
+    if (this.#hasPendingField) this.count += 1;
+    this.#hasPendingField = false;
+    return true;
+  }
+
+  #keep(bytes: Buffer): void {
+    if (bytes.length === 0) return;
+    this.#pending.push(bytes);
+    this.#pendingSize += bytes.length;
   }
 }
--- a/src/transport/gateway/index.ts
+++ b/src/transport/gateway/index.ts
@@ -1,6 +1,4 @@
-export { EventCounter } from './EventCounter.ts';
 export { EventCutter } from './EventCutter.ts';
-export type { WholeEvents } from './EventCutter.ts';
 export type { InboundAnswer, InboundRequest } from './InboundRequest.ts';
 export { makeGatewayServer } from './makeGatewayServer.ts';
 export type { GatewayServer, GatewayServerOptions } from './makeGatewayServer.ts';
