Don't take a plain service's event stream for whole that ends inside an event

An event stream without a length that is broken off inside an event reached its caller complete. It is now cut after complete events and told as cut. EventCutter moves to transport/http, as both programs use it. Model streams of the entry program end by their own mark and weren't affected.

The new row of makeEndpointClient.test.ts failed before.

--- a/src/app/gateway/EndpointAttempt.ts
+++ b/src/app/gateway/EndpointAttempt.ts
@@ -1,8 +1,8 @@
 import type { DecodedResponseHeaders } from '../../protocol/gateway/index.ts';
 import type { PlacementResult } from '../../protocol/peer/GatewayMessages.ts';
 import type { EndpointRecord } from '../../state/gateway/index.ts';
-import { EventCutter } from '../../transport/gateway/index.ts';
 import {
+  EventCutter,
   exchange,
   type AnswerFraming,
   type Exchange,
--- a/src/transport/endpoint/ServiceCall.ts
+++ b/src/transport/endpoint/ServiceCall.ts
@@ -4,7 +4,7 @@
   EndpointEvent,
   EndpointRequest,
 } from '../../protocol/engine/EndpointClient.ts';
-import { exchange } from '../http/index.ts';
+import { EventCutter, exchange } from '../http/index.ts';
 import type { ConnectionPool, Exchange, ExchangeEvent } from '../http/index.ts';
 import { endpointHeaders } from './endpointHeaders.ts';
 
@@ -18,6 +18,9 @@
 
   #headSeen = false;
 
+  /** Cuts an event stream after complete events; undefined for other answers. */
+  #eventCutter: EventCutter | undefined;
+
   #ended = false;
 
   constructor(
@@ -67,17 +70,13 @@
         this.#onHead(event.status, event.headers);
         return;
       case 'data':
-        this.#onEvent({ _tag: 'part', bytes: event.bytes });
+        this.#tellPart(this.#eventCutter?.push(event.bytes).bytes ?? event.bytes);
         return;
       case 'ended':
-        this.#onEvent({ _tag: 'ended', usage: undefined });
+        this.#onEnded();
         return;
       case 'broken':
-        this.#onEvent({
-          _tag: 'failed',
-          reason: this.#headSeen ? 'answer_cut' : 'endpoint_failed',
-          detail: event.detail,
-        });
+        this.#fail(event.detail);
         return;
       default:
         event satisfies never;
@@ -98,6 +97,29 @@
       return;
     }
     this.#headSeen = true;
+    if (String(headers['content-type'] ?? '').startsWith('text/event-stream'))
+      this.#eventCutter = new EventCutter();
     this.#onEvent({ _tag: 'head', status, headers: filterResponseHeaders(headers) });
   }
+
+  #onEnded(): void {
+    if (this.#eventCutter?.isInsideEvent === true) {
+      this.#fail('stream ended inside an event');
+      return;
+    }
+    this.#tellPart(this.#eventCutter?.rest() ?? Buffer.alloc(0));
+    this.#onEvent({ _tag: 'ended', usage: undefined });
+  }
+
+  #tellPart(bytes: Buffer): void {
+    if (bytes.length > 0) this.#onEvent({ _tag: 'part', bytes });
+  }
+
+  #fail(detail: string): void {
+    this.#onEvent({
+      _tag: 'failed',
+      reason: this.#headSeen ? 'answer_cut' : 'endpoint_failed',
+      detail,
+    });
+  }
 }
--- a/src/transport/endpoint/makeEndpointClient.test.ts
+++ b/src/transport/endpoint/makeEndpointClient.test.ts
@@ -280,6 +280,23 @@
     handle: (_request, response) => response.writeHead(200, { 'x-request-id': 'other.1' }).end('x'),
     sees: 'answer_crossed',
   },
+  {
+    // Guards against a broken event stream that is told as ended, and reaches its caller as complete.
+    name: 'event stream that ends inside an event',
+    handle: (_request, response) => {
+      response.socket?.end(
+        'HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\ndata: 1\n\ndata: 2\n',
+      );
+    },
+    sees: 'head part answer_cut',
+  },
+  {
+    name: 'event stream without a length that ends after an event',
+    handle: (_request, response) => {
+      response.socket?.end('HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\ndata: 1\n\n');
+    },
+    sees: 'head part ended',
+  },
 ];
 
 SERVICE_FAULTS.forEach(({ name, handle, sees }) => {
--- a/src/transport/gateway/index.ts
+++ b/src/transport/gateway/index.ts
@@ -1,4 +1,3 @@
-export { EventCutter } from './EventCutter.ts';
 export type { InboundAnswer, InboundRequest } from './InboundRequest.ts';
 export { makeGatewayServer } from './makeGatewayServer.ts';
 export type { GatewayServer, GatewayServerOptions } from './makeGatewayServer.ts';
