Reset the connection of an HTTP/1.0 caller whose answer is broken off

A caller of HTTP/1.0 knows no chunks: the end of the connection is the end of its answer. Both programs closed the connection cleanly when an answer broke off, so that it looked whole, and the gateway even sent chunks to such callers. Now answers of unknown length go to them unframed, and one that breaks off resets the connection.

--- a/src/transport/caller/HttpAnswer.ts
+++ b/src/transport/caller/HttpAnswer.ts
@@ -56,6 +56,9 @@
 
   #events = false;
 
+  /** Whether only the end of the connection marks the end of the answer, as towards HTTP/1.0. */
+  #endsWithConnection = false;
+
   #id: string | undefined;
 
   #leaveHandler: (() => void) | undefined;
@@ -80,6 +83,8 @@
     if (this.#ended || this.isHeadSent()) return;
     this.#events = this.#chat && (headers['content-type'] ?? '').startsWith('text/event-stream');
     const cookies = headers[SET_COOKIE_HEADER];
+    this.#endsWithConnection =
+      !this.#response.useChunkedEncodingByDefault && headers['content-length'] === undefined;
     // One object given at once is what Node writes fastest.
     this.#response.writeHead(status, {
       ...headers,
@@ -153,6 +158,11 @@
 
   #destroyOnceFlushed(): void {
     const response = this.#response;
+    if (this.#endsWithConnection) {
+      // A clean end of the connection would make the answer look whole.
+      response.socket?.resetAndDestroy();
+      return;
+    }
     const timer = setTimeout(() => response.destroy(), CUT_FLUSH_MS);
     response.once('close', () => clearTimeout(timer));
     // No closing chunk follows, so the reader sees that the answer isn't whole.
--- a/src/transport/caller/makeCallerServer.test.ts
+++ b/src/transport/caller/makeCallerServer.test.ts
@@ -305,6 +305,24 @@
   expect(received.endsWith('0\r\n\r\n')).toEqual(false);
 });
 
+// Guards against a broken answer that looks whole to a caller who knows no chunks.
+test('an answer that is cut resets the connection of a caller of HTTP/1.0', async (context) => {
+  const { address } = await startCallerServer(context, (_request, answer) => {
+    answer.sendHead(200, {});
+    answer.sendPart(Buffer.from('four'));
+    setTimeout(() => answer.abort('answer_cut'), 20);
+  });
+  const [host, port] = address.split(':');
+  const ends: string[] = [];
+  const socket = net.connect({ host, port: Number(port) });
+  socket.on('data', () => {});
+  socket.on('end', () => ends.push('end'));
+  socket.on('error', (error: NodeJS.ErrnoException) => ends.push(error.code ?? ''));
+  socket.write('GET /services/x HTTP/1.0\r\nHost: x\r\n\r\n');
+  await until(() => socket.destroyed);
+  expect(ends).toEqual(['ECONNRESET']);
+});
+
 test('a whole answer that is cut is never as long as its head says', async (context) => {
   const { address } = await startCallerServer(context, (_request, answer) => {
     answer.sendHead(200, { 'content-length': '9' });
--- a/src/transport/gateway/makeGatewayServer.ts
+++ b/src/transport/gateway/makeGatewayServer.ts
@@ -55,6 +55,8 @@
   lines.reduce((sum, part) => sum + part.length + 2, 0);
 
 const makeAnswer = (response: http.ServerResponse, isDraining: () => boolean): InboundAnswer => {
+  const takesChunks = response.useChunkedEncodingByDefault;
+  let endsWithConnection = false;
   const writeHead = (
     status: number,
     headerLines: readonly string[],
@@ -71,14 +73,21 @@
     },
     begin: (status, headerLines) => {
       if (response.headersSent || response.destroyed) return;
-      writeHead(status, headerLines, ['Transfer-Encoding', 'chunked']);
+      endsWithConnection = !takesChunks;
+      writeHead(
+        status,
+        headerLines,
+        takesChunks ? ['Transfer-Encoding', 'chunked'] : ['Connection', 'close'],
+      );
     },
     write: (bytes) => response.write(bytes),
     end: () => {
       response.end();
     },
     abort: () => {
-      response.destroy();
+      // Towards HTTP/1.0 a clean end of the connection would make the answer look whole.
+      if (endsWithConnection) response.socket?.resetAndDestroy();
+      else response.destroy();
     },
     onDrain: (listener) => {
       response.on('drain', listener);
