Log the shared parts of a prompt with each attempt that wasn't served

No line of any gateway named a prompt's parts, so that the logs couldn't tell a request that ends engines from engines that end by themselves. 'try ended' now names the parts, without the last one, which no other request has.

--- a/src/app/gateway/EndpointAttempt.ts
+++ b/src/app/gateway/EndpointAttempt.ts
@@ -281,6 +281,7 @@
           detail,
           framing: this.framing,
           ...this.streamProgress,
+          promptParts: request.fields.sharedPromptParts,
           afterMs: Math.round(totalMs),
         },
         'try ended',
--- a/src/protocol/gateway/WireAdapter.ts
+++ b/src/protocol/gateway/WireAdapter.ts
@@ -15,6 +15,11 @@
   readonly hasTokenCount: boolean;
   /** Id of the last event that the caller received, if it resumes a stream. */
   readonly lastEventId: string | undefined;
+  /**
+   * Ids of the parts of the prompt that other requests may share, in order. The last part belongs to
+   * the request or its session and is left out.
+   */
+  readonly sharedPromptParts: readonly string[];
 }
 
 /** Values that the gateway adds to a request before it forwards it to an endpoint. */
