Show that a prompt part which crashes engines goes on to crash them

Sound requests share the account, the first part and everything else. The bounds are the users': at most three requests with the part later than 3 s after the fifth crash, and sound requests begin at least half as often as before the crashes.

--- /dev/null
+++ b/test/crashes/CrashingEngine.ts
@@ -0,0 +1,151 @@
+import * as http from 'node:http';
+import type { AddressInfo } from 'node:net';
+import type { ObjectStoreStandIn } from '../gateway/startObjectStore.ts';
+import type { Owner } from '../support/Owner.ts';
+
+/** A request as it reached an engine. */
+export interface EngineArrival {
+  readonly requestId: string;
+  readonly at: number;
+}
+
+/** What an engine is made of. */
+export interface CrashingEngineOptions {
+  /** Names the engine; each of its starts has an id of its own. */
+  readonly name: string;
+  readonly service: string;
+  readonly store: ObjectStoreStandIn;
+  /** Ids of prompt parts under which it crashes as it begins to answer. */
+  readonly fatalParts: ReadonlySet<string>;
+  /** Time from a crash to the next start. */
+  readonly downMs: number;
+  readonly onArrival: (arrival: EngineArrival) => void;
+  readonly onCrash: (at: number) => void;
+}
+
+const SLOTS = 6;
+const PREFILL_MS = 60;
+const EVENT_MS = 25;
+const EVENTS = 8;
+/** Time from the first event of an answer to the crash. */
+const CRASH_DELAY_MS = 40;
+/** Time until the platform removes the entry of an engine that has fallen silent. */
+const ENTRY_LAPSE_MS = 3_600;
+
+const wait = (ms: number): Promise<void> =>
+  new Promise((resolve) => {
+    setTimeout(resolve, ms);
+  });
+
+const isFatal = (header: unknown, fatalParts: ReadonlySet<string>): boolean =>
+  String(header ?? '')
+    .split(',')
+    .slice(0, -1)
+    .some((entry) => fatalParts.has(entry.split(':')[0] ?? ''));
+
+/** A model engine that crashes under certain prompts, and starts again under a new id. */
+export class CrashingEngine {
+  readonly #options: CrashingEngineOptions;
+
+  #server: http.Server | undefined;
+
+  #port = 0;
+
+  #starts = 0;
+
+  #running = 0;
+
+  #closed = false;
+
+  private constructor(options: CrashingEngineOptions) {
+    this.#options = options;
+  }
+
+  /** Starts an engine on a free port, which it keeps. */
+  static async start(owner: Owner, options: CrashingEngineOptions): Promise<CrashingEngine> {
+    const engine = new CrashingEngine(options);
+    owner.after(() => {
+      engine.#closed = true;
+      engine.#stop();
+    });
+    await engine.#listen();
+    return engine;
+  }
+
+  /** Ends all its connections at once. */
+  crash(): void {
+    const id = this.#id;
+    this.#stop();
+    this.#options.onCrash(performance.now());
+    setTimeout(() => this.#options.store.remove('servers', id), ENTRY_LAPSE_MS);
+    setTimeout(() => {
+      if (!this.#closed) this.#listen().catch(() => {});
+    }, this.#options.downMs);
+  }
+
+  get #id(): string {
+    return `${this.#options.name}-${this.#starts}`;
+  }
+
+  async #listen(): Promise<void> {
+    this.#starts += 1;
+    this.#running = 0;
+    const server = http.createServer((request, response) => {
+      this.#serve(request, response).catch(() => response.destroy());
+    });
+    this.#server = server;
+    await new Promise<void>((resolve) => {
+      server.listen(this.#port, '127.0.0.1', resolve);
+    });
+    this.#port = (server.address() as AddressInfo).port;
+    this.#options.store.put('servers', this.#id, {
+      service: this.#options.service,
+      address: `127.0.0.1:${this.#port}`,
+      zone: 'a',
+      version: 'v1',
+      slots: SLOTS,
+      state: 'ready',
+      cold_remaining_ms: 0,
+      seq: 1,
+      born: this.#starts,
+    });
+  }
+
+  #stop(): void {
+    this.#server?.close();
+    this.#server?.closeAllConnections();
+    this.#server = undefined;
+  }
+
+  async #serve(request: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
+    const server = this.#server;
+    const requestId = String(request.headers['x-corianderwick-request-id'] ?? '');
+    request.resume();
+    this.#options.onArrival({ requestId, at: performance.now() });
+    if (this.#running >= SLOTS) {
+      response.writeHead(503, { 'X-Corianderwick-Not-Executed': '1', 'Content-Length': 0 });
+      response.end();
+      return;
+    }
+    this.#running += 1;
+    await wait(PREFILL_MS);
+    response.writeHead(200, {
+      'X-Corianderwick-Request-Id': requestId,
+      'X-Corianderwick-Server-Stamp': this.#id,
+      'Content-Type': 'text/event-stream',
+    });
+    if (isFatal(request.headers['x-corianderwick-prompt-prefix'], this.#options.fatalParts)) {
+      response.flushHeaders();
+      await wait(CRASH_DELAY_MS);
+      if (this.#server === server) this.crash();
+      return;
+    }
+    const first = Number(request.headers['last-event-id'] ?? 0) + 1;
+    for (let number = first; number <= EVENTS && !response.destroyed; number += 1) {
+      response.write(`id: ${number}\ndata: ${number}\n\n`);
+      await wait(EVENT_MS);
+    }
+    response.end();
+    if (this.#server === server) this.#running -= 1;
+  }
+}
--- /dev/null
+++ b/test/crashes/crashes.test.ts
@@ -0,0 +1,63 @@
+import { execFile } from 'node:child_process';
+import { mkdtemp, rm } from 'node:fs/promises';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { after, before, describe, it } from 'node:test';
+import { fileURLToPath } from 'node:url';
+import { promisify } from 'node:util';
+import { expect } from 'earl';
+import { playCrashes, type CrashDisturbance } from './playCrashes.ts';
+
+const BUILD = fileURLToPath(new URL('../../scripts/buildPlatform.mjs', import.meta.url));
+/** Requests with a fatal part that may reach engines after the bound. */
+const MOST_ARRIVALS = 3;
+/** Sound requests must begin at least this often, against the time without crashes. */
+const LEAST_RELATIVE_SHARE = 0.5;
+
+const PLAYS: readonly {
+  readonly seed: number;
+  readonly name: string;
+  readonly disturbance: CrashDisturbance;
+}[] = [
+  { seed: 1, name: 'of the same part', disturbance: { _tag: 'none' } },
+  {
+    seed: 2,
+    name: 'while the scheduler is killed and starts again',
+    disturbance: { _tag: 'schedulerKilled', afterCrashes: 3 },
+  },
+];
+
+describe('gateways before engines that crash under a part of the prompt', () => {
+  let folder = '';
+  let program = '';
+
+  before(async () => {
+    folder = await mkdtemp(join(tmpdir(), 'crashes-'));
+    program = join(folder, 'gateway.cjs');
+    await promisify(execFile)(process.execPath, [BUILD, program]);
+  });
+  after(() => rm(folder, { recursive: true }));
+
+  PLAYS.forEach(({ seed, name, disturbance }) => {
+    // Guards against requests with one part that end engine after engine (BUDGET), and against
+    // refusals of the sound requests that share the rest of their prompts (LOST).
+    it(`send no more such requests after five crashes, and serve sound ones: ${name}`, async (context) => {
+      const result = await playCrashes(context, {
+        seed,
+        gateways: 3,
+        engines: 6,
+        disturbance,
+        trafficMs: 18_000,
+        fatalRate: 2,
+        fatalParts: ['bad0bad0'],
+        program,
+        folder,
+      });
+      console.log(JSON.stringify(result));
+      expect(Math.max(...result.arrivalsAfterBound) <= MOST_ARRIVALS).toEqual(true);
+      expect(result.soundShareAfter >= LEAST_RELATIVE_SHARE * result.soundShareBefore).toEqual(
+        true,
+      );
+    });
+  });
+});
--- /dev/null
+++ b/test/crashes/playCrashes.ts
@@ -0,0 +1,302 @@
+import * as http from 'node:http';
+import { setTimeout as wait } from 'node:timers/promises';
+import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64';
+import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
+import { startObjectStore } from '../gateway/startObjectStore.ts';
+import { GatewayProcess, PORTS } from '../soak/GatewayProcess.ts';
+import { makeSoakConfiguration, SERVICES, SOAK_HOST } from '../soak/soakConfiguration.ts';
+import { loopbackNetwork } from '../support/loopbackNetwork.ts';
+import type { Owner } from '../support/Owner.ts';
+import { CrashingEngine } from './CrashingEngine.ts';
+
+/** What else happens while engines crash; each gateway is named by its index. */
+export type CrashDisturbance =
+  | { readonly _tag: 'none' }
+  /** The scheduler is killed after so many crashes, and starts again. */
+  | { readonly _tag: 'schedulerKilled'; readonly afterCrashes: number }
+  /** The scheduler stands still after so many crashes, for so long. */
+  | { readonly _tag: 'schedulerPaused'; readonly afterCrashes: number; readonly forMs: number }
+  /** The store answers 503 from the third crash on. */
+  | { readonly _tag: 'storeAway' }
+  /** Another gateway than the scheduler is killed, and starts again, every so often. */
+  | { readonly _tag: 'othersKilled'; readonly everyMs: number };
+
+/** One play. */
+export interface CrashPlay {
+  readonly seed: number;
+  readonly gateways: number;
+  readonly engines: number;
+  readonly disturbance: CrashDisturbance;
+  /** Time in which requests are sent, in ms. */
+  readonly trafficMs: number;
+  /** Requests a second whose prompts crash engines. */
+  readonly fatalRate: number;
+  /** Parts under which engines crash. */
+  readonly fatalParts: readonly string[];
+  /** Path of the gateway's bundled program. */
+  readonly program: string;
+  readonly folder: string;
+}
+
+/** What came of a play. */
+export interface CrashResult {
+  readonly crashes: number;
+  /** Requests with each fatal part that reached engines after its bound, in the order of the parts. */
+  readonly arrivalsAfterBound: readonly number[];
+  /** Share of sound requests whose answer began at the first attempt, before the first crash. */
+  readonly soundShareBefore: number;
+  /** The same from twice the contact time after the fifth crash of each part. */
+  readonly soundShareAfter: number;
+  readonly soundCountAfter: number;
+}
+
+/** The platform's `contact_ms`: by then all gateways that aren't disturbed know of each other's crashes. */
+const CONTACT_MS = 3_000;
+const BOUND_CRASHES = 5;
+const CALM_MS = 3_000;
+const SOUND_RATE = 25;
+const DOCUMENTS = 15;
+const DOWN_MS = 2_500;
+const DEADLINE_MS = 4_000;
+const READY_TIMEOUT_MS = 60_000;
+const KEY = 'key-of-the-office';
+const FIRST_PART = 'f1f1f1f1';
+const RESTART_MS = 600;
+
+interface Sent {
+  readonly gateway: number;
+  readonly part: string;
+  readonly at: number;
+  /** Undefined until the answer began or ended without. */
+  begun: boolean | undefined;
+}
+
+const isReady = (address: string): Promise<boolean> =>
+  new Promise((resolve) => {
+    const request = http.get(`http://${address}/api/readyz`, { agent: false }, (response) => {
+      response.resume();
+      resolve(response.statusCode === 200);
+    });
+    request.on('error', () => resolve(false));
+  });
+
+/** Counts what gateways in touch do, which were undisturbed for the whole contact time before. */
+class TouchHistory {
+  readonly #disturbedAt = new Map<number, number[]>();
+
+  disturbed(gateway: number, at: number): void {
+    this.#disturbedAt.set(gateway, [...(this.#disturbedAt.get(gateway) ?? []), at]);
+  }
+
+  isInTouch(gateway: number, at: number): boolean {
+    return (this.#disturbedAt.get(gateway) ?? []).every(
+      (disturbedAt) => at < disturbedAt || at - disturbedAt > CONTACT_MS,
+    );
+  }
+}
+
+const shareOf = (sent: readonly Sent[]): number =>
+  sent.length === 0 ? 0 : sent.filter(({ begun }) => begun).length / sent.length;
+
+/**
+ * Plays gateways as processes before engines that crash under some prompts, among sound requests that
+ * share the account and the other parts of these prompts.
+ *
+ * @param owner - ends all that was started
+ * @param play - sizes, rates and what else happens
+ * @returns what reached the engines, and how sound requests fared
+ */
+export const playCrashes = async (owner: Owner, play: CrashPlay): Promise<CrashResult> => {
+  const { gateways: size, engines, disturbance, fatalParts, folder, program } = play;
+  const generator = xoroshiro128plus(play.seed);
+  const fraction = (): number => uniformFloat64(generator);
+  const store = await startObjectStore(owner);
+  const touch = new TouchHistory();
+  const sent = new Map<string, Sent>();
+  const arrivals: { readonly sent: Sent; readonly at: number }[] = [];
+  const crashes: number[] = [];
+  const crashesByPart = new Map<string, number[]>(fatalParts.map((part) => [part, []]));
+  const onCrash = { disturb: (_count: number): void => {} };
+
+  for (let index = 0; index < engines; index += 1) {
+    let lastArrivals: string[] = [];
+    await CrashingEngine.start(owner, {
+      name: `engine-${index}`,
+      service: SERVICES.model,
+      store,
+      fatalParts: new Set(fatalParts),
+      downMs: DOWN_MS,
+      onArrival: ({ requestId, at }) => {
+        const request = sent.get(requestId);
+        if (request === undefined) return;
+        arrivals.push({ sent: request, at });
+        lastArrivals = [...lastArrivals.slice(-20), requestId];
+      },
+      onCrash: (at) => {
+        crashes.push(at);
+        // The first fatal request of this start is the one that crashed it.
+        const culprit = lastArrivals.find((id) => fatalParts.includes(sent.get(id)?.part ?? ''));
+        lastArrivals = [];
+        if (culprit !== undefined) crashesByPart.get(sent.get(culprit)?.part ?? '')?.push(at);
+        onCrash.disturb(crashes.length);
+      },
+    });
+  }
+  store.put('config', 'main', makeSoakConfiguration([5]));
+
+  const network = loopbackNetwork();
+  const ipOf = (index: number): string => `${network}.${index + 1}`;
+  const gateways = Array.from(
+    { length: size },
+    (_, index) =>
+      new GatewayProcess(owner, {
+        index,
+        ip: ipOf(index),
+        failureDomain: ['a', 'b', 'c'][index % 3] ?? 'a',
+        peerAddress: `${ipOf(index)}:${PORTS.peers}`,
+        seeds: [0, 1, 2].filter((other) => other !== index && other < size).map(ipOf),
+        storeAddress: store.address.slice('http://'.length),
+        program,
+        folder,
+        onUnexpectedEnd: (detail) => {
+          throw new Error(detail);
+        },
+      }),
+  );
+  const readyUntil = performance.now() + READY_TIMEOUT_MS;
+  for (const gateway of gateways) {
+    gateway.start();
+    // One after the other, so that the first one is the scheduler.
+    while (!(await isReady(gateway.readiness))) {
+      if (performance.now() > readyUntil) throw new Error(`${gateway.callers} doesn't get ready`);
+      await wait(50);
+    }
+  }
+
+  const restart = async (index: number): Promise<void> => {
+    touch.disturbed(index, performance.now());
+    await gateways[index]?.kill();
+    await wait(RESTART_MS);
+    gateways[index]?.start();
+    touch.disturbed(index, performance.now());
+  };
+  const pause = async (index: number, forMs: number): Promise<void> => {
+    gateways[index]?.pause();
+    touch.disturbed(index, performance.now());
+    await wait(forMs);
+    gateways[index]?.resume();
+    touch.disturbed(index, performance.now());
+  };
+  onCrash.disturb = (count) => {
+    switch (disturbance._tag) {
+      case 'none':
+      case 'othersKilled':
+        return;
+      case 'schedulerKilled':
+        if (count === disturbance.afterCrashes) restart(0);
+        return;
+      case 'schedulerPaused':
+        if (count === disturbance.afterCrashes) pause(0, disturbance.forMs);
+        return;
+      case 'storeAway':
+        if (count === 3) store.setAway(true);
+        return;
+      default:
+        disturbance satisfies never;
+    }
+  };
+  if (disturbance._tag === 'othersKilled' && size > 1) {
+    let next = 1;
+    const timer = setInterval(() => {
+      restart(next);
+      next = (next % (size - 1)) + 1;
+    }, disturbance.everyMs);
+    owner.after(() => clearInterval(timer));
+  }
+
+  let count = 0;
+  const agent = new http.Agent({ keepAlive: true });
+  owner.after(() => agent.destroy());
+  const send = (part: string): void => {
+    const gateway = Math.floor(fraction() * size);
+    count += 1;
+    const id = `crash-${play.seed}-${count}`;
+    const request: Sent = { gateway, part, at: performance.now(), begun: undefined };
+    sent.set(id, request);
+    const call = http.request({
+      host: ipOf(gateway),
+      port: PORTS.front,
+      path: `/resumed/${id}`,
+      method: 'POST',
+      agent,
+      headers: {
+        host: SOAK_HOST,
+        'x-corianderwick-request-id': id,
+        'x-corianderwick-key': KEY,
+        'x-corianderwick-deadline-ms': String(DEADLINE_MS),
+        'x-corianderwick-token-count': '300,40',
+        'x-corianderwick-prompt-prefix': `${FIRST_PART}:60,${part}:120,${count.toString(16)}aa:120`,
+      },
+    });
+    call.setTimeout(DEADLINE_MS, () => call.destroy());
+    call.on('error', () => {
+      request.begun ??= false;
+    });
+    call.on('response', (response) => {
+      response.on('error', () => {});
+      response.once('data', () => {
+        request.begun = response.statusCode === 200;
+      });
+      response.on('close', () => {
+        request.begun ??= false;
+      });
+    });
+    call.end('prompt');
+  };
+  const sendAtRate = (rate: number, part: () => string, untilAt: number): void => {
+    const pauseMs = (-Math.log(1 - fraction()) * 1_000) / rate;
+    setTimeout(() => {
+      if (performance.now() > untilAt) return;
+      send(part());
+      sendAtRate(rate, part, untilAt);
+    }, pauseMs);
+  };
+  const pick = (values: readonly string[]): string =>
+    values[Math.floor(fraction() * values.length)] ?? '';
+  const documents = Array.from({ length: DOCUMENTS }, (_, index) => `d0c${index.toString(16)}`);
+
+  const startedAt = performance.now();
+  const endsAt = startedAt + CALM_MS + play.trafficMs;
+  sendAtRate(SOUND_RATE, () => pick(documents), endsAt);
+  await wait(CALM_MS);
+  const fatalFrom = performance.now();
+  sendAtRate(play.fatalRate, () => pick(fatalParts), endsAt);
+  await wait(play.trafficMs);
+  await wait(DEADLINE_MS);
+
+  const boundOf = (part: string): number =>
+    (crashesByPart.get(part)?.[BOUND_CRASHES - 1] ?? Number.POSITIVE_INFINITY) + CONTACT_MS;
+  const lastCounted = Math.max(
+    ...fatalParts.map((part) => {
+      const times = crashesByPart.get(part) ?? [];
+      return times[Math.min(BOUND_CRASHES, times.length) - 1] ?? fatalFrom;
+    }),
+  );
+  const sound = [...sent.values()].filter(({ part }) => documents.includes(part));
+  const soundAfter = sound.filter(
+    ({ at, gateway }) => at > lastCounted + 2 * CONTACT_MS && touch.isInTouch(gateway, at),
+  );
+  return {
+    crashes: crashes.length,
+    arrivalsAfterBound: fatalParts.map(
+      (part) =>
+        arrivals.filter(
+          ({ sent: request, at }) =>
+            request.part === part && at > boundOf(part) && touch.isInTouch(request.gateway, at),
+        ).length,
+    ),
+    soundShareBefore: shareOf(sound.filter(({ at }) => at < fatalFrom - 500)),
+    soundShareAfter: shareOf(soundAfter),
+    soundCountAfter: soundAfter.length,
+  };
+};
--- a/test/soak/SoakFleet.ts
+++ b/test/soak/SoakFleet.ts
@@ -1,6 +1,7 @@
 import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64';
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
 import { startObjectStore, type ObjectStoreStandIn } from '../gateway/startObjectStore.ts';
+import { loopbackNetwork } from '../support/loopbackNetwork.ts';
 import type { Owner } from '../support/Owner.ts';
 import type { FaultHistory } from './FaultHistory.ts';
 import { FaultLink } from './FaultLink.ts';
@@ -51,10 +52,6 @@
 const SLOTS = 6;
 /** Versions increase in uneven steps. */
 const MOST_VERSION_STEP = 4;
-/** Within 127.0.0.0/8, a second part of the address that no other run of this machine has. */
-const FIRST_NETWORK = 64;
-const NETWORKS = 190;
-const OCTET = 256;
 /** Offset of the addresses at which a gateway's peer port is reached through its link. */
 const LINK_OFFSET = 120;
 const FIRST_VERSION = 3;
@@ -200,7 +197,7 @@
 
   async #addGateway(index: number): Promise<void> {
     const { gateways, program, folder, history, checker } = this.#options;
-    const network = `127.${FIRST_NETWORK + (Math.floor(process.pid / OCTET) % NETWORKS)}.${process.pid % OCTET}`;
+    const network = loopbackNetwork();
     const addressOf = (at: number): string => `${network}.${at + 1}`;
     const linkAddressOf = (at: number): string => `${network}.${LINK_OFFSET + at + 1}`;
     const ip = addressOf(index);
