Keep prompts from the engines whose parts crash one engine after the other

Cause: a crash was a failed attempt like any other, held against the engine. The next engine got the same request, or the next one like it, and nothing ever put the crashes of several gateways together: each sees few, and none names what the crashed runs had in common.

Change: a gateway whose run broke as its answer began checks whether the engine still takes connections. If not, it reports the run's shared prompt parts to the scheduler, which relays the reports to all, so that its successor has them. CrashAttribution holds a part responsible after four crashes without a served answer, if it is new or its presence no coincidence; the part with the most crashes explains them for all others, so that what sound requests share isn't blamed. PartQuarantine refuses its requests with 503 at every gateway, for a minute, then four times as long after each trial that crashes an engine again. Decisions stay in coordination, EngineCrashMonitor carries them out.

--- a/src/app/gateway/EndpointAttempt.ts
+++ b/src/app/gateway/EndpointAttempt.ts
@@ -1,5 +1,5 @@
 import type { DecodedResponseHeaders } from '../../protocol/gateway/index.ts';
-import type { PlacementResult } from '../../protocol/peer/GatewayMessages.ts';
+import { limitPromptParts, type PlacementResult } from '../../protocol/peer/GatewayMessages.ts';
 import type { EndpointRecord } from '../../state/gateway/index.ts';
 import {
   EventCutter,
@@ -8,6 +8,7 @@
   type Exchange,
   type ExchangeEvent,
 } from '../../transport/http/index.ts';
+import { engineStartOf } from './engineStartOf.ts';
 import type { GatewayContext } from './GatewayContext.ts';
 import type { RoutedRequest } from './RoutedRequest.ts';
 
@@ -39,6 +40,8 @@
 /** Size limit of an answer that is buffered until it is complete. */
 const MAXIMUM_BUFFERED_ANSWER_BYTES = 8 * 1024 * 1024;
 const FIRST_SERVER_ERROR = 500;
+/** A prompt that crashes its engine does so within this time after the first byte of the answer. */
+const CRASH_ONSET_MS = 600;
 
 const isSuccess = (status: number): boolean => status >= 200 && status < 300;
 
@@ -162,7 +165,7 @@
         this.#onEnded();
         return;
       case 'broken':
-        this.#fail(event.detail);
+        this.#onConnectionLost(event.detail);
         return;
       default:
         event satisfies never;
@@ -235,12 +238,12 @@
   #onStreamEnded(): void {
     const { isInsideEvent, count } = this.#eventCutter;
     if (isInsideEvent) {
-      this.#fail('stream ended inside an event');
+      this.#onConnectionLost('stream ended inside an event');
       return;
     }
     // The end of the connection is no sign that an answer without a length is complete.
     if (this.framing === 'close' && count === 0) {
-      this.#fail('stream without a length ended before its first event');
+      this.#onConnectionLost('stream without a length ended before its first event');
       return;
     }
     const rest = this.#eventCutter.rest();
@@ -249,6 +252,18 @@
     this.#emit({ _tag: 'streamEnded' });
   }
 
+  /** Fails the attempt; a run that had just begun to answer may have crashed its engine. */
+  #onConnectionLost(detail: string): void {
+    const { context, request, endpoint, ticketId } = this.#options;
+    const parts = limitPromptParts(request.fields.sharedPromptParts);
+    const answeringMs = context.now() - (this.#firstByteAt ?? context.now());
+    this.#fail(detail);
+    if (ticketId === undefined || parts.length === 0 || answeringMs > CRASH_ONSET_MS) return;
+    const { service, address } = endpoint;
+    const engine = engineStartOf(endpoint);
+    context.crashes.observeBrokenRun({ id: ticketId, service, engine, address, parts });
+  }
+
   #fail(detail: string): void {
     this.#exchange?.abort();
     this.#end('failed', detail);
--- a/src/app/gateway/GatewayContext.ts
+++ b/src/app/gateway/GatewayContext.ts
@@ -6,6 +6,7 @@
 } from '../../coordination/gateway/index.ts';
 import type { WireAdapter } from '../../protocol/gateway/index.ts';
 import type { ConnectionPool } from '../../transport/http/index.ts';
+import type { EngineCrashMonitor } from './EngineCrashMonitor.ts';
 import type { GatewayMetrics } from './GatewayMetrics.ts';
 import type { PlacementCoordinator } from './PlacementCoordinator.ts';
 import type { RequestHandler } from './RequestHandler.ts';
@@ -17,6 +18,7 @@
   readonly plainEndpoints: PlainServiceBalancer;
   readonly retryBudget: RetryBudget;
   readonly placements: PlacementCoordinator;
+  readonly crashes: EngineCrashMonitor;
   readonly endpointPool: ConnectionPool;
   readonly metrics: GatewayMetrics;
   readonly logger: Logger;
--- a/src/app/gateway/GatewayMetrics.ts
+++ b/src/app/gateway/GatewayMetrics.ts
@@ -21,6 +21,8 @@
   readonly missingEndpoints: number;
   /** 1 during an outage of the store and the grace time after it, else 0. */
   readonly storeOutage: number;
+  /** Prompt parts whose requests aren't sent to engines. */
+  readonly quarantinedParts: number;
 }
 
 /** Counters, gauges and latency percentiles of a gateway, rendered as Prometheus text. */
@@ -62,6 +64,13 @@
     registers: [this.#registry],
   });
 
+  readonly #engineCrashes = new Counter({
+    name: 'corianderwick_gateway_engine_crashes_total',
+    help: 'Crashes of model engines that runs of this process met, by service.',
+    labelNames: ['service'],
+    registers: [this.#registry],
+  });
+
   readonly #latencyHistograms = new Map<string, Histogram>();
 
   readonly #latencyGauge = new Gauge({
@@ -81,6 +90,10 @@
       'missing_endpoints',
       'Endpoints that the store no longer lists and that are kept in use around an outage.',
     ),
+    quarantinedParts: this.#makeGauge(
+      'quarantined_parts',
+      'Prompt parts whose requests are refused because they crash engines.',
+    ),
     storeOutage: this.#makeGauge('store_outage', 'Whether missing endpoints are kept in use.'),
   };
 
@@ -120,6 +133,11 @@
     this.#placements.inc({ route, decision });
   }
 
+  /** Counts a crash of an engine that runs of this process met. */
+  countEngineCrash(service: string): void {
+    this.#engineCrashes.inc({ service });
+  }
+
   /** Records the time in ms from the arrival of a request to the first byte of its answer. */
   recordFirstByteLatency(route: string, latencyMs: number): void {
     const histogram =
@@ -145,6 +163,7 @@
     this.#gauges.waiting.set(gauges.waiting);
     this.#gauges.running.set(gauges.running);
     this.#gauges.droppedLogLines.set(gauges.droppedLogLines);
+    this.#gauges.quarantinedParts.set(gauges.quarantinedParts);
     this.#latencyHistograms.forEach((histogram, route) => {
       PERCENTILES.forEach((quantile) => {
         this.#latencyGauge.set({ route, quantile }, histogram.getValueAtPercentile(quantile));
--- a/src/app/gateway/PlacementCoordinator.test.ts
+++ b/src/app/gateway/PlacementCoordinator.test.ts
@@ -6,6 +6,7 @@
 import type { PlacementTicket } from '../../protocol/peer/GatewayMessages.ts';
 import type { EndpointRecord } from '../../state/gateway/index.ts';
 import type { PlacementAnswer } from './LocalTickets.ts';
+import { EngineCrashMonitor } from './EngineCrashMonitor.ts';
 import { GatewayMetrics } from './GatewayMetrics.ts';
 import type { PeerGroup } from './PeerGroup.ts';
 import { PlacementCoordinator } from './PlacementCoordinator.ts';
@@ -62,14 +63,22 @@
     broadcast: () => {},
   };
   const bounds = { windowMs: 8_000, overshoot: 0.1, slack: 0 };
+  const shared = {
+    metrics: new GatewayMetrics(),
+    logger: pino({ level: 'silent' }),
+    now: () => state.now,
+  };
   const coordinator = new PlacementCoordinator({
     group: () => group as unknown as PeerGroup,
     quotas: new QuotaLimiter(bounds, state.now),
     findAccount: () => ACCOUNT,
     configurationVersion: () => 1,
-    metrics: new GatewayMetrics(),
-    logger: pino({ level: 'silent' }),
-    now: () => state.now,
+    crashes: new EngineCrashMonitor({
+      ...shared,
+      group: () => group as unknown as PeerGroup,
+      checkEngine: () => {},
+    }),
+    ...shared,
   });
   const answers: PlacementAnswer[] = [];
   const place = (id: string): void =>
--- a/src/app/gateway/PlacementCoordinator.ts
+++ b/src/app/gateway/PlacementCoordinator.ts
@@ -12,9 +12,13 @@
 } from '../../protocol/peer/GatewayMessages.ts';
 import type { PeerMessage } from '../../protocol/peer/PeerMessage.ts';
 import type { Account } from '../../state/gateway/index.ts';
+import type { EngineCrashMonitor } from './EngineCrashMonitor.ts';
+import { engineStartOf } from './engineStartOf.ts';
+import { listEngineSpeeds } from './listEngineSpeeds.ts';
 import { LocalTickets, withRemainingTimes, type PlacementAnswer } from './LocalTickets.ts';
 import type { GatewayMetrics } from './GatewayMetrics.ts';
 import { logPlacementDecision } from './logPlacementDecision.ts';
+import { partsOf, quarantineAnswer, refuseQuarantined } from './refuseQuarantined.ts';
 import type { PeerGroup } from './PeerGroup.ts';
 
 /** Collaborators of a placement coordinator. */
@@ -22,6 +26,7 @@
   /** Returns the peer group, which is created later than the coordinator. */
   readonly group: () => PeerGroup;
   readonly quotas: QuotaLimiter;
+  readonly crashes: EngineCrashMonitor;
   readonly findAccount: (name: string) => Account | undefined;
   /** Returns the version of the configuration in force; 0 before the first one. */
   readonly configurationVersion: () => number;
@@ -57,6 +62,9 @@
 
   readonly #tickets = new LocalTickets();
 
+  /** Tickets that were admitted as trials of quarantined prompt parts. */
+  readonly #trials = new Set<string>();
+
   /** Time of the last request or state report of each gateway, with its incarnation as the key. */
   readonly #requesters = new Map<string, number>();
 
@@ -98,6 +106,11 @@
     const group = this.#options.group();
     this.#updateLeader(now);
     const leader = this.#leader;
+    const quarantine = this.#options.crashes.findQuarantine(ticket.service, partsOf(ticket));
+    if (quarantine !== undefined) {
+      onAnswer(quarantineAnswer(quarantine.retryAfterMs, group.incarnation));
+      return;
+    }
     this.#tickets.addPending({ ticket, requestedAt: now, onAnswer, scheduler: leader });
     if (leader === group.incarnation) {
       this.#enqueue(leader, ticket, 1, now);
@@ -142,7 +155,7 @@
   releaseSlot(id: string, result: PlacementResult): void {
     if (!this.#tickets.release(id)) return;
     const now = this.#options.now();
-    this.scheduler.recordEnd(id, result, now);
+    this.#recordEnd(id, result, now);
     this.#sendToLeader({ _tag: 'placementEnd', id, result });
     this.#decideWhenDue(now);
   }
@@ -159,11 +172,8 @@
   tick(): void {
     const now = this.#options.now();
     this.#updateLeader(now);
-    if (this.#isLeader()) {
-      this.#tickLeader(now);
-    } else {
-      this.#tickFollower(now);
-    }
+    if (this.#isLeader()) this.#tickLeader(now);
+    else this.#tickFollower(now);
     this.#decideWhenDue(now);
   }
 
@@ -181,7 +191,7 @@
     }
     switch (message._tag) {
       case 'placementRequest':
-        this.#requesters.set(from, now);
+        this.#noteRequester(from, now);
         this.#startChargingQuotas(now);
         message.tickets.forEach((ticket) =>
           this.#enqueue(from, ticket, this.#leaderShare(now), now),
@@ -206,11 +216,11 @@
         this.scheduler.recordFirstToken(message.id, message.firstTokenMs, now);
         return;
       case 'placementEnd':
-        this.scheduler.recordEnd(message.id, message.result, now);
+        this.#recordEnd(message.id, message.result, now);
         this.#decideWhenDue(now);
         return;
       case 'placementState':
-        this.#requesters.set(from, now);
+        this.#noteRequester(from, now);
         this.scheduler.reconcile(from, message.running, now);
         message.waiting.forEach((ticket) =>
           this.#enqueue(from, ticket, this.#leaderShare(now), now),
@@ -285,14 +295,7 @@
     }
     if (now - this.#estimatesSentAt < ESTIMATES_INTERVAL_MS) return;
     this.#estimatesSentAt = now;
-    const engines = this.scheduler
-      .engines()
-      .filter(({ speed: estimate }) => estimate.prefillSampleCount > 0)
-      .map(({ record, speed: estimate }) => ({
-        endpoint: record.id,
-        readMsPerToken: estimate.prefillMsPerToken,
-        decodeMsPerToken: estimate.decodeMsPerToken,
-      }));
+    const engines = listEngineSpeeds(this.scheduler.engines());
     if (engines.length > 0) group.broadcast({ _tag: 'schedulerNotes', engines });
   }
 
@@ -343,6 +346,7 @@
     if (pending === undefined) return;
     const own = this.#options.group().incarnation;
     this.#startChargingQuotas(now);
+    this.#options.crashes.decideQuarantine();
     pending.scheduler = own;
     const share = this.#ownShare(now);
     this.scheduler.setSlotAllocation({ share });
@@ -364,6 +368,14 @@
 
   #enqueue(owner: string, ticket: PlacementTicket, share: number, now: number): void {
     if (this.scheduler.hasTicket(ticket.id)) return;
+    const { service, avoid } = ticket;
+    const isFirst = avoid.length === 0;
+    const admission = this.#options.crashes.decideRequest(service, partsOf(ticket), isFirst);
+    if (admission._tag === 'refused') {
+      this.#deliverDecision(refuseQuarantined({ owner, ticket }, admission.retryAfterMs));
+      return;
+    }
+    if (admission._tag === 'trial') this.#trials.add(ticket.id);
     const account =
       ticket.account === undefined ? undefined : this.#options.findAccount(ticket.account);
     if (account !== undefined && ticket.quotaUnits > 0) {
@@ -399,7 +411,33 @@
 
   #decideNow(now: number): void {
     this.#decidedAt = now;
-    this.scheduler.schedule(now).forEach((decision) => this.#deliverDecision(decision));
+    this.scheduler
+      .schedule(now)
+      .forEach((decision) => this.#deliverDecision(this.#withQuarantine(decision, now)));
+  }
+
+  /** Refuses a grant whose prompt has come under quarantine while it waited. */
+  #withQuarantine(decision: PlacementDecision, now: number): PlacementDecision {
+    const { ticket } = decision;
+    if (decision._tag === 'refuse' || this.#trials.has(ticket.id)) return decision;
+    const quarantine = this.#options.crashes.findQuarantine(ticket.service, partsOf(ticket));
+    if (quarantine === undefined) return decision;
+    this.scheduler.recordEnd(ticket.id, { outcome: 'unused' }, now);
+    return refuseQuarantined(decision, quarantine.retryAfterMs);
+  }
+
+  #recordEnd(id: string, result: PlacementResult, now: number): void {
+    const running = this.scheduler.findRunning(id);
+    this.scheduler.recordEnd(id, result, now);
+    this.#trials.delete(id);
+    if (running === undefined || result.outcome !== 'served') return;
+    const { ticket, record } = running;
+    this.#options.crashes.recordServed(ticket.service, engineStartOf(record), partsOf(ticket));
+  }
+
+  #noteRequester(incarnation: string, now: number): void {
+    if (!this.#requesters.has(incarnation)) this.#options.crashes.welcome(incarnation);
+    this.#requesters.set(incarnation, now);
   }
 
   #deliverDecision(decision: PlacementDecision): void {
--- a/src/app/gateway/makePlacementTicket.ts
+++ b/src/app/gateway/makePlacementTicket.ts
@@ -1,4 +1,4 @@
-import type { PlacementTicket } from '../../protocol/peer/GatewayMessages.ts';
+import { limitPromptParts, type PlacementTicket } from '../../protocol/peer/GatewayMessages.ts';
 import type { RoutedRequest } from './RoutedRequest.ts';
 
 /** How far a request has progressed when it asks for a slot. */
@@ -56,5 +56,6 @@
     tokensPerEvent: service.engine?.tokensPerEvent ?? 1,
     remainingMs,
     avoid: avoid.slice(-MAXIMUM_AVOIDED_ENDPOINTS),
+    promptParts: limitPromptParts(fields.sharedPromptParts),
   };
 };
--- a/src/app/gateway/runGateway.ts
+++ b/src/app/gateway/runGateway.ts
@@ -19,6 +19,7 @@
 import { makePeerNetwork } from '../../transport/peer/index.ts';
 import { startStatusServers } from './startStatusServers.ts';
 import { drainGateway } from './drainGateway.ts';
+import { EngineCrashMonitor } from './EngineCrashMonitor.ts';
 import { Gateway } from './Gateway.ts';
 import type { GatewayLog } from './GatewayLog.ts';
 import { GatewayMetrics } from './GatewayMetrics.ts';
@@ -144,8 +145,22 @@
       storeSubscription: new LateBound<StoreSubscription>(),
     };
 
+    const crashes = new EngineCrashMonitor({
+      group: () => lateBound.group.get(),
+      checkEngine: (address, onChecked) => {
+        const url = `http://${address}`;
+        endpointPool.connect(url, true, (outcome) => {
+          if (outcome._tag === 'connected') endpointPool.release(url, outcome.socket);
+          onChecked(outcome._tag === 'connected');
+        });
+      },
+      metrics,
+      logger,
+      now,
+    });
     const placements = new PlacementCoordinator({
       group: () => lateBound.group.get(),
+      crashes,
       quotas: new QuotaLimiter(
         {
           windowMs: bounds.quotaWindowMs,
@@ -170,6 +185,7 @@
         windowMs: bounds.retryWindowMs,
       }),
       placements,
+      crashes,
       endpointPool,
       metrics,
       logger,
@@ -217,6 +233,7 @@
       nextIncarnation: () => makeIncarnation(Date.now()),
       onMessage: (from, message, at) => {
         placements.handle(from, message, at);
+        crashes.handle(message);
         lateBound.storeSubscription.peek()?.handle(from, message);
       },
       onMemberEnded: (incarnation) => placements.removeMember(incarnation),
@@ -260,6 +277,7 @@
       storeSubscription,
       group,
       placements,
+      crashes,
       metrics,
       now,
     });
@@ -270,6 +288,7 @@
           group.tick(now());
           storeSubscription.tick();
           placements.tick();
+          crashes.tick();
         }, TICK_INTERVAL_MS),
       ),
       (timer) => Effect.sync(() => clearInterval(timer)),
--- a/src/app/gateway/startStatusServers.ts
+++ b/src/app/gateway/startStatusServers.ts
@@ -3,6 +3,7 @@
 import type { EndpointDirectory } from '../../coordination/gateway/index.ts';
 import { makePlainServer, type PlainAnswer } from '../../transport/gateway/index.ts';
 import { listAddressesForCallers } from './listAddressesForCallers.ts';
+import type { EngineCrashMonitor } from './EngineCrashMonitor.ts';
 import type { Gateway } from './Gateway.ts';
 import type { GatewayMetrics } from './GatewayMetrics.ts';
 import type { PeerGroup } from './PeerGroup.ts';
@@ -20,6 +21,7 @@
   readonly storeSubscription: StoreSubscription;
   readonly group: PeerGroup;
   readonly placements: PlacementCoordinator;
+  readonly crashes: EngineCrashMonitor;
   readonly metrics: GatewayMetrics;
   /** Present time in ms, monotonic. */
   readonly now: () => number;
@@ -57,6 +59,7 @@
   storeSubscription,
   group,
   placements,
+  crashes,
   metrics,
   now,
 }: StatusSources): Effect.Effect<StatusAddresses, never, Scope.Scope> => {
@@ -80,6 +83,7 @@
       members: group.liveMembers().length,
       missingEndpoints: directory.missingCount,
       storeOutage: Number(directory.outagePhase(now()) !== 'none'),
+      quarantinedParts: crashes.quarantinedCount,
       ...placements.countTickets(),
       droppedLogLines: log.droppedLines(),
     });
--- a/src/app/routePeerMessage.ts
+++ b/src/app/routePeerMessage.ts
@@ -128,6 +128,8 @@
     case 'placementState':
     case 'schedulerAlive':
     case 'schedulerNotes':
+    case 'crashReports':
+    case 'quarantinedParts':
     case 'storeChanges':
     case 'storeWatcherAlive':
       return [];
--- a/src/coordination/gateway/PlacementScheduler.ts
+++ b/src/coordination/gateway/PlacementScheduler.ts
@@ -110,6 +110,14 @@
     return this.#waiting.has(id) || this.#findRunning(id) !== undefined;
   }
 
+  /** Returns the ticket and the engine of a running request; undefined if it doesn't run. */
+  findRunning(
+    id: string,
+  ): { readonly ticket: PlacementTicket; readonly record: EndpointRecord } | undefined {
+    const running = this.#findRunning(id);
+    return running && { ticket: running.placement.ticket, record: running.engine.record };
+  }
+
   /** Removes a ticket from the queue; one that doesn't wait is ignored. */
   withdraw(id: string): void {
     this.#waiting.delete(id);
--- a/src/coordination/gateway/index.ts
+++ b/src/coordination/gateway/index.ts
@@ -1,9 +1,13 @@
 export { CallerRetryDetector } from './CallerRetryDetector.ts';
+export { CrashAttribution } from './CrashAttribution.ts';
+export type { CrashCulprit, CrashedRun } from './CrashAttribution.ts';
 export { EndpointAvailability } from './EndpointAvailability.ts';
 export { EndpointDirectory, MISSING_ENTRY_GRACE_MS } from './EndpointDirectory.ts';
 export type { EndpointChange, OutagePhase } from './EndpointDirectory.ts';
 export { EngineSpeed } from './EngineSpeed.ts';
 export { pickService } from './pickService.ts';
+export { PartQuarantine } from './PartQuarantine.ts';
+export type { QuarantineDecision } from './PartQuarantine.ts';
 export { PlainServiceBalancer } from './PlainServiceBalancer.ts';
 export { PlacementScheduler } from './PlacementScheduler.ts';
 export type { PlacementDecision } from './PlacementScheduler.ts';
--- a/src/protocol/peer/GatewayMessages.ts
+++ b/src/protocol/peer/GatewayMessages.ts
@@ -2,6 +2,16 @@
 
 const Milliseconds = Schema.Finite;
 
+const MAXIMUM_PROMPT_PARTS = 32;
+const MAXIMUM_PART_ID_LENGTH = 64;
+
+const PromptPart = Schema.String.check(Schema.isMaxLength(MAXIMUM_PART_ID_LENGTH));
+const PromptParts = Schema.Array(PromptPart).check(Schema.isMaxLength(MAXIMUM_PROMPT_PARTS));
+
+/** Returns the ids of prompt parts that a message may carry, so that it stays small. */
+export const limitPromptParts = (ids: readonly string[]): readonly string[] =>
+  ids.filter(({ length }) => length <= MAXIMUM_PART_ID_LENGTH).slice(0, MAXIMUM_PROMPT_PARTS);
+
 /** A request that waits for a slot at a model engine, as its gateway reports it to the scheduler. */
 export const PlacementTicket = Schema.Struct({
   /** Unique per attempt of a request. */
@@ -28,6 +38,8 @@
   remainingMs: Milliseconds,
   /** Endpoints that rejected an earlier attempt. */
   avoid: Schema.Array(Schema.String).check(Schema.isMaxLength(16)),
+  /** Ids of the parts of its prompt that other requests may share, in order. */
+  promptParts: Schema.optionalKey(PromptParts),
 });
 export type PlacementTicket = typeof PlacementTicket.Type;
 
@@ -49,6 +61,8 @@
   'deadline',
   'noEndpoint',
   'unknownAccount',
+  /** A part of its prompt crashes engines. */
+  'quarantined',
 ]);
 export type PlacementRefusalReason = typeof PlacementRefusalReason.Type;
 
@@ -73,6 +87,34 @@
 });
 export type PlacementResult = typeof PlacementResult.Type;
 
+/** A run that ended with the crash of its engine, as the gateway that sent it observed. */
+export const CrashReport = Schema.Struct({
+  /** Id of the placement ticket. */
+  id: Schema.NonEmptyString,
+  service: Schema.NonEmptyString,
+  /** One start of an engine. */
+  engine: Schema.NonEmptyString,
+  parts: PromptParts,
+  /** Time since the crash. */
+  ageMs: Milliseconds,
+});
+export type CrashReport = typeof CrashReport.Type;
+
+/** A prompt part whose requests aren't sent to the engines of a service, or no longer so. */
+export const QuarantinedPart = Schema.Struct({
+  service: Schema.NonEmptyString,
+  part: PromptPart,
+  /** Increases with each change. */
+  revision: Schema.Finite,
+  /** Number of times that it was found to crash engines; 0 after its release. */
+  strikes: Schema.Finite,
+  /** Time to the end of the present period; negative after it. */
+  remainingMs: Milliseconds,
+  /** Whether a request was admitted as a trial whose outcome isn't known. */
+  onTrial: Schema.Boolean,
+});
+export type QuarantinedPart = typeof QuarantinedPart.Type;
+
 /** Kinds of store objects whose changes gateways relay to each other. */
 export const WatchedKind = Schema.Literals(['configuration', 'endpoints']);
 export type WatchedKind = typeof WatchedKind.Type;
@@ -113,6 +155,10 @@
       }),
     ),
   }),
+  /** Crashes that the sender observed, or that the scheduler relays to all. */
+  Schema.TaggedStruct('crashReports', { reports: Schema.Array(CrashReport) }),
+  /** Prompt parts in quarantine; the receiver keeps the newest state of each. */
+  Schema.TaggedStruct('quarantinedParts', { parts: Schema.Array(QuarantinedPart) }),
   /** Changes of the store, relayed by a gateway that watches it to those that don't. */
   Schema.TaggedStruct('storeChanges', {
     kind: WatchedKind,
