Close connections to endpoints that send bytes without end

Node's parser bounds header lines, trailers and chunk extensions. It bounds neither empty lines before a head, interim answers nor the digits of a chunk size, and the gateway buffered the event of a stream without a limit. Such an answer took processor time, memory and a slot to the deadline of its request.

--- a/src/app/gateway/EndpointAttempt.ts
+++ b/src/app/gateway/EndpointAttempt.ts
@@ -39,6 +39,8 @@
 
 /** Size limit of an answer that is buffered until it is complete. */
 const MAXIMUM_BUFFERED_ANSWER_BYTES = 8 * 1024 * 1024;
+/** Size limit of one event of a stream, which is buffered until it is complete. */
+const MAXIMUM_EVENT_BYTES = 1024 * 1024;
 const FIRST_SERVER_ERROR = 500;
 /** A prompt that crashes its engine does so within this time after the first byte of the answer. */
 const CRASH_ONSET_MS = 600;
@@ -207,6 +209,10 @@
 
   #forwardStream(bytes: Buffer): void {
     const { bytes: completeEvents, lastId } = this.#eventCutter.push(bytes);
+    if (this.#eventCutter.pendingSize > MAXIMUM_EVENT_BYTES) {
+      this.#fail('event exceeds the buffer limit');
+      return;
+    }
     if (completeEvents.length === 0) return;
     this.#emit({
       _tag: 'streamed',
--- a/src/transport/http/exchange.ts
+++ b/src/transport/http/exchange.ts
@@ -4,6 +4,8 @@
 import { EndProbe } from './EndProbe.ts';
 
 const SCHEME = 'http://';
+/** Most bytes that bring an answer no further: a long head and framing, not bytes without end. */
+const MAXIMUM_IDLE_BYTES = 256 * 1024;
 
 /** One HTTP request to a server known by its address. */
 export interface HttpRequest {
@@ -123,6 +125,8 @@
   let incoming: http.IncomingMessage | undefined;
   let silence: NodeJS.Timeout | undefined;
   let patience: NodeJS.Timeout | undefined;
+  /** Bytes since the last that were a part of the body, or since the start. */
+  let idleBytes = 0;
 
   const finish = (event: ExchangeEvent): void => {
     if (ended) return;
@@ -142,6 +146,10 @@
     if (incoming?.complete === true && !incoming.destroyed) return;
     finish({ _tag: 'broken', silent: false, detail });
   };
+  const onBytes = (bytes: Buffer): void => {
+    if (idleBytes > MAXIMUM_IDLE_BYTES) breakOff('bytes without end that are no answer');
+    idleBytes += bytes.length;
+  };
   const onSilence = (): void => finish({ _tag: 'broken', silent: true, detail: 'no bytes' });
 
   const onResponse = (response: http.IncomingMessage): void => {
@@ -149,6 +157,7 @@
     clearTimeout(patience);
     silence?.refresh();
     incoming = response;
+    idleBytes = 0;
     onEvent({
       _tag: 'head',
       status: response.statusCode ?? 0,
@@ -159,6 +168,7 @@
     response.on('data', (bytes: Buffer) => {
       if (ended) return;
       silence?.refresh();
+      idleBytes = 0;
       onEvent({ _tag: 'data', bytes });
     });
     response.on('end', () => {
@@ -211,8 +221,11 @@
     const probeEnd = (): void => onSocketEnd(socket);
     // Before the listeners of Node, which close the connection for writing.
     socket.prependListener('end', probeEnd);
+    // After the listener of Node's parser, so that the bytes are parsed when they are counted.
+    outgoing.once('socket', () => socket.on('data', onBytes));
     socket.once('free', () => {
       socket.removeListener('end', probeEnd);
+      socket.removeListener('data', onBytes);
       pool.release(request.address, socket);
     });
     outgoing.on('response', onResponse);
