Set the gauges of missing endpoints and of the store's outage

GatewayMetrics.render got both values and set neither, so that the metrics page showed 0 whatever happened.

--- a/src/app/gateway/GatewayMetrics.ts
+++ b/src/app/gateway/GatewayMetrics.ts
@@ -163,6 +163,8 @@
     this.#gauges.waiting.set(gauges.waiting);
     this.#gauges.running.set(gauges.running);
     this.#gauges.droppedLogLines.set(gauges.droppedLogLines);
+    this.#gauges.missingEndpoints.set(gauges.missingEndpoints);
+    this.#gauges.storeOutage.set(gauges.storeOutage);
     this.#gauges.quarantinedParts.set(gauges.quarantinedParts);
     this.#latencyHistograms.forEach((histogram, route) => {
       PERCENTILES.forEach((quantile) => {
