Let the engines of the crash plays also break answers off inside an event

Streams of these engines have neither a length nor chunks, and one in twenty ends inside an event by a clean end of its connection, while the engine lives on.

--- a/test/crashes/CrashingEngine.ts
+++ b/test/crashes/CrashingEngine.ts
@@ -19,6 +19,10 @@
   readonly fatalParts: ReadonlySet<string>;
   /** Time from a crash to the next start. */
   readonly downMs: number;
+  /** Share of its answers that it breaks off inside an event, by a clean end of the connection. */
+  readonly tornShare: number;
+  /** A number from 0 up to 1. */
+  readonly fraction: () => number;
   readonly onArrival: (arrival: EngineArrival) => void;
   readonly onCrash: (at: number) => void;
 }
@@ -26,7 +30,9 @@
 const SLOTS = 6;
 const PREFILL_MS = 60;
 const EVENT_MS = 25;
-const EVENTS = 8;
+/** Events of a complete answer. */
+export const EVENTS = 8;
+const TORN_AFTER = 3;
 /** Time from the first event of an answer to the crash. */
 const CRASH_DELAY_MS = 40;
 /** Time until the platform removes the entry of an engine that has fallen silent. */
@@ -129,6 +135,8 @@
     }
     this.#running += 1;
     await wait(PREFILL_MS);
+    // Without a length or chunks, so that the end of the connection is the end of the answer.
+    Object.assign(response, { useChunkedEncodingByDefault: false });
     response.writeHead(200, {
       'X-Corianderwick-Request-Id': requestId,
       'X-Corianderwick-Server-Stamp': this.#id,
@@ -140,10 +148,12 @@
       if (this.#server === server) this.crash();
       return;
     }
+    const tornAt = this.#options.fraction() < this.#options.tornShare ? TORN_AFTER : EVENTS;
     const first = Number(request.headers['last-event-id'] ?? 0) + 1;
     for (let number = first; number <= EVENTS && !response.destroyed; number += 1) {
       response.write(`id: ${number}\ndata: ${number}\n\n`);
       await wait(EVENT_MS);
+      if (number === tornAt && tornAt < EVENTS) response.socket?.end(`id: ${number + 1}\ndata`);
     }
     response.end();
     if (this.#server === server) this.#running -= 1;
--- a/test/crashes/crashes.test.ts
+++ b/test/crashes/crashes.test.ts
@@ -50,10 +50,12 @@
         trafficMs: 18_000,
         fatalRate: 2,
         fatalParts: ['bad0bad0'],
+        tornShare: 0.05,
         program,
         folder,
       });
       console.log(JSON.stringify(result));
+      expect(result.falselyComplete).toEqual(0);
       expect(Math.max(...result.arrivalsAfterBound) <= MOST_ARRIVALS).toEqual(true);
       expect(result.soundShareAfter >= LEAST_RELATIVE_SHARE * result.soundShareBefore).toEqual(
         true,
--- a/test/crashes/main.ts
+++ b/test/crashes/main.ts
@@ -58,10 +58,12 @@
     trafficMs: Number(values.seconds) * MS_PER_SECOND,
     fatalRate: Number(values.rate),
     fatalParts: FATAL_PARTS.slice(0, seed % 3 === 0 ? 2 : 1),
+    tornShare: 0.05,
     program: PROGRAM,
     folder,
   }).finally(() => Effect.runPromise(Scope.close(scope, Exit.void)));
   const kept =
+    result.falselyComplete === 0 &&
     Math.max(...result.arrivalsAfterBound) <= MOST_ARRIVALS &&
     result.soundShareAfter >= LEAST_RELATIVE_SHARE * result.soundShareBefore;
   console.log(
--- a/test/crashes/playCrashes.ts
+++ b/test/crashes/playCrashes.ts
@@ -7,7 +7,7 @@
 import { makeSoakConfiguration, SERVICES, SOAK_HOST } from '../soak/soakConfiguration.ts';
 import { loopbackNetwork } from '../support/loopbackNetwork.ts';
 import type { Owner } from '../support/Owner.ts';
-import { CrashingEngine } from './CrashingEngine.ts';
+import { CrashingEngine, EVENTS } from './CrashingEngine.ts';
 
 /** What else happens while engines crash; each gateway is named by its index. */
 export type CrashDisturbance =
@@ -33,6 +33,8 @@
   readonly fatalRate: number;
   /** Parts under which engines crash. */
   readonly fatalParts: readonly string[];
+  /** Share of the answers that engines break off inside an event. */
+  readonly tornShare: number;
   /** Path of the gateway's bundled program. */
   readonly program: string;
   readonly folder: string;
@@ -48,6 +50,8 @@
   /** The same from twice the contact time after the fifth crash of each part. */
   readonly soundShareAfter: number;
   readonly soundCountAfter: number;
+  /** Answers that their callers saw end as complete without all events. */
+  readonly falselyComplete: number;
 }
 
 /** The platform's `contact_ms`: by then all gateways that aren't disturbed know of each other's crashes. */
@@ -126,6 +130,8 @@
       store,
       fatalParts: new Set(fatalParts),
       downMs: DOWN_MS,
+      tornShare: play.tornShare,
+      fraction,
       onArrival: ({ requestId, at }) => {
         const request = sent.get(requestId);
         if (request === undefined) return;
@@ -215,6 +221,7 @@
   }
 
   let count = 0;
+  let falselyComplete = 0;
   const agent = new http.Agent({ keepAlive: true });
   owner.after(() => agent.destroy());
   const send = (part: string): void => {
@@ -243,12 +250,17 @@
       request.begun ??= false;
     });
     call.on('response', (response) => {
+      let text = '';
       response.on('error', () => {});
-      response.once('data', () => {
-        request.begun = response.statusCode === 200;
+      response.on('data', (bytes: Buffer) => {
+        request.begun ??= response.statusCode === 200;
+        text += bytes.toString('latin1');
       });
       response.on('close', () => {
         request.begun ??= false;
+        const events = text.split('\n\n').length - 1;
+        if (response.complete && response.statusCode === 200 && events !== EVENTS)
+          falselyComplete += 1;
       });
     });
     call.end('prompt');
@@ -298,5 +310,6 @@
     soundShareBefore: shareOf(sound.filter(({ at }) => at < fatalFrom - 500)),
     soundShareAfter: shareOf(soundAfter),
     soundCountAfter: soundAfter.length,
+    falselyComplete,
   };
 };
