Log the limits that endpoints state to the rate of their requests

Change: the platform's adapter decodes it; each gateway logs a change and counts limited endpoints in a gauge. Nothing is decided by it yet.

--- a/src/app/gateway/EndpointAttempt.ts
+++ b/src/app/gateway/EndpointAttempt.ts
@@ -8,7 +8,7 @@
   type Exchange,
   type ExchangeEvent,
 } from '../../transport/http/index.ts';
-import { engineStartOf } from './engineStartOf.ts';
+import { endpointStartOf } from './endpointStartOf.ts';
 import type { GatewayContext } from './GatewayContext.ts';
 import type { RoutedRequest } from './RoutedRequest.ts';
 
@@ -182,7 +182,12 @@
     this.#answerFields = answer;
     const isForThisRequest =
       answer.id === request.id || (answer.id === undefined && answer.isNotRun);
-    if (isForThisRequest && (answer.isSigned || answer.isNotRun) && !answer.isEncoded) return;
+    if (isForThisRequest && (answer.isSigned || answer.isNotRun) && !answer.isEncoded) {
+      // A rejection without a limit doesn't end one: something else may have written it.
+      if (answer.isSigned || answer.statedLimit._tag !== 'none')
+        context.limits.observe(this.endpoint, answer.statedLimit, this.#sentAt);
+      return;
+    }
     // The answer belongs to another request, was not written by an endpoint, or has a content encoding
     // although the gateway accepts none.
     this.#fail(`answer does not belong to this request (status ${status})`);
@@ -266,7 +271,7 @@
     this.#fail(detail);
     if (ticketId === undefined || parts.length === 0 || answeringMs > CRASH_ONSET_MS) return;
     const { service, address } = endpoint;
-    const engine = engineStartOf(endpoint);
+    const engine = endpointStartOf(endpoint);
     context.crashes.observeBrokenRun({ id: ticketId, service, engine, address, parts });
   }
 
--- a/src/app/gateway/GatewayContext.ts
+++ b/src/app/gateway/GatewayContext.ts
@@ -7,6 +7,7 @@
 import type { WireAdapter } from '../../protocol/gateway/index.ts';
 import type { ConnectionPool } from '../../transport/http/index.ts';
 import type { EngineCrashMonitor } from './EngineCrashMonitor.ts';
+import type { EndpointLimitMonitor } from './EndpointLimitMonitor.ts';
 import type { GatewayMetrics } from './GatewayMetrics.ts';
 import type { PlacementCoordinator } from './PlacementCoordinator.ts';
 import type { RequestHandler } from './RequestHandler.ts';
@@ -19,6 +20,7 @@
   readonly retryBudget: RetryBudget;
   readonly placements: PlacementCoordinator;
   readonly crashes: EngineCrashMonitor;
+  readonly limits: EndpointLimitMonitor;
   readonly endpointPool: ConnectionPool;
   readonly metrics: GatewayMetrics;
   readonly logger: Logger;
--- a/src/app/gateway/GatewayMetrics.test.ts
+++ b/src/app/gateway/GatewayMetrics.test.ts
@@ -11,6 +11,7 @@
   missingEndpoints: 6,
   storeOutage: 7,
   quarantinedParts: 8,
+  limitedEndpoints: 9,
 };
 
 const toMetricName = (name: string): string =>
--- a/src/app/gateway/GatewayMetrics.ts
+++ b/src/app/gateway/GatewayMetrics.ts
@@ -23,6 +23,8 @@
   readonly storeOutage: number;
   /** Prompt parts whose requests aren't sent to engines. */
   readonly quarantinedParts: number;
+  /** Endpoints that state a limit to the rate of their requests. */
+  readonly limitedEndpoints: number;
 }
 
 /** Counters, gauges and latency percentiles of a gateway, rendered as Prometheus text. */
@@ -94,6 +96,10 @@
       'quarantined_parts',
       'Prompt parts whose requests are refused because they crash engines.',
     ),
+    limitedEndpoints: this.#makeGauge(
+      'limited_endpoints',
+      'Endpoints that state a limit to the rate of their requests.',
+    ),
     storeOutage: this.#makeGauge('store_outage', 'Whether missing endpoints are kept in use.'),
   };
 
@@ -166,6 +172,7 @@
     this.#gauges.missingEndpoints.set(gauges.missingEndpoints);
     this.#gauges.storeOutage.set(gauges.storeOutage);
     this.#gauges.quarantinedParts.set(gauges.quarantinedParts);
+    this.#gauges.limitedEndpoints.set(gauges.limitedEndpoints);
     this.#latencyHistograms.forEach((histogram, route) => {
       PERCENTILES.forEach((quantile) => {
         this.#latencyGauge.set({ route, quantile }, histogram.getValueAtPercentile(quantile));
--- a/src/app/gateway/PlacementCoordinator.ts
+++ b/src/app/gateway/PlacementCoordinator.ts
@@ -13,7 +13,7 @@
 import type { PeerMessage } from '../../protocol/peer/PeerMessage.ts';
 import type { Account } from '../../state/gateway/index.ts';
 import type { EngineCrashMonitor } from './EngineCrashMonitor.ts';
-import { engineStartOf } from './engineStartOf.ts';
+import { endpointStartOf } from './endpointStartOf.ts';
 import { listEngineSpeeds } from './listEngineSpeeds.ts';
 import { LocalTickets, withRemainingTimes, type PlacementAnswer } from './LocalTickets.ts';
 import type { GatewayMetrics } from './GatewayMetrics.ts';
@@ -432,7 +432,7 @@
     this.#trials.delete(id);
     if (running === undefined || result.outcome !== 'served') return;
     const { ticket, record } = running;
-    this.#options.crashes.recordServed(ticket.service, engineStartOf(record), partsOf(ticket));
+    this.#options.crashes.recordServed(ticket.service, endpointStartOf(record), partsOf(ticket));
   }
 
   #noteRequester(incarnation: string, now: number): void {
--- a/src/app/gateway/runGateway.ts
+++ b/src/app/gateway/runGateway.ts
@@ -7,6 +7,7 @@
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
 import {
   EndpointDirectory,
+  EndpointLimits,
   PlainServiceBalancer,
   QuotaLimiter,
   RetryBudget,
@@ -19,6 +20,7 @@
 import { makePeerNetwork } from '../../transport/peer/index.ts';
 import { startStatusServers } from './startStatusServers.ts';
 import { drainGateway } from './drainGateway.ts';
+import { EndpointLimitMonitor } from './EndpointLimitMonitor.ts';
 import { EngineCrashMonitor } from './EngineCrashMonitor.ts';
 import { Gateway } from './Gateway.ts';
 import type { GatewayLog } from './GatewayLog.ts';
@@ -158,6 +160,8 @@
       logger,
       now,
     });
+    const endpointLimits = new EndpointLimits();
+    const limits = new EndpointLimitMonitor({ limits: endpointLimits, logger, now });
     const placements = new PlacementCoordinator({
       group: () => lateBound.group.get(),
       crashes,
@@ -186,6 +190,7 @@
       }),
       placements,
       crashes,
+      limits,
       endpointPool,
       metrics,
       logger,
@@ -278,6 +283,7 @@
       group,
       placements,
       crashes,
+      endpointLimits,
       metrics,
       now,
     });
@@ -289,6 +295,7 @@
           storeSubscription.tick();
           placements.tick();
           crashes.tick();
+          limits.tick();
         }, TICK_INTERVAL_MS),
       ),
       (timer) => Effect.sync(() => clearInterval(timer)),
--- a/src/app/gateway/startStatusServers.ts
+++ b/src/app/gateway/startStatusServers.ts
@@ -1,6 +1,6 @@
 import * as Effect from 'effect/Effect';
 import type * as Scope from 'effect/Scope';
-import type { EndpointDirectory } from '../../coordination/gateway/index.ts';
+import type { EndpointDirectory, EndpointLimits } from '../../coordination/gateway/index.ts';
 import { makePlainServer, type PlainAnswer } from '../../transport/gateway/index.ts';
 import { listAddressesForCallers } from './listAddressesForCallers.ts';
 import type { EngineCrashMonitor } from './EngineCrashMonitor.ts';
@@ -22,6 +22,7 @@
   readonly group: PeerGroup;
   readonly placements: PlacementCoordinator;
   readonly crashes: EngineCrashMonitor;
+  readonly endpointLimits: EndpointLimits;
   readonly metrics: GatewayMetrics;
   /** Present time in ms, monotonic. */
   readonly now: () => number;
@@ -60,6 +61,7 @@
   group,
   placements,
   crashes,
+  endpointLimits,
   metrics,
   now,
 }: StatusSources): Effect.Effect<StatusAddresses, never, Scope.Scope> => {
@@ -84,6 +86,7 @@
       missingEndpoints: directory.missingCount,
       storeOutage: Number(directory.outagePhase(now()) !== 'none'),
       quarantinedParts: crashes.quarantinedCount,
+      limitedEndpoints: endpointLimits.limitedCount,
       ...placements.countTickets(),
       droppedLogLines: log.droppedLines(),
     });
--- a/src/coordination/gateway/index.ts
+++ b/src/coordination/gateway/index.ts
@@ -4,6 +4,8 @@
 export { EndpointAvailability } from './EndpointAvailability.ts';
 export { EndpointDirectory, MISSING_ENTRY_GRACE_MS } from './EndpointDirectory.ts';
 export type { EndpointChange, OutagePhase } from './EndpointDirectory.ts';
+export { EndpointLimits } from './EndpointLimits.ts';
+export type { LimitObservation } from './EndpointLimits.ts';
 export { EngineSpeed } from './EngineSpeed.ts';
 export { pickService } from './pickService.ts';
 export { PartQuarantine } from './PartQuarantine.ts';
--- a/src/protocol/gateway/WireAdapter.ts
+++ b/src/protocol/gateway/WireAdapter.ts
@@ -30,6 +30,13 @@
   readonly lastEventId: string | undefined;
 }
 
+/** What an answer says about the rate of requests that its endpoint accepts. */
+export type StatedLimit =
+  | { readonly _tag: 'none' }
+  /** Requests a second that the endpoint accepts from all gateways together. */
+  | { readonly _tag: 'stated'; readonly requestsPerSecond: number }
+  | { readonly _tag: 'unreadable' };
+
 /** Values decoded from the status and header lines of a response, which show its origin. */
 export interface DecodedResponseHeaders {
   /** Id of the request that the response belongs to. */
@@ -40,6 +47,7 @@
   readonly isNotRun: boolean;
   /** Whether the body has a content encoding, although the gateway accepts none. */
   readonly isEncoded: boolean;
+  readonly statedLimit: StatedLimit;
 }
 
 /** Header names and values alternating, in the order and spelling received. */
--- a/src/protocol/gateway/index.ts
+++ b/src/protocol/gateway/index.ts
@@ -12,5 +12,6 @@
   DecodedRequestHeaders,
   AddedRequestHeaders,
   RawHeaders,
+  StatedLimit,
   WireAdapter,
 } from './WireAdapter.ts';
