--- a/test/crashes/playCrashes.ts
+++ b/test/crashes/playCrashes.ts
@@ -2,10 +2,8 @@
 import { setTimeout as wait } from 'node:timers/promises';
 import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64';
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
-import { startObjectStore } from '../gateway/startObjectStore.ts';
-import { GatewayProcess, PORTS } from '../soak/GatewayProcess.ts';
 import { makeSoakConfiguration, SERVICES, SOAK_HOST } from '../soak/soakConfiguration.ts';
-import { loopbackNetwork } from '../support/loopbackNetwork.ts';
+import { CONTACT_MS, GatewayFleet } from '../support/GatewayFleet.ts';
 import type { Owner } from '../support/Owner.ts';
 import { CrashingEngine, EVENTS } from './CrashingEngine.ts';
 
@@ -54,18 +52,14 @@
   readonly falselyComplete: number;
 }
 
-/** The platform's `contact_ms`: by then all gateways that aren't disturbed know of each other's crashes. */
-const CONTACT_MS = 3_000;
 const BOUND_CRASHES = 5;
 const CALM_MS = 3_000;
 const SOUND_RATE = 25;
 const DOCUMENTS = 15;
 const DOWN_MS = 2_500;
 const DEADLINE_MS = 4_000;
-const READY_TIMEOUT_MS = 60_000;
 const KEY = 'key-of-the-office';
 const FIRST_PART = 'f1f1f1f1';
-const RESTART_MS = 600;
 
 interface Sent {
   readonly gateway: number;
@@ -75,30 +69,6 @@
   begun: boolean | undefined;
 }
 
-const isReady = (address: string): Promise<boolean> =>
-  new Promise((resolve) => {
-    const request = http.get(`http://${address}/api/readyz`, { agent: false }, (response) => {
-      response.resume();
-      resolve(response.statusCode === 200);
-    });
-    request.on('error', () => resolve(false));
-  });
-
-/** Counts what gateways in touch do, which were undisturbed for the whole contact time before. */
-class TouchHistory {
-  readonly #disturbedAt = new Map<number, number[]>();
-
-  disturbed(gateway: number, at: number): void {
-    this.#disturbedAt.set(gateway, [...(this.#disturbedAt.get(gateway) ?? []), at]);
-  }
-
-  isInTouch(gateway: number, at: number): boolean {
-    return (this.#disturbedAt.get(gateway) ?? []).every(
-      (disturbedAt) => at < disturbedAt || at - disturbedAt > CONTACT_MS,
-    );
-  }
-}
-
 const shareOf = (sent: readonly Sent[]): number =>
   sent.length === 0 ? 0 : sent.filter(({ begun }) => begun).length / sent.length;
 
@@ -114,8 +84,13 @@
   const { gateways: size, engines, disturbance, fatalParts, folder, program } = play;
   const generator = xoroshiro128plus(play.seed);
   const fraction = (): number => uniformFloat64(generator);
-  const store = await startObjectStore(owner);
-  const touch = new TouchHistory();
+  const fleet = await GatewayFleet.start(owner, {
+    size,
+    configuration: makeSoakConfiguration([5]),
+    program,
+    folder,
+  });
+  const { store } = fleet;
   const sent = new Map<string, Sent>();
   const arrivals: { readonly sent: Sent; readonly at: number }[] = [];
   const crashes: number[] = [];
@@ -148,61 +123,16 @@
       },
     });
   }
-  store.put('config', 'main', makeSoakConfiguration([5]));
-
-  const network = loopbackNetwork();
-  const ipOf = (index: number): string => `${network}.${index + 1}`;
-  const gateways = Array.from(
-    { length: size },
-    (_, index) =>
-      new GatewayProcess(owner, {
-        index,
-        ip: ipOf(index),
-        failureDomain: ['a', 'b', 'c'][index % 3] ?? 'a',
-        peerAddress: `${ipOf(index)}:${PORTS.peers}`,
-        seeds: [0, 1, 2].filter((other) => other !== index && other < size).map(ipOf),
-        storeAddress: store.address.slice('http://'.length),
-        program,
-        folder,
-        onUnexpectedEnd: (detail) => {
-          throw new Error(detail);
-        },
-      }),
-  );
-  const readyUntil = performance.now() + READY_TIMEOUT_MS;
-  for (const gateway of gateways) {
-    gateway.start();
-    // One after the other, so that the first one is the scheduler.
-    while (!(await isReady(gateway.readiness))) {
-      if (performance.now() > readyUntil) throw new Error(`${gateway.callers} doesn't get ready`);
-      await wait(50);
-    }
-  }
-
-  const restart = async (index: number): Promise<void> => {
-    touch.disturbed(index, performance.now());
-    await gateways[index]?.kill();
-    await wait(RESTART_MS);
-    gateways[index]?.start();
-    touch.disturbed(index, performance.now());
-  };
-  const pause = async (index: number, forMs: number): Promise<void> => {
-    gateways[index]?.pause();
-    touch.disturbed(index, performance.now());
-    await wait(forMs);
-    gateways[index]?.resume();
-    touch.disturbed(index, performance.now());
-  };
   onCrash.disturb = (count) => {
     switch (disturbance._tag) {
       case 'none':
       case 'othersKilled':
         return;
       case 'schedulerKilled':
-        if (count === disturbance.afterCrashes) restart(0);
+        if (count === disturbance.afterCrashes) fleet.restart(0);
         return;
       case 'schedulerPaused':
-        if (count === disturbance.afterCrashes) pause(0, disturbance.forMs);
+        if (count === disturbance.afterCrashes) fleet.pause(0, disturbance.forMs);
         return;
       case 'storeAway':
         if (count === 3) store.setAway(true);
@@ -214,7 +144,7 @@
   if (disturbance._tag === 'othersKilled' && size > 1) {
     let next = 1;
     const timer = setInterval(() => {
-      restart(next);
+      fleet.restart(next);
       next = (next % (size - 1)) + 1;
     }, disturbance.everyMs);
     owner.after(() => clearInterval(timer));
@@ -231,8 +161,7 @@
     const request: Sent = { gateway, part, at: performance.now(), begun: undefined };
     sent.set(id, request);
     const call = http.request({
-      host: ipOf(gateway),
-      port: PORTS.front,
+      ...fleet.callerAddress(gateway),
       path: `/resumed/${id}`,
       method: 'POST',
       agent,
@@ -296,7 +225,7 @@
   );
   const sound = [...sent.values()].filter(({ part }) => documents.includes(part));
   const soundAfter = sound.filter(
-    ({ at, gateway }) => at > lastCounted + 2 * CONTACT_MS && touch.isInTouch(gateway, at),
+    ({ at, gateway }) => at > lastCounted + 2 * CONTACT_MS && fleet.isInTouch(gateway, at),
   );
   return {
     crashes: crashes.length,
@@ -304,7 +233,7 @@
       (part) =>
         arrivals.filter(
           ({ sent: request, at }) =>
-            request.part === part && at > boundOf(part) && touch.isInTouch(request.gateway, at),
+            request.part === part && at > boundOf(part) && fleet.isInTouch(request.gateway, at),
         ).length,
     ),
     soundShareBefore: shareOf(sound.filter(({ at }) => at < fatalFrom - 500)),
