Show that gateways send limited endpoints as much as before

Seen on the users' platform: an engine that had named 3 requests a second got 36 in 4 s (LIMIT). Change: test/limits plays endpoints, plain ones and engines, that state a limit, before three gateway processes, and judges each window of 4 s by the users' bound.

--- /dev/null
+++ b/test/limits/limits.test.ts
@@ -0,0 +1,61 @@
+import { execFile } from 'node:child_process';
+import { mkdtemp, rm } from 'node:fs/promises';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { after, before, describe, it } from 'node:test';
+import { fileURLToPath } from 'node:url';
+import { promisify } from 'node:util';
+import { expect } from 'earl';
+import { playLimits, type LimitDisturbance } from './playLimits.ts';
+
+const BUILD = fileURLToPath(new URL('../../scripts/buildPlatform.mjs', import.meta.url));
+
+const PLAYS: readonly {
+  readonly seed: number;
+  readonly name: string;
+  readonly limited: number;
+  readonly disturbance: LimitDisturbance;
+}[] = [
+  { seed: 1, name: 'one of three', limited: 1, disturbance: { _tag: 'none' } },
+  {
+    seed: 2,
+    name: 'all of them, while the scheduler is killed and starts again',
+    limited: 3,
+    disturbance: { _tag: 'schedulerKilled' },
+  },
+];
+
+describe('gateways before endpoints that limit the rate of their requests', () => {
+  let folder = '';
+  let program = '';
+
+  before(async () => {
+    folder = await mkdtemp(join(tmpdir(), 'limits-'));
+    program = join(folder, 'gateway.cjs');
+    await promisify(execFile)(process.execPath, [BUILD, program]);
+  });
+  after(() => rm(folder, { recursive: true }));
+
+  PLAYS.forEach(({ seed, name, limited, disturbance }) => {
+    // Guards against gateways that each send a limited endpoint as much as before (LIMIT).
+    it(`together send no more than it takes to ${name}`, async (context) => {
+      const result = await playLimits(context, {
+        seed,
+        gateways: 3,
+        endpoints: 3,
+        limited,
+        shape: { _tag: 'fixed', perSecond: 3 },
+        disturbance,
+        rate: 30,
+        limitMs: 13_000,
+        program,
+        folder,
+      });
+      console.log(JSON.stringify(result));
+      Object.values(result).forEach(({ worstExcess, refusalsWithRetryAfter }) => {
+        expect(worstExcess <= 0).toEqual(true);
+        expect(refusalsWithRetryAfter).toEqual(1);
+      });
+    });
+  });
+});
