Carry reports to the scheduler and its verdicts to all in one exchange

Cause: reports of crashes, their repetition for a new scheduler, their relay and the refresh of verdicts were part of EngineCrashMonitor, so that the next bound over the group would have copied them. Change: SchedulerExchange does this for any kind of report; EngineCrashMonitor keeps the decisions.

--- a/src/app/gateway/EngineCrashMonitor.ts
+++ b/src/app/gateway/EngineCrashMonitor.ts
@@ -8,6 +8,7 @@
 import type { PeerMessage } from '../../protocol/peer/PeerMessage.ts';
 import type { GatewayMetrics } from './GatewayMetrics.ts';
 import type { PeerGroup } from './PeerGroup.ts';
+import { SchedulerExchange } from './SchedulerExchange.ts';
 
 /** A run whose connection broke before or shortly after the answer began. */
 export interface BrokenRun {
@@ -36,21 +37,8 @@
 
 /** A crashing engine may close its connections a little earlier than its port. */
 const CHECK_DELAY_MS = 30;
-/** Reports are sent again, in case that a link or the scheduler failed. */
-const RESEND_INTERVAL_MS = 1_000;
-const RESEND_PERIOD_MS = 5_000;
-/** Time for which own reports are kept for the next scheduler. */
-const OWN_REPORT_RETENTION_MS = 60_000;
-const MAXIMUM_OWN_REPORTS = 256;
-/** Interval at which the scheduler sends the quarantined parts to some of the members in turn. */
-const REFRESH_INTERVAL_MS = 1_000;
-/** Members of one turn, so that the traffic doesn't grow with the group. */
-const REFRESH_MEMBERS = 64;
-const MAXIMUM_REPORTS_PER_MESSAGE = 64;
-
-interface OwnReport extends Omit<CrashReport, 'ageMs'> {
-  readonly at: number;
-}
+/** A crash report with the time of the crash in ms, monotonic. */
+type TimedCrashReport = Omit<CrashReport, 'ageMs'> & { readonly at: number };
 
 /**
  * Finds the prompt parts that crash engines, and keeps their requests from the engines. Each gateway
@@ -68,21 +56,22 @@
   /** Broken runs of engines that are being checked, by the engine. */
   readonly #unchecked = new Map<string, BrokenRun[]>();
 
-  #ownReports: OwnReport[] = [];
-
-  #toRelay: CrashReport[] = [];
-
-  #leader = '';
-
-  #resentAt = Number.NEGATIVE_INFINITY;
-
-  #refreshedAt = Number.NEGATIVE_INFINITY;
-
-  /** Index of the member that the next refresh begins with. */
-  #nextMember = 0;
+  readonly #exchange: SchedulerExchange<TimedCrashReport>;
 
   constructor(options: EngineCrashMonitorOptions) {
     this.#options = options;
+    this.#exchange = new SchedulerExchange({
+      group: options.group,
+      now: options.now,
+      encodeReports: (reports, now) => ({
+        _tag: 'crashReports',
+        reports: reports.map(({ at, ...report }) => ({ ...report, ageMs: now - at })),
+      }),
+      encodeVerdicts: (now) => {
+        const parts = this.#quarantine.list(now);
+        return parts.length === 0 ? undefined : { _tag: 'quarantinedParts', parts };
+      },
+    });
   }
 
   /** Number of parts in quarantine. */
@@ -118,7 +107,7 @@
     const decision = this.#quarantine.decide(service, parts, now);
     if (decision._tag === 'trial') {
       this.#options.logger.info({ service, part: decision.part }, 'quarantined part on trial');
-      this.#broadcastQuarantine(now);
+      this.#exchange.broadcast();
     }
     return decision;
   }
@@ -156,7 +145,10 @@
     const now = this.#options.now();
     switch (message._tag) {
       case 'crashReports':
-        this.#record(message.reports, now);
+        this.#record(
+          message.reports.map(({ ageMs, ...report }) => ({ ...report, at: now - ageMs })),
+          now,
+        );
         return;
       case 'quarantinedParts':
         this.#logChanges(this.#quarantine.merge(message.parts, now));
@@ -167,23 +159,13 @@
 
   /** Sends the quarantined parts to a gateway that may not know them yet. */
   welcome(incarnation: string): void {
-    const parts = this.#quarantine.list(this.#options.now());
-    if (parts.length > 0)
-      this.#options.group().send(incarnation, { _tag: 'quarantinedParts', parts });
+    this.#exchange.welcome(incarnation);
   }
 
   /** Follows a change of the scheduler, sends what is due, and decides. Call it periodically. */
   tick(): void {
     const now = this.#options.now();
-    const group = this.#options.group();
-    const leader = group.leader();
-    if (leader !== this.#leader) {
-      this.#leader = leader;
-      this.#sendToLeader(this.#ownReports, now);
-      this.welcome(leader);
-    }
-    if (leader === group.incarnation) this.#tickLeader(now);
-    else this.#resend(now);
+    this.#exchange.tick();
     this.#releaseServed(now);
     this.#quarantine.evict(now);
   }
@@ -202,40 +184,11 @@
             { service, part, crashes, score: rounded, periodMs },
             'prompt part quarantined',
           );
-          this.#broadcastQuarantine(now);
+          this.#exchange.broadcast();
         });
     });
   }
 
-  #tickLeader(now: number): void {
-    if (this.#toRelay.length > 0) {
-      const reports = this.#toRelay.splice(0, MAXIMUM_REPORTS_PER_MESSAGE);
-      this.#options.group().broadcast({ _tag: 'crashReports', reports });
-    }
-    if (now - this.#refreshedAt < REFRESH_INTERVAL_MS) return;
-    this.#refreshedAt = now;
-    if (this.#quarantine.size === 0) return;
-    const group = this.#options.group();
-    const members = group.liveMembers();
-    const count = Math.min(REFRESH_MEMBERS, members.length);
-    for (let turn = 0; turn < count; turn += 1) {
-      const member = members[(this.#nextMember + turn) % members.length];
-      if (member !== undefined && member.incarnation !== group.incarnation)
-        this.welcome(member.incarnation);
-    }
-    this.#nextMember += count;
-  }
-
-  #resend(now: number): void {
-    if (now - this.#resentAt < RESEND_INTERVAL_MS) return;
-    this.#resentAt = now;
-    this.#ownReports = this.#ownReports
-      .filter(({ at }) => now - at <= OWN_REPORT_RETENTION_MS)
-      .slice(-MAXIMUM_OWN_REPORTS);
-    const recent = this.#ownReports.filter(({ at }) => now - at <= RESEND_PERIOD_MS);
-    this.#sendToLeader(recent, now);
-  }
-
   #reportCrash(runs: readonly BrokenRun[], at: number): void {
     const now = this.#options.now();
     const [first] = runs;
@@ -247,21 +200,16 @@
       'engine crashed',
     );
     const reports = runs.map(({ id, parts }) => ({ id, service, engine, parts, at }));
-    this.#ownReports.push(...reports);
-    this.#sendToLeader(reports, now);
-    this.#record(
-      reports.map(({ at: crashedAt, ...report }) => ({ ...report, ageMs: now - crashedAt })),
-      now,
-    );
+    this.#exchange.report(reports);
+    this.#record(reports, now);
   }
 
-  #record(reports: readonly CrashReport[], now: number): void {
-    const fresh = reports.filter(({ service, ageMs, ...run }) =>
-      this.#attributionOf(service).recordCrashedRun({ ...run, at: now - ageMs }, now),
+  #record(reports: readonly TimedCrashReport[], now: number): void {
+    const fresh = reports.filter(({ service, ...run }) =>
+      this.#attributionOf(service).recordCrashedRun(run, now),
     );
-    const group = this.#options.group();
-    if (fresh.length === 0 || group.leader() !== group.incarnation) return;
-    this.#toRelay.push(...fresh);
+    if (fresh.length === 0 || !this.#exchange.isScheduler) return;
+    this.#exchange.relay(fresh);
     fresh.forEach(({ service, parts }) => this.#prolong(service, parts, now));
     this.decideQuarantine();
   }
@@ -273,7 +221,7 @@
       .forEach((part) => {
         const periodMs = this.#quarantine.impose(service, part, now);
         this.#options.logger.warn({ service, part, periodMs }, 'prompt part quarantined again');
-        this.#broadcastQuarantine(now);
+        this.#exchange.broadcast();
       });
   }
 
@@ -283,30 +231,11 @@
       attribution.settleServed(now).forEach((part) => {
         if (!this.#quarantine.release(service, part, now)) return;
         this.#options.logger.info({ service, part }, 'prompt part released');
-        this.#broadcastQuarantine(now);
+        this.#exchange.broadcast();
       });
     });
   }
 
-  #sendToLeader(reports: readonly OwnReport[], now: number): void {
-    const group = this.#options.group();
-    const leader = group.leader();
-    if (reports.length === 0 || leader === group.incarnation) return;
-    const message: PeerMessage = {
-      _tag: 'crashReports',
-      reports: reports
-        .slice(-MAXIMUM_REPORTS_PER_MESSAGE)
-        .map(({ at, ...report }) => ({ ...report, ageMs: now - at })),
-    };
-    group.send(leader, message);
-  }
-
-  #broadcastQuarantine(now: number): void {
-    this.#options
-      .group()
-      .broadcast({ _tag: 'quarantinedParts', parts: this.#quarantine.list(now) });
-  }
-
   #logChanges(parts: readonly QuarantinedPart[]): void {
     parts.forEach(({ service, part, strikes, remainingMs }) =>
       this.#options.logger.info(
