--- a/test/crashes/main.ts
+++ b/test/crashes/main.ts
@@ -2,9 +2,7 @@
 import { mkdirSync, rmSync } from 'node:fs';
 import { join } from 'node:path';
 import { parseArgs } from 'node:util';
-import * as Effect from 'effect/Effect';
-import * as Exit from 'effect/Exit';
-import * as Scope from 'effect/Scope';
+import { withOwner } from '../support/withOwner.ts';
 import { playCrashes, type CrashDisturbance } from './playCrashes.ts';
 
 const { values } = parseArgs({
@@ -39,29 +37,21 @@
   const seed = Number(values.seed) + turn;
   const folder = join(FOLDER, `seed-${seed}`);
   mkdirSync(folder, { recursive: true });
-  const scope = Scope.makeUnsafe();
-  const owner = {
-    after: (release: () => void | Promise<void>) =>
-      Effect.runSync(
-        Scope.addFinalizer(
-          scope,
-          Effect.promise(async () => release()),
-        ),
-      ),
-  };
   const disturbance = DISTURBANCES[seed % DISTURBANCES.length] ?? { _tag: 'none' };
-  const result = await playCrashes(owner, {
-    seed,
-    gateways: Number(values.gateways),
-    engines: Number(values.engines),
-    disturbance,
-    trafficMs: Number(values.seconds) * MS_PER_SECOND,
-    fatalRate: Number(values.rate),
-    fatalParts: FATAL_PARTS.slice(0, seed % 3 === 0 ? 2 : 1),
-    tornShare: 0.05,
-    program: PROGRAM,
-    folder,
-  }).finally(() => Effect.runPromise(Scope.close(scope, Exit.void)));
+  const result = await withOwner((owner) =>
+    playCrashes(owner, {
+      seed,
+      gateways: Number(values.gateways),
+      engines: Number(values.engines),
+      disturbance,
+      trafficMs: Number(values.seconds) * MS_PER_SECOND,
+      fatalRate: Number(values.rate),
+      fatalParts: FATAL_PARTS.slice(0, seed % 3 === 0 ? 2 : 1),
+      tornShare: 0.05,
+      program: PROGRAM,
+      folder,
+    }),
+  );
   const kept =
     result.falselyComplete === 0 &&
     Math.max(...result.arrivalsAfterBound) <= MOST_ARRIVALS &&
--- /dev/null
+++ b/test/support/withOwner.ts
@@ -0,0 +1,19 @@
+import * as Effect from 'effect/Effect';
+import * as Exit from 'effect/Exit';
+import * as Scope from 'effect/Scope';
+import type { Owner } from './Owner.ts';
+
+/** Runs something with an owner, which releases all that was started once it ends. */
+export const withOwner = async <T>(run: (owner: Owner) => Promise<T>): Promise<T> => {
+  const scope = Scope.makeUnsafe();
+  const owner: Owner = {
+    after: (release) =>
+      Effect.runSync(
+        Scope.addFinalizer(
+          scope,
+          Effect.promise(async () => release()),
+        ),
+      ),
+  };
+  return run(owner).finally(() => Effect.runPromise(Scope.close(scope, Exit.void)));
+};
