Keep the requests of all gateways within the limits that endpoints state

Engines were chosen by slots and speed only, and endpoints of plain services by each gateway alone, so that no process knew what all sent. Change: EndpointLimits holds what endpoints state and a token bucket each; EndpointLimitMonitor exchanges it over SchedulerExchange. The scheduler passes engines over whose bucket is empty, and queues what only these can take as long as its deadline allows. Requests of plain services go through the scheduler where, and only where, an endpoint states a limit. A gateway that decides alone has its share, from an empty bucket.

--- a/src/app/gateway/EndpointAttempt.ts
+++ b/src/app/gateway/EndpointAttempt.ts
@@ -1,6 +1,6 @@
 import type { DecodedResponseHeaders } from '../../protocol/gateway/index.ts';
 import { limitPromptParts, type PlacementResult } from '../../protocol/peer/GatewayMessages.ts';
-import type { EndpointRecord } from '../../state/gateway/index.ts';
+import { endpointStartOf, type EndpointRecord } from '../../state/gateway/index.ts';
 import {
   EventCutter,
   exchange,
@@ -8,7 +8,6 @@
   type Exchange,
   type ExchangeEvent,
 } from '../../transport/http/index.ts';
-import { endpointStartOf } from './endpointStartOf.ts';
 import type { GatewayContext } from './GatewayContext.ts';
 import type { RoutedRequest } from './RoutedRequest.ts';
 
@@ -28,7 +27,7 @@
   readonly context: GatewayContext;
   readonly request: RoutedRequest;
   readonly endpoint: EndpointRecord;
-  /** Ticket that holds the slot at a model engine; undefined for plain services. */
+  /** Ticket that holds the slot; undefined for an endpoint that needs none. */
   readonly ticketId: string | undefined;
   /** Time until the deadline of the request. */
   readonly remainingMs: number;
@@ -105,8 +104,8 @@
 
   /** Sends the request; the outcome is reported to `onEvent`. Call it once. */
   start(): void {
-    const { context, request, endpoint, ticketId, remainingMs, lastEventId } = this.#options;
-    if (ticketId === undefined) context.plainEndpoints.recordStart(endpoint);
+    const { context, request, endpoint, remainingMs, lastEventId } = this.#options;
+    if (request.service.engine === undefined) context.plainEndpoints.recordStart(endpoint);
     const { inbound, account } = request;
     this.#exchange = exchange(
       context.endpointPool,
@@ -313,8 +312,9 @@
         'try ended',
       );
     }
-    if (ticketId === undefined) context.plainEndpoints.recordEnd(endpoint, outcome, totalMs, now);
-    else
+    if (request.service.engine === undefined)
+      context.plainEndpoints.recordEnd(endpoint, outcome, totalMs, now);
+    if (ticketId !== undefined)
       context.placements.releaseSlot(ticketId, { outcome, ...this.#measureDecoding(outcome, now) });
   }
 
--- a/src/app/gateway/EndpointLimitMonitor.ts
+++ b/src/app/gateway/EndpointLimitMonitor.ts
@@ -1,23 +1,73 @@
 import type { Logger } from 'pino';
-import type { EndpointLimits } from '../../coordination/gateway/index.ts';
+import type { EndpointLimits, LimitObservation } from '../../coordination/gateway/index.ts';
 import type { StatedLimit } from '../../protocol/gateway/index.ts';
-import type { EndpointRecord } from '../../state/gateway/index.ts';
-import { endpointStartOf } from './endpointStartOf.ts';
+import type { PeerMessage } from '../../protocol/peer/PeerMessage.ts';
+import { endpointStartOf, type EndpointRecord } from '../../state/gateway/index.ts';
+import type { PeerGroup } from './PeerGroup.ts';
+import { SchedulerExchange } from './SchedulerExchange.ts';
 
 /** Collaborators of an endpoint limit monitor. */
 export interface EndpointLimitMonitorOptions {
+  /** Returns the peer group, which is created later than the monitor. */
+  readonly group: () => PeerGroup;
   readonly limits: EndpointLimits;
+  /** Called when an endpoint begins or ceases to be limited, or has another limit. */
+  readonly onChanged: () => void;
   readonly logger: Logger;
   /** Present time in ms, monotonic. */
   readonly now: () => number;
 }
 
-/** Follows the rates of requests that endpoints state in their answers. */
+/** Interval at which a limit that stays the same is confirmed to the scheduler. */
+const CONFIRMATION_INTERVAL_MS = 500;
+/** Most limits in one message, the newest ones. */
+const MAXIMUM_LIMITS_PER_MESSAGE = 256;
+
+interface LimitReport extends LimitObservation {
+  readonly at: number;
+}
+
+const toReport = (observation: LimitObservation): LimitReport => ({
+  ...observation,
+  at: observation.answeredAt,
+});
+
+/**
+ * Follows the rates of requests that endpoints state in their answers. Each gateway reports what its own
+ * answers said to the scheduler, which counts the requests of all and tells all the limits.
+ */
 export class EndpointLimitMonitor {
   readonly #options: EndpointLimitMonitorOptions;
 
+  readonly #exchange: SchedulerExchange<LimitReport>;
+
+  /** Observations that are sent at the next tick, the newest of each endpoint. */
+  readonly #unsent = new Map<string, LimitObservation>();
+
+  readonly #reportedAt = new Map<string, number>();
+
   constructor(options: EndpointLimitMonitorOptions) {
     this.#options = options;
+    const encode = (observations: readonly LimitObservation[], now: number): PeerMessage => ({
+      _tag: 'endpointLimits',
+      limits: observations
+        .slice(-MAXIMUM_LIMITS_PER_MESSAGE)
+        .map(({ endpoint, requestsPerSecond, sentAt, answeredAt }) => ({
+          endpoint,
+          ...(requestsPerSecond !== undefined && { requestsPerSecond }),
+          sentAgeMs: now - sentAt,
+          answeredAgeMs: now - answeredAt,
+        })),
+    });
+    this.#exchange = new SchedulerExchange<LimitReport>({
+      group: options.group,
+      now: options.now,
+      encodeReports: encode,
+      encodeVerdicts: (now) => {
+        const observations = options.limits.list();
+        return observations.length === 0 ? undefined : encode(observations, now);
+      },
+    });
   }
 
   /**
@@ -32,21 +82,66 @@
       this.#options.logger.warn({ endpoint: record.id }, 'endpoint states an unreadable limit');
       return;
     }
-    const requestsPerSecond = limit._tag === 'stated' ? limit.requestsPerSecond : undefined;
     const { limits, logger, now } = this.#options;
-    const changed = limits.observe({
-      endpoint: endpointStartOf(record),
-      requestsPerSecond,
-      sentAt,
-      answeredAt: now(),
-    });
-    if (!changed) return;
-    const { id, service, address } = record;
-    logger.info({ service, endpoint: id, address, requestsPerSecond }, 'endpoint limit changed');
+    const answeredAt = now();
+    const endpoint = endpointStartOf(record);
+    const requestsPerSecond = limit._tag === 'stated' ? limit.requestsPerSecond : undefined;
+    const observation = { endpoint, requestsPerSecond, sentAt, answeredAt };
+    const changed = limits.observe(observation, answeredAt);
+    if (changed) {
+      const { id, service, address } = record;
+      logger.info({ service, endpoint: id, address, requestsPerSecond }, 'endpoint limit changed');
+      this.#options.onChanged();
+    }
+    if (changed || (limit._tag === 'stated' && this.#isConfirmationDue(endpoint, answeredAt)))
+      this.#unsent.set(endpoint, observation);
+  }
+
+  /**
+   * Processes the messages of this protocol; others are ignored.
+   *
+   * @param message - the decoded message
+   */
+  handle(message: PeerMessage): void {
+    if (message._tag !== 'endpointLimits') return;
+    const now = this.#options.now();
+    const changed = message.limits
+      .map(({ endpoint, requestsPerSecond, sentAgeMs, answeredAgeMs }) => ({
+        endpoint,
+        requestsPerSecond,
+        sentAt: now - sentAgeMs,
+        answeredAt: now - answeredAgeMs,
+      }))
+      .filter((observation) => this.#options.limits.observe(observation, now));
+    if (changed.length === 0) return;
+    changed.forEach(({ endpoint, requestsPerSecond }) =>
+      this.#options.logger.info({ endpoint, requestsPerSecond }, 'endpoint limit learned'),
+    );
+    if (this.#exchange.isScheduler) this.#relay(changed);
+    this.#options.onChanged();
   }
 
-  /** Forgets limits of endpoints that are gone. Call it periodically. */
+  /** Sends what is due, and forgets limits of endpoints that are gone. Call it periodically. */
   tick(): void {
-    this.#options.limits.evict(this.#options.now());
+    const now = this.#options.now();
+    const unsent = [...this.#unsent.values()];
+    this.#unsent.clear();
+    unsent.forEach(({ endpoint }) => this.#reportedAt.set(endpoint, now));
+    if (this.#exchange.isScheduler) this.#relay(unsent);
+    else if (unsent.length > 0) this.#exchange.report(unsent.map(toReport));
+    this.#exchange.tick();
+    this.#options.limits.evict(now);
+    this.#reportedAt.forEach((at, endpoint) => {
+      if (now - at > CONFIRMATION_INTERVAL_MS) this.#reportedAt.delete(endpoint);
+    });
+  }
+
+  #relay(observations: readonly LimitObservation[]): void {
+    this.#exchange.relay(observations.map(toReport));
+  }
+
+  #isConfirmationDue(endpoint: string, now: number): boolean {
+    const reportedAt = this.#reportedAt.get(endpoint) ?? Number.NEGATIVE_INFINITY;
+    return now - reportedAt >= CONFIRMATION_INTERVAL_MS;
   }
 }
--- a/src/app/gateway/Gateway.ts
+++ b/src/app/gateway/Gateway.ts
@@ -97,11 +97,19 @@
     [...this.#handlers].forEach((handler) => handler.abort());
   }
 
-  /** Returns the ready endpoints whose services have model engines. */
-  engineEndpoints(): EndpointRecord[] {
+  /**
+   * Returns the ready endpoints whose requests the scheduler places: model engines, and others that state a
+   * limit.
+   *
+   * @param isLimited - whether an endpoint states a limit
+   */
+  scheduledEndpoints(isLimited: (endpoint: EndpointRecord) => boolean): EndpointRecord[] {
     return this.#context.directory
       .listAllReady()
-      .filter(({ service }) => this.#routeIndex?.findService(service)?.engine !== undefined);
+      .filter(
+        (record) =>
+          this.#routeIndex?.findService(record.service)?.engine !== undefined || isLimited(record),
+      );
   }
 
   /**
--- a/src/app/gateway/GatewayContext.ts
+++ b/src/app/gateway/GatewayContext.ts
@@ -1,6 +1,7 @@
 import type { Logger } from 'pino';
 import type {
   EndpointDirectory,
+  PlainEndpointSelector,
   PlainServiceBalancer,
   RetryBudget,
 } from '../../coordination/gateway/index.ts';
@@ -17,6 +18,7 @@
   readonly wire: WireAdapter;
   readonly directory: EndpointDirectory;
   readonly plainEndpoints: PlainServiceBalancer;
+  readonly plainSelector: PlainEndpointSelector;
   readonly retryBudget: RetryBudget;
   readonly placements: PlacementCoordinator;
   readonly crashes: EngineCrashMonitor;
--- a/src/app/gateway/PlacementCoordinator.test.ts
+++ b/src/app/gateway/PlacementCoordinator.test.ts
@@ -1,7 +1,7 @@
 import { describe, it } from 'node:test';
 import { expect } from 'earl';
 import pino from 'pino';
-import { QuotaLimiter } from '../../coordination/gateway/index.ts';
+import { EndpointLimits, QuotaLimiter } from '../../coordination/gateway/index.ts';
 import type { PeerMessage } from '../../protocol/peer/PeerMessage.ts';
 import type { PlacementTicket } from '../../protocol/peer/GatewayMessages.ts';
 import type { EndpointRecord } from '../../state/gateway/index.ts';
@@ -71,6 +71,7 @@
   const coordinator = new PlacementCoordinator({
     group: () => group as unknown as PeerGroup,
     quotas: new QuotaLimiter(bounds, state.now),
+    limits: new EndpointLimits(),
     findAccount: () => ACCOUNT,
     configurationVersion: () => 1,
     crashes: new EngineCrashMonitor({
--- a/src/app/gateway/PlacementCoordinator.ts
+++ b/src/app/gateway/PlacementCoordinator.ts
@@ -2,22 +2,22 @@
 import {
   PlacementScheduler,
   QuotaLimiter,
+  type EndpointLimits,
   type PlacementDecision,
 } from '../../coordination/gateway/index.ts';
-import { computeRetryAfterMs } from '../../coordination/scheduling/computeRetryAfterMs.ts';
 import type {
   PlacementRefusalReason,
   PlacementResult,
   PlacementTicket,
 } from '../../protocol/peer/GatewayMessages.ts';
 import type { PeerMessage } from '../../protocol/peer/PeerMessage.ts';
-import type { Account } from '../../state/gateway/index.ts';
+import { endpointStartOf, type Account } from '../../state/gateway/index.ts';
 import type { EngineCrashMonitor } from './EngineCrashMonitor.ts';
-import { endpointStartOf } from './endpointStartOf.ts';
 import { listEngineSpeeds } from './listEngineSpeeds.ts';
 import { LocalTickets, withRemainingTimes, type PlacementAnswer } from './LocalTickets.ts';
 import type { GatewayMetrics } from './GatewayMetrics.ts';
 import { logPlacementDecision } from './logPlacementDecision.ts';
+import { refuseOverQuota } from './refuseOverQuota.ts';
 import { partsOf, quarantineAnswer, refuseQuarantined } from './refuseQuarantined.ts';
 import type { PeerGroup } from './PeerGroup.ts';
 
@@ -26,6 +26,7 @@
   /** Returns the peer group, which is created later than the coordinator. */
   readonly group: () => PeerGroup;
   readonly quotas: QuotaLimiter;
+  readonly limits: EndpointLimits;
   readonly crashes: EngineCrashMonitor;
   readonly findAccount: (name: string) => Account | undefined;
   /** Returns the version of the configuration in force; 0 before the first one. */
@@ -58,7 +59,7 @@
   readonly #options: PlacementCoordinatorOptions;
 
   /** Scheduler of this process: serves all gateways as the leader, otherwise only this one. */
-  readonly scheduler = new PlacementScheduler();
+  readonly scheduler: PlacementScheduler;
 
   readonly #tickets = new LocalTickets();
 
@@ -92,6 +93,7 @@
 
   constructor(options: PlacementCoordinatorOptions) {
     this.#options = options;
+    this.scheduler = new PlacementScheduler(options.limits);
   }
 
   /**
@@ -358,12 +360,16 @@
     this.#decideWhenDue(now);
   }
 
-  /** Starts with empty quota buckets, because another process may have charged the quotas until now. */
+  /**
+   * Starts with empty buckets of quotas and of endpoints' limits, because another process may have charged
+   * them until now.
+   */
   #startChargingQuotas(now: number): void {
     if (this.#isChargingQuotas) return;
     this.#isChargingQuotas = true;
     this.#tickets.markQuotaCharged(this.#leader, this.#leaderHeardAt);
     this.#options.quotas.reset(now);
+    this.#options.limits.reset(now);
   }
 
   #enqueue(owner: string, ticket: PlacementTicket, share: number, now: number): void {
@@ -381,15 +387,7 @@
     if (account !== undefined && ticket.quotaUnits > 0) {
       const waitMs = this.#options.quotas.take(account, ticket.quotaUnits, share, now);
       if (waitMs > 0) {
-        this.#deliverDecision({
-          _tag: 'refuse',
-          owner,
-          ticket,
-          reason: 'quota',
-          waitedMs: 0,
-          expectedWaitMs: waitMs,
-          retryAfterMs: computeRetryAfterMs(ticket.id, waitMs),
-        });
+        this.#deliverDecision(refuseOverQuota(owner, ticket, waitMs));
         return;
       }
     }
--- a/src/app/gateway/RequestHandler.ts
+++ b/src/app/gateway/RequestHandler.ts
@@ -1,8 +1,10 @@
+import type { PlainCandidates } from '../../coordination/gateway/index.ts';
 import type { EndpointRecord } from '../../state/gateway/index.ts';
 import type { InboundAnswer } from '../../transport/gateway/index.ts';
 import { EndpointAttempt, type AttemptEvent } from './EndpointAttempt.ts';
 import type { GatewayContext } from './GatewayContext.ts';
 import { makePlacementTicket } from './makePlacementTicket.ts';
+import type { PlacementTicket } from '../../protocol/peer/GatewayMessages.ts';
 import type { PlacementAnswer } from './LocalTickets.ts';
 import type { RoutedRequest } from './RoutedRequest.ts';
 
@@ -86,22 +88,45 @@
     this.#abandon(STATUS.badGateway, 'the gateway is stopping');
   }
 
-  /** Selects an endpoint: directly for plain services, by a placement ticket for model engines. */
+  /**
+   * Selects an endpoint: by a placement ticket for model engines and endpoints that state a limit, otherwise
+   * directly.
+   */
   #place(): void {
     this.#placementCount += 1;
     if (this.#request.service.engine === undefined) this.#placeAtPlainEndpoint();
-    else this.#placeAtEngine();
+    else this.#requestSlot(false);
   }
 
   #placeAtPlainEndpoint(): void {
-    const { directory, plainEndpoints, random, now } = this.#context;
-    const records = directory.listReady(this.#request.service.name);
-    const endpoint = plainEndpoints.pick(records, this.#avoidedEndpoints, random(), now());
-    if (endpoint === undefined) this.#endUnserved('no endpoint', NO_ENDPOINT_RETRY_AFTER_MS);
-    else this.#send(endpoint, undefined);
+    const { plainSelector, now } = this.#context;
+    const selection = plainSelector.select(this.#listPlainCandidates(), now());
+    switch (selection._tag) {
+      case 'direct':
+        this.#send(selection.endpoint, undefined);
+        return;
+      case 'scheduled':
+        this.#requestSlot(selection.immediate);
+        return;
+      case 'none':
+        this.#endUnserved('no endpoint', NO_ENDPOINT_RETRY_AFTER_MS);
+        return;
+      default:
+        selection satisfies never;
+    }
+  }
+
+  #listPlainCandidates(): PlainCandidates {
+    const service = this.#request.service.name;
+    return {
+      service,
+      records: this.#context.directory.listReady(service),
+      avoid: this.#avoidedEndpoints,
+      fraction: this.#context.random(),
+    };
   }
 
-  #placeAtEngine(): void {
+  #requestSlot(immediate: boolean): void {
     const now = this.#context.now();
     const ticket = makePlacementTicket(this.#request, {
       placementNumber: this.#placementCount,
@@ -109,17 +134,20 @@
       remainingMs: this.#deadlineAt - now,
       answerBegun: this.#answerBegun,
       avoid: this.#avoidedEndpoints,
+      immediate,
     });
     this.#ticketId = ticket.id;
     this.#context.placements.requestSlot(ticket, (answer) =>
-      this.#onPlacementAnswer(ticket.id, answer),
+      this.#onPlacementAnswer(ticket, answer),
     );
   }
 
-  #onPlacementAnswer(ticketId: string, answer: PlacementAnswer): void {
+  #onPlacementAnswer(ticket: PlacementTicket, answer: PlacementAnswer): void {
+    const ticketId = ticket.id;
     if (this.#done || this.#ticketId !== ticketId) return;
     this.#ticketId = undefined;
     if (answer._tag === 'refused') {
+      if (this.#sendToUnlimitedEndpoint(ticket, answer.retryAfterMs)) return;
       const status = answer.reason === 'quota' ? STATUS.tooMany : STATUS.unavailable;
       this.#endUnserved(answer.reason, answer.retryAfterMs, status);
       return;
@@ -135,6 +163,18 @@
     this.#retryOrEnd('granted endpoint is leaving', { mayHaveRun: false, arrived: false });
   }
 
+  /** Sends a request of a plain service, to which no limited endpoint was granted, to another one. */
+  #sendToUnlimitedEndpoint({ immediate }: PlacementTicket, retryAfterMs: number): boolean {
+    if (this.#request.service.engine !== undefined) return false;
+    const { plainSelector, now } = this.#context;
+    const candidates = this.#listPlainCandidates();
+    if (immediate) plainSelector.recordRefusal(candidates.service, retryAfterMs, now());
+    const endpoint = plainSelector.selectUnlimited(candidates, now());
+    if (endpoint === undefined) return false;
+    this.#send(endpoint, undefined);
+    return true;
+  }
+
   #send(endpoint: EndpointRecord, ticketId: string | undefined): void {
     const attempt = new EndpointAttempt({
       context: this.#context,
--- a/src/app/gateway/makePlacementTicket.ts
+++ b/src/app/gateway/makePlacementTicket.ts
@@ -13,14 +13,19 @@
   readonly answerBegun: boolean;
   /** Ids of endpoints that did not serve the request earlier, the latest one last. */
   readonly avoid: readonly string[];
+  /** Whether it is refused rather than queued. */
+  readonly immediate: boolean;
 }
 
 /** Limit of the peer protocol for the `avoid` list of a ticket. */
 const MAXIMUM_AVOIDED_ENDPOINTS = 16;
 
-/** Returns the units that a request takes of its client account's quota: requests or tokens. */
-const computeQuotaUnits = ({ account, fields }: RoutedRequest): number => {
-  if (account === undefined) return 0;
+/**
+ * Returns the units that a request takes of its client account's quota: requests or tokens. Requests of plain
+ * services take none.
+ */
+const computeQuotaUnits = ({ account, fields, service }: RoutedRequest): number => {
+  if (account === undefined || service.engine === undefined) return 0;
   if (account.quota.unit === 'requests') return 1;
   return fields.hasTokenCount
     ? fields.promptTokens + fields.maximumOutputTokens
@@ -28,8 +33,8 @@
 };
 
 /**
- * Creates the ticket with which a request asks the scheduler for a slot at a model engine. Only the
- * first ticket of a request is charged against the quota.
+ * Creates the ticket with which a request asks the scheduler for a slot at a model engine, or at an
+ * endpoint that states a limit. Only the first ticket of a request is charged against the quota.
  *
  * @param request - the routed request
  * @param progress - earlier placements and remaining time
@@ -37,7 +42,7 @@
  */
 export const makePlacementTicket = (
   request: RoutedRequest,
-  { placementNumber, waitedMs, remainingMs, answerBegun, avoid }: RequestProgress,
+  { placementNumber, waitedMs, remainingMs, answerBegun, avoid, immediate }: RequestProgress,
 ): PlacementTicket => {
   const { id, fields, account, route, service } = request;
   const expectedOutputTokens = fields.expectedOutputTokens ?? fields.maximumOutputTokens;
@@ -57,5 +62,6 @@
     remainingMs,
     avoid: avoid.slice(-MAXIMUM_AVOIDED_ENDPOINTS),
     promptParts: limitPromptParts(fields.sharedPromptParts),
+    ...(immediate && { immediate }),
   };
 };
--- a/src/app/gateway/runGateway.ts
+++ b/src/app/gateway/runGateway.ts
@@ -8,12 +8,14 @@
 import {
   EndpointDirectory,
   EndpointLimits,
+  PlainEndpointSelector,
   PlainServiceBalancer,
   QuotaLimiter,
   RetryBudget,
 } from '../../coordination/gateway/index.ts';
 import type { ObjectStore, WireAdapter } from '../../protocol/gateway/index.ts';
 import type { ClientLimits, GatewaySettings } from '../../state/gateway/index.ts';
+import { endpointStartOf } from '../../state/gateway/index.ts';
 import { EntryTiming } from '../../state/EntrySettings.ts';
 import { makeGatewayServer } from '../../transport/gateway/index.ts';
 import { makeConnectionPool, type ConnectionPool } from '../../transport/http/index.ts';
@@ -161,10 +163,10 @@
       now,
     });
     const endpointLimits = new EndpointLimits();
-    const limits = new EndpointLimitMonitor({ limits: endpointLimits, logger, now });
     const placements = new PlacementCoordinator({
       group: () => lateBound.group.get(),
       crashes,
+      limits: endpointLimits,
       quotas: new QuotaLimiter(
         {
           windowMs: bounds.quotaWindowMs,
@@ -179,10 +181,24 @@
       logger,
       now,
     });
+    const updateScheduledEndpoints = (): void => {
+      const records = lateBound.gateway
+        .peek()
+        ?.scheduledEndpoints((record) => endpointLimits.isLimited(endpointStartOf(record), now()));
+      placements.scheduler.setEngines(records ?? []);
+    };
+    const limits = new EndpointLimitMonitor({
+      group: () => lateBound.group.get(),
+      limits: endpointLimits,
+      onChanged: updateScheduledEndpoints,
+      logger,
+      now,
+    });
     const gateway = new Gateway({
       wire,
       directory,
       plainEndpoints,
+      plainSelector: new PlainEndpointSelector(plainEndpoints, endpointLimits),
       retryBudget: new RetryBudget({
         ratio: bounds.retryRatio,
         slack: bounds.retrySlack,
@@ -239,6 +255,7 @@
       onMessage: (from, message, at) => {
         placements.handle(from, message, at);
         crashes.handle(message);
+        limits.handle(message);
         lateBound.storeSubscription.peek()?.handle(from, message);
       },
       onMemberEnded: (incarnation) => placements.removeMember(incarnation),
@@ -248,7 +265,7 @@
     group.join(settings.seeds, now());
 
     const updateEngines = (): void => {
-      placements.scheduler.setEngines(gateway.engineEndpoints());
+      updateScheduledEndpoints();
       plainEndpoints.retain(new Set(directory.listAllReady().map(({ id }) => id)));
     };
     const storeSubscription = yield* Effect.acquireRelease(
--- a/src/app/routePeerMessage.ts
+++ b/src/app/routePeerMessage.ts
@@ -128,6 +128,7 @@
     case 'placementState':
     case 'schedulerAlive':
     case 'schedulerNotes':
+    case 'endpointLimits':
     case 'crashReports':
     case 'quarantinedParts':
     case 'storeChanges':
--- a/src/coordination/gateway/EndpointLimits.ts
+++ b/src/coordination/gateway/EndpointLimits.ts
@@ -1,3 +1,5 @@
+import { TokenBucket } from '../limits/TokenBucket.ts';
+
 /** What one answer said about the rate of requests that its endpoint accepts. */
 export interface LimitObservation {
   /** One start of an endpoint. */
@@ -10,24 +12,63 @@
   readonly answeredAt: number;
 }
 
-interface StatedRate {
-  readonly requestsPerSecond: number;
-  readonly answeredAt: number;
+interface EndpointLimit {
+  /** The newest observation. */
+  observation: LimitObservation;
+  /** The limit that was stated last, in requests a second. */
+  requestsPerSecond: number;
+  readonly bucket: TokenBucket;
 }
 
+const MS_PER_SECOND = 1_000;
 /** Differences between the times that two gateways give to what an endpoint did. */
 const CLOCK_MARGIN_MS = 100;
+/** An endpoint that states less, or 0, still gets a request now and then, which shows when its limit ends. */
+const MINIMUM_RATE = 0.2;
+/** Requests that may be sent at once: one, and those of a short time without any. */
+const BASE_BURST = 1;
+const BURST_MS = 250;
+/** After its end a limit doubles at this interval, so that the endpoint isn't flooded, and is then lifted. */
+const RAMP_DOUBLING_MS = 400;
+const RAMP_MS = 2_000;
+/** An ended limit is kept, so that each gateway hears of its end. */
+const ENDED_RETENTION_MS = 60_000;
 /** A limit that no answer has confirmed for this time is forgotten. */
 const RETENTION_MS = 600_000;
 const MAXIMUM_ENDPOINTS = 4_096;
 
-/** The rates of requests that endpoints state they accept from all gateways together. */
+const isEnded = ({ observation }: EndpointLimit): boolean =>
+  observation.requestsPerSecond === undefined;
+
+/** Whether a limit ended so long ago that it no longer slows requests down. */
+const isLifted = (limit: EndpointLimit, now: number): boolean =>
+  isEnded(limit) && now - limit.observation.answeredAt >= RAMP_MS;
+
+/** Returns the requests a second that all processes together may send. */
+const fullRate = (limit: EndpointLimit, now: number): number => {
+  const rate = Math.max(MINIMUM_RATE, limit.requestsPerSecond);
+  if (!isEnded(limit)) return rate;
+  return rate * 2 ** ((now - limit.observation.answeredAt) / RAMP_DOUBLING_MS);
+};
+
+/**
+ * The rates of requests that endpoints state they accept from all gateways together, and what a scheduler
+ * may still send within them. Buckets start empty, because another process may have sent requests before.
+ */
 export class EndpointLimits {
-  readonly #rates = new Map<string, StatedRate>();
+  readonly #limits = new Map<string, EndpointLimit>();
+
+  /** Fraction of each limit that this process may use. */
+  #share = 1;
 
   /** Number of endpoints that state a limit. */
   get limitedCount(): number {
-    return this.#rates.size;
+    return [...this.#limits.values()].filter((limit) => !isEnded(limit)).length;
+  }
+
+  /** Sets the fraction of each limit that this process may use, from 0 to 1. */
+  setShare(share: number): void {
+    this.#share = share;
   }
 
   /**
@@ -35,26 +76,111 @@
    * a limit ends the limit only if its request was sent after the limit was known.
    *
    * @param observation - what the answer said
+   * @param now - present time in ms, monotonic
    * @returns whether the limit of the endpoint changed
    */
-  observe({ endpoint, requestsPerSecond, sentAt, answeredAt }: LimitObservation): boolean {
-    const known = this.#rates.get(endpoint);
+  observe(observation: LimitObservation, now: number): boolean {
+    const { endpoint, requestsPerSecond, sentAt, answeredAt } = observation;
+    const known = this.#limits.get(endpoint);
     if (requestsPerSecond === undefined) {
-      if (known === undefined || sentAt <= known.answeredAt + CLOCK_MARGIN_MS) return false;
-      return this.#rates.delete(endpoint);
+      if (known === undefined || isEnded(known)) return false;
+      if (sentAt <= known.observation.answeredAt + CLOCK_MARGIN_MS) return false;
+      known.observation = observation;
+      return true;
     }
-    if (known !== undefined && answeredAt <= known.answeredAt) return false;
-    this.#rates.delete(endpoint);
-    this.#rates.set(endpoint, { requestsPerSecond, answeredAt });
-    const [oldest] = this.#rates.keys();
-    if (this.#rates.size > MAXIMUM_ENDPOINTS && oldest !== undefined) this.#rates.delete(oldest);
-    return known?.requestsPerSecond !== requestsPerSecond;
+    if (known === undefined) {
+      this.#add(observation, requestsPerSecond, now);
+      return true;
+    }
+    if (answeredAt <= known.observation.answeredAt) return false;
+    const changed = known.observation.requestsPerSecond !== requestsPerSecond;
+    known.observation = observation;
+    known.requestsPerSecond = requestsPerSecond;
+    return changed;
+  }
+
+  /**
+   * Whether requests to an endpoint need a decision of the scheduler: it states a limit, or did so until
+   * a moment ago.
+   */
+  isLimited(endpoint: string, now: number): boolean {
+    return this.#findBinding(endpoint, now) !== undefined;
+  }
+
+  /**
+   * Returns the time until this process may send a request to an endpoint.
+   *
+   * @param endpoint - one start of an endpoint
+   * @param now - present time in ms, monotonic
+   * @returns the time in ms; 0 if it may be sent now
+   */
+  msUntilAllowed(endpoint: string, now: number): number {
+    const limit = this.#findBinding(endpoint, now);
+    return limit === undefined ? 0 : this.#bucketOf(limit, now).msUntilLevel(1, now);
+  }
+
+  /** Counts a request that is sent to an endpoint. */
+  consume(endpoint: string, now: number): void {
+    const limit = this.#findBinding(endpoint, now);
+    if (limit !== undefined) this.#bucketOf(limit, now).consume(1, now);
+  }
+
+  /** Takes back a request that was counted and isn't sent. */
+  refund(endpoint: string, now: number): void {
+    const limit = this.#findBinding(endpoint, now);
+    if (limit !== undefined) this.#bucketOf(limit, now).refund(1, now);
+  }
+
+  /**
+   * Returns the requests a second that this process may send to an endpoint.
+   *
+   * @returns the rate; infinite if the endpoint has no limit
+   */
+  rateOf(endpoint: string, now: number): number {
+    const limit = this.#findBinding(endpoint, now);
+    if (limit === undefined) return Number.POSITIVE_INFINITY;
+    return this.#share * fullRate(limit, now);
   }
 
-  /** Forgets limits that no answer has confirmed for a long time. */
+  /** Empties all buckets, for a process that begins to schedule. */
+  reset(now: number): void {
+    this.#limits.forEach((limit) => {
+      if (isLifted(limit, now)) return;
+      const bucket = this.#bucketOf(limit, now);
+      bucket.consume(bucket.available(now), now);
+    });
+  }
+
+  /** Returns the newest observation of each endpoint, for other gateways. */
+  list(): LimitObservation[] {
+    return [...this.#limits.values()].map(({ observation }) => observation);
+  }
+
+  /** Forgets limits that ended, or that no answer has confirmed for a long time. */
   evict(now: number): void {
-    this.#rates.forEach(({ answeredAt }, endpoint) => {
-      if (now - answeredAt > RETENTION_MS) this.#rates.delete(endpoint);
+    this.#limits.forEach((limit, endpoint) => {
+      const retentionMs = isEnded(limit) ? ENDED_RETENTION_MS : RETENTION_MS;
+      if (now - limit.observation.answeredAt > retentionMs) this.#limits.delete(endpoint);
     });
   }
+
+  #add(observation: LimitObservation, requestsPerSecond: number, now: number): void {
+    const bucket = new TokenBucket(1, BASE_BURST, now);
+    bucket.consume(BASE_BURST, now);
+    this.#limits.set(observation.endpoint, { observation, requestsPerSecond, bucket });
+    const [oldest] = this.#limits.keys();
+    if (this.#limits.size > MAXIMUM_ENDPOINTS && oldest !== undefined) this.#limits.delete(oldest);
+  }
+
+  /** Returns a limit that is in force or being lifted. */
+  #findBinding(endpoint: string, now: number): EndpointLimit | undefined {
+    const limit = this.#limits.get(endpoint);
+    return limit === undefined || isLifted(limit, now) ? undefined : limit;
+  }
+
+  #bucketOf(limit: EndpointLimit, now: number): TokenBucket {
+    const rate = this.#share * fullRate(limit, now);
+    limit.bucket.reconfigure(rate, BASE_BURST + (rate * BURST_MS) / MS_PER_SECOND, now);
+    return limit.bucket;
+  }
 }
--- a/src/coordination/gateway/PlacementScheduler.ts
+++ b/src/coordination/gateway/PlacementScheduler.ts
@@ -4,8 +4,9 @@
   PlacementResult,
   PlacementTicket,
 } from '../../protocol/peer/GatewayMessages.ts';
-import type { EndpointRecord } from '../../state/gateway/index.ts';
+import { endpointStartOf, type EndpointRecord } from '../../state/gateway/index.ts';
 import { adviseRetryAfter } from './adviseRetryAfter.ts';
+import { EndpointLimits } from './EndpointLimits.ts';
 import { EngineGroup } from './EngineGroup.ts';
 import { EngineLoad, type RunningPlacement } from './EngineLoad.ts';
 import { orderQueue, fairnessGroup, type WaitingPlacement } from './orderQueue.ts';
@@ -39,8 +40,11 @@
       readonly retryAfterMs: number;
     };
 
+const MS_PER_SECOND = 1_000;
 /** Time for a grant to reach its gateway and to appear in the state that the gateway reports. */
 const GRANT_DELIVERY_GRACE_MS = 1_000;
+/** Lower bound that keeps the expected wait finite. */
+const MINIMUM_SLOTS = 1e-4;
 /** A request with less time left is refused instead of placed. */
 const MINIMUM_REMAINING_MS = 50;
 
@@ -50,6 +54,21 @@
   readonly share: number;
 }
 
+/** Refuses a request that isn't queued; its gateway sends it to another endpoint. */
+const refuseImmediately = (
+  { owner, ticket, arrivedAt }: WaitingPlacement,
+  untilAllowedMs: number,
+  now: number,
+): PlacementDecision => ({
+  _tag: 'refuse',
+  owner,
+  ticket,
+  reason: 'overload',
+  waitedMs: now - arrivedAt,
+  expectedWaitMs: untilAllowedMs,
+  retryAfterMs: untilAllowedMs,
+});
+
 /**
  * Queues requests for model engines and places them. An engine admits requests in order of arrival,
  * so they are queued and ordered here, and sent only when a slot is free.
@@ -63,11 +82,19 @@
 
   readonly #routeSizes = new RouteMeanSizes();
 
+  readonly #limits: EndpointLimits;
+
   #allocation: SlotAllocation = { share: 1 };
 
-  /** Sets the fraction of each engine's slots that this scheduler may use. */
+  /** @param limits - rates of requests that endpoints accept, of which each grant uses one request */
+  constructor(limits: EndpointLimits = new EndpointLimits()) {
+    this.#limits = limits;
+  }
+
+  /** Sets the fraction of each endpoint's slots and limits that this scheduler may use. */
   setSlotAllocation(allocation: SlotAllocation): void {
     this.#allocation = allocation;
+    this.#limits.setShare(allocation.share);
   }
 
   /**
@@ -150,6 +177,7 @@
     if (running === undefined) return;
     const { engine } = running;
     engine.release(id, now);
+    if (result.outcome === 'unused') this.#limits.refund(endpointStartOf(engine.record), now);
     engine.availability.recordOutcome(result.outcome, now);
     const { decodeMs, outputTokens } = result;
     if (decodeMs === undefined || outputTokens === undefined) return;
@@ -258,9 +286,20 @@
     const decisions: PlacementDecision[] = [];
     /** Slot time that the tickets ahead in the queue are expected to use, in ms. */
     let slotMsQueuedAhead = 0;
-    const slots = group.engines.reduce((sum, engine) => sum + this.#usableSlots(engine), 0);
+    const meanHoldMs =
+      ordered.reduce((sum, { ticket }) => sum + group.forecast(ticket).slotHoldMs, 0) /
+      Math.max(1, ordered.length);
+    const slots = group.engines.reduce(
+      (sum, engine) => sum + this.#effectiveSlots(engine, meanHoldMs, now),
+      0,
+    );
     ordered.forEach((queued) => {
-      const decision = this.#decide(queued, group, slotMsQueuedAhead / Math.max(1, slots), now);
+      const decision = this.#decide(
+        queued,
+        group,
+        slotMsQueuedAhead / Math.max(MINIMUM_SLOTS, slots),
+        now,
+      );
       if (decision === undefined) {
         slotMsQueuedAhead += group.forecast(queued.ticket).slotHoldMs;
         return;
@@ -288,16 +327,19 @@
   ): PlacementDecision | undefined {
     const { ticket, owner, arrivedAt } = queued;
     const waitedMs = now - arrivedAt;
-    const refuse = (reason: PlacementRefusalReason): PlacementDecision => ({
+    const refuse = (
+      reason: PlacementRefusalReason,
+      expectedMs = expectedWaitMs,
+    ): PlacementDecision => ({
       _tag: 'refuse',
       owner,
       ticket,
       reason,
       waitedMs,
-      expectedWaitMs,
+      expectedWaitMs: expectedMs,
       retryAfterMs: adviseRetryAfter(
         ticket.id,
-        expectedWaitMs,
+        expectedMs,
         this.#grantRatios.grantRatio(fairnessGroup(ticket, this.#routeSizes), now),
       ),
     });
@@ -309,18 +351,31 @@
         : group.engines.filter(({ record }) => !ticket.avoid.includes(record.id));
     if (usable.length === 0) return refuse('noEndpoint');
     const targetMs = ticket.targetMs - waitedMs;
-    const candidate = chooseEngine(ticket, usable, {
+    const limitWaitMs = (engine: EngineLoad): number =>
+      this.#limits.msUntilAllowed(endpointStartOf(engine.record), now);
+    const open = usable.filter((engine) => limitWaitMs(engine) <= 0);
+    const candidate = chooseEngine(ticket, open, {
       targetMs,
       remainingMs,
       now,
       slotLimitOf: (engine) => group.slotLimit(engine, this.#usableSlots(engine)),
     });
     if (candidate !== undefined) return this.#grant(queued, candidate, now);
+    if (open.length === 0) {
+      const untilAllowedMs = Math.min(...usable.map(limitWaitMs));
+      if (ticket.immediate) return refuseImmediately(queued, untilAllowedMs, now);
+      // Requests that only limited endpoints can take wait as long as their deadlines allow.
+      const limitedWaitMs = expectedWaitMs + untilAllowedMs;
+      return limitedWaitMs + group.forecast(ticket).firstTokenMs > remainingMs
+        ? refuse('overload', limitedWaitMs)
+        : undefined;
+    }
+    if (ticket.immediate) return refuseImmediately(queued, 0, now);
     const willMissTarget = expectedWaitMs + group.forecast(ticket).firstTokenMs > targetMs;
     if (!willMissTarget) return undefined;
     // The target for the first token can't be met by waiting, so the request is placed late if its
     // deadline allows it.
-    const lateCandidate = chooseEngine(ticket, usable, {
+    const lateCandidate = chooseEngine(ticket, open, {
       targetMs: Number.POSITIVE_INFINITY,
       remainingMs,
       now,
@@ -336,6 +391,7 @@
     { engine, firstTokenMs, prefillTokens }: EngineCandidate,
     now: number,
   ): PlacementDecision {
+    this.#limits.consume(endpointStartOf(engine.record), now);
     engine.grant({
       ticket,
       owner,
@@ -357,6 +413,12 @@
     };
   }
 
+  /** Slots of an endpoint that are in use at most, because of a limit to the rate of its requests. */
+  #effectiveSlots(engine: EngineLoad, meanHoldMs: number, now: number): number {
+    const rate = this.#limits.rateOf(endpointStartOf(engine.record), now);
+    return Math.min(this.#usableSlots(engine), (rate * meanHoldMs) / MS_PER_SECOND);
+  }
+
   #usableSlots({ record }: EngineLoad): number {
     return Math.max(1, Math.floor(record.slots * this.#allocation.share));
   }
--- a/src/coordination/gateway/index.ts
+++ b/src/coordination/gateway/index.ts
@@ -10,6 +10,8 @@
 export { pickService } from './pickService.ts';
 export { PartQuarantine } from './PartQuarantine.ts';
 export type { QuarantineDecision } from './PartQuarantine.ts';
+export { PlainEndpointSelector } from './PlainEndpointSelector.ts';
+export type { PlainCandidates, PlainSelection } from './PlainEndpointSelector.ts';
 export { PlainServiceBalancer } from './PlainServiceBalancer.ts';
 export { PlacementScheduler } from './PlacementScheduler.ts';
 export type { PlacementDecision } from './PlacementScheduler.ts';
--- a/src/coordination/gateway/routingAndPlacement.test.ts
+++ b/src/coordination/gateway/routingAndPlacement.test.ts
@@ -5,6 +5,7 @@
 import { adviseRetryAfter } from './adviseRetryAfter.ts';
 import { CallerRetryDetector } from './CallerRetryDetector.ts';
 import { pickService } from './pickService.ts';
+import { EndpointLimits } from './EndpointLimits.ts';
 import { PlacementScheduler } from './PlacementScheduler.ts';
 import { PlainServiceBalancer } from './PlainServiceBalancer.ts';
 import { RetryBudget } from './RetryBudget.ts';
@@ -285,3 +286,48 @@
     expect(outcomes(scheduler, 0)).toEqual(['grant 1']);
   });
 });
+
+describe('PlacementScheduler before endpoints that state limits', () => {
+  const makeLimited = (perSecond: number) => {
+    const limits = new EndpointLimits();
+    limits.observe(
+      { endpoint: 'i-1/1', requestsPerSecond: perSecond, sentAt: 0, answeredAt: 1 },
+      1,
+    );
+    const scheduler = new PlacementScheduler(limits);
+    scheduler.setEngines([endpoint('i-1')]);
+    return scheduler;
+  };
+
+  it('queues what a limit leaves over, and grants it in the order of priority', () => {
+    const scheduler = makeLimited(1);
+    scheduler.enqueue('own', ticket('low', { priority: 2 }), 10);
+    scheduler.enqueue('own', ticket('high', { priority: 0 }), 20);
+    expect(scheduler.schedule(30)).toEqual([]);
+    const [first, ...others] = scheduler.schedule(1_100);
+    expect([first?._tag, first?.ticket.id]).toEqual(['grant', 'high']);
+    expect(others).toEqual([]);
+  });
+
+  it('refuses what would wait beyond its deadline, with the time until it may be sent', () => {
+    const scheduler = makeLimited(0.5);
+    scheduler.enqueue('own', ticket('brief', { remainingMs: 900 }), 10);
+    const [decision] = scheduler.schedule(20);
+    expect(decision?._tag).toEqual('refuse');
+    expect(decision?._tag === 'refuse' && decision.expectedWaitMs > 1_500).toEqual(true);
+  });
+
+  it('refuses at once a ticket that another endpoint can take', () => {
+    const scheduler = makeLimited(1);
+    scheduler.enqueue('own', ticket('immediate', { immediate: true }), 10);
+    expect(scheduler.schedule(20).map(({ _tag }) => _tag)).toEqual(['refuse']);
+  });
+
+  it('passes a limited engine over for another one', () => {
+    const scheduler = makeLimited(1);
+    scheduler.setEngines([endpoint('i-1'), endpoint('i-2')]);
+    scheduler.enqueue('own', ticket('any'), 10);
+    const [decision] = scheduler.schedule(20);
+    expect(decision?._tag === 'grant' && decision.endpoint).toEqual('i-2');
+  });
+});
--- a/src/protocol/peer/GatewayMessages.ts
+++ b/src/protocol/peer/GatewayMessages.ts
@@ -40,6 +40,8 @@
   avoid: Schema.Array(Schema.String).check(Schema.isMaxLength(16)),
   /** Ids of the parts of its prompt that other requests may share, in order. */
   promptParts: Schema.optionalKey(PromptParts),
+  /** Whether it is refused rather than queued, because its gateway has another endpoint for it. */
+  immediate: Schema.optionalKey(Schema.Boolean),
 });
 export type PlacementTicket = typeof PlacementTicket.Type;
 
@@ -87,6 +89,19 @@
 });
 export type PlacementResult = typeof PlacementResult.Type;
 
+/** What an answer of an endpoint said about the rate of requests that the endpoint accepts. */
+export const EndpointLimitReport = Schema.Struct({
+  /** One start of an endpoint. */
+  endpoint: Schema.NonEmptyString,
+  /** Requests a second from all gateways together; absent if the answer stated no limit. */
+  requestsPerSecond: Schema.optionalKey(Schema.Finite),
+  /** Time since the request was sent. */
+  sentAgeMs: Milliseconds,
+  /** Time since the head of the answer arrived. */
+  answeredAgeMs: Milliseconds,
+});
+export type EndpointLimitReport = typeof EndpointLimitReport.Type;
+
 /** A run that ended with the crash of its engine, as the gateway that sent it observed. */
 export const CrashReport = Schema.Struct({
   /** Id of the placement ticket. */
@@ -155,6 +170,8 @@
       }),
     ),
   }),
+  /** Limits that answers to the sender stated, or that the scheduler knows. */
+  Schema.TaggedStruct('endpointLimits', { limits: Schema.Array(EndpointLimitReport) }),
   /** Crashes that the sender observed, or that the scheduler relays to all. */
   Schema.TaggedStruct('crashReports', { reports: Schema.Array(CrashReport) }),
   /** Prompt parts in quarantine; the receiver keeps the newest state of each. */
--- a/src/state/gateway/EndpointRecord.ts
+++ b/src/state/gateway/EndpointRecord.ts
@@ -18,3 +18,11 @@
   bornAt: Schema.Finite,
 });
 export type EndpointRecord = typeof EndpointRecord.Type;
+
+/**
+ * Names one start of an endpoint, as an endpoint may start again under its id.
+ *
+ * @param record - the endpoint's record
+ * @returns a name that differs between two starts
+ */
+export const endpointStartOf = ({ id, bornAt }: EndpointRecord): string => `${id}/${bornAt}`;
--- a/src/state/gateway/index.ts
+++ b/src/state/gateway/index.ts
@@ -1,4 +1,4 @@
-export { EndpointRecord } from './EndpointRecord.ts';
+export { EndpointRecord, endpointStartOf } from './EndpointRecord.ts';
 export { GatewayBounds, GatewaySettings, ListenAddress } from './GatewaySettings.ts';
 export {
   Account,
