Name the requests under which endpoints crash, of plain services too

Cause: of a crash, logs named the prompt parts of an engine's runs only. Nothing told that endpoints of a plain service had crashed, or that two attempts, with ids of their own, were the same request. Change: CrashDetector checks any endpoint whose connection broke at the beginning of an answer, unless the store says that it leaves, and logs 'endpoint crashed' with a fingerprint of each request: method, host, path with query, client account and body. Nothing is decided by it yet. The counter of crashes counts all endpoints and is named so. Result: fingerprintRequest.test.ts passes; npm test of the files that changed.

--- a/src/app/gateway/EngineCrashMonitor.ts
+++ b/src/app/gateway/CrashMonitor.ts
@@ -6,37 +6,19 @@
 } from '../../coordination/gateway/index.ts';
 import type { CrashReport, QuarantinedPart } from '../../protocol/peer/GatewayMessages.ts';
 import type { PeerMessage } from '../../protocol/peer/PeerMessage.ts';
-import type { GatewayMetrics } from './GatewayMetrics.ts';
+import type { BrokenRun } from './CrashDetector.ts';
 import type { PeerGroup } from './PeerGroup.ts';
 import { SchedulerExchange } from './SchedulerExchange.ts';
 
-/** A run whose connection broke before or shortly after the answer began. */
-export interface BrokenRun {
-  /** Id of the placement ticket. */
-  readonly id: string;
-  readonly service: string;
-  /** One start of an engine. */
-  readonly engine: string;
-  /** `IP:PORT` of the engine. */
-  readonly address: string;
-  /** Ids of the shared parts of its prompt. */
-  readonly parts: readonly string[];
-}
-
-/** Collaborators of an engine crash monitor. */
-export interface EngineCrashMonitorOptions {
+/** Collaborators of a crash monitor. */
+export interface CrashMonitorOptions {
   /** Returns the peer group, which is created later than the monitor. */
   readonly group: () => PeerGroup;
-  /** Calls back with whether an engine accepts a connection at `IP:PORT`. */
-  readonly checkEngine: (address: string, onChecked: (accepts: boolean) => void) => void;
-  readonly metrics: GatewayMetrics;
   readonly logger: Logger;
   /** Present time in ms, monotonic. */
   readonly now: () => number;
 }
 
-/** A crashing engine may close its connections a little earlier than its port. */
-const CHECK_DELAY_MS = 30;
 /** A crash report with the time of the crash in ms, monotonic. */
 type TimedCrashReport = Omit<CrashReport, 'ageMs'> & { readonly at: number };
 
@@ -46,19 +28,16 @@
  * its successor knows them, and decides which parts are quarantined. A gateway that schedules alone
  * decides by what it knows.
  */
-export class EngineCrashMonitor {
-  readonly #options: EngineCrashMonitorOptions;
+export class CrashMonitor {
+  readonly #options: CrashMonitorOptions;
 
   readonly #quarantine = new PartQuarantine();
 
   readonly #attributions = new Map<string, CrashAttribution>();
 
-  /** Broken runs of engines that are being checked, by the engine. */
-  readonly #unchecked = new Map<string, BrokenRun[]>();
-
   readonly #exchange: SchedulerExchange<TimedCrashReport>;
 
-  constructor(options: EngineCrashMonitorOptions) {
+  constructor(options: CrashMonitorOptions) {
     this.#options = options;
     this.#exchange = new SchedulerExchange({
       group: options.group,
@@ -118,22 +97,18 @@
     this.#attributionOf(service).recordServed({ engine, parts, at });
   }
 
-  /** Checks whether the engine of a broken run has crashed, and reports that. */
-  observeBrokenRun(run: BrokenRun): void {
-    const waiting = this.#unchecked.get(run.engine);
-    if (waiting !== undefined) {
-      waiting.push(run);
-      return;
-    }
-    const runs = [run];
-    const at = this.#options.now();
-    this.#unchecked.set(run.engine, runs);
-    setTimeout(() => {
-      this.#options.checkEngine(run.address, (accepts) => {
-        this.#unchecked.delete(run.engine);
-        if (!accepts) this.#reportCrash(runs, at);
-      });
-    }, CHECK_DELAY_MS);
+  /**
+   * Reports runs that ended with the crash of their endpoint. Only those of engines are judged.
+   *
+   * @param runs - the runs, all at the same start of an endpoint
+   * @param at - time of the crash in ms, monotonic
+   */
+  recordCrash(runs: readonly BrokenRun[], at: number): void {
+    const reports = runs
+      .filter(({ parts }) => parts.length > 0)
+      .map(({ id, service, endpoint, parts }) => ({ id, service, engine: endpoint, parts, at }));
+    this.#exchange.report(reports);
+    this.#record(reports, this.#options.now());
   }
 
   /**
@@ -189,21 +164,6 @@
     });
   }
 
-  #reportCrash(runs: readonly BrokenRun[], at: number): void {
-    const now = this.#options.now();
-    const [first] = runs;
-    if (first === undefined) return;
-    const { service, engine, address } = first;
-    this.#options.metrics.countEngineCrash(service);
-    this.#options.logger.warn(
-      { service, engine, address, runs: runs.map(({ id, parts }) => ({ id, parts })) },
-      'engine crashed',
-    );
-    const reports = runs.map(({ id, parts }) => ({ id, service, engine, parts, at }));
-    this.#exchange.report(reports);
-    this.#record(reports, now);
-  }
-
   #record(reports: readonly TimedCrashReport[], now: number): void {
     const fresh = reports.filter(({ service, ...run }) =>
       this.#attributionOf(service).recordCrashedRun(run, now),
--- a/src/app/gateway/EndpointAttempt.ts
+++ b/src/app/gateway/EndpointAttempt.ts
@@ -262,16 +262,23 @@
     this.#emit({ _tag: 'streamEnded' });
   }
 
-  /** Fails the attempt; a run that had just begun to answer may have crashed its engine. */
+  /** Fails the attempt; a run that had just begun to answer may have crashed its endpoint. */
   #onConnectionLost(detail: string): void {
     const { context, request, endpoint, ticketId } = this.#options;
-    const parts = limitPromptParts(request.fields.sharedPromptParts);
     const answeringMs = context.now() - (this.#firstByteAt ?? context.now());
     this.#fail(detail);
-    if (ticketId === undefined || parts.length === 0 || answeringMs > CRASH_ONSET_MS) return;
-    const { service, address } = endpoint;
-    const engine = endpointStartOf(endpoint);
-    context.crashes.observeBrokenRun({ id: ticketId, service, engine, address, parts });
+    if (answeringMs > CRASH_ONSET_MS) return;
+    const { id, service, address } = endpoint;
+    const start = endpointStartOf(endpoint);
+    context.crashDetector.observeBrokenRun({
+      id: ticketId ?? `${request.id} ${start}`,
+      service,
+      endpointId: id,
+      endpoint: start,
+      address,
+      parts: limitPromptParts(request.fields.sharedPromptParts),
+      fingerprint: request.fingerprint(),
+    });
   }
 
   #fail(detail: string): void {
--- a/src/app/gateway/Gateway.ts
+++ b/src/app/gateway/Gateway.ts
@@ -2,6 +2,7 @@
 import { CallerRetryDetector, RouteIndex, pickService } from '../../coordination/gateway/index.ts';
 import type { EndpointRecord, RouteTable } from '../../state/gateway/index.ts';
 import type { InboundAnswer, InboundRequest } from '../../transport/gateway/index.ts';
+import { fingerprintRequest } from './fingerprintRequest.ts';
 import type { GatewayContext } from './GatewayContext.ts';
 import { RequestHandler } from './RequestHandler.ts';
 
@@ -161,9 +162,23 @@
       fields.deadlineMs === undefined
         ? 0
         : this.#callerRetryDetector.estimateWaitedMs(route.name, fields.deadlineMs);
+    let fingerprint: string | undefined;
     const handler = new RequestHandler(
       this.#context,
-      { id, inbound, fields, route, account, service, waitedBeforeMs, configurationVersion },
+      {
+        id,
+        inbound,
+        fields,
+        route,
+        account,
+        service,
+        waitedBeforeMs,
+        fingerprint: () => {
+          fingerprint ??= fingerprintRequest(inbound, account?.name);
+          return fingerprint;
+        },
+        configurationVersion,
+      },
       answer,
     );
     this.#handlers.add(handler);
--- a/src/app/gateway/GatewayContext.ts
+++ b/src/app/gateway/GatewayContext.ts
@@ -7,7 +7,8 @@
 } from '../../coordination/gateway/index.ts';
 import type { WireAdapter } from '../../protocol/gateway/index.ts';
 import type { ConnectionPool } from '../../transport/http/index.ts';
-import type { EngineCrashMonitor } from './EngineCrashMonitor.ts';
+import type { CrashDetector } from './CrashDetector.ts';
+import type { CrashMonitor } from './CrashMonitor.ts';
 import type { EndpointLimitMonitor } from './EndpointLimitMonitor.ts';
 import type { GatewayMetrics } from './GatewayMetrics.ts';
 import type { PlacementCoordinator } from './PlacementCoordinator.ts';
@@ -21,7 +22,8 @@
   readonly plainSelector: PlainEndpointSelector;
   readonly retryBudget: RetryBudget;
   readonly placements: PlacementCoordinator;
-  readonly crashes: EngineCrashMonitor;
+  readonly crashes: CrashMonitor;
+  readonly crashDetector: CrashDetector;
   readonly limits: EndpointLimitMonitor;
   readonly endpointPool: ConnectionPool;
   readonly metrics: GatewayMetrics;
--- a/src/app/gateway/GatewayMetrics.ts
+++ b/src/app/gateway/GatewayMetrics.ts
@@ -66,9 +66,9 @@
     registers: [this.#registry],
   });
 
-  readonly #engineCrashes = new Counter({
-    name: 'corianderwick_gateway_engine_crashes_total',
-    help: 'Crashes of model engines that runs of this process met, by service.',
+  readonly #endpointCrashes = new Counter({
+    name: 'corianderwick_gateway_endpoint_crashes_total',
+    help: 'Crashes of endpoints that runs of this process met, by service.',
     labelNames: ['service'],
     registers: [this.#registry],
   });
@@ -139,9 +139,9 @@
     this.#placements.inc({ route, decision });
   }
 
-  /** Counts a crash of an engine that runs of this process met. */
-  countEngineCrash(service: string): void {
-    this.#engineCrashes.inc({ service });
+  /** Counts a crash of an endpoint that runs of this process met. */
+  countEndpointCrash(service: string): void {
+    this.#endpointCrashes.inc({ service });
   }
 
   /** Records the time in ms from the arrival of a request to the first byte of its answer. */
--- a/src/app/gateway/PlacementCoordinator.test.ts
+++ b/src/app/gateway/PlacementCoordinator.test.ts
@@ -6,7 +6,7 @@
 import type { PlacementTicket } from '../../protocol/peer/GatewayMessages.ts';
 import type { EndpointRecord } from '../../state/gateway/index.ts';
 import type { PlacementAnswer } from './LocalTickets.ts';
-import { EngineCrashMonitor } from './EngineCrashMonitor.ts';
+import { CrashMonitor } from './CrashMonitor.ts';
 import { GatewayMetrics } from './GatewayMetrics.ts';
 import type { PeerGroup } from './PeerGroup.ts';
 import { PlacementCoordinator } from './PlacementCoordinator.ts';
@@ -74,11 +74,7 @@
     limits: new EndpointLimits(),
     findAccount: () => ACCOUNT,
     configurationVersion: () => 1,
-    crashes: new EngineCrashMonitor({
-      ...shared,
-      group: () => group as unknown as PeerGroup,
-      checkEngine: () => {},
-    }),
+    crashes: new CrashMonitor({ ...shared, group: () => group as unknown as PeerGroup }),
     ...shared,
   });
   const answers: PlacementAnswer[] = [];
--- a/src/app/gateway/PlacementCoordinator.ts
+++ b/src/app/gateway/PlacementCoordinator.ts
@@ -12,7 +12,7 @@
 } from '../../protocol/peer/GatewayMessages.ts';
 import type { PeerMessage } from '../../protocol/peer/PeerMessage.ts';
 import { endpointStartOf, type Account } from '../../state/gateway/index.ts';
-import type { EngineCrashMonitor } from './EngineCrashMonitor.ts';
+import type { CrashMonitor } from './CrashMonitor.ts';
 import { listEngineSpeeds } from './listEngineSpeeds.ts';
 import { LocalTickets, withRemainingTimes, type PlacementAnswer } from './LocalTickets.ts';
 import type { GatewayMetrics } from './GatewayMetrics.ts';
@@ -27,7 +27,7 @@
   readonly group: () => PeerGroup;
   readonly quotas: QuotaLimiter;
   readonly limits: EndpointLimits;
-  readonly crashes: EngineCrashMonitor;
+  readonly crashes: CrashMonitor;
   readonly findAccount: (name: string) => Account | undefined;
   /** Returns the version of the configuration in force; 0 before the first one. */
   readonly configurationVersion: () => number;
--- a/src/app/gateway/RoutedRequest.ts
+++ b/src/app/gateway/RoutedRequest.ts
@@ -14,6 +14,8 @@
   readonly service: Service;
   /** Estimated time in ms that the caller has waited in earlier requests for the same answer. */
   readonly waitedBeforeMs: number;
+  /** Identifies the request, however often callers send it; computed when it is first needed. */
+  readonly fingerprint: () => string;
   /** Version of the configuration that routed it. */
   readonly configurationVersion: number;
 }
--- a/src/app/gateway/runGateway.ts
+++ b/src/app/gateway/runGateway.ts
@@ -23,7 +23,8 @@
 import { startStatusServers } from './startStatusServers.ts';
 import { drainGateway } from './drainGateway.ts';
 import { EndpointLimitMonitor } from './EndpointLimitMonitor.ts';
-import { EngineCrashMonitor } from './EngineCrashMonitor.ts';
+import { CrashDetector } from './CrashDetector.ts';
+import { CrashMonitor } from './CrashMonitor.ts';
 import { Gateway } from './Gateway.ts';
 import type { GatewayLog } from './GatewayLog.ts';
 import { GatewayMetrics } from './GatewayMetrics.ts';
@@ -149,15 +150,17 @@
       storeSubscription: new LateBound<StoreSubscription>(),
     };
 
-    const crashes = new EngineCrashMonitor({
-      group: () => lateBound.group.get(),
-      checkEngine: (address, onChecked) => {
+    const crashes = new CrashMonitor({ group: () => lateBound.group.get(), logger, now });
+    const crashDetector = new CrashDetector({
+      checkEndpoint: (address, onChecked) => {
         const url = `http://${address}`;
         endpointPool.connect(url, true, (outcome) => {
           if (outcome._tag === 'connected') endpointPool.release(url, outcome.socket);
           onChecked(outcome._tag === 'connected');
         });
       },
+      isExpectedToRun: (id) => directory.findReady(id) !== undefined,
+      onCrash: (runs, at) => crashes.recordCrash(runs, at),
       metrics,
       logger,
       now,
@@ -206,6 +209,7 @@
       }),
       placements,
       crashes,
+      crashDetector,
       limits,
       endpointPool,
       metrics,
--- a/src/app/gateway/startStatusServers.ts
+++ b/src/app/gateway/startStatusServers.ts
@@ -3,7 +3,7 @@
 import type { EndpointDirectory, EndpointLimits } from '../../coordination/gateway/index.ts';
 import { makePlainServer, type PlainAnswer } from '../../transport/gateway/index.ts';
 import { listAddressesForCallers } from './listAddressesForCallers.ts';
-import type { EngineCrashMonitor } from './EngineCrashMonitor.ts';
+import type { CrashMonitor } from './CrashMonitor.ts';
 import type { Gateway } from './Gateway.ts';
 import type { GatewayMetrics } from './GatewayMetrics.ts';
 import type { PeerGroup } from './PeerGroup.ts';
@@ -21,7 +21,7 @@
   readonly storeSubscription: StoreSubscription;
   readonly group: PeerGroup;
   readonly placements: PlacementCoordinator;
-  readonly crashes: EngineCrashMonitor;
+  readonly crashes: CrashMonitor;
   readonly endpointLimits: EndpointLimits;
   readonly metrics: GatewayMetrics;
   /** Present time in ms, monotonic. */
