Show that a request which crashes endpoints goes on to crash them

Change: the stand-in of crashing engines is any endpoint now, and test/crashes plays requests, told apart by path, query and body, that crash plain endpoints and engines, among sound ones: unique ones, one that comes often, and ones that differ from a fatal one by their body only.

--- a/test/crashes/CrashingEngine.ts
+++ b/test/crashes/CrashingEndpoint.ts
@@ -3,39 +3,50 @@
 import type { ObjectStoreStandIn } from '../gateway/startObjectStore.ts';
 import type { Owner } from '../support/Owner.ts';
 
-/** A request as it reached an engine. */
-export interface EngineArrival {
+/** A request as it reached an endpoint. */
+export interface EndpointArrival {
   readonly requestId: string;
   readonly at: number;
 }
 
-/** What an engine is made of. */
-export interface CrashingEngineOptions {
-  /** Names the engine; each of its starts has an id of its own. */
+/** A request as an endpoint reads it. */
+export interface EndpointRequest {
+  readonly path: string;
+  readonly promptParts: readonly string[];
+  readonly body: string;
+}
+
+/** What an endpoint is made of. */
+export interface CrashingEndpointOptions {
+  /** Names the endpoint; each of its starts has an id of its own. */
   readonly name: string;
   readonly service: string;
   readonly store: ObjectStoreStandIn;
-  /** Ids of prompt parts under which it crashes as it begins to answer. */
-  readonly fatalParts: ReadonlySet<string>;
+  /** Whether it answers with a stream of events, otherwise with a body of known length. */
+  readonly streams: boolean;
+  /** Whether it crashes as it begins to answer. */
+  readonly isFatal: (request: EndpointRequest) => boolean;
   /** Time from a crash to the next start. */
   readonly downMs: number;
   /** Share of its answers that it breaks off inside an event, by a clean end of the connection. */
   readonly tornShare: number;
   /** A number from 0 up to 1. */
   readonly fraction: () => number;
-  readonly onArrival: (arrival: EngineArrival) => void;
-  readonly onCrash: (at: number) => void;
+  readonly onArrival: (arrival: EndpointArrival) => void;
+  /** Told the request under which it crashed; undefined if it crashed by itself. */
+  readonly onCrash: (at: number, request: EndpointRequest | undefined) => void;
 }
 
 const SLOTS = 6;
 const PREFILL_MS = 60;
+const PLAIN_MS = 20;
 const EVENT_MS = 25;
 /** Events of a complete answer. */
 export const EVENTS = 8;
 const TORN_AFTER = 3;
 /** Time from the first event of an answer to the crash. */
 const CRASH_DELAY_MS = 40;
-/** Time until the platform removes the entry of an engine that has fallen silent. */
+/** Time until the platform removes the entry of an endpoint that has fallen silent. */
 const ENTRY_LAPSE_MS = 3_600;
 
 const wait = (ms: number): Promise<void> =>
@@ -43,15 +54,22 @@
     setTimeout(resolve, ms);
   });
 
-const isFatal = (header: unknown, fatalParts: ReadonlySet<string>): boolean =>
-  String(header ?? '')
-    .split(',')
-    .slice(0, -1)
-    .some((entry) => fatalParts.has(entry.split(':')[0] ?? ''));
-
-/** A model engine that crashes under certain prompts, and starts again under a new id. */
-export class CrashingEngine {
-  readonly #options: CrashingEngineOptions;
+const readRequest = async (request: http.IncomingMessage): Promise<EndpointRequest> => {
+  const chunks: Buffer[] = [];
+  for await (const chunk of request) chunks.push(chunk as Buffer);
+  return {
+    path: request.url ?? '',
+    promptParts: String(request.headers['x-corianderwick-prompt-prefix'] ?? '')
+      .split(',')
+      .slice(0, -1)
+      .map((entry) => entry.split(':')[0] ?? ''),
+    body: Buffer.concat(chunks).toString(),
+  };
+};
+
+/** An endpoint that crashes under certain requests, and starts again under a new id. */
+export class CrashingEndpoint {
+  readonly #options: CrashingEndpointOptions;
 
   #server: http.Server | undefined;
 
@@ -65,26 +83,26 @@
 
   #closed = false;
 
-  private constructor(options: CrashingEngineOptions) {
+  private constructor(options: CrashingEndpointOptions) {
     this.#options = options;
   }
 
-  /** Starts an engine on a free port, which it keeps. */
-  static async start(owner: Owner, options: CrashingEngineOptions): Promise<CrashingEngine> {
-    const engine = new CrashingEngine(options);
+  /** Starts an endpoint on a free port, which it keeps. */
+  static async start(owner: Owner, options: CrashingEndpointOptions): Promise<CrashingEndpoint> {
+    const endpoint = new CrashingEndpoint(options);
     owner.after(() => {
-      engine.#closed = true;
-      engine.#stop();
+      endpoint.#closed = true;
+      endpoint.#stop();
     });
-    await engine.#listen();
-    return engine;
+    await endpoint.#listen();
+    return endpoint;
   }
 
   /** Closes its port and resets all its connections. */
-  crash(): void {
+  crash(request?: EndpointRequest): void {
     const id = this.#id;
     this.#stop();
-    this.#options.onCrash(performance.now());
+    this.#options.onCrash(performance.now(), request);
     setTimeout(() => this.#options.store.remove('servers', id), ENTRY_LAPSE_MS);
     setTimeout(() => {
       if (!this.#closed) this.#listen().catch(() => {});
@@ -132,7 +150,6 @@
   async #serve(request: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
     const server = this.#server;
     const requestId = String(request.headers['x-corianderwick-request-id'] ?? '');
-    request.resume();
     this.#options.onArrival({ requestId, at: performance.now() });
     if (this.#running >= SLOTS) {
       response.writeHead(503, { 'X-Corianderwick-Not-Executed': '1', 'Content-Length': 0 });
@@ -140,7 +157,22 @@
       return;
     }
     this.#running += 1;
-    await wait(PREFILL_MS);
+    const content = await readRequest(request);
+    await wait(this.#options.streams ? PREFILL_MS : PLAIN_MS);
+    if (!this.#options.streams) {
+      if (this.#options.isFatal(content)) {
+        if (this.#server === server) this.crash(content);
+        return;
+      }
+      response.writeHead(200, {
+        'X-Corianderwick-Request-Id': requestId,
+        'X-Corianderwick-Server-Stamp': this.#id,
+        'Content-Length': 2,
+      });
+      response.end('ok');
+      if (this.#server === server) this.#running -= 1;
+      return;
+    }
     // Without a length or chunks, so that the end of the connection is the end of the answer.
     Object.assign(response, { useChunkedEncodingByDefault: false });
     response.writeHead(200, {
@@ -148,10 +180,10 @@
       'X-Corianderwick-Server-Stamp': this.#id,
       'Content-Type': 'text/event-stream',
     });
-    if (isFatal(request.headers['x-corianderwick-prompt-prefix'], this.#options.fatalParts)) {
+    if (this.#options.isFatal(content)) {
       response.flushHeaders();
       await wait(CRASH_DELAY_MS);
-      if (this.#server === server) this.crash();
+      if (this.#server === server) this.crash(content);
       return;
     }
     const tornAt = this.#options.fraction() < this.#options.tornShare ? TORN_AFTER : EVENTS;
--- a/test/crashes/crashes.test.ts
+++ b/test/crashes/crashes.test.ts
@@ -6,7 +6,8 @@
 import { fileURLToPath } from 'node:url';
 import { promisify } from 'node:util';
 import { expect } from 'earl';
-import { playCrashes, type CrashDisturbance } from './playCrashes.ts';
+import type { CrashDisturbance } from './CrashDisturbance.ts';
+import { playCrashes } from './playCrashes.ts';
 
 const BUILD = fileURLToPath(new URL('../../scripts/buildPlatform.mjs', import.meta.url));
 /** Requests with a fatal part that may reach engines after the bound. */
--- a/test/crashes/main.ts
+++ b/test/crashes/main.ts
@@ -3,7 +3,8 @@
 import { join } from 'node:path';
 import { parseArgs } from 'node:util';
 import { withOwner } from '../support/withOwner.ts';
-import { playCrashes, type CrashDisturbance } from './playCrashes.ts';
+import type { CrashDisturbance } from './CrashDisturbance.ts';
+import { playCrashes } from './playCrashes.ts';
 
 const { values } = parseArgs({
   options: {
--- a/test/crashes/playCrashes.ts
+++ b/test/crashes/playCrashes.ts
@@ -5,19 +5,8 @@
 import { makeSoakConfiguration, SERVICES, SOAK_HOST } from '../soak/soakConfiguration.ts';
 import { CONTACT_MS, GatewayFleet } from '../support/GatewayFleet.ts';
 import type { Owner } from '../support/Owner.ts';
-import { CrashingEngine, EVENTS } from './CrashingEngine.ts';
-
-/** What else happens while engines crash; each gateway is named by its index. */
-export type CrashDisturbance =
-  | { readonly _tag: 'none' }
-  /** The scheduler is killed after so many crashes, and starts again. */
-  | { readonly _tag: 'schedulerKilled'; readonly afterCrashes: number }
-  /** The scheduler stands still after so many crashes, for so long. */
-  | { readonly _tag: 'schedulerPaused'; readonly afterCrashes: number; readonly forMs: number }
-  /** The store answers 503 from the third crash on. */
-  | { readonly _tag: 'storeAway' }
-  /** Another gateway than the scheduler is killed, and starts again, every so often. */
-  | { readonly _tag: 'othersKilled'; readonly everyMs: number };
+import { makeCrashDisturbance, type CrashDisturbance } from './CrashDisturbance.ts';
+import { CrashingEndpoint, EVENTS } from './CrashingEndpoint.ts';
 
 /** One play. */
 export interface CrashPlay {
@@ -99,11 +88,12 @@
 
   for (let index = 0; index < engines; index += 1) {
     let lastArrivals: string[] = [];
-    await CrashingEngine.start(owner, {
+    await CrashingEndpoint.start(owner, {
       name: `engine-${index}`,
       service: SERVICES.model,
       store,
-      fatalParts: new Set(fatalParts),
+      streams: true,
+      isFatal: ({ promptParts }) => promptParts.some((part) => fatalParts.includes(part)),
       downMs: DOWN_MS,
       tornShare: play.tornShare,
       fraction,
@@ -123,32 +113,7 @@
       },
     });
   }
-  onCrash.disturb = (count) => {
-    switch (disturbance._tag) {
-      case 'none':
-      case 'othersKilled':
-        return;
-      case 'schedulerKilled':
-        if (count === disturbance.afterCrashes) fleet.restart(0);
-        return;
-      case 'schedulerPaused':
-        if (count === disturbance.afterCrashes) fleet.pause(0, disturbance.forMs);
-        return;
-      case 'storeAway':
-        if (count === 3) store.setAway(true);
-        return;
-      default:
-        disturbance satisfies never;
-    }
-  };
-  if (disturbance._tag === 'othersKilled' && size > 1) {
-    let next = 1;
-    const timer = setInterval(() => {
-      fleet.restart(next);
-      next = (next % (size - 1)) + 1;
-    }, disturbance.everyMs);
-    owner.after(() => clearInterval(timer));
-  }
+  onCrash.disturb = makeCrashDisturbance(owner, fleet, disturbance);
 
   let count = 0;
   let falselyComplete = 0;
--- /dev/null
+++ b/test/crashes/playFatalRequests.ts
@@ -0,0 +1,253 @@
+import * as http from 'node:http';
+import { setTimeout as wait } from 'node:timers/promises';
+import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64';
+import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
+import { makeSoakConfiguration, SERVICES, SOAK_HOST } from '../soak/soakConfiguration.ts';
+import { CONTACT_MS, GatewayFleet } from '../support/GatewayFleet.ts';
+import type { Owner } from '../support/Owner.ts';
+import { makeCrashDisturbance, type CrashDisturbance } from './CrashDisturbance.ts';
+import { CrashingEndpoint, type EndpointRequest } from './CrashingEndpoint.ts';
+
+/** Requests under which endpoints crash, one of each kind of route. */
+export type FatalRequest = 'read' | 'write' | 'resumed';
+
+/** One play. */
+export interface FatalRequestPlay {
+  readonly seed: number;
+  readonly gateways: number;
+  /** Endpoints of each of the two services, a plain one and one of engines. */
+  readonly endpoints: number;
+  readonly fatal: readonly FatalRequest[];
+  /** Sendings a second of each fatal request, by callers that don't wait as they are told. */
+  readonly fatalRate: number;
+  /** Time from the first fatal request to the end, in ms. */
+  readonly trafficMs: number;
+  /** Whether endpoints also crash by themselves. */
+  readonly selfCrashes: boolean;
+  readonly disturbance: CrashDisturbance;
+  /** Path of the gateway's bundled program. */
+  readonly program: string;
+  readonly folder: string;
+}
+
+/** What came of a play. */
+export interface FatalRequestResult {
+  /** Crashes under each fatal request, in the order in which they were named. */
+  readonly crashes: readonly number[];
+  /** Sendings of each fatal request that reached endpoints after its bound, from gateways in touch. */
+  readonly arrivalsAfterBound: readonly number[];
+  /** Requests that were refused as not run though they had reached an endpoint. */
+  readonly falselyRefused: number;
+  /** Share of the sound requests that were served, by their kind, before the first crash. */
+  readonly soundBefore: Readonly<Record<string, number>>;
+  /** The same from twice the contact time after the third crash of each fatal request. */
+  readonly soundAfter: Readonly<Record<string, number>>;
+}
+
+const CALM_MS = 3_000;
+const DEADLINE_MS = 1_500;
+const DOWN_MS = 2_500;
+const BOUND_CRASHES = 3;
+const SELF_CRASH_INTERVAL_MS = 4_000;
+const KEY = 'key-of-the-office';
+const FATAL_BODY = 'fatal';
+const SERVED = 200;
+const REFUSED = [408, 421, 429, 503];
+
+/** Kinds of sound requests with their requests a second. The hot one is always the same request. */
+const SOUND_RATES = { unique: 8, hot: 8, sameUrl: 5, prompt: 8 } as const;
+type SoundKind = keyof typeof SOUND_RATES;
+
+interface Content {
+  readonly method: string;
+  readonly path: string;
+  readonly body?: string;
+}
+
+interface Sent {
+  readonly kind: SoundKind | FatalRequest;
+  readonly gateway: number;
+  readonly at: number;
+  status: number;
+}
+
+const FATAL: Readonly<Record<FatalRequest, Content>> = {
+  read: { method: 'GET', path: '/read/report?of=all' },
+  write: { method: 'POST', path: '/write/order', body: FATAL_BODY },
+  resumed: { method: 'POST', path: '/resumed/chat', body: FATAL_BODY },
+};
+
+const makeSound = (kind: SoundKind, count: number): Content => {
+  switch (kind) {
+    case 'unique':
+      return { method: 'GET', path: `/read/${count}` };
+    case 'hot':
+      return { method: 'GET', path: '/read/hot' };
+    case 'sameUrl':
+      return { method: 'POST', path: FATAL.write.path, body: `sound ${count}` };
+    case 'prompt':
+      return { method: 'POST', path: FATAL.resumed.path, body: `sound ${count}` };
+    default:
+      return kind satisfies never;
+  }
+};
+
+const isSame = (content: Content, request: EndpointRequest): boolean =>
+  content.path === request.path && (content.body ?? '') === request.body;
+
+const shareServed = (sent: readonly Sent[]): number =>
+  sent.length === 0 ? 1 : sent.filter(({ status }) => status === SERVED).length / sent.length;
+
+/**
+ * Plays gateways as processes before endpoints that crash under some requests, which come again and again,
+ * among sound ones.
+ *
+ * @param owner - ends all that was started
+ * @param play - sizes, rates and what else happens
+ * @returns what reached the endpoints, and how sound requests fared
+ */
+export const playFatalRequests = async (
+  owner: Owner,
+  play: FatalRequestPlay,
+): Promise<FatalRequestResult> => {
+  const generator = xoroshiro128plus(play.seed);
+  const fraction = (): number => uniformFloat64(generator);
+  const fleet = await GatewayFleet.start(owner, {
+    size: play.gateways,
+    configuration: makeSoakConfiguration([5]),
+    program: play.program,
+    folder: play.folder,
+  });
+  const sent = new Map<string, Sent>();
+  const arrivals: { readonly sent: Sent; readonly requestId: string; readonly at: number }[] = [];
+  const crashes = new Map<FatalRequest, number[]>(play.fatal.map((name) => [name, []]));
+  const disturb = makeCrashDisturbance(owner, fleet, play.disturbance);
+  const countCrashes = (): number => [...crashes.values()].flat().length;
+  const findFatal = (request: EndpointRequest): FatalRequest | undefined =>
+    play.fatal.find((name) => isSame(FATAL[name], request));
+  const endpoints: CrashingEndpoint[] = [];
+  for (const service of [SERVICES.plain, SERVICES.model]) {
+    for (let index = 0; index < play.endpoints; index += 1) {
+      endpoints.push(
+        await CrashingEndpoint.start(owner, {
+          name: `${service}-${index}`,
+          service,
+          streams: service === SERVICES.model,
+          store: fleet.store,
+          isFatal: (request) => findFatal(request) !== undefined,
+          downMs: DOWN_MS,
+          tornShare: 0,
+          fraction,
+          onArrival: ({ requestId, at }) => {
+            const request = sent.get(requestId);
+            if (request !== undefined) arrivals.push({ sent: request, requestId, at });
+          },
+          onCrash: (at, request) => {
+            const fatal = request && findFatal(request);
+            if (fatal === undefined) return;
+            crashes.get(fatal)?.push(at);
+            disturb(countCrashes());
+          },
+        }),
+      );
+    }
+  }
+
+  const agent = new http.Agent({ keepAlive: true });
+  owner.after(() => agent.destroy());
+  const send = (kind: SoundKind | FatalRequest, { method, path, body }: Content): void => {
+    const gateway = Math.floor(fraction() * fleet.size);
+    const id = `fatal-${play.seed}-${sent.size + 1}`;
+    const request: Sent = { kind, gateway, at: performance.now(), status: 0 };
+    sent.set(id, request);
+    const call = http.request({
+      ...fleet.callerAddress(gateway),
+      path,
+      method,
+      agent,
+      headers: {
+        host: SOAK_HOST,
+        'x-corianderwick-request-id': id,
+        'x-corianderwick-key': KEY,
+        'x-corianderwick-deadline-ms': String(DEADLINE_MS),
+        ...(path.startsWith('/resumed/') && { 'x-corianderwick-token-count': '300,40' }),
+      },
+    });
+    call.setTimeout(2 * DEADLINE_MS, () => call.destroy());
+    call.on('error', () => {});
+    call.on('response', (response) => {
+      response.resume();
+      response.on('error', () => {});
+      response.on('close', () => {
+        if (response.complete) request.status = response.statusCode ?? 0;
+      });
+    });
+    call.end(body);
+  };
+  const sendAtRate = (rate: number, sendOne: () => void, untilAt: number): void => {
+    const pauseMs = (-Math.log(1 - fraction()) * 1_000) / rate;
+    setTimeout(() => {
+      if (performance.now() > untilAt) return;
+      sendOne();
+      sendAtRate(rate, sendOne, untilAt);
+    }, pauseMs);
+  };
+
+  const endsAt = performance.now() + CALM_MS + play.trafficMs;
+  Object.entries(SOUND_RATES).forEach(([kind, rate]) =>
+    sendAtRate(
+      rate,
+      () => send(kind as SoundKind, makeSound(kind as SoundKind, sent.size)),
+      endsAt,
+    ),
+  );
+  await wait(CALM_MS);
+  const fatalFrom = performance.now();
+  play.fatal.forEach((name) => sendAtRate(play.fatalRate, () => send(name, FATAL[name]), endsAt));
+  if (play.selfCrashes) {
+    const timer = setInterval(() => {
+      endpoints[Math.floor(fraction() * endpoints.length)]?.crash();
+    }, SELF_CRASH_INTERVAL_MS);
+    owner.after(() => clearInterval(timer));
+  }
+  await wait(play.trafficMs + 2 * DEADLINE_MS);
+
+  const thirdCrashOf = (name: FatalRequest): number =>
+    crashes.get(name)?.[BOUND_CRASHES - 1] ?? Number.POSITIVE_INFINITY;
+  const lastThird = Math.max(
+    ...play.fatal.map((name) => {
+      const third = thirdCrashOf(name);
+      return Number.isFinite(third) ? third : fatalFrom;
+    }),
+  );
+  const soundShares = (from: number, to: number): Record<string, number> =>
+    Object.fromEntries(
+      Object.keys(SOUND_RATES).map((kind) => [
+        kind,
+        shareServed(
+          [...sent.values()].filter(
+            (request) =>
+              request.kind === kind &&
+              request.at > from &&
+              request.at < to &&
+              fleet.isInTouch(request.gateway, request.at),
+          ),
+        ),
+      ]),
+    );
+  return {
+    crashes: play.fatal.map((name) => crashes.get(name)?.length ?? 0),
+    arrivalsAfterBound: play.fatal.map(
+      (name) =>
+        arrivals.filter(
+          ({ sent: request, at }) =>
+            request.kind === name &&
+            at > thirdCrashOf(name) + CONTACT_MS &&
+            fleet.isInTouch(request.gateway, at),
+        ).length,
+    ),
+    falselyRefused: arrivals.filter(({ sent: { status } }) => REFUSED.includes(status)).length,
+    soundBefore: soundShares(0, fatalFrom - 500),
+    soundAfter: soundShares(lastThird + 2 * CONTACT_MS, endsAt),
+  };
+};
