Look limits up only where some endpoint states one, and relay changes at most five times a second

Cause: the scheduler looked limits of every engine up for every ticket, and relayed a limit that changes with each answer as often as it changed. Change: an empty set of limits is passed over; the scheduler relays the newest limits each 200 ms, and leaves confirmations to the refresh in turn. Result: EndpointLimitMonitor.test.ts (a limit that changes 20 times a second: about five messages a second to each gateway), EndpointLimits, PlainEndpointSelector and PlacementScheduler tests pass.

--- a/src/app/gateway/EndpointLimitMonitor.ts
+++ b/src/app/gateway/EndpointLimitMonitor.ts
@@ -20,6 +20,8 @@
 
 /** Interval at which a limit that stays the same is confirmed to the scheduler. */
 const CONFIRMATION_INTERVAL_MS = 500;
+/** Minimum interval between two messages of the scheduler to all, as a limit may change with each answer. */
+const RELAY_INTERVAL_MS = 200;
 /** Most limits in one message, the newest ones. */
 const MAXIMUM_LIMITS_PER_MESSAGE = 256;
 
@@ -41,11 +43,13 @@
 
   readonly #exchange: SchedulerExchange<LimitReport>;
 
-  /** Observations that are sent at the next tick, the newest of each endpoint. */
+  /** Observations that are to be sent, the newest of each endpoint. */
   readonly #unsent = new Map<string, LimitObservation>();
 
   readonly #reportedAt = new Map<string, number>();
 
+  #relayedAt = Number.NEGATIVE_INFINITY;
+
   constructor(options: EndpointLimitMonitorOptions) {
     this.#options = options;
     const encode = (observations: readonly LimitObservation[], now: number): PeerMessage => ({
@@ -93,7 +97,8 @@
       logger.info({ service, endpoint: id, address, requestsPerSecond }, 'endpoint limit changed');
       this.#options.onChanged();
     }
-    if (changed || (limit._tag === 'stated' && this.#isConfirmationDue(endpoint, answeredAt)))
+    const confirms = limit._tag === 'stated' && !this.#exchange.isScheduler;
+    if (changed || (confirms && this.#isConfirmationDue(endpoint, answeredAt)))
       this.#unsent.set(endpoint, observation);
   }
 
@@ -117,18 +122,15 @@
     changed.forEach(({ endpoint, requestsPerSecond }) =>
       this.#options.logger.info({ endpoint, requestsPerSecond }, 'endpoint limit learned'),
     );
-    if (this.#exchange.isScheduler) this.#relay(changed);
+    if (this.#exchange.isScheduler)
+      changed.forEach((observation) => this.#unsent.set(observation.endpoint, observation));
     this.#options.onChanged();
   }
 
   /** Sends what is due, and forgets limits of endpoints that are gone. Call it periodically. */
   tick(): void {
     const now = this.#options.now();
-    const unsent = [...this.#unsent.values()];
-    this.#unsent.clear();
-    unsent.forEach(({ endpoint }) => this.#reportedAt.set(endpoint, now));
-    if (this.#exchange.isScheduler) this.#relay(unsent);
-    else if (unsent.length > 0) this.#exchange.report(unsent.map(toReport));
+    this.#sendUnsent(now);
     this.#exchange.tick();
     this.#options.limits.evict(now);
     this.#reportedAt.forEach((at, endpoint) => {
@@ -136,8 +138,17 @@
     });
   }
 
-  #relay(observations: readonly LimitObservation[]): void {
-    this.#exchange.relay(observations.map(toReport));
+  #sendUnsent(now: number): void {
+    const { isScheduler } = this.#exchange;
+    if (this.#unsent.size === 0 || (isScheduler && now - this.#relayedAt < RELAY_INTERVAL_MS))
+      return;
+    const reports = [...this.#unsent.values()].map(toReport);
+    this.#unsent.clear();
+    reports.forEach(({ endpoint }) => this.#reportedAt.set(endpoint, now));
+    if (isScheduler) {
+      this.#relayedAt = now;
+      this.#exchange.relay(reports);
+    } else this.#exchange.report(reports);
   }
 
   #isConfirmationDue(endpoint: string, now: number): boolean {
--- a/src/coordination/gateway/EndpointLimits.ts
+++ b/src/coordination/gateway/EndpointLimits.ts
@@ -66,6 +66,11 @@
     return [...this.#limits.values()].filter((limit) => !isEnded(limit)).length;
   }
 
+  /** Whether no endpoint has stated a limit lately, so that none has to be looked up. */
+  get isEmpty(): boolean {
+    return this.#limits.size === 0;
+  }
+
   /** Sets the fraction of each limit that this process may use, from 0 to 1. */
   setShare(share: number): void {
     this.#share = share;
--- a/src/coordination/gateway/PlacementScheduler.ts
+++ b/src/coordination/gateway/PlacementScheduler.ts
@@ -286,20 +286,9 @@
     const decisions: PlacementDecision[] = [];
     /** Slot time that the tickets ahead in the queue are expected to use, in ms. */
     let slotMsQueuedAhead = 0;
-    const meanHoldMs =
-      ordered.reduce((sum, { ticket }) => sum + group.forecast(ticket).slotHoldMs, 0) /
-      Math.max(1, ordered.length);
-    const slots = group.engines.reduce(
-      (sum, engine) => sum + this.#effectiveSlots(engine, meanHoldMs, now),
-      0,
-    );
+    const slots = this.#countSlots(group, ordered, now);
     ordered.forEach((queued) => {
-      const decision = this.#decide(
-        queued,
-        group,
-        slotMsQueuedAhead / Math.max(MINIMUM_SLOTS, slots),
-        now,
-      );
+      const decision = this.#decide(queued, group, slotMsQueuedAhead / slots, now);
       if (decision === undefined) {
         slotMsQueuedAhead += group.forecast(queued.ticket).slotHoldMs;
         return;
@@ -353,7 +342,9 @@
     const targetMs = ticket.targetMs - waitedMs;
     const limitWaitMs = (engine: EngineLoad): number =>
       this.#limits.msUntilAllowed(endpointStartOf(engine.record), now);
-    const open = usable.filter((engine) => limitWaitMs(engine) <= 0);
+    const open = this.#limits.isEmpty
+      ? usable
+      : usable.filter((engine) => limitWaitMs(engine) <= 0);
     const candidate = chooseEngine(ticket, open, {
       targetMs,
       remainingMs,
@@ -413,10 +404,24 @@
     };
   }
 
-  /** Slots of an endpoint that are in use at most, because of a limit to the rate of its requests. */
-  #effectiveSlots(engine: EngineLoad, meanHoldMs: number, now: number): number {
-    const rate = this.#limits.rateOf(endpointStartOf(engine.record), now);
-    return Math.min(this.#usableSlots(engine), (rate * meanHoldMs) / MS_PER_SECOND);
+  /**
+   * Counts the slots of a group. An endpoint that limits the rate of its requests counts with the slots that
+   * requests at this rate hold.
+   */
+  #countSlots(group: EngineGroup, waiting: readonly WaitingPlacement[], now: number): number {
+    const { engines } = group;
+    if (this.#limits.isEmpty || waiting.length === 0)
+      return Math.max(
+        1,
+        engines.reduce((sum, engine) => sum + this.#usableSlots(engine), 0),
+      );
+    const holdMs = waiting.map(({ ticket }) => group.forecast(ticket).slotHoldMs);
+    const meanHoldMs = holdMs.reduce((sum, value) => sum + value, 0) / waiting.length;
+    const slots = engines.reduce((sum, engine) => {
+      const rate = this.#limits.rateOf(endpointStartOf(engine.record), now);
+      return sum + Math.min(this.#usableSlots(engine), (rate * meanHoldMs) / MS_PER_SECOND);
+    }, 0);
+    return Math.max(MINIMUM_SLOTS, slots);
   }
 
   #usableSlots({ record }: EngineLoad): number {
--- a/src/coordination/gateway/PlainEndpointSelector.ts
+++ b/src/coordination/gateway/PlainEndpointSelector.ts
@@ -49,6 +49,7 @@
    */
   select(candidates: PlainCandidates, now: number): PlainSelection {
     const { service, records, avoid, fraction } = candidates;
+    if (this.#limits.isEmpty) return this.#selectDirectly(candidates, now);
     const limited = records.filter((record) => this.#isLimited(record, now));
     const isAskable = limited.some(({ id }) => !avoid.includes(id));
     const isDue = now >= (this.#retryAt.get(service) ?? Number.NEGATIVE_INFINITY);
@@ -82,6 +83,11 @@
     this.#retryAt.set(service, now + retryAfterMs);
   }
 
+  #selectDirectly({ records, avoid, fraction }: PlainCandidates, now: number): PlainSelection {
+    const endpoint = this.#balancer.pick(records, avoid, fraction, now);
+    return endpoint === undefined ? { _tag: 'none' } : { _tag: 'direct', endpoint };
+  }
+
   #isLimited(record: EndpointRecord, now: number): boolean {
     return this.#limits.isLimited(endpointStartOf(record), now);
   }
