Give limited engines the long requests

Cause: a limit counts requests, not their length, but short requests used a limited engine's share as well as long ones, while the engines without limits filled up. Change: a request that is expected to take less engine time than the mean of its service prefers engines without a limit. Buckets hold the requests of half a second in place of a quarter; 4.5 L + 1 in 4 s stay below 6 L + 5. Load patterns in virtual time with limits (test/load).

--- a/src/coordination/gateway/EndpointLimits.ts
+++ b/src/coordination/gateway/EndpointLimits.ts
@@ -27,7 +27,7 @@
 const MINIMUM_RATE = 0.2;
 /** Requests that may be sent at once: one, and those of a short time without any. */
 const BASE_BURST = 1;
-const BURST_MS = 250;
+const BURST_MS = 500;
 /** After its end a limit doubles at this interval, so that the endpoint isn't flooded, and is then lifted. */
 const RAMP_DOUBLING_MS = 400;
 const RAMP_MS = 2_000;
--- a/src/coordination/gateway/PlacementScheduler.ts
+++ b/src/coordination/gateway/PlacementScheduler.ts
@@ -10,7 +10,8 @@
 import { EngineGroup } from './EngineGroup.ts';
 import { EngineLoad, type RunningPlacement } from './EngineLoad.ts';
 import { orderQueue, fairnessGroup, type WaitingPlacement } from './orderQueue.ts';
-import { chooseEngine, type EngineCandidate } from './chooseEngine.ts';
+import { chooseEngine, type EngineCandidate, type PlacementLimits } from './chooseEngine.ts';
+import { MeanEngineTimes } from './MeanEngineTimes.ts';
 import { preferHealthy } from './preferHealthy.ts';
 import { RouteMeanSizes } from './RouteMeanSizes.ts';
 import { GrantRatios } from './GrantRatios.ts';
@@ -84,6 +85,8 @@
 
   readonly #limits: EndpointLimits;
 
+  readonly #meanEngineTimes = new MeanEngineTimes();
+
   #allocation: SlotAllocation = { share: 1 };
 
   /** @param limits - rates of requests that endpoints accept, of which each grant uses one request */
@@ -293,6 +296,8 @@
         slotMsQueuedAhead += group.forecast(queued.ticket).slotHoldMs;
         return;
       }
+      if (decision._tag === 'grant')
+        this.#meanEngineTimes.record(service, group.forecast(queued.ticket).engineTimeMs);
       this.#waiting.delete(queued.ticket.id);
       decisions.push(decision);
     });
@@ -345,12 +350,14 @@
     const open = this.#limits.isEmpty
       ? usable
       : usable.filter((engine) => limitWaitMs(engine) <= 0);
-    const candidate = chooseEngine(ticket, open, {
+    const limits: PlacementLimits = {
       targetMs,
       remainingMs,
       now,
       slotLimitOf: (engine) => group.slotLimit(engine, this.#usableSlots(engine)),
-    });
+    };
+    const candidate =
+      this.#chooseUnlimited(ticket, open, group, limits) ?? chooseEngine(ticket, open, limits);
     if (candidate !== undefined) return this.#grant(queued, candidate, now);
     if (open.length === 0) {
       const untilAllowedMs = Math.min(...usable.map(limitWaitMs));
@@ -367,16 +374,33 @@
     // The target for the first token can't be met by waiting, so the request is placed late if its
     // deadline allows it.
     const lateCandidate = chooseEngine(ticket, open, {
+      ...limits,
       targetMs: Number.POSITIVE_INFINITY,
-      remainingMs,
-      now,
-      slotLimitOf: (engine) => group.slotLimit(engine, this.#usableSlots(engine)),
     });
     return lateCandidate === undefined
       ? refuse('overload')
       : this.#grant(queued, lateCandidate, now);
   }
 
+  /**
+   * Chooses an engine without a limit for a short request, so that engines that accept few requests get the
+   * long ones.
+   */
+  #chooseUnlimited(
+    ticket: PlacementTicket,
+    engines: readonly EngineLoad[],
+    group: EngineGroup,
+    limits: PlacementLimits,
+  ): EngineCandidate | undefined {
+    if (this.#limits.isEmpty) return undefined;
+    const { engineTimeMs } = group.forecast(ticket);
+    if (this.#meanEngineTimes.isLong(ticket.service, engineTimeMs)) return undefined;
+    const unlimited = engines.filter(
+      ({ record }) => !this.#limits.isLimited(endpointStartOf(record), limits.now),
+    );
+    return chooseEngine(ticket, unlimited, limits);
+  }
+
   #grant(
     { ticket, owner, arrivedAt }: WaitingPlacement,
     { engine, firstTokenMs, prefillTokens }: EngineCandidate,
--- a/test/load/EngineModel.ts
+++ b/test/load/EngineModel.ts
@@ -15,6 +15,12 @@
     readonly fromMs: number;
     readonly toMs: number;
   };
+  /** A time in which its answers state how many requests a second it accepts. */
+  readonly limit?: {
+    readonly requestsPerSecond: number;
+    readonly fromMs: number;
+    readonly toMs: number;
+  };
 }
 
 /** What an engine tells while it works. */
@@ -63,6 +69,14 @@
       : undefined;
   }
 
+  /** Requests a second that its answers state now; undefined where they state none. */
+  limitAt(now: number): number | undefined {
+    const { limit } = this.#shape;
+    return limit !== undefined && now >= limit.fromMs && now < limit.toMs
+      ? limit.requestsPerSecond
+      : undefined;
+  }
+
   /** Adds a request, which waits where all slots are taken. */
   add(work: EngineWork, now: number): void {
     this.#queue.push(work);
--- a/test/load/main.ts
+++ b/test/load/main.ts
@@ -12,7 +12,7 @@
   const mean = (pick: (outcome: (typeof outcomes)[number]) => number): number =>
     outcomes.reduce((sum, outcome) => sum + pick(outcome), 0) / outcomes.length;
   console.log(
-    `${name.padEnd(16)} worth ${round(mean(({ worth }) => worth))} bound ${round(mean(({ bound }) => bound))} net ${round(mean(({ netWorth }) => netWorth))} worst ${round(mean(({ worstWindow }) => worstWindow))} held ${mean(({ meanHeldMs }) => meanHeldMs).toFixed(0)} ms`,
+    `${name.padEnd(16)} worth ${round(mean(({ worth }) => worth))} bound ${round(mean(({ bound }) => bound))} net ${round(mean(({ netWorth }) => netWorth))} worst ${round(mean(({ worstWindow }) => worstWindow))} held ${mean(({ meanHeldMs }) => meanHeldMs).toFixed(0)} ms limits used ${round(mean(({ limitUse }) => limitUse))}`,
   );
   pattern.kinds.forEach((kind) => {
     const of = (
--- a/test/load/patterns.test.ts
+++ b/test/load/patterns.test.ts
@@ -70,6 +70,35 @@
     });
   });
 
+  describe('while two of the fast engines accept three requests a second each', () => {
+    const outcomes = play(PATTERNS.limited);
+
+    it('uses the limits nearly in full, and never more', () => {
+      const use = mean(outcomes, ({ limitUse }) => limitUse);
+      expect(use).toBeGreaterThan(0.9);
+      expect(use).toBeLessThan(1.5);
+    });
+
+    it('serves nearly as much as without limits, as the limited engines get the long requests', () => {
+      const unlimited = mean(play(PATTERNS.calm), ({ worth }) => worth);
+      expect(mean(outcomes, ({ worth }) => worth)).toBeGreaterThan(0.95 * unlimited);
+    });
+  });
+
+  describe('while all engines accept three requests a second each', () => {
+    const outcomes = play(PATTERNS.allLimited);
+
+    it('serves the most urgent kind first, and starves none', () => {
+      const [review = 0, quote = 0, brief = 0] = ['review', 'quote', 'brief'].map((name) =>
+        kindMean(outcomes, name, share),
+      );
+      expect(review).toBeGreaterThan(quote);
+      expect(quote).toBeGreaterThan(brief);
+      expect(brief).toBeGreaterThan(0.25);
+      expect(mean(outcomes, ({ limitUse }) => limitUse)).toBeGreaterThan(0.9);
+    });
+  });
+
   describe('under more than the engines can do for half a minute', () => {
     const outcomes = play(PATTERNS.sustained);
 
--- a/test/load/patterns.ts
+++ b/test/load/patterns.ts
@@ -15,6 +15,9 @@
   ...UNLIKE_ENGINES.slice(1),
 ];
 
+const LIMIT = { requestsPerSecond: 3, fromMs: 6_000, toMs: 26_000 };
+const LIMITED_FAST = { ...FAST, limit: LIMIT };
+
 const times = (kinds: readonly RequestKind[], factor: number): readonly RequestKind[] =>
   kinds.map((kind) => ({ ...kind, perSecond: kind.perSecond * factor }));
 
@@ -50,4 +53,18 @@
     durationMs: 30_000,
     bursts: [],
   },
+  /** Two of the fast engines accept three requests a second each, for twenty seconds. */
+  limited: {
+    kinds: BROKERAGE,
+    engines: [LIMITED_FAST, LIMITED_FAST, SLOW, FAST, FAST, SLOW],
+    durationMs: 30_000,
+    bursts: [],
+  },
+  /** All engines do. */
+  allLimited: {
+    kinds: BROKERAGE,
+    engines: UNLIKE_ENGINES.map((shape) => ({ ...shape, limit: LIMIT })),
+    durationMs: 30_000,
+    bursts: [],
+  },
 } satisfies Record<string, Omit<LoadPlay, 'seed'>>;
--- a/test/load/playLoad.ts
+++ b/test/load/playLoad.ts
@@ -1,6 +1,10 @@
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
-import { CallerRetryDetector, PlacementScheduler } from '../../src/coordination/gateway/index.ts';
-import type { EndpointRecord } from '../../src/state/gateway/index.ts';
+import {
+  CallerRetryDetector,
+  EndpointLimits,
+  PlacementScheduler,
+} from '../../src/coordination/gateway/index.ts';
+import { endpointStartOf, type EndpointRecord } from '../../src/state/gateway/index.ts';
 import { Timeline } from './Timeline.ts';
 import { boundOf } from './boundOf.ts';
 import { EngineModel, type EngineShape } from './EngineModel.ts';
@@ -52,6 +56,8 @@
   readonly worstWindow: number;
   /** Time in ms for which refused requests were held before they were. */
   readonly meanHeldMs: number;
+  /** Requests that engines got while they stated a limit, as a share of what it allowed. */
+  readonly limitUse: number;
 }
 
 interface Attempt {
@@ -59,6 +65,7 @@
   readonly number: number;
   readonly arrivedAt: number;
   engine: EngineModel | undefined;
+  endpoint: string;
   sentAt: number;
   firstAt: number | undefined;
   lastAt: number;
@@ -83,6 +90,7 @@
 const WINDOW_MS = 2_000;
 const RUN_OUT_MS = 20_000;
 const SCHEDULER_TICK_MS = 25;
+const MS_PER_SECOND = 1_000;
 
 /** Ids of the largest tenth of each kind's requests. */
 const largestTenths = (load: readonly LoadRequest[]): ReadonlySet<string> => {
@@ -108,7 +116,13 @@
 class Play {
   readonly #timeline = new Timeline();
 
-  readonly #scheduler = new PlacementScheduler();
+  readonly #limits = new EndpointLimits();
+
+  readonly #scheduler = new PlacementScheduler(this.#limits);
+
+  readonly #records = new Map<string, EndpointRecord>();
+
+  #sentWhileLimited = 0;
 
   readonly #patience = new CallerRetryDetector();
 
@@ -141,7 +155,7 @@
           onEnd: (attempt, now) => this.#onEnd(attempt, now),
         }),
       );
-      return {
+      const record: EndpointRecord = {
         id,
         service: SERVICE,
         address: `127.0.0.1:${index + 1}`,
@@ -152,6 +166,8 @@
         coldMs: 0,
         bornAt: 0,
       };
+      this.#records.set(id, record);
+      return record;
     });
     this.#scheduler.setEngines(records);
   }
@@ -187,6 +203,7 @@
       number,
       arrivedAt: now,
       engine: undefined,
+      endpoint: '',
       sentAt: 0,
       firstAt: undefined,
       lastAt: 0,
@@ -251,7 +268,9 @@
       this.#endAtOnce(id, attempt, endpoint, fault, now);
       return;
     }
+    if (engine.limitAt(now) !== undefined) this.#sentWhileLimited += 1;
     attempt.engine = engine;
+    attempt.endpoint = endpoint;
     attempt.sentAt = now;
     const { promptTokens, outputTokens } = attempt.request;
     const wasIdle = engine.nextAt === undefined;
@@ -299,9 +318,7 @@
     if (attempt.firstAt === undefined) {
       attempt.firstAt = now;
       const firstTokenMs = now - attempt.sentAt;
-      this.#timeline.add(now + HOP_MS, (at) =>
-        this.#scheduler.recordFirstToken(id, firstTokenMs, at),
-      );
+      this.#timeline.add(now + HOP_MS, (at) => this.#onHead(id, attempt, firstTokenMs, at));
     } else if (tokens % TOKENS_PER_EVENT === 0) {
       attempt.longestPauseMs = Math.max(attempt.longestPauseMs, now - attempt.lastAt);
     } else {
@@ -310,6 +327,22 @@
     attempt.lastAt = now;
   }
 
+  #onHead(id: string, attempt: Attempt, firstTokenMs: number, now: number): void {
+    this.#scheduler.recordFirstToken(id, firstTokenMs, now);
+    const record = this.#records.get(attempt.endpoint);
+    if (record === undefined) return;
+    const answeredAt = now - HOP_MS;
+    this.#limits.observe(
+      {
+        endpoint: endpointStartOf(record),
+        requestsPerSecond: attempt.engine?.limitAt(answeredAt),
+        sentAt: attempt.sentAt,
+        answeredAt,
+      },
+      now,
+    );
+  }
+
   #onEnd(id: string, now: number): void {
     const attempt = this.#attempts.get(id);
     if (attempt === undefined || attempt.over) return;
@@ -396,6 +429,17 @@
     return known;
   }
 
+  /** Requests that the stated limits allowed over their whole time. */
+  #allowedByLimits(): number {
+    return this.#options.engines.reduce(
+      (sum, { limit }) =>
+        limit === undefined
+          ? sum
+          : sum + (limit.requestsPerSecond * (limit.toMs - limit.fromMs)) / MS_PER_SECOND,
+      0,
+    );
+  }
+
   #outcome(bound: number): LoadOutcome {
     const all = [...this.#kinds.values()];
     const sum = (pick: (outcome: KindOutcome) => number): number =>
@@ -409,6 +453,7 @@
         ...[...this.#windows.values()].map(({ worth, owed }) => (owed === 0 ? 1 : worth / owed)),
       ),
       meanHeldMs: this.#heldMs / Math.max(1, this.#refusals),
+      limitUse: this.#sentWhileLimited / Math.max(1, this.#allowedByLimits()),
     };
   }
 }
