Let runners of the soak limit their requests

Cause: nothing in the soak stated limits, so that they weren't met beside overlapping kills, pauses, cuts and stops.

--- a/test/limits/playLimits.ts
+++ b/test/limits/playLimits.ts
@@ -6,7 +6,7 @@
 import { CONTACT_MS, GatewayFleet } from '../support/GatewayFleet.ts';
 import type { Owner } from '../support/Owner.ts';
 import { LimitingEndpoint } from './LimitingEndpoint.ts';
-import { LimitLedger } from './LimitLedger.ts';
+import { LimitLedger } from '../support/LimitLedger.ts';
 
 /** What else happens while endpoints limit their requests; the scheduler is gateway 0. */
 export type LimitDisturbance =
@@ -163,11 +163,11 @@
       },
       onArrival: (requestId, at) => {
         const gateway = sent.get(requestId)?.gateway;
-        if (gateway !== undefined) ledger.arrived(gateway, at);
+        if (gateway !== undefined) ledger.arrived(String(gateway), at);
       },
       onStated: (requestId, at) => {
         const gateway = sent.get(requestId)?.gateway;
-        if (gateway !== undefined) ledger.told(gateway, at);
+        if (gateway !== undefined) ledger.told(String(gateway), at);
       },
     });
   };
@@ -241,7 +241,8 @@
         fleet.isInTouch(gateway, at),
     );
     const refused = during.filter(({ status }) => RETRY_STATUSES.includes(status));
-    const isExcused = (gateway: number, at: number): boolean => !fleet.isInTouch(gateway, at);
+    const isExcused = (gateway: string, at: number): boolean =>
+      !fleet.isInTouch(Number(gateway), at);
     const used = limited.map((ledger) => ledger.usedShare(limitedFrom + CONTACT_MS, limitedUntil));
     return {
       worstExcess: Math.max(
--- a/test/soak/PromiseChecker.test.ts
+++ b/test/soak/PromiseChecker.test.ts
@@ -184,6 +184,33 @@
     expect(promises[0]).toEqual('QUOTA');
   });
 
+  const sendToLimited = (checker: PromiseChecker, perSecond: number): void => {
+    for (let count = 0; count < 15 * perSecond; count += 1) {
+      const one = send({ id: `r${count}`, at: (count * 1_000) / perSecond });
+      checker.sent(one);
+      checker.arrived(arrival(one));
+      checker.limitStated(arrival(one), 2, one.at + 40);
+    }
+    checker.ended(end(send({ id: 'r0', at: 0 })));
+    checker.finish(0, 15_000);
+  };
+
+  it('finds a runner that gets more than the limit that it states', () => {
+    const { checker, promises } = makeChecker();
+    sendToLimited(checker, 10);
+    expect(promises).toEqual(['LIMIT']);
+  });
+
+  it('lets a runner get its limit, and what a disturbed gateway sends', () => {
+    const { checker, promises, history } = makeChecker();
+    sendToLimited(checker, 2);
+    expect(promises).toEqual([]);
+    const paused = { kind: 'unplanned', what: 'paused', gateway: GATEWAY, from: 0 } as const;
+    history.begin(paused);
+    sendToLimited(checker, 10);
+    expect(promises).toEqual([]);
+  });
+
   it('finds work that goes on after callers have left', () => {
     const { checker, promises } = makeChecker();
     for (let count = 0; count < BOUNDS.leftLeast; count += 1) {
--- a/test/soak/PromiseChecker.ts
+++ b/test/soak/PromiseChecker.ts
@@ -1,6 +1,7 @@
 import type { FaultHistory } from './FaultHistory.ts';
 import type { RunnerArrival } from './SoakRunner.ts';
 import { eventData, plainAnswer } from './SoakRunner.ts';
+import { LimitLedger } from '../support/LimitLedger.ts';
 import { WindowSum } from './WindowSum.ts';
 import { ACCOUNTS, LIMITED_QUOTA, servicesOf } from './soakConfiguration.ts';
 
@@ -98,6 +99,9 @@
 
   readonly #asked = new Map<string, WindowSum>();
 
+  /** What runners stated of their limits, and got. */
+  readonly #limits = new Map<string, LimitLedger>();
+
   readonly #limitedTokens = new WindowSum(BOUNDS.quotaWindowMs);
 
   #workedOnAfterLeaving = 0;
@@ -125,6 +129,7 @@
       return;
     }
     seen.arrivals += 1;
+    this.#limits.get(runner)?.arrived(seen.send.gateway, at);
     this.#checkUnchanged(seen.send, arrival);
     this.#checkDraining(seen.send, arrival);
     this.#checkDeadline(seen, arrival);
@@ -151,6 +156,15 @@
     this.#checkQuota(arrival.at);
   }
 
+  /** Notes that the answer to a request states how many requests a second its runner accepts. */
+  limitStated({ requestId, runner }: RunnerArrival, requestsPerSecond: number, at: number): void {
+    const ledger = this.#limits.get(runner) ?? new LimitLedger();
+    this.#limits.set(runner, ledger);
+    ledger.stated(requestsPerSecond, at);
+    const gateway = this.#requests.get(requestId)?.send.gateway;
+    if (gateway !== undefined) ledger.told(gateway, at);
+  }
+
   /** Notes that a run is over, by itself or because its connection was closed. */
   runOver({ requestId }: RunnerArrival, at: number): void {
     const seen = this.#requests.get(requestId);
@@ -243,6 +257,14 @@
 
   /** Checks what can be told only at the end: that all is well again once nothing is harmed. */
   finish(from: number, to: number): void {
+    this.#limits.forEach((ledger, runner) => {
+      const excess = ledger.worstExcess(
+        ledger.lastStatedAt,
+        (gateway, at) => !this.#history.isCalm(gateway, at, at),
+      );
+      if (excess > 0)
+        this.#break('LIMIT', `${runner} got ${excess} requests beyond its limit in 4 s`, to);
+    });
     const { served, of } = this.served(from, to);
     if (of === 0 || served < of * BOUNDS.servedAfterwards) {
       this.#break('RECOVER', `${served} of ${of} requests were served after the faults`, to);
--- a/test/soak/SoakFleet.ts
+++ b/test/soak/SoakFleet.ts
@@ -174,6 +174,7 @@
       onArrival: (arrival) => checker.arrived(arrival),
       onRun: (arrival) => checker.ran(arrival),
       onRunOver: (arrival, at) => checker.runOver(arrival, at),
+      onLimitStated: (arrival, rate, at) => checker.limitStated(arrival, rate, at),
     });
   }
 
--- a/test/soak/SoakOperator.ts
+++ b/test/soak/SoakOperator.ts
@@ -105,6 +105,16 @@
           runner.setHarm(undefined);
         });
         return;
+      case 'limitRunner': {
+        const { name, runner } = this.#place(action.runner);
+        const rate = action.requestsPerSecond;
+        await this.#during('planned', `${name} limited to ${rate}`, undefined, async () => {
+          runner.setLimit(rate);
+          await wait(action.forMs);
+          runner.setLimit(undefined);
+        });
+        return;
+      }
       case 'changeConfiguration':
         this.#fleet.changeConfiguration();
         return;
--- a/test/soak/SoakRunner.ts
+++ b/test/soak/SoakRunner.ts
@@ -26,6 +26,8 @@
   readonly onRun: (arrival: RunnerArrival) => void;
   /** A run that had begun ends, by itself or because its connection was closed. */
   readonly onRunOver: (arrival: RunnerArrival, at: number) => void;
+  /** An answer states a limit to the requests a second. */
+  readonly onLimitStated: (arrival: RunnerArrival, requestsPerSecond: number, at: number) => void;
 }
 
 /** What a runner is made of. */
@@ -95,6 +97,8 @@
 
   #harm: RunnerHarm | undefined;
 
+  #requestsPerSecond: number | undefined;
+
   private constructor(options: SoakRunnerOptions) {
     this.#options = options;
     this.id = options.id;
@@ -124,6 +128,11 @@
     this.#harm = harm;
   }
 
+  /** Makes its answers state a limit to the requests a second, or none. */
+  setLimit(requestsPerSecond: number | undefined): void {
+    this.#requestsPerSecond = requestsPerSecond;
+  }
+
   /** Ends without a word. */
   crash(): void {
     this.#server.close();
@@ -168,6 +177,13 @@
     }
   }
 
+  #stateLimit(arrival: RunnerArrival): http.OutgoingHttpHeaders {
+    const rate = this.#requestsPerSecond;
+    if (rate === undefined) return {};
+    this.#options.onLimitStated(arrival, rate, performance.now());
+    return { 'Server-Limit': rate.toFixed(2) };
+  }
+
   #takeSlot(): Promise<boolean> {
     if (this.#running < this.slots) {
       this.#running += 1;
@@ -197,7 +213,11 @@
     await wait((isStream ? FIRST_EVENT_MS : WORK_MS) * pace);
     if (hasLeft()) return;
     const { requestId, method, path, body } = arrival;
-    const head = { 'X-Corianderwick-Request-Id': requestId, [HEADER.stamp]: this.id };
+    const head = {
+      'X-Corianderwick-Request-Id': requestId,
+      [HEADER.stamp]: this.id,
+      ...this.#stateLimit(arrival),
+    };
     switch (harm) {
       case 'fails':
         response.writeHead(500, { ...head, 'Content-Length': 0 });
--- a/test/soak/planSoak.ts
+++ b/test/soak/planSoak.ts
@@ -37,6 +37,12 @@
       readonly how: 'fails' | 'garbles' | 'truncates' | 'losesAnswers' | 'slow';
       readonly forMs: number;
     }
+  | {
+      readonly _tag: 'limitRunner';
+      readonly runner: number;
+      readonly requestsPerSecond: number;
+      readonly forMs: number;
+    }
   | { readonly _tag: 'changeConfiguration' };
 
 /** An action with its time from the start of the traffic, in ms. */
@@ -61,6 +67,14 @@
 const LONGEST_SERIES = 4;
 const SERIES_GAP_MS = 600;
 
+/** Runners that limit their requests, one after the other begins. */
+const LIMITED_RUNNERS = 3;
+const LATEST_LIMIT_MS = 1_500;
+const LEAST_LIMIT = 0.5;
+const MOST_LIMIT = 4;
+/** Draws of limits come from a generator of their own, so that the plans of known seeds keep their times. */
+const LIMIT_SEED_OFFSET = 1_000_003;
+
 const LINKS = ['store', 'peers', 'callers', 'runner'] as const;
 const LINK_HARMS = ['delay', 'silence', 'silenceToServer', 'silenceToCaller', 'reset'] as const;
 const STORE_HARMS = ['away', 'silent', 'slow', 'losesAnswers'] as const;
@@ -137,3 +151,26 @@
   }
   return steps.filter((step) => step.at < faultsMs).sort((a, b) => a.at - b.at);
 };
+
+/**
+ * Plans which runners limit the rate of their requests, until the end of the faults.
+ *
+ * @param shape - seed, time and size
+ * @returns steps in order of time
+ */
+export const planLimits = ({ seed, faultsMs }: SoakShape): SoakStep[] => {
+  const generator = xoroshiro128plus(seed + LIMIT_SEED_OFFSET);
+  const fraction = (): number => uniformFloat64(generator);
+  return Array.from({ length: LIMITED_RUNNERS }, (): SoakStep => {
+    const at = Math.round(fraction() * LATEST_LIMIT_MS);
+    return {
+      at,
+      action: {
+        _tag: 'limitRunner',
+        runner: Math.floor(fraction() * 100),
+        requestsPerSecond: LEAST_LIMIT + fraction() * (MOST_LIMIT - LEAST_LIMIT),
+        forMs: Math.max(0, faultsMs - at),
+      },
+    };
+  }).sort((a, b) => a.at - b.at);
+};
--- a/test/limits/LimitLedger.ts
+++ b/test/support/LimitLedger.ts
@@ -1,5 +1,5 @@
-import { CONTACT_MS } from '../support/GatewayFleet.ts';
-
+/** A gateway is bound from this time after the endpoint first stated a limit. */
+const CONTACT_MS = 3_000;
 /** A bound holds over each window of this length. */
 const WINDOW_MS = 4_000;
 /** An endpoint may get this multiple of its limit in a window, and some requests more. */
@@ -11,13 +11,13 @@
 
 /** What one endpoint stated and what it got, judged by the bound of the users' rule LIMIT. */
 export class LimitLedger {
-  readonly #arrivals: { readonly gateway: number; readonly at: number }[] = [];
+  readonly #arrivals: { readonly gateway: string; readonly at: number }[] = [];
 
   readonly #rates: { readonly perSecond: number; readonly at: number }[] = [];
 
-  readonly #toldAt = new Map<number, number>();
+  readonly #toldAt = new Map<string, number>();
 
-  arrived(gateway: number, at: number): void {
+  arrived(gateway: string, at: number): void {
     this.#arrivals.push({ gateway, at });
   }
 
@@ -27,10 +27,15 @@
   }
 
   /** Records that an answer with a limit went to a gateway. */
-  told(gateway: number, at: number): void {
+  told(gateway: string, at: number): void {
     if (!this.#toldAt.has(gateway)) this.#toldAt.set(gateway, at);
   }
 
+  /** When the endpoint last stated a limit. */
+  get lastStatedAt(): number {
+    return this.#rates.at(-1)?.at ?? Number.NEGATIVE_INFINITY;
+  }
+
   /**
    * Finds the window that exceeds the bound the most.
    *
@@ -38,7 +43,7 @@
    * @param isExcused - whether a gateway's request doesn't count
    * @returns requests beyond the bound; negative if every window is below it
    */
-  worstExcess(until: number, isExcused: (gateway: number, at: number) => boolean): number {
+  worstExcess(until: number, isExcused: (gateway: string, at: number) => boolean): number {
     const [first] = this.#rates;
     if (first === undefined) return Number.NEGATIVE_INFINITY;
     const counted = this.#arrivals.filter(
