Bound what is kept of answered requests, and count quarantined requests once a change

Cause: answers to requests that had been in flight at a crash were kept for good once all crashes were forgotten; each request counted the quarantine anew.

--- a/src/coordination/gateway/CrashQuarantine.ts
+++ b/src/coordination/gateway/CrashQuarantine.ts
@@ -61,6 +61,8 @@
 export class CrashQuarantine {
   readonly #entries = new Map<string, Entry>();
 
+  #requestCount = 0;
+
   /** Number of parts in quarantine. */
   get size(): number {
     return [...this.#entries.values()].filter(({ strikes }) => strikes > 0).length;
@@ -68,9 +70,7 @@
 
   /** Number of requests among them. */
   get requestCount(): number {
-    return [...this.#entries.values()].filter(
-      ({ part, strikes }) => strikes > 0 && kindOf(part) === 'request',
-    ).length;
+    return this.#requestCount;
   }
 
   /** Whether a part is in quarantine, be it between two periods. */
@@ -219,6 +219,7 @@
     this.#entries.forEach(({ until }, key) => {
       if (now - until > RETENTION_MS) this.#entries.delete(key);
     });
+    this.#countRequests();
   }
 
   #entriesOf(service: string, parts: readonly string[]): Entry[] {
@@ -234,5 +235,13 @@
     this.#entries.set(key, entry);
     const [oldest] = this.#entries.keys();
     if (this.#entries.size > MAXIMUM_ENTRIES && oldest !== undefined) this.#entries.delete(oldest);
+    this.#countRequests();
+  }
+
+  /** Counts once for each change, as every request asks for the number. */
+  #countRequests(): void {
+    this.#requestCount = [...this.#entries.values()].filter(
+      ({ part, strikes }) => strikes > 0 && kindOf(part) === 'request',
+    ).length;
   }
 }
--- a/src/coordination/gateway/RequestCrashAttribution.ts
+++ b/src/coordination/gateway/RequestCrashAttribution.ts
@@ -123,7 +123,6 @@
 
   /** Forgets crashes that no longer count. */
   evict(now: number): void {
-    if (this.#crashes.length === 0) return;
     this.#crashes = this.#crashes.filter(({ at }) => now - at <= RETENTION_MS);
     this.#servedAt.forEach((at, fingerprint) => {
       if (now - at > RETENTION_MS) this.#servedAt.delete(fingerprint);
--- a/test/crashes/fatalRequests.test.ts
+++ b/test/crashes/fatalRequests.test.ts
@@ -52,7 +52,7 @@
         fatal,
         fatalRate: 2,
         trafficMs: 22_000,
-        selfCrashes: false,
+        selfCrashes: 'none',
         disturbance,
         program,
         folder,
--- a/test/crashes/main.ts
+++ b/test/crashes/main.ts
@@ -77,9 +77,12 @@
 
 const playRequests = async (common: CommonPlay): Promise<Verdict> => {
   const { seed } = common;
-  const selfCrashes = seed % 2 === 0;
+  const isOutage = seed % 5 === 0;
+  const single = seed % 2 === 0 ? 'single' : 'none';
+  const selfCrashes = isOutage ? 'all' : single;
   const first = seed % FATAL_REQUESTS.length;
-  const fatal = seed % 4 === 3 ? FATAL_REQUESTS : FATAL_REQUESTS.slice(first, first + 1);
+  const one = FATAL_REQUESTS.slice(first, isOutage ? first : first + 1);
+  const fatal = seed % 4 === 3 && !isOutage ? FATAL_REQUESTS : one;
   const result = await withOwner((owner) =>
     playFatalRequests(owner, {
       ...common,
@@ -89,7 +92,7 @@
     }),
   );
   // Endpoints that crash by themselves end sound requests as well.
-  const leastShare = selfCrashes ? LEAST_RELATIVE_SHARE : LEAST_SHARE_BESIDE_REQUESTS;
+  const leastShare = selfCrashes === 'single' ? LEAST_RELATIVE_SHARE : LEAST_SHARE_BESIDE_REQUESTS;
   const kept =
     result.falselyRefused === 0 &&
     Math.max(...result.arrivalsAfterBound) <= MOST_ARRIVALS &&
--- a/test/crashes/playFatalRequests.ts
+++ b/test/crashes/playFatalRequests.ts
@@ -22,8 +22,8 @@
   readonly fatalRate: number;
   /** Time from the first fatal request to the end, in ms. */
   readonly trafficMs: number;
-  /** Whether endpoints also crash by themselves. */
-  readonly selfCrashes: boolean;
+  /** Whether endpoints also crash by themselves: one now and then, or all at once and again when they are back. */
+  readonly selfCrashes: 'none' | 'single' | 'all';
   readonly disturbance: CrashDisturbance;
   /** Path of the gateway's bundled program. */
   readonly program: string;
@@ -49,6 +49,10 @@
 const DOWN_MS = 2_500;
 const BOUND_CRASHES = 3;
 const SELF_CRASH_INTERVAL_MS = 4_000;
+/** Times of the crashes of all endpoints after the end of the calm. */
+const OUTAGES_MS = [1_000, 4_000, 7_000];
+/** Time from the last of them to the end of its effects. */
+const AFTER_OUTAGES_MS = 6_000;
 const KEY = 'key-of-the-office';
 const FATAL_BODY = 'fatal';
 const SERVED = 200;
@@ -204,7 +208,11 @@
   await wait(CALM_MS);
   const fatalFrom = performance.now();
   play.fatal.forEach((name) => sendAtRate(play.fatalRate, () => send(name, FATAL[name]), endsAt));
-  if (play.selfCrashes) {
+  if (play.selfCrashes === 'all')
+    OUTAGES_MS.forEach((at) =>
+      setTimeout(() => endpoints.forEach((endpoint) => endpoint.crash()), at),
+    );
+  if (play.selfCrashes === 'single') {
     const timer = setInterval(() => {
       endpoints[Math.floor(fraction() * endpoints.length)]?.crash();
     }, SELF_CRASH_INTERVAL_MS);
@@ -214,7 +222,10 @@
 
   const thirdCrashOf = (name: FatalRequest): number =>
     crashes.get(name)?.[BOUND_CRASHES - 1] ?? Number.POSITIVE_INFINITY;
+  const outagesEndAt =
+    play.selfCrashes === 'all' ? fatalFrom + Math.max(...OUTAGES_MS) + AFTER_OUTAGES_MS : 0;
   const lastThird = Math.max(
+    fatalFrom,
     ...play.fatal.map((name) => {
       const third = thirdCrashOf(name);
       return Number.isFinite(third) ? third : fatalFrom;
@@ -250,6 +261,6 @@
       ({ runs, sent: { status } }) => runs && REFUSED.includes(status),
     ).length,
     soundBefore: soundShares(0, fatalFrom - 500),
-    soundAfter: soundShares(lastThird + 2 * CONTACT_MS, endsAt),
+    soundAfter: soundShares(Math.max(lastThird + 2 * CONTACT_MS, outagesEndAt), endsAt),
   };
 };
