Take a ticket for charged to its quota only once the scheduler says so

Cause: a gateway took its tickets for charged that it had sent before the scheduler's last sign of life. Over a link that is silent one way the scheduler is heard and hears nothing; the next scheduler placed these tickets without a charge. Change: the scheduler confirms charges of tickets that wait (ChargeConfirmations); without it a ticket is charged again, so that what is lost is use of a quota, never its bound.

--- a/src/app/gateway/LocalTickets.ts
+++ b/src/app/gateway/LocalTickets.ts
@@ -16,7 +16,7 @@
 
 /** A placement ticket that no scheduler has decided yet. */
 export interface PendingTicket {
-  /** Its `quotaUnits` become 0 once a scheduler has charged them. */
+  /** Its `quotaUnits` become 0 once a scheduler says that it has charged them. */
   ticket: PlacementTicket;
   /** Time of the request in ms, monotonic. */
   readonly requestedAt: number;
@@ -143,16 +143,15 @@
   }
 
   /**
-   * Marks the pending tickets whose quota a scheduler has already charged: those that were sent to it
-   * before its last message. The next scheduler then charges only the others.
+   * Marks pending tickets whose quota the scheduler says that it has charged. The next scheduler then charges
+   * only the others.
    *
-   * @param scheduler - incarnation of the gateway that was the scheduler
-   * @param heardAt - time of its last message in ms, monotonic
+   * @param ids - ids of the tickets; those that aren't pending are ignored
    */
-  markQuotaCharged(scheduler: string, heardAt: number): void {
-    this.#pending.forEach((entry) => {
-      if (entry.scheduler !== scheduler || entry.requestedAt >= heardAt) return;
-      entry.ticket = { ...entry.ticket, quotaUnits: 0 };
+  markQuotaCharged(ids: readonly string[]): void {
+    ids.forEach((id) => {
+      const entry = this.#pending.get(id);
+      if (entry !== undefined) entry.ticket = { ...entry.ticket, quotaUnits: 0 };
     });
   }
 }
--- a/src/app/gateway/PlacementCoordinator.ts
+++ b/src/app/gateway/PlacementCoordinator.ts
@@ -12,6 +12,7 @@
 } from '../../protocol/peer/GatewayMessages.ts';
 import type { PeerMessage } from '../../protocol/peer/PeerMessage.ts';
 import { endpointStartOf, type Account } from '../../state/gateway/index.ts';
+import { ChargeConfirmations } from './ChargeConfirmations.ts';
 import type { CrashMonitor } from './CrashMonitor.ts';
 import { listEngineSpeeds } from './listEngineSpeeds.ts';
 import { LocalTickets, withRemainingTimes, type PlacementAnswer } from './LocalTickets.ts';
@@ -20,6 +21,7 @@
 import { refuseOverQuota } from './refuseOverQuota.ts';
 import { partsOf, quarantineAnswer, refuseQuarantined } from './refuseQuarantined.ts';
 import type { PeerGroup } from './PeerGroup.ts';
+import { ownShare, schedulerShare } from './slotShares.ts';
 
 /** Collaborators of a placement coordinator. */
 export interface PlacementCoordinatorOptions {
@@ -66,6 +68,8 @@
   /** Tickets that were admitted as trials of quarantined prompt parts. */
   readonly #trials = new Set<string>();
 
+  readonly #charges = new ChargeConfirmations();
+
   /** Time of the last request or state report of each gateway, with its incarnation as the key. */
   readonly #requesters = new Map<string, number>();
 
@@ -177,6 +181,11 @@
     if (this.#isLeader()) this.#tickLeader(now);
     else this.#tickFollower(now);
     this.#decideWhenDue(now);
+    this.#charges
+      .take((id) => this.scheduler.isWaiting(id))
+      .forEach(({ owner, ids }) =>
+        this.#options.group().send(owner, { _tag: 'placementQueued', ids }),
+      );
   }
 
   /**
@@ -196,7 +205,7 @@
         this.#noteRequester(from, now);
         this.#startChargingQuotas(now);
         message.tickets.forEach((ticket) =>
-          this.#enqueue(from, ticket, this.#leaderShare(now), now),
+          this.#enqueue(from, ticket, schedulerShare(this.#options.group(), now), now),
         );
         this.#decideWhenDue(now);
         return;
@@ -211,6 +220,9 @@
           decidedBy: from,
         });
         return;
+      case 'placementQueued':
+        this.#tickets.markQuotaCharged(message.ids);
+        return;
       case 'placementWithdraw':
         message.ids.forEach((id) => this.scheduler.withdraw(id));
         return;
@@ -225,7 +237,7 @@
         this.#noteRequester(from, now);
         this.scheduler.reconcile(from, message.running, now);
         message.waiting.forEach((ticket) =>
-          this.#enqueue(from, ticket, this.#leaderShare(now), now),
+          this.#enqueue(from, ticket, schedulerShare(this.#options.group(), now), now),
         );
         this.#decideWhenDue(now);
         return;
@@ -257,7 +269,6 @@
     const leader = group.leader();
     if (leader === this.#leader) return;
     const previousLeader = this.#leader;
-    this.#tickets.markQuotaCharged(this.#leader, this.#leaderHeardAt);
     this.#leader = leader;
     this.#leaderHeardAt = now;
     this.#options.logger.info(
@@ -283,7 +294,7 @@
 
   #tickLeader(now: number): void {
     const group = this.#options.group();
-    this.scheduler.setSlotAllocation({ share: this.#leaderShare(now) });
+    this.scheduler.setSlotAllocation({ share: schedulerShare(this.#options.group(), now) });
     if (now - this.#heartbeatSentAt >= HEARTBEAT_INTERVAL_MS) {
       this.#heartbeatSentAt = now;
       const message: PeerMessage = {
@@ -302,7 +313,7 @@
   }
 
   #tickFollower(now: number): void {
-    this.scheduler.setSlotAllocation({ share: this.#ownShare(now) });
+    this.scheduler.setSlotAllocation({ share: ownShare(this.#options.group(), now) });
     if (
       now - this.#stateReportedAt >= STATE_REPORT_INTERVAL_MS &&
       this.#tickets.heldCount + this.#tickets.waitingCount > 0
@@ -330,19 +341,6 @@
       .some(({ requestedAt }) => now - requestedAt > LEADER_SILENCE_MS);
   }
 
-  /** Share of the slots that the leader may use; the rest is reserved for members that may be partitioned. */
-  #leaderShare(now: number): number {
-    const group = this.#options.group();
-    const alive = Math.max(1, group.liveMembers().length);
-    const lost = group.recentlyLostMembers(now).length;
-    return alive / (alive + lost);
-  }
-
-  #ownShare(now: number): number {
-    const group = this.#options.group();
-    return 1 / Math.max(1, group.liveMembers().length + group.recentlyLostMembers(now).length);
-  }
-
   #decideLocally(id: string, now: number): void {
     const pending = this.#tickets.findPending(id);
     if (pending === undefined) return;
@@ -350,7 +348,7 @@
     this.#startChargingQuotas(now);
     this.#options.crashes.decideQuarantine();
     pending.scheduler = own;
-    const share = this.#ownShare(now);
+    const share = ownShare(this.#options.group(), now);
     this.scheduler.setSlotAllocation({ share });
     this.#options.logger.warn(
       { ticket: id, scheduler: this.#leader, silentMs: Math.round(now - this.#leaderHeardAt) },
@@ -367,7 +365,6 @@
   #startChargingQuotas(now: number): void {
     if (this.#isChargingQuotas) return;
     this.#isChargingQuotas = true;
-    this.#tickets.markQuotaCharged(this.#leader, this.#leaderHeardAt);
     this.#options.quotas.reset(now);
     this.#options.limits.reset(now);
   }
@@ -392,6 +389,8 @@
       }
     }
     this.scheduler.enqueue(owner, ticket, now);
+    if (owner !== this.#options.group().incarnation && ticket.quotaUnits > 0)
+      this.#charges.add(owner, ticket.id);
   }
 
   /** Runs the scheduler now, or after the minimum interval: under load one run serves many messages. */
--- a/src/app/routePeerMessage.ts
+++ b/src/app/routePeerMessage.ts
@@ -122,6 +122,7 @@
     case 'placementRequest':
     case 'placementGrant':
     case 'placementRefusal':
+    case 'placementQueued':
     case 'placementWithdraw':
     case 'placementStarted':
     case 'placementEnd':
--- a/src/coordination/gateway/PlacementScheduler.ts
+++ b/src/coordination/gateway/PlacementScheduler.ts
@@ -140,6 +140,11 @@
     return this.#waiting.has(id) || this.#findRunning(id) !== undefined;
   }
 
+  /** Whether a ticket waits in the queue. */
+  isWaiting(id: string): boolean {
+    return this.#waiting.has(id);
+  }
+
   /** Returns the ticket and the engine of a running request; undefined if it doesn't run. */
   findRunning(
     id: string,
--- a/src/protocol/peer/GatewayMessages.ts
+++ b/src/protocol/peer/GatewayMessages.ts
@@ -161,6 +161,8 @@
     reason: PlacementRefusalReason,
     retryAfterMs: Milliseconds,
   }),
+  /** Tickets that wait for a slot and were charged to their quotas. */
+  Schema.TaggedStruct('placementQueued', { ids: Schema.Array(Schema.NonEmptyString) }),
   Schema.TaggedStruct('placementWithdraw', { ids: Schema.Array(Schema.NonEmptyString) }),
   Schema.TaggedStruct('placementStarted', {
     id: Schema.NonEmptyString,
