End the gateway processes of a soak that is interrupted

Cause: gateways of soaks that were interrupted, or ended by an exception, lived on without a parent (29 of them), polled the closed port of their store, and the next soak's runner had got that port.

--- a/test/soak/GatewayProcess.ts
+++ b/test/soak/GatewayProcess.ts
@@ -53,9 +53,15 @@
   constructor(owner: Owner, options: GatewayProcessOptions) {
     this.#options = options;
     this.#log = createWriteStream(join(options.folder, `gateway-${options.index}.log`));
+    // A program that ends without releasing what it started must not leave processes behind.
+    const killAtExit = (): void => {
+      this.#child?.kill('SIGKILL');
+    };
+    process.once('exit', killAtExit);
     owner.after(async () => {
       this.#closed = true;
       await this.kill();
+      process.off('exit', killAtExit);
       this.#log.end();
     });
   }
