--- a/test/soak/GatewayProcess.ts
+++ b/test/soak/GatewayProcess.ts
@@ -32,6 +32,10 @@
 export const GRACE_MS = 8_000;
 const MS_PER_SECOND = 1_000;
 
+/** A program that ends without releasing what it started must not leave processes behind. */
+const running = new Set<ChildProcess>();
+process.once('exit', () => running.forEach((child) => child.kill('SIGKILL')));
+
 /** One gateway's process on this machine, restarted and harmed by signals. */
 export class GatewayProcess {
   readonly #options: GatewayProcessOptions;
@@ -53,15 +57,9 @@
   constructor(owner: Owner, options: GatewayProcessOptions) {
     this.#options = options;
     this.#log = createWriteStream(join(options.folder, `gateway-${options.index}.log`));
-    // A program that ends without releasing what it started must not leave processes behind.
-    const killAtExit = (): void => {
-      this.#child?.kill('SIGKILL');
-    };
-    process.once('exit', killAtExit);
     owner.after(async () => {
       this.#closed = true;
       await this.kill();
-      process.off('exit', killAtExit);
       this.#log.end();
     });
   }
@@ -133,6 +131,7 @@
       stdio: ['ignore', 'pipe', 'pipe'],
     });
     this.#child = child;
+    running.add(child);
     this.#hasSpoken = false;
     child.stdout?.once('data', () => {
       this.#hasSpoken = this.#child === child;
@@ -140,6 +139,7 @@
     child.stdout?.pipe(this.#log, { end: false });
     child.stderr?.pipe(this.#log, { end: false });
     child.once('exit', (code, signal) => {
+      running.delete(child);
       if (this.#child === child) this.#child = undefined;
       if (!this.#expectsEnd) {
         this.#options.onUnexpectedEnd(`gateway ${this.#options.index}: code ${code}, ${signal}`);
