Log whose request backs an engine off, and how many engines a refused request could use

The log said neither why an engine got no requests nor which gateway's request was the reason, so that backoffs, slots held by hanging tries and a lack of engines couldn't be told apart.

'engine backed off' names the engine, the gateway whose request it was, the outcome and the time. 'slot refused' has the number of engines that are listed and of those that the request could use. No decision changes.

--- a/src/app/gateway/PlacementCoordinator.ts
+++ b/src/app/gateway/PlacementCoordinator.ts
@@ -425,7 +425,9 @@
 
   #recordEnd(id: string, result: PlacementResult, now: number): void {
     const running = this.scheduler.findRunning(id);
-    this.scheduler.recordEnd(id, result, now);
+    const backoff = this.scheduler.recordEnd(id, result, now);
+    if (backoff !== undefined)
+      this.#options.logger.info({ ...backoff, outcome: result.outcome }, 'engine backed off');
     this.#trials.delete(id);
     if (running === undefined || result.outcome !== 'served') return;
     const { ticket, record } = running;
--- a/src/app/gateway/logPlacementDecision.ts
+++ b/src/app/gateway/logPlacementDecision.ts
@@ -29,10 +29,10 @@
       return;
     }
     case 'refuse': {
-      const { reason, retryAfterMs, expectedWaitMs } = decision;
+      const { reason, retryAfterMs, expectedWaitMs, engines } = decision;
       const roundedWaitMs = Math.round(expectedWaitMs);
       logger.info(
-        { ...common, reason, retryAfterMs, expectedWaitMs: roundedWaitMs },
+        { ...common, reason, retryAfterMs, expectedWaitMs: roundedWaitMs, ...engines },
         'slot refused',
       );
       return;
--- a/src/coordination/gateway/EndpointAvailability.ts
+++ b/src/coordination/gateway/EndpointAvailability.ts
@@ -37,8 +37,14 @@
    *
    * @param outcome - how the request ended
    * @param now - current time, in ms
+   * @returns the time in ms for which the endpoint now gets no requests; 0 if it may get some
    */
-  recordOutcome(outcome: PlacementResult['outcome'], now: number): void {
+  recordOutcome(outcome: PlacementResult['outcome'], now: number): number {
+    this.#applyOutcome(outcome, now);
+    return Math.max(0, this.#backoffUntil - now);
+  }
+
+  #applyOutcome(outcome: PlacementResult['outcome'], now: number): void {
     switch (outcome) {
       case 'served':
         this.#recordResponse(0);
--- a/src/coordination/gateway/PlacementScheduler.ts
+++ b/src/coordination/gateway/PlacementScheduler.ts
@@ -39,8 +39,18 @@
       readonly expectedWaitMs: number;
       /** Time after which the caller should retry, in ms. */
       readonly retryAfterMs: number;
+      /** Engines of the service, and those of them that this request could use; absent if it wasn't queued. */
+      readonly engines?: { readonly listed: number; readonly usable: number };
     };
 
+/** An engine that gets no requests for a while, because of the outcome of one. */
+export interface EngineBackoff {
+  readonly endpoint: string;
+  /** Incarnation of the gateway whose request it was. */
+  readonly owner: string;
+  readonly backoffMs: number;
+}
+
 const MS_PER_SECOND = 1_000;
 /** Time for a grant to reach its gateway and to appear in the state that the gateway reports. */
 const GRANT_DELIVERY_GRACE_MS = 1_000;
@@ -59,6 +69,7 @@
 const refuseImmediately = (
   { owner, ticket, arrivedAt }: WaitingPlacement,
   untilAllowedMs: number,
+  engines: { readonly listed: number; readonly usable: number },
   now: number,
 ): PlacementDecision => ({
   _tag: 'refuse',
@@ -68,6 +79,7 @@
   waitedMs: now - arrivedAt,
   expectedWaitMs: untilAllowedMs,
   retryAfterMs: untilAllowedMs,
+  engines,
 });
 
 /**
@@ -179,17 +191,22 @@
    * @param id - the ticket's id; an unknown one is ignored
    * @param result - how the request ended
    * @param now - current time, in ms
+   * @returns the backoff of the engine that the outcome led to, if any
    */
-  recordEnd(id: string, result: PlacementResult, now: number): void {
+  recordEnd(id: string, result: PlacementResult, now: number): EngineBackoff | undefined {
     const running = this.#findRunning(id);
-    if (running === undefined) return;
-    const { engine } = running;
+    if (running === undefined) return undefined;
+    const { engine, placement } = running;
     engine.release(id, now);
     if (result.outcome === 'unused') this.#limits.refund(endpointStartOf(engine.record), now);
-    engine.availability.recordOutcome(result.outcome, now);
+    const backoffMs = engine.availability.recordOutcome(result.outcome, now);
     const { decodeMs, outputTokens } = result;
-    if (decodeMs === undefined || outputTokens === undefined) return;
-    engine.speed.recordDecode(outputTokens, decodeMs);
+    if (decodeMs !== undefined && outputTokens !== undefined)
+      engine.speed.recordDecode(outputTokens, decodeMs);
+    const isBackoff = result.outcome === 'unreachable' || result.outcome === 'turnedAway';
+    return isBackoff && backoffMs > 0
+      ? { endpoint: engine.record.id, owner: placement.owner, backoffMs }
+      : undefined;
   }
 
   /**
@@ -292,11 +309,12 @@
       now,
     });
     const decisions: PlacementDecision[] = [];
+    const listed = engines.length;
     /** Slot time that the tickets ahead in the queue are expected to use, in ms. */
     let slotMsQueuedAhead = 0;
     const slots = this.#countSlots(group, ordered, now);
     ordered.forEach((queued) => {
-      const decision = this.#decide(queued, group, slotMsQueuedAhead / slots, now);
+      const decision = this.#decide(queued, { group, listed }, slotMsQueuedAhead / slots, now);
       if (decision === undefined) {
         slotMsQueuedAhead += group.forecast(queued.ticket).slotHoldMs;
         return;
@@ -313,19 +331,24 @@
    * Grants a slot to a ticket, or refuses it.
    *
    * @param queued - the ticket
-   * @param group - the usable engines of its service
+   * @param engines - the usable engines of its service, and the number of all that are listed
    * @param expectedWaitMs - expected time until a slot is free, in ms
    * @param now - current time, in ms
    * @returns the decision, or undefined if the ticket stays in the queue
    */
   #decide(
     queued: WaitingPlacement,
-    group: EngineGroup,
+    { group, listed }: { readonly group: EngineGroup; readonly listed: number },
     expectedWaitMs: number,
     now: number,
   ): PlacementDecision | undefined {
     const { ticket, owner, arrivedAt } = queued;
     const waitedMs = now - arrivedAt;
+    const usable =
+      ticket.avoid.length === 0
+        ? group.engines
+        : group.engines.filter(({ record }) => !ticket.avoid.includes(record.id));
+    const engines = { listed, usable: usable.length };
     const refuse = (
       reason: PlacementRefusalReason,
       expectedMs = expectedWaitMs,
@@ -341,13 +364,10 @@
         expectedMs,
         this.#grantRatios.grantRatio(fairnessGroup(ticket, this.#routeSizes), now),
       ),
+      engines,
     });
     const remainingMs = ticket.remainingMs - waitedMs;
     if (remainingMs < MINIMUM_REMAINING_MS) return refuse('deadline');
-    const usable =
-      ticket.avoid.length === 0
-        ? group.engines
-        : group.engines.filter(({ record }) => !ticket.avoid.includes(record.id));
     if (usable.length === 0) return refuse('noEndpoint');
     const targetMs = ticket.targetMs - waitedMs;
     const limitWaitMs = (engine: EngineLoad): number =>
@@ -366,14 +386,14 @@
     if (candidate !== undefined) return this.#grant(queued, candidate, now);
     if (open.length === 0) {
       const untilAllowedMs = Math.min(...usable.map(limitWaitMs));
-      if (ticket.immediate) return refuseImmediately(queued, untilAllowedMs, now);
+      if (ticket.immediate) return refuseImmediately(queued, untilAllowedMs, engines, now);
       // Requests that only limited endpoints can take wait as long as their deadlines allow.
       const limitedWaitMs = expectedWaitMs + untilAllowedMs;
       return limitedWaitMs + group.forecast(ticket).firstTokenMs > remainingMs
         ? refuse('overload', limitedWaitMs)
         : undefined;
     }
-    if (ticket.immediate) return refuseImmediately(queued, 0, now);
+    if (ticket.immediate) return refuseImmediately(queued, 0, engines, now);
     const willMissTarget = expectedWaitMs + group.forecast(ticket).firstTokenMs > targetMs;
     if (!willMissTarget) return undefined;
     // The target for the first token can't be met by waiting, so the request is placed late if its
