Let the plays of limits and of crashing requests share callers, disturbances and endpoints

PlayCallers, FleetDisturbance and StatingEndpoint (LimitingEndpoint before) serve them. A gateway process of a play can be cut from its endpoints: a module that is loaded into it disturbs its connections.

--- a/test/crashes/playFatalRequests.ts
+++ b/test/crashes/playFatalRequests.ts
@@ -1,10 +1,17 @@
-import * as http from 'node:http';
 import { setTimeout as wait } from 'node:timers/promises';
 import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64';
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
-import { makeSoakConfiguration, SERVICES, SOAK_HOST } from '../soak/soakConfiguration.ts';
+import { makeSoakConfiguration, SERVICES } from '../soak/soakConfiguration.ts';
 import { CONTACT_MS, GatewayFleet } from '../support/GatewayFleet.ts';
 import type { Owner } from '../support/Owner.ts';
+import {
+  PlayCallers,
+  NOT_RUN_STATUSES,
+  isServed,
+  shareOf,
+  type CallerContent,
+  type SentRequest,
+} from '../support/PlayCallers.ts';
 import { makeCrashDisturbance, type CrashDisturbance } from './CrashDisturbance.ts';
 import { CrashingEndpoint, type EndpointRequest } from './CrashingEndpoint.ts';
 
@@ -53,35 +60,22 @@
 const OUTAGES_MS = [1_000, 4_000, 7_000];
 /** Time from the last of them to the end of its effects. */
 const AFTER_OUTAGES_MS = 6_000;
-const KEY = 'key-of-the-office';
 const FATAL_BODY = 'fatal';
-const SERVED = 200;
-const REFUSED = [408, 421, 429, 503];
+const PROMPT_HEADERS = { 'x-corianderwick-token-count': '300,40' };
 
 /** Kinds of sound requests with their requests a second. The hot one is always the same request. */
 const SOUND_RATES = { unique: 8, hot: 8, sameUrl: 5, prompt: 8 } as const;
 type SoundKind = keyof typeof SOUND_RATES;
 
-interface Content {
-  readonly method: string;
-  readonly path: string;
-  readonly body?: string;
-}
-
-interface Sent {
-  readonly kind: SoundKind | FatalRequest;
-  readonly gateway: number;
-  readonly at: number;
-  status: number;
-}
+type Sent = SentRequest<SoundKind | FatalRequest>;
 
-const FATAL: Readonly<Record<FatalRequest, Content>> = {
+const FATAL: Readonly<Record<FatalRequest, CallerContent>> = {
   read: { method: 'GET', path: '/read/report?of=all' },
   write: { method: 'POST', path: '/write/order', body: FATAL_BODY },
-  resumed: { method: 'POST', path: '/resumed/chat', body: FATAL_BODY },
+  resumed: { method: 'POST', path: '/resumed/chat', body: FATAL_BODY, headers: PROMPT_HEADERS },
 };
 
-const makeSound = (kind: SoundKind, count: number): Content => {
+const makeSound = (kind: SoundKind, count: number): CallerContent => {
   switch (kind) {
     case 'unique':
       return { method: 'GET', path: `/read/${count}` };
@@ -90,18 +84,15 @@
     case 'sameUrl':
       return { method: 'POST', path: FATAL.write.path, body: `sound ${count}` };
     case 'prompt':
-      return { method: 'POST', path: FATAL.resumed.path, body: `sound ${count}` };
+      return { ...FATAL.resumed, body: `sound ${count}` };
     default:
       return kind satisfies never;
   }
 };
 
-const isSame = (content: Content, request: EndpointRequest): boolean =>
+const isSame = (content: CallerContent, request: EndpointRequest): boolean =>
   content.path === request.path && (content.body ?? '') === request.body;
 
-const shareServed = (sent: readonly Sent[]): number =>
-  sent.length === 0 ? 1 : sent.filter(({ status }) => status === SERVED).length / sent.length;
-
 /**
  * Plays gateways as processes before endpoints that crash under some requests, which come again and again,
  * among sound ones.
@@ -122,7 +113,14 @@
     program: play.program,
     folder: play.folder,
   });
-  const sent = new Map<string, Sent>();
+  const callers = new PlayCallers<SoundKind | FatalRequest>(owner, {
+    fleet,
+    prefix: `fatal-${play.seed}`,
+    fraction,
+    deadlineMs: DEADLINE_MS,
+    patienceMs: 2 * DEADLINE_MS,
+  });
+  const { sent } = callers;
   const arrivals: { readonly sent: Sent; readonly at: number; readonly runs: boolean }[] = [];
   const crashes = new Map<FatalRequest, number[]>(play.fatal.map((name) => [name, []]));
   const disturb = makeCrashDisturbance(owner, fleet, play.disturbance);
@@ -157,57 +155,23 @@
     }
   }
 
-  const agent = new http.Agent({ keepAlive: true });
-  owner.after(() => agent.destroy());
-  const send = (kind: SoundKind | FatalRequest, { method, path, body }: Content): void => {
-    const gateway = Math.floor(fraction() * fleet.size);
-    const id = `fatal-${play.seed}-${sent.size + 1}`;
-    const request: Sent = { kind, gateway, at: performance.now(), status: 0 };
-    sent.set(id, request);
-    const call = http.request({
-      ...fleet.callerAddress(gateway),
-      path,
-      method,
-      agent,
-      headers: {
-        host: SOAK_HOST,
-        'x-corianderwick-request-id': id,
-        'x-corianderwick-key': KEY,
-        'x-corianderwick-deadline-ms': String(DEADLINE_MS),
-        ...(path.startsWith('/resumed/') && { 'x-corianderwick-token-count': '300,40' }),
-      },
-    });
-    call.setTimeout(2 * DEADLINE_MS, () => call.destroy());
-    call.on('error', () => {});
-    call.on('response', (response) => {
-      response.resume();
-      response.on('error', () => {});
-      response.on('close', () => {
-        if (response.complete) request.status = response.statusCode ?? 0;
-      });
-    });
-    call.end(body);
-  };
-  const sendAtRate = (rate: number, sendOne: () => void, untilAt: number): void => {
-    const pauseMs = (-Math.log(1 - fraction()) * 1_000) / rate;
-    setTimeout(() => {
-      if (performance.now() > untilAt) return;
-      sendOne();
-      sendAtRate(rate, sendOne, untilAt);
-    }, pauseMs);
-  };
-
   const endsAt = performance.now() + CALM_MS + play.trafficMs;
   Object.entries(SOUND_RATES).forEach(([kind, rate]) =>
-    sendAtRate(
-      rate,
-      () => send(kind as SoundKind, makeSound(kind as SoundKind, sent.size)),
+    callers.sendAtRate(
+      () => rate,
+      () => callers.send(kind as SoundKind, makeSound(kind as SoundKind, sent.size)),
       endsAt,
     ),
   );
   await wait(CALM_MS);
   const fatalFrom = performance.now();
-  play.fatal.forEach((name) => sendAtRate(play.fatalRate, () => send(name, FATAL[name]), endsAt));
+  play.fatal.forEach((name) =>
+    callers.sendAtRate(
+      () => play.fatalRate,
+      () => callers.send(name, FATAL[name]),
+      endsAt,
+    ),
+  );
   if (play.selfCrashes === 'all')
     OUTAGES_MS.forEach((at) =>
       setTimeout(() => endpoints.forEach((endpoint) => endpoint.crash()), at),
@@ -235,14 +199,15 @@
     Object.fromEntries(
       Object.keys(SOUND_RATES).map((kind) => [
         kind,
-        shareServed(
-          [...sent.values()].filter(
+        shareOf(
+          callers.select(
             (request) =>
               request.kind === kind &&
               request.at > from &&
               request.at < to &&
               fleet.isInTouch(request.gateway, request.at),
           ),
+          isServed,
         ),
       ]),
     );
@@ -258,7 +223,7 @@
         ).length,
     ),
     falselyRefused: arrivals.filter(
-      ({ runs, sent: { status } }) => runs && REFUSED.includes(status),
+      ({ runs, sent: { status } }) => runs && NOT_RUN_STATUSES.includes(status),
     ).length,
     soundBefore: soundShares(0, fatalFrom - 500),
     soundAfter: soundShares(Math.max(lastThird + 2 * CONTACT_MS, outagesEndAt), endsAt),
--- a/test/limits/limits.test.ts
+++ b/test/limits/limits.test.ts
@@ -6,7 +6,8 @@
 import { fileURLToPath } from 'node:url';
 import { promisify } from 'node:util';
 import { expect } from 'earl';
-import { playLimits, type LimitDisturbance } from './playLimits.ts';
+import type { FleetDisturbance } from '../support/FleetDisturbance.ts';
+import { playLimits } from './playLimits.ts';
 
 const BUILD = fileURLToPath(new URL('../../scripts/buildPlatform.mjs', import.meta.url));
 
@@ -14,7 +15,7 @@
   readonly seed: number;
   readonly name: string;
   readonly limited: number;
-  readonly disturbance: LimitDisturbance;
+  readonly disturbance: FleetDisturbance;
 }[] = [
   { seed: 1, name: 'one of three', limited: 1, disturbance: { _tag: 'none' } },
   {
--- a/test/limits/main.ts
+++ b/test/limits/main.ts
@@ -2,8 +2,9 @@
 import { mkdirSync, rmSync } from 'node:fs';
 import { join } from 'node:path';
 import { parseArgs } from 'node:util';
+import type { FleetDisturbance } from '../support/FleetDisturbance.ts';
 import { withOwner } from '../support/withOwner.ts';
-import { playLimits, type LimitDisturbance, type LimitShape } from './playLimits.ts';
+import { playLimits, type LimitShape } from './playLimits.ts';
 
 const { values } = parseArgs({
   options: {
@@ -20,7 +21,7 @@
 const MS_PER_SECOND = 1_000;
 
 /** One after the other, by the seed. */
-const DISTURBANCES: readonly LimitDisturbance[] = [
+const DISTURBANCES: readonly FleetDisturbance[] = [
   { _tag: 'none' },
   { _tag: 'schedulerKilled' },
   { _tag: 'schedulerPaused', forMs: 4_000 },
--- a/test/limits/playLimits.ts
+++ b/test/limits/playLimits.ts
@@ -1,25 +1,13 @@
-import * as http from 'node:http';
 import { setTimeout as wait } from 'node:timers/promises';
 import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64';
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
-import { makeSoakConfiguration, SERVICES, SOAK_HOST } from '../soak/soakConfiguration.ts';
+import { makeSoakConfiguration, SERVICES } from '../soak/soakConfiguration.ts';
+import { disturbFleet, type FleetDisturbance } from '../support/FleetDisturbance.ts';
 import { CONTACT_MS, GatewayFleet } from '../support/GatewayFleet.ts';
-import type { Owner } from '../support/Owner.ts';
-import { LimitingEndpoint } from './LimitingEndpoint.ts';
 import { LimitLedger } from '../support/LimitLedger.ts';
-
-/** What else happens while endpoints limit their requests; the scheduler is gateway 0. */
-export type LimitDisturbance =
-  | { readonly _tag: 'none' }
-  | { readonly _tag: 'schedulerKilled' }
-  | { readonly _tag: 'schedulerPaused'; readonly forMs: number }
-  /** What the scheduler sends doesn't reach the others, whose messages still reach it. */
-  | { readonly _tag: 'schedulerCutOneWay'; readonly forMs: number }
-  | { readonly _tag: 'storeAway' }
-  /** The other gateways are killed and start again, one every so often. */
-  | { readonly _tag: 'othersKilled'; readonly everyMs: number }
-  /** All gateways are stopped and started again, one after the other. */
-  | { readonly _tag: 'release' };
+import type { Owner } from '../support/Owner.ts';
+import { PlayCallers, isServed, shareOf } from '../support/PlayCallers.ts';
+import { StatingEndpoint } from '../support/StatingEndpoint.ts';
 
 /** How endpoints limit their requests. */
 export type LimitShape =
@@ -38,7 +26,7 @@
   /** How many of these limit their requests. */
   readonly limited: number;
   readonly shape: LimitShape;
-  readonly disturbance: LimitDisturbance;
+  readonly disturbance: FleetDisturbance;
   /** Requests a second to each service. */
   readonly rate: number;
   /** Time for which the endpoints state a limit, in ms. */
@@ -68,51 +56,9 @@
 const AFTER_MS = 4_000;
 const DEADLINE_MS = 1_200;
 const DISTURBED_AFTER_MS = 5_000;
-const KEY = 'key-of-the-office';
-const SERVED = 200;
+const PATIENCE_MS = 2 * DEADLINE_MS;
 const RETRY_STATUSES = [429, 503];
 
-interface Sent {
-  readonly service: string;
-  readonly gateway: number;
-  readonly at: number;
-  status: number;
-  retryAfter: boolean;
-}
-
-const shareOf = <T>(all: readonly T[], holds: (one: T) => boolean): number =>
-  all.length === 0 ? 1 : all.filter(holds).length / all.length;
-
-const disturb = async (fleet: GatewayFleet, disturbance: LimitDisturbance): Promise<void> => {
-  switch (disturbance._tag) {
-    case 'none':
-      return;
-    case 'schedulerKilled':
-      await fleet.restart(0);
-      return;
-    case 'schedulerPaused':
-      await fleet.pause(0, disturbance.forMs);
-      return;
-    case 'schedulerCutOneWay':
-      await fleet.harmPeerLink(0, { _tag: 'silent', direction: 'toCaller' }, disturbance.forMs);
-      return;
-    case 'storeAway':
-      fleet.store.setAway(true);
-      return;
-    case 'othersKilled':
-      for (let index = 1; index < fleet.size; index += 1) {
-        await fleet.restart(index);
-        await wait(disturbance.everyMs);
-      }
-      return;
-    case 'release':
-      for (let index = 0; index < fleet.size; index += 1) await fleet.release(index);
-      return;
-    default:
-      disturbance satisfies never;
-  }
-};
-
 /**
  * Plays gateways as processes before endpoints that limit the rate of their requests for a while.
  *
@@ -133,7 +79,15 @@
     program: play.program,
     folder: play.folder,
   });
-  const sent = new Map<string, Sent>();
+  const callers = new PlayCallers<string>(owner, {
+    fleet,
+    prefix: `limit-${play.seed}`,
+    fraction,
+    deadlineMs: DEADLINE_MS,
+    patienceMs: PATIENCE_MS,
+  });
+  const gatewayOf = (requestId: string): string | undefined =>
+    callers.sent.get(requestId)?.gateway.toString();
   const ledgers = new Map<string, LimitLedger[]>();
   let limiting = false;
   const nextRate = (): number => {
@@ -150,24 +104,26 @@
   const startEndpoint = async (service: string, index: number): Promise<void> => {
     const ledger = new LimitLedger();
     ledgers.set(service, [...(ledgers.get(service) ?? []), ledger]);
-    await LimitingEndpoint.start(owner, {
+    await StatingEndpoint.start(owner, {
       name: `${service}-${index}`,
       service,
       streams: service === SERVICES.model,
       store: fleet.store,
-      statedLimits: () => {
-        if (!limiting || index >= play.limited) return [];
+      statements: () => {
+        if (!limiting || index >= play.limited) return {};
         const rate = nextRate();
         ledger.stated(rate, performance.now());
-        return shape._tag === 'twoLines' ? ['garbage', String(rate)] : [rate.toFixed(2)];
+        return {
+          'Server-Limit': shape._tag === 'twoLines' ? ['garbage', String(rate)] : rate.toFixed(2),
+        };
       },
       onArrival: (requestId, at) => {
-        const gateway = sent.get(requestId)?.gateway;
-        if (gateway !== undefined) ledger.arrived(String(gateway), at);
+        const gateway = gatewayOf(requestId);
+        if (gateway !== undefined) ledger.arrived(gateway, at);
       },
-      onStated: (requestId, at) => {
-        const gateway = sent.get(requestId)?.gateway;
-        if (gateway !== undefined) ledger.told(String(gateway), at);
+      onAnswer: (requestId, at) => {
+        const gateway = gatewayOf(requestId);
+        if (gateway !== undefined && limiting && index < play.limited) ledger.told(gateway, at);
       },
     });
   };
@@ -176,54 +132,31 @@
     await startEndpoint(SERVICES.model, index);
   }
 
-  const agent = new http.Agent({ keepAlive: true });
-  owner.after(() => agent.destroy());
-  const send = (service: string): void => {
-    const gateway = Math.floor(fraction() * fleet.size);
-    const id = `limit-${play.seed}-${sent.size + 1}`;
-    const request: Sent = { service, gateway, at: performance.now(), status: 0, retryAfter: false };
-    sent.set(id, request);
-    const call = http.request({
-      ...fleet.callerAddress(gateway),
-      path: service === SERVICES.model ? `/stream/${id}` : `/read/${id}`,
-      method: service === SERVICES.model ? 'POST' : 'GET',
-      agent,
-      headers: {
-        host: SOAK_HOST,
-        'x-corianderwick-request-id': id,
-        'x-corianderwick-key': KEY,
-        'x-corianderwick-deadline-ms': String(DEADLINE_MS),
-        ...(service === SERVICES.model && { 'x-corianderwick-token-count': '300,20' }),
-      },
-    });
-    call.setTimeout(2 * DEADLINE_MS, () => call.destroy());
-    call.on('error', () => {});
-    call.on('response', (response) => {
-      response.resume();
-      response.on('error', () => {});
-      response.on('close', () => {
-        if (response.complete) request.status = response.statusCode ?? 0;
-        request.retryAfter = response.headers['retry-after'] !== undefined;
-      });
-    });
-    call.end(service === SERVICES.model ? 'prompt' : undefined);
-  };
-  const sendAtRate = (service: string, untilAt: number): void => {
-    const pauseMs = (-Math.log(1 - fraction()) * 1_000) / play.rate;
-    setTimeout(() => {
-      if (performance.now() > untilAt) return;
-      send(service);
-      sendAtRate(service, untilAt);
-    }, pauseMs);
-  };
-
+  const send = (service: string): void =>
+    callers.send(
+      service,
+      service === SERVICES.model
+        ? {
+            method: 'POST',
+            path: '/stream/prompt',
+            body: 'prompt',
+            headers: { 'x-corianderwick-token-count': '300,20' },
+          }
+        : { method: 'GET', path: '/read/record' },
+    );
   const endsAt = performance.now() + CALM_MS + play.limitMs + AFTER_MS;
   const services = [SERVICES.plain, SERVICES.model];
-  services.forEach((service) => sendAtRate(service, endsAt));
+  services.forEach((service) =>
+    callers.sendAtRate(
+      () => play.rate,
+      () => send(service),
+      endsAt,
+    ),
+  );
   await wait(CALM_MS);
   const limitedFrom = performance.now();
   limiting = true;
-  const disturbing = wait(DISTURBED_AFTER_MS).then(() => disturb(fleet, play.disturbance));
+  const disturbing = wait(DISTURBED_AFTER_MS).then(() => disturbFleet(fleet, play.disturbance));
   await wait(play.limitMs);
   limiting = false;
   const limitedUntil = performance.now();
@@ -232,7 +165,7 @@
 
   const resultOf = (service: string): LimitResult => {
     const limited = (ledgers.get(service) ?? []).slice(0, play.limited);
-    const requests = [...sent.values()].filter((request) => request.service === service);
+    const requests = callers.select(({ kind }) => kind === service);
     const before = requests.filter(({ at }) => at < limitedFrom - DEADLINE_MS);
     const during = requests.filter(
       ({ at, gateway }) =>
@@ -249,9 +182,9 @@
         ...limited.map((ledger) => ledger.worstExcess(limitedUntil, isExcused)),
       ),
       usedShare: used.reduce((sum, share) => sum + share, 0) / used.length,
-      servedShareBefore: shareOf(before, ({ status }) => status === SERVED),
-      servedShareLimited: shareOf(during, ({ status }) => status === SERVED),
-      refusalsWithRetryAfter: shareOf(refused, ({ retryAfter }) => retryAfter),
+      servedShareBefore: shareOf(before, isServed),
+      servedShareLimited: shareOf(during, isServed),
+      refusalsWithRetryAfter: shareOf(refused, ({ hasRetryAfter }) => hasRetryAfter),
       mostAfter: Math.max(...limited.map((ledger) => ledger.mostInASecond(limitedUntil, endsAt))),
       mostBefore: Math.max(
         ...limited.map((ledger) => ledger.mostInASecond(limitedFrom - CALM_MS, limitedFrom)),
--- a/test/soak/GatewayProcess.ts
+++ b/test/soak/GatewayProcess.ts
@@ -1,6 +1,7 @@
 import { spawn, type ChildProcess } from 'node:child_process';
 import { createWriteStream, writeFileSync, type WriteStream } from 'node:fs';
 import { join } from 'node:path';
+import { fileURLToPath } from 'node:url';
 import type { Owner } from '../support/Owner.ts';
 
 /** What a gateway process is told. */
@@ -23,11 +24,19 @@
   readonly onUnexpectedEnd: (detail: string) => void;
 }
 
+/**
+ * What happens to a gateway's connections to endpoints: `silent` holds back bytes and lets no new connection
+ * be established; `oneWay` does the same, but what the gateway sends on open connections arrives; `reset`
+ * resets open connections and refuses new ones; `refusing` only refuses new ones.
+ */
+export type EndpointLinks = 'clear' | 'silent' | 'oneWay' | 'reset' | 'refusing';
+
 /** Ports are the same for all: each gateway has an address of its own. */
 export const PORTS = { front: 8221, ready: 8224, directory: 8220, peers: 7600, metrics: 7615 };
 
 /** As the deploy file starts it. */
 const NODE_OPTIONS = ['--max-old-space-size=200', '--max-semi-space-size=2'];
+const ENDPOINT_LINKS = fileURLToPath(new URL('../support/endpointLinks.mjs', import.meta.url));
 /** The platform's `grace_s`. */
 export const GRACE_MS = 8_000;
 const MS_PER_SECOND = 1_000;
@@ -51,6 +60,8 @@
 
   #starts = 0;
 
+  #endpointLinks: EndpointLinks = 'clear';
+
   /** Whether the program has begun to run; before that any signal ends a process. */
   #hasSpoken = false;
 
@@ -72,6 +83,10 @@
     return `${this.#options.ip}:${PORTS.directory}`;
   }
 
+  get metrics(): string {
+    return `${this.#options.ip}:${PORTS.metrics}`;
+  }
+
   get readiness(): string {
     return `${this.#options.ip}:${PORTS.ready}`;
   }
@@ -122,15 +137,21 @@
     this.#starts += 1;
     this.#expectsEnd = false;
     this.writeSettings(this.#starts);
-    const child = spawn(process.execPath, [...NODE_OPTIONS, this.#options.program], {
-      env: {
-        PATH: process.env.PATH,
-        CORIANDERWICK_BOOT: this.#settingsPath(),
-        CORIANDERWICK_ADVERTISED_PEER_ADDRESS: this.#options.peerAddress,
+    const child = spawn(
+      process.execPath,
+      [...NODE_OPTIONS, '--import', ENDPOINT_LINKS, this.#options.program],
+      {
+        env: {
+          PLAY_STORE_PORT: this.#options.storeAddress.split(':')[1],
+          PATH: process.env.PATH,
+          CORIANDERWICK_BOOT: this.#settingsPath(),
+          CORIANDERWICK_ADVERTISED_PEER_ADDRESS: this.#options.peerAddress,
+        },
+        stdio: ['ignore', 'pipe', 'pipe', 'ipc'],
       },
-      stdio: ['ignore', 'pipe', 'pipe'],
-    });
+    );
     this.#child = child;
+    if (this.#endpointLinks !== 'clear') child.send(this.#endpointLinks);
     running.add(child);
     this.#hasSpoken = false;
     child.stdout?.once('data', () => {
@@ -160,6 +181,12 @@
     clearTimeout(timer);
   }
 
+  /** Changes what happens to its connections to endpoints, also after a restart. */
+  setEndpointLinks(links: EndpointLinks): void {
+    this.#endpointLinks = links;
+    this.#child?.send(links);
+  }
+
   pause(): void {
     this.#child?.kill('SIGSTOP');
   }
--- a/test/support/GatewayFleet.ts
+++ b/test/support/GatewayFleet.ts
@@ -2,8 +2,9 @@
 import { setTimeout as wait } from 'node:timers/promises';
 import { startObjectStore, type ObjectStoreStandIn } from '../gateway/startObjectStore.ts';
 import { FaultLink } from '../soak/FaultLink.ts';
-import { GatewayProcess, PORTS } from '../soak/GatewayProcess.ts';
+import { GatewayProcess, PORTS, type EndpointLinks } from '../soak/GatewayProcess.ts';
 import type { LinkCondition } from '../soak/Lane.ts';
+import { callHttp } from './callHttp.ts';
 import { loopbackNetwork } from './loopbackNetwork.ts';
 import type { Owner } from './Owner.ts';
 
@@ -35,6 +36,12 @@
     request.on('error', () => resolve(false));
   });
 
+const readMetrics = (address: string): Promise<string> =>
+  callHttp(`http://${address}/metrics`).then(
+    ({ body }) => body,
+    () => '',
+  );
+
 /** Gateways as processes before one store, with the links between them. The first one is the scheduler. */
 export class GatewayFleet {
   readonly store: ObjectStoreStandIn;
@@ -110,6 +117,20 @@
     return { host: this.#ipOf(index), port: PORTS.front };
   }
 
+  /** Changes what happens to the connections of a gateway to endpoints. */
+  setEndpointLinks(index: number, links: EndpointLinks): void {
+    this.#gateways[index]?.setEndpointLinks(links);
+  }
+
+  /** Sums the values of a metric over all gateways that answer. */
+  async sumMetric(name: string): Promise<number> {
+    const texts = await Promise.all(this.#gateways.map(({ metrics }) => readMetrics(metrics)));
+    return texts
+      .flatMap((text) => text.split('\n'))
+      .filter((line) => line.startsWith(name))
+      .reduce((sum, line) => sum + Number(line.split(' ').at(-1)), 0);
+  }
+
   /** Kills a gateway and starts it again. */
   async restart(index: number): Promise<void> {
     this.#disturbed(index);
