--- /dev/null
+++ b/src/app/gateway/CallerAnswer.ts
@@ -0,0 +1,67 @@
+import type { WireAdapter } from '../../protocol/gateway/index.ts';
+import type { InboundAnswer } from '../../transport/gateway/index.ts';
+import type { RequestAttempt } from './RequestAttempt.ts';
+
+const EMPTY_BODY = Buffer.alloc(0);
+
+/** The answer to a caller: what an endpoint answered, or the gateway's own word. */
+export class CallerAnswer {
+  readonly #wire: WireAdapter;
+
+  readonly #answer: InboundAnswer;
+
+  /** Whether the caller has been sent the head of a successful answer. */
+  begun = false;
+
+  /** Time from the arrival of the request to the first byte of its answer, in ms; 0 before. */
+  firstByteMs = 0;
+
+  constructor(wire: WireAdapter, answer: InboundAnswer) {
+    this.#wire = wire;
+    this.#answer = answer;
+  }
+
+  /**
+   * Begins the answer that an attempt brings; a resumed one goes on with the head of the first.
+   *
+   * @param attempt - the attempt, whose head has arrived
+   * @param sinceArrivalMs - time since the arrival of the request
+   */
+  begin({ status, headerLines }: RequestAttempt, sinceArrivalMs: number): void {
+    if (this.begun) return;
+    this.begun = true;
+    this.firstByteMs = sinceArrivalMs;
+    this.#answer.begin(status, this.#wire.filterResponseHeaders(headerLines));
+  }
+
+  /** Passes on a part of an answer that was begun; false asks to wait for `onDrain` of the caller. */
+  write(bytes: Uint8Array): boolean {
+    return this.#answer.write(bytes);
+  }
+
+  /** Ends an answer that was begun. */
+  end(): void {
+    this.#answer.end();
+  }
+
+  /** Sends a whole answer of an endpoint. */
+  sendWhole({ status, headerLines }: RequestAttempt, body: Uint8Array): void {
+    this.#answer.send(status, this.#wire.filterResponseHeaders(headerLines), body);
+  }
+
+  /**
+   * Sends an answer of the gateway's own.
+   *
+   * @param status - HTTP status
+   * @param retryAfterMs - time after which the caller may send the request again; undefined to say nothing
+   */
+  sendOwn(status: number, retryAfterMs: number | undefined): void {
+    const lines = retryAfterMs === undefined ? [] : this.#wire.buildRetryAfterHeader(retryAfterMs);
+    this.#answer.send(status, lines, EMPTY_BODY);
+  }
+
+  /** Closes the connection before the end of an answer, so that the caller sees that it is incomplete. */
+  abort(): void {
+    this.#answer.abort();
+  }
+}
--- a/src/app/gateway/CrashDetector.ts
+++ b/src/app/gateway/CrashDetector.ts
@@ -1,5 +1,6 @@
 import type { Logger } from 'pino';
 import type { GatewayMetrics } from './GatewayMetrics.ts';
+import type { ReachVerdict } from './ReachMonitor.ts';
 
 /** A run whose connection broke before the end of the answer. */
 export interface BrokenRun {
@@ -18,10 +19,20 @@
   readonly fingerprint: string;
 }
 
+/**
+ * What a check of the endpoint of a broken run found: it takes connections, it has crashed, it was stopped, or
+ * this gateway reaches no endpoint at all.
+ */
+export type CrashFinding = 'accepts' | 'crashed' | 'stopped' | 'isolated';
+
 /** Collaborators of a crash detector. */
 export interface CrashDetectorOptions {
   /** Calls back with whether an endpoint accepts a connection at `IP:PORT`. */
   readonly checkEndpoint: (address: string, onChecked: (accepts: boolean) => void) => void;
+  /** Calls back with whether this gateway reaches other endpoints than the one with this id. */
+  readonly checkReach: (endpointId: string, onVerdict: (verdict: ReachVerdict) => void) => void;
+  /** Whether this gateway reaches no endpoint while another gateway does. */
+  readonly isIsolatedAlone: () => boolean;
   /** Whether an endpoint is expected to run: it is listed, and neither drains nor was removed. */
   readonly isExpectedToRun: (endpointId: string) => boolean;
   /** Called with the runs that a crash ended, and the time at which the first of them broke. */
@@ -34,36 +45,80 @@
 
 /** A crashing endpoint may close its connections a little earlier than its port. */
 const CHECK_DELAY_MS = 30;
+/**
+ * Time after which a gateway without reach checks again: by then it knows of others without reach, which shows
+ * that the endpoints are down.
+ */
+const ISOLATED_RECHECK_MS = 1_000;
+
+interface BrokenRuns {
+  readonly runs: BrokenRun[];
+  readonly onFound: ((finding: CrashFinding) => void)[];
+}
 
 /** Tells crashes of endpoints from connections that broke for another reason. */
 export class CrashDetector {
   readonly #options: CrashDetectorOptions;
 
   /** Broken runs of endpoints that are being checked, by the endpoint's start. */
-  readonly #unchecked = new Map<string, BrokenRun[]>();
+  readonly #unchecked = new Map<string, BrokenRuns>();
 
   constructor(options: CrashDetectorOptions) {
     this.#options = options;
   }
 
-  /** Checks whether the endpoint of a broken run has crashed. */
-  observeBrokenRun(run: BrokenRun): void {
+  /**
+   * Checks whether the endpoint of a broken run has crashed.
+   *
+   * @param run - the run
+   * @param onFound - called once with the finding
+   */
+  observeBrokenRun(run: BrokenRun, onFound: (finding: CrashFinding) => void = () => {}): void {
     const waiting = this.#unchecked.get(run.endpoint);
     if (waiting !== undefined) {
-      waiting.push(run);
+      waiting.runs.push(run);
+      waiting.onFound.push(onFound);
       return;
     }
-    const runs = [run];
+    const broken = { runs: [run], onFound: [onFound] };
     const at = this.#options.now();
-    this.#unchecked.set(run.endpoint, runs);
+    this.#unchecked.set(run.endpoint, broken);
     setTimeout(() => {
-      this.#options.checkEndpoint(run.address, (accepts) => {
+      this.#check(run, (finding) => {
         this.#unchecked.delete(run.endpoint);
-        if (!accepts && this.#options.isExpectedToRun(run.endpointId)) this.#onCrash(runs, at);
+        broken.onFound.forEach((callback) => callback(finding));
+        if (finding === 'crashed') this.#onCrash(broken.runs, at);
+        if (finding === 'isolated') this.#recheck(broken.runs, at);
       });
     }, CHECK_DELAY_MS);
   }
 
+  #check({ address, endpointId }: BrokenRun, onFound: (finding: CrashFinding) => void): void {
+    const { checkEndpoint, checkReach, isExpectedToRun } = this.#options;
+    checkEndpoint(address, (accepts) => {
+      if (accepts) {
+        onFound('accepts');
+        return;
+      }
+      checkReach(endpointId, (verdict) => {
+        if (verdict === 'isolated') onFound('isolated');
+        else onFound(isExpectedToRun(endpointId) ? 'crashed' : 'stopped');
+      });
+    });
+  }
+
+  /** If no gateway reaches an endpoint, the endpoints are down rather than the connections cut. */
+  #recheck(runs: readonly BrokenRun[], at: number): void {
+    const [first] = runs;
+    if (first === undefined) return;
+    setTimeout(() => {
+      this.#check(first, (finding) => {
+        const isOutage = finding === 'isolated' && !this.#options.isIsolatedAlone();
+        if (finding === 'crashed' || isOutage) this.#onCrash(runs, at);
+      });
+    }, ISOLATED_RECHECK_MS);
+  }
+
   #onCrash(runs: readonly BrokenRun[], at: number): void {
     const [first] = runs;
     if (first === undefined) return;
--- a/src/app/gateway/EndpointAttempt.ts
+++ b/src/app/gateway/EndpointAttempt.ts
@@ -2,31 +2,17 @@
 import { limitPromptParts, type PlacementResult } from '../../protocol/peer/GatewayMessages.ts';
 import { endpointStartOf, type EndpointRecord } from '../../state/gateway/index.ts';
 import {
-  EventCutter,
   exchange,
   type AnswerFraming,
   type Exchange,
   type ExchangeEvent,
 } from '../../transport/http/index.ts';
+import { AnswerReader, type ReadOutcome } from './AnswerReader.ts';
+import type { CrashFinding } from './CrashDetector.ts';
 import type { GatewayContext } from './GatewayContext.ts';
+import type { AttemptEvent, RequestAttempt } from './RequestAttempt.ts';
 import type { RoutedRequest } from './RoutedRequest.ts';
 
-/** Progress of an attempt, in order; `streamEnded`, `answered`, `notRun` or `broken` is the last event. */
-export type AttemptEvent =
-  /** Complete events of a successful stream, or what follows the last one at its end. */
-  | { readonly _tag: 'streamed'; readonly bytes: Uint8Array; readonly lastEventId?: string }
-  | { readonly _tag: 'streamEnded' }
-  | { readonly _tag: 'answered'; readonly body: Uint8Array }
-  /** The request was certainly not executed; `arrived` tells whether the endpoint received it. */
-  | { readonly _tag: 'notRun'; readonly arrived: boolean; readonly detail: string }
-  /** The request may have been executed, and no complete answer arrived. */
-  | {
-      readonly _tag: 'broken';
-      readonly detail: string;
-      /** Whether the connection was lost, so that the endpoint may have crashed. */
-      readonly connectionLost: boolean;
-    };
-
 /** Request, endpoint and time limit of an attempt. */
 export interface EndpointAttemptOptions {
   readonly context: GatewayContext;
@@ -41,10 +27,6 @@
   readonly onEvent: (event: AttemptEvent) => void;
 }
 
-/** Size limit of an answer that is buffered until it is complete. */
-const MAXIMUM_BUFFERED_ANSWER_BYTES = 8 * 1024 * 1024;
-/** Size limit of one event of a stream, which is buffered until it is complete. */
-const MAXIMUM_EVENT_BYTES = 1024 * 1024;
 const FIRST_SERVER_ERROR = 500;
 /** A prompt that crashes its engine does so within this time after the first byte of the answer. */
 const CRASH_ONSET_MS = 600;
@@ -55,16 +37,14 @@
  * Sends one request to one endpoint, verifies that the answer belongs to the request and is complete,
  * and releases the slot.
  */
-export class EndpointAttempt {
+export class EndpointAttempt implements RequestAttempt {
+  readonly kind = 'endpoint';
+
   readonly #options: EndpointAttemptOptions;
 
   readonly #sentAt: number;
 
-  readonly #bodyChunks: Uint8Array[] = [];
-
-  readonly #eventCutter = new EventCutter();
-
-  #bufferedBytes = 0;
+  readonly #reader = new AnswerReader();
 
   #exchange: Exchange | undefined;
 
@@ -74,21 +54,24 @@
 
   #ended = false;
 
-  /** Whether the request was written to a connection, so that the endpoint may have received it. */
   written = false;
 
-  /** HTTP status of the answer; 0 until its head arrives. */
+  heardAt: number;
+
   status = 0;
 
-  /** Header lines of the answer: alternating names and values. */
   headerLines: readonly string[] = [];
 
-  /** How the end of the answer is marked; undefined until its head arrives. */
   framing: AnswerFraming | undefined;
 
   constructor(options: EndpointAttemptOptions) {
     this.#options = options;
     this.#sentAt = options.context.now();
+    this.heardAt = this.#sentAt;
+  }
+
+  get target(): string {
+    return this.endpoint.id;
   }
 
   /** The endpoint that the request is sent to. */
@@ -96,18 +79,14 @@
     return this.#options.endpoint;
   }
 
-  /** Whether the attempt has ended or was cancelled. */
   get ended(): boolean {
     return this.#ended;
   }
 
-  /** What was received of a stream, for the log. */
   get streamProgress(): { readonly events: number; readonly unfinishedBytes: number } {
-    const { count, pendingSize } = this.#eventCutter;
-    return { events: count, unfinishedBytes: pendingSize };
+    return this.#reader.progress;
   }
 
-  /** Sends the request; the outcome is reported to `onEvent`. Call it once. */
   start(): void {
     const { context, request, endpoint, remainingMs, lastEventId } = this.#options;
     if (request.service.engine === undefined) context.plainEndpoints.recordStart(endpoint);
@@ -133,19 +112,16 @@
     );
   }
 
-  /** Aborts the exchange and releases the slot; no event follows. */
   cancel(): void {
     if (this.#ended) return;
     this.#exchange?.abort();
     this.#end('cancelled', 'given up');
   }
 
-  /** Stops reading the answer until `resume`, because the caller reads too slowly. */
   pause(): void {
     this.#exchange?.pause();
   }
 
-  /** Continues to read the answer. */
   resume(): void {
     this.#exchange?.resume();
   }
@@ -157,14 +133,15 @@
         this.written = true;
         return;
       case 'refused':
-        this.#end('unreachable', event.detail);
-        this.#emit({ _tag: 'notRun', arrived: false, detail: event.detail });
+        this.#onUnreachable(event.detail);
         return;
       case 'head':
+        this.#hear();
         this.framing = event.framing;
         this.#onHead(event.status, event.headerLines);
         return;
       case 'data':
+        this.#hear();
         this.#onData(event.bytes);
         return;
       case 'ended':
@@ -178,6 +155,21 @@
     }
   }
 
+  #hear(): void {
+    const { now, reach } = this.#options.context;
+    this.heardAt = now();
+    reach.recordBytes();
+  }
+
+  /** The endpoint isn't blamed if this gateway reaches no other one either. */
+  #onUnreachable(detail: string): void {
+    this.#options.context.reach.check(this.endpoint.id, (verdict) => {
+      if (this.#ended) return;
+      this.#end(verdict === 'isolated' ? 'unused' : 'unreachable', detail);
+      this.#emit({ _tag: 'notRun', arrived: false, detail });
+    });
+  }
+
   #onHead(status: number, headerLines: readonly string[]): void {
     const { context, request } = this.#options;
     const answer = context.wire.readResponseHeaders(status, headerLines);
@@ -199,14 +191,22 @@
 
   #onData(bytes: Buffer): void {
     if (this.#firstByteAt === undefined) this.#onFirstByte();
-    if (this.#isStream()) {
-      this.#forwardStream(bytes);
-      return;
+    this.#apply(this.#isStream() ? this.#reader.readStream(bytes) : this.#reader.readBody(bytes));
+  }
+
+  #apply(outcome: ReadOutcome): void {
+    switch (outcome._tag) {
+      case 'event':
+        this.#emit(outcome.event);
+        return;
+      case 'nothing':
+        return;
+      case 'unusable':
+        this.#fail(outcome.detail);
+        return;
+      default:
+        outcome satisfies never;
     }
-    this.#bufferedBytes += bytes.length;
-    if (this.#bufferedBytes > MAXIMUM_BUFFERED_ANSWER_BYTES)
-      this.#fail('answer exceeds the buffer limit');
-    else this.#bodyChunks.push(bytes);
   }
 
   #onFirstByte(): void {
@@ -216,20 +216,6 @@
       context.placements.reportFirstToken(ticketId, this.#firstByteAt - this.#sentAt);
   }
 
-  #forwardStream(bytes: Buffer): void {
-    const { bytes: completeEvents, lastId } = this.#eventCutter.push(bytes);
-    if (this.#eventCutter.pendingSize > MAXIMUM_EVENT_BYTES) {
-      this.#fail('event exceeds the buffer limit');
-      return;
-    }
-    if (completeEvents.length === 0) return;
-    this.#emit({
-      _tag: 'streamed',
-      bytes: completeEvents,
-      ...(lastId !== undefined && { lastEventId: lastId }),
-    });
-  }
-
   #onEnded(): void {
     const { status } = this;
     if (this.#answerFields?.isNotRun && !this.#answerFields.isSigned) {
@@ -248,22 +234,16 @@
     const failed = status >= FIRST_SERVER_ERROR;
     this.#recordAnswer();
     this.#end(failed ? 'failed' : 'served', `status ${status}`);
-    this.#emit({ _tag: 'answered', body: Buffer.concat(this.#bodyChunks) });
+    this.#emit({ _tag: 'answered', body: this.#reader.body() });
   }
 
   #onStreamEnded(): void {
-    const { isInsideEvent, count } = this.#eventCutter;
-    if (isInsideEvent) {
-      this.#onConnectionLost('stream ended inside an event');
-      return;
-    }
-    // The end of the connection is no sign that an answer without a length is complete.
-    if (this.framing === 'close' && count === 0) {
-      this.#onConnectionLost('stream without a length ended before its first event');
+    const outcome = this.#reader.endStream(this.framing);
+    if (outcome._tag === 'unusable') {
+      this.#onConnectionLost(outcome.detail);
       return;
     }
-    const rest = this.#eventCutter.rest();
-    if (rest.length > 0) this.#emit({ _tag: 'streamed', bytes: rest });
+    this.#apply(outcome);
     this.#recordAnswer();
     this.#end('served', '');
     this.#emit({ _tag: 'streamEnded' });
@@ -277,24 +257,31 @@
     const { context, request, endpoint, ticketId } = this.#options;
     const answeringMs = context.now() - (this.#firstByteAt ?? context.now());
     const hasJustBegun = answeringMs <= CRASH_ONSET_MS;
-    this.#fail(detail, true);
-    const { id, service, address } = endpoint;
+    this.#exchange?.abort();
+    this.#logEnd('failed', detail);
+    this.#emit({ _tag: 'broken', detail, connectionLost: true });
     const start = endpointStartOf(endpoint);
-    context.crashDetector.observeBrokenRun({
+    const run = {
       id: ticketId ?? `${request.id} ${start}`,
-      service,
-      endpointId: id,
+      service: endpoint.service,
+      endpointId: endpoint.id,
       endpoint: start,
-      address,
+      address: endpoint.address,
       parts: hasJustBegun ? limitPromptParts(request.fields.sharedPromptParts) : [],
       fingerprint: request.fingerprint(),
-    });
+    };
+    context.crashDetector.observeBrokenRun(run, (finding) => this.#releaseAfterCheck(finding));
+  }
+
+  /** A gateway that has lost all its connections tells nothing of the endpoint. */
+  #releaseAfterCheck(finding: CrashFinding): void {
+    this.#release(finding === 'isolated' ? 'cancelled' : 'failed');
   }
 
-  #fail(detail: string, connectionLost = false): void {
+  #fail(detail: string): void {
     this.#exchange?.abort();
     this.#end('failed', detail);
-    this.#emit({ _tag: 'broken', detail, connectionLost });
+    this.#emit({ _tag: 'broken', detail, connectionLost: false });
   }
 
   /** A whole answer shows that neither the request nor others have crashed the endpoint. */
@@ -311,12 +298,16 @@
     return this.#options.request.route.kind === 'stream' && isSuccess(this.status);
   }
 
-  /** Releases the slot and reports the outcome for load balancing, metrics and the log. */
   #end(outcome: PlacementResult['outcome'], detail: string): void {
+    this.#logEnd(outcome, detail);
+    this.#release(outcome);
+  }
+
+  /** Marks the attempt as ended, for metrics and the log. */
+  #logEnd(outcome: PlacementResult['outcome'], detail: string): void {
     this.#ended = true;
     const { context, request, endpoint, ticketId } = this.#options;
-    const now = context.now();
-    const totalMs = now - this.#sentAt;
+    const totalMs = context.now() - this.#sentAt;
     context.metrics.countAttempt(request.service.name, outcome);
     if (outcome !== 'served') {
       context.logger.info(
@@ -335,8 +326,14 @@
         'try ended',
       );
     }
+  }
+
+  /** Releases the slot, and reports the outcome for load balancing. */
+  #release(outcome: PlacementResult['outcome']): void {
+    const { context, request, endpoint, ticketId } = this.#options;
+    const now = context.now();
     if (request.service.engine === undefined)
-      context.plainEndpoints.recordEnd(endpoint, outcome, totalMs, now);
+      context.plainEndpoints.recordEnd(endpoint, outcome, now - this.#sentAt, now);
     if (ticketId !== undefined)
       context.placements.releaseSlot(ticketId, { outcome, ...this.#measureDecoding(outcome, now) });
   }
@@ -351,7 +348,7 @@
     return {
       decodeMs: now - firstByteAt,
       // The time starts at the first event, so that the tokens of this event are not counted.
-      outputTokens: Math.max(0, this.#eventCutter.count - 1) * tokensPerEvent,
+      outputTokens: Math.max(0, this.#reader.eventCount - 1) * tokensPerEvent,
     };
   }
 }
--- a/src/app/gateway/Gateway.ts
+++ b/src/app/gateway/Gateway.ts
@@ -1,9 +1,11 @@
 import type { Logger } from 'pino';
 import { CallerRetryDetector, RouteIndex, pickService } from '../../coordination/gateway/index.ts';
+import type { DecodedRequestHeaders, ForwardEnvelope } from '../../protocol/gateway/index.ts';
 import type { EndpointRecord, RouteTable } from '../../state/gateway/index.ts';
 import type { InboundAnswer, InboundRequest } from '../../transport/gateway/index.ts';
 import { fingerprintRequest } from './fingerprintRequest.ts';
 import type { GatewayContext } from './GatewayContext.ts';
+import { STATUS_DECLINED } from './PeerAttempt.ts';
 import { RequestHandler } from './RequestHandler.ts';
 
 /** Whether a gateway is serving normally or draining before it stops. */
@@ -121,47 +123,88 @@
    * @param answer - receives the final answer
    */
   serve(inbound: InboundRequest, answer: InboundAnswer): void {
+    this.#serve(inbound, answer, undefined);
+  }
+
+  /**
+   * Serves a request that a peer forwarded, or declines it so that the peer tries another one: if this gateway
+   * drains or reaches no endpoint either, or has an older configuration than the peer.
+   *
+   * @param inbound - the request as its caller sent it to the peer
+   * @param answer - receives the final answer
+   * @param envelope - what the peer said
+   */
+  serveForwarded(inbound: InboundRequest, answer: InboundAnswer, envelope: ForwardEnvelope): void {
+    const version = this.#routeIndex?.table.version ?? Number.NEGATIVE_INFINITY;
+    const isUsable =
+      this.#phase._tag === 'serving' &&
+      !this.#context.reach.isIsolated &&
+      version >= envelope.configurationVersion;
+    if (isUsable) this.#serve(inbound, answer, envelope);
+    else this.#decline(answer, envelope, 'drains, is isolated or has an older configuration');
+  }
+
+  /**
+   * Returns the id of an endpoint that has kept a request waiting in silence, if there is one.
+   *
+   * @param now - present time in ms, monotonic
+   */
+  findSilentEndpoint(now: number): string | undefined {
+    return [...this.#handlers]
+      .map((handler) => handler.silentEndpoint(now))
+      .find((endpoint) => endpoint !== undefined);
+  }
+
+  /**
+   * Moves requests in flight to peers, or to other ones, where that is needed and safe.
+   *
+   * @param now - present time in ms, monotonic
+   */
+  reviewInFlight(now: number): void {
+    [...this.#handlers].forEach((handler) => handler.review(now));
+  }
+
+  #serve(
+    inbound: InboundRequest,
+    answer: InboundAnswer,
+    forwarded: ForwardEnvelope | undefined,
+  ): void {
     const { wire } = this.#context;
     const fields = wire.readRequestHeaders(inbound.headerLines);
+    const reject = (status: number, reason: string, retryAfterMs?: number): void => {
+      if (forwarded === undefined) this.#reject(answer, fields.id, status, reason, retryAfterMs);
+      else this.#decline(answer, forwarded, reason);
+    };
     if (this.#routeIndex === undefined) {
-      this.#reject(
-        answer,
-        fields.id,
-        STATUS.unavailable,
-        'no configuration',
-        NOT_READY_RETRY_AFTER_MS,
-      );
+      reject(STATUS.unavailable, 'no configuration', NOT_READY_RETRY_AFTER_MS);
       return;
     }
     const { id } = fields;
     if (id === undefined || id === '') {
-      this.#reject(answer, id, STATUS.badRequest, 'no request id');
+      reject(STATUS.badRequest, 'no request id');
       return;
     }
     const match = this.#routeIndex.match(inbound.host, inbound.target, fields.accountKey);
     if (match._tag === 'noRoute') {
-      this.#reject(answer, id, STATUS.notFound, 'no route');
+      reject(STATUS.notFound, 'no route');
       return;
     }
     if (match._tag === 'unknownKey') {
-      this.#reject(answer, id, STATUS.unauthorized, 'unknown key');
+      reject(STATUS.unauthorized, 'unknown key');
       return;
     }
     const { route, account } = match;
     const service = this.#routeIndex.findService(pickService(route, this.#context.random()));
     if (service === undefined) {
-      this.#reject(answer, id, STATUS.unavailable, 'unknown service', NOT_READY_RETRY_AFTER_MS);
+      reject(STATUS.unavailable, 'unknown service', NOT_READY_RETRY_AFTER_MS);
       return;
     }
     if (route.kind === 'stream' && this.#isTooLateForStreams()) {
-      this.#reject(answer, id, STATUS.unavailable, 'stopping', DRAINING_RETRY_AFTER_MS);
+      reject(STATUS.unavailable, 'stopping', DRAINING_RETRY_AFTER_MS);
       return;
     }
     const configurationVersion = this.#routeIndex.table.version;
-    const waitedBeforeMs =
-      fields.deadlineMs === undefined
-        ? 0
-        : this.#callerRetryDetector.estimateWaitedMs(route.name, fields.deadlineMs);
+    const waitedBeforeMs = forwarded?.waitedBeforeMs ?? this.#estimateWaitedMs(route.name, fields);
     let fingerprint: string | undefined;
     const handler = new RequestHandler(
       this.#context,
@@ -177,6 +220,7 @@
           fingerprint ??= fingerprintRequest(inbound, account?.name);
           return fingerprint;
         },
+        forwarded,
         configurationVersion,
       },
       answer,
@@ -185,6 +229,18 @@
     handler.start();
   }
 
+  #estimateWaitedMs(route: string, { deadlineMs }: DecodedRequestHeaders): number {
+    return deadlineMs === undefined
+      ? 0
+      : this.#callerRetryDetector.estimateWaitedMs(route, deadlineMs);
+  }
+
+  #decline(answer: InboundAnswer, { from }: ForwardEnvelope, reason: string): void {
+    answer.send(STATUS_DECLINED, [], EMPTY_BODY);
+    this.#context.metrics.countForwarding('received', 'declined');
+    this.#logger.info({ forwardedBy: from, reason }, 'forwarded request declined');
+  }
+
   #isTooLateForStreams(): boolean {
     return (
       this.#phase._tag === 'draining' &&
--- a/src/app/gateway/GatewayContext.ts
+++ b/src/app/gateway/GatewayContext.ts
@@ -11,7 +11,9 @@
 import type { CrashMonitor } from './CrashMonitor.ts';
 import type { EndpointLimitMonitor } from './EndpointLimitMonitor.ts';
 import type { GatewayMetrics } from './GatewayMetrics.ts';
+import type { PeerForwarder } from './PeerForwarder.ts';
 import type { PlacementCoordinator } from './PlacementCoordinator.ts';
+import type { ReachMonitor } from './ReachMonitor.ts';
 import type { RequestHandler } from './RequestHandler.ts';
 
 /** Components of the process that all requests share. */
@@ -25,6 +27,8 @@
   readonly crashes: CrashMonitor;
   readonly crashDetector: CrashDetector;
   readonly limits: EndpointLimitMonitor;
+  readonly reach: ReachMonitor;
+  readonly forwarder: PeerForwarder;
   readonly endpointPool: ConnectionPool;
   readonly metrics: GatewayMetrics;
   readonly logger: Logger;
--- a/src/app/gateway/GatewayMetrics.test.ts
+++ b/src/app/gateway/GatewayMetrics.test.ts
@@ -13,6 +13,7 @@
   quarantinedParts: 8,
   limitedEndpoints: 9,
   quarantinedRequests: 10,
+  isolated: 11,
 };
 
 const toMetricName = (name: string): string =>
--- a/src/app/gateway/GatewayMetrics.ts
+++ b/src/app/gateway/GatewayMetrics.ts
@@ -27,6 +27,8 @@
   readonly quarantinedRequests: number;
   /** Endpoints that state a limit to the rate of their requests. */
   readonly limitedEndpoints: number;
+  /** 1 while this process reaches no endpoint, else 0. */
+  readonly isolated: number;
 }
 
 /** Counters, gauges and latency percentiles of a gateway, rendered as Prometheus text. */
@@ -75,6 +77,19 @@
     registers: [this.#registry],
   });
 
+  readonly #isolations = new Counter({
+    name: 'corianderwick_gateway_isolations_total',
+    help: 'Times that this process ceased to reach any endpoint.',
+    registers: [this.#registry],
+  });
+
+  readonly #forwardings = new Counter({
+    name: 'corianderwick_gateway_forwardings_total',
+    help: 'Requests forwarded between gateways by direction and what came of it.',
+    labelNames: ['direction', 'result'],
+    registers: [this.#registry],
+  });
+
   readonly #latencyHistograms = new Map<string, Histogram>();
 
   readonly #latencyGauge = new Gauge({
@@ -106,6 +121,7 @@
       'limited_endpoints',
       'Endpoints that state a limit to the rate of their requests.',
     ),
+    isolated: this.#makeGauge('isolated', 'Whether this process reaches no endpoint.'),
     storeOutage: this.#makeGauge('store_outage', 'Whether missing endpoints are kept in use.'),
   };
 
@@ -150,6 +166,16 @@
     this.#endpointCrashes.inc({ service });
   }
 
+  /** Counts that this process ceased to reach any endpoint. */
+  countIsolation(): void {
+    this.#isolations.inc();
+  }
+
+  /** Counts a request that was forwarded to a peer (`sent`) or by one (`received`). */
+  countForwarding(direction: 'sent' | 'received', result: string): void {
+    this.#forwardings.inc({ direction, result });
+  }
+
   /** Records the time in ms from the arrival of a request to the first byte of its answer. */
   recordFirstByteLatency(route: string, latencyMs: number): void {
     const histogram =
@@ -180,6 +206,7 @@
     this.#gauges.quarantinedParts.set(gauges.quarantinedParts);
     this.#gauges.quarantinedRequests.set(gauges.quarantinedRequests);
     this.#gauges.limitedEndpoints.set(gauges.limitedEndpoints);
+    this.#gauges.isolated.set(gauges.isolated);
     this.#latencyHistograms.forEach((histogram, route) => {
       PERCENTILES.forEach((quantile) => {
         this.#latencyGauge.set({ route, quantile }, histogram.getValueAtPercentile(quantile));
--- a/src/app/gateway/PeerGroup.ts
+++ b/src/app/gateway/PeerGroup.ts
@@ -128,6 +128,11 @@
     this.#perform(this.#membership.drain(now), now);
   }
 
+  /** Announces to peers whether this process reaches no endpoint. */
+  setIsolated(isolated: boolean, now: number): void {
+    this.#perform(this.#membership.setIsolated(isolated, now), now);
+  }
+
   /** Announces to peers that this process leaves the group. */
   leave(now: number): void {
     this.#perform(this.#membership.leave(now), now);
--- /dev/null
+++ b/src/app/gateway/RequestAttempt.ts
@@ -0,0 +1,56 @@
+import type { AnswerFraming } from '../../transport/http/index.ts';
+
+/**
+ * Progress of an attempt, in order; `streamEnded`, `answered`, `notRun`, `broken` or `unserved` is the last
+ * event.
+ */
+export type AttemptEvent =
+  /** Complete events of a successful stream, or what follows the last one at its end. */
+  | { readonly _tag: 'streamed'; readonly bytes: Uint8Array; readonly lastEventId?: string }
+  | { readonly _tag: 'streamEnded' }
+  | { readonly _tag: 'answered'; readonly body: Uint8Array }
+  /** The request was certainly not executed; `arrived` tells whether the endpoint received it. */
+  | { readonly _tag: 'notRun'; readonly arrived: boolean; readonly detail: string }
+  /** The request may have been executed, and no complete answer arrived. */
+  | {
+      readonly _tag: 'broken';
+      readonly detail: string;
+      /** Whether the connection was lost, so that the endpoint may have crashed. */
+      readonly connectionLost: boolean;
+    }
+  /** A peer tried to have the request served, and gave it up. */
+  | {
+      readonly _tag: 'unserved';
+      readonly mayHaveRun: boolean;
+      readonly status: number;
+      readonly retryAfterMs: number;
+    };
+
+/** One sending of a request: to an endpoint, or to a peer that sends it on. */
+export interface RequestAttempt {
+  readonly kind: 'endpoint' | 'peer';
+  /** Id of the endpoint, or incarnation of the peer. */
+  readonly target: string;
+  /** Whether the attempt has ended or was cancelled. */
+  readonly ended: boolean;
+  /** Whether the request was written to a connection, so that it may have arrived. */
+  readonly written: boolean;
+  /** When the last bytes arrived, or when it was sent; in ms, monotonic. */
+  readonly heardAt: number;
+  /** HTTP status of the answer; 0 until its head arrives. */
+  readonly status: number;
+  /** Header lines of the answer: alternating names and values. */
+  readonly headerLines: readonly string[];
+  /** How the end of the answer is marked; undefined until its head arrives. */
+  readonly framing: AnswerFraming | undefined;
+  /** What was received of a stream, for the log. */
+  readonly streamProgress: { readonly events: number; readonly unfinishedBytes: number };
+  /** Sends the request. Call it once. */
+  start(): void;
+  /** Aborts the exchange; no event follows. */
+  cancel(): void;
+  /** Stops reading the answer until `resume`, because the caller reads too slowly. */
+  pause(): void;
+  /** Continues to read the answer. */
+  resume(): void;
+}
--- a/src/app/gateway/RequestHandler.ts
+++ b/src/app/gateway/RequestHandler.ts
@@ -1,29 +1,23 @@
-import type { PlainCandidates } from '../../coordination/gateway/index.ts';
+import { SILENCE_MS, type PlainCandidates } from '../../coordination/gateway/index.ts';
 import type { EndpointRecord } from '../../state/gateway/index.ts';
+import type { Member } from '../../state/Member.ts';
 import type { InboundAnswer } from '../../transport/gateway/index.ts';
-import { EndpointAttempt, type AttemptEvent } from './EndpointAttempt.ts';
+import { CallerAnswer } from './CallerAnswer.ts';
+import { EndpointAttempt } from './EndpointAttempt.ts';
 import type { GatewayContext } from './GatewayContext.ts';
+import { logRequestEnd, type RequestOutcome } from './logRequestEnd.ts';
 import { makePlacementTicket } from './makePlacementTicket.ts';
 import type { PlacementTicket } from '../../protocol/peer/GatewayMessages.ts';
 import type { PlacementAnswer } from './LocalTickets.ts';
+import { STATUS_DECLINED } from './PeerAttempt.ts';
+import type { AttemptEvent, RequestAttempt } from './RequestAttempt.ts';
+import { RequestForwarding } from './RequestForwarding.ts';
+import { RequestQuarantine } from './RequestQuarantine.ts';
+import { RequestRetries } from './RequestRetries.ts';
 import type { RoutedRequest } from './RoutedRequest.ts';
 
-/** How a request ended, as logs and metrics state it. */
-type RequestOutcome =
-  | 'served'
-  /** An error answer of an endpoint was forwarded. */
-  | 'endpointFailed'
-  /** The request was not executed and will not be. */
-  | 'refused'
-  /** The request may have been executed. */
-  | 'failed'
-  /** The connection was closed before the end of the answer. */
-  | 'brokenOff'
-  | 'callerLeft';
-
 const STATUS = { unavailable: 503, tooMany: 429, badGateway: 502, gatewayTimeout: 504 } as const;
 const FIRST_SERVER_ERROR = 500;
-const EMPTY_BODY = Buffer.alloc(0);
 /** Placements of one request before its caller is told to retry. */
 const MAXIMUM_PLACEMENTS = 4;
 /** `Retry-After` for callers whose request found no endpoint. */
@@ -37,48 +31,103 @@
 
   readonly #request: RoutedRequest;
 
-  readonly #answer: InboundAnswer;
+  readonly #answer: CallerAnswer;
 
   readonly #deadlineAt: number;
 
-  readonly #avoidedEndpoints: string[] = [];
+  readonly #avoidedEndpoints: string[];
+
+  readonly #forwarding: RequestForwarding;
+
+  readonly #quarantine: RequestQuarantine;
 
-  #attempt: EndpointAttempt | undefined;
+  #attempt: RequestAttempt | undefined;
 
   #ticketId: string | undefined;
 
   #placementCount = 0;
 
-  /** Attempts in which an endpoint may have executed the request. */
-  #executionCount = 0;
+  readonly #retries: RequestRetries;
 
-  #lastEventId: string | undefined;
+  /** Whether a ticket of the request may have been charged to its quota. */
+  #isCharged: boolean;
 
-  #answerBegun = false;
+  #lastEventId: string | undefined;
 
   #done = false;
 
   #deadlineTimer: NodeJS.Timeout | undefined;
 
-  #firstByteMs = 0;
-
   constructor(context: GatewayContext, request: RoutedRequest, answer: InboundAnswer) {
     this.#context = context;
     this.#request = request;
-    this.#answer = answer;
-    const { route, inbound, fields } = request;
-    this.#lastEventId = fields.lastEventId;
-    const callerLimitMs = (fields.deadlineMs ?? route.timeoutMs) - ANSWER_MARGIN_MS;
-    this.#deadlineAt = inbound.arrivedAt + Math.min(route.timeoutMs, Math.max(1, callerLimitMs));
+    this.#answer = new CallerAnswer(context.wire, answer);
+    answer.onClosed(() => this.#onCallerLeft());
+    answer.onDrain(() => this.#attempt?.resume());
+    this.#forwarding = new RequestForwarding(context, request);
+    this.#quarantine = new RequestQuarantine(context.crashes, request);
+    const { route, inbound, fields, forwarded } = request;
+    this.#avoidedEndpoints = [...(forwarded?.avoid ?? [])];
+    this.#isCharged = forwarded?.isCharged ?? false;
+    this.#lastEventId = forwarded === undefined ? fields.lastEventId : forwarded.lastEventId;
+    const waitMs = forwarded?.remainingMs ?? fields.deadlineMs ?? route.timeoutMs;
+    const limitMs = Math.min(route.timeoutMs, Math.max(1, waitMs - ANSWER_MARGIN_MS));
+    this.#deadlineAt = inbound.arrivedAt + limitMs;
+    this.#retries = new RequestRetries(context, request, this.#deadlineAt);
   }
 
   /** Starts the deadline timer and the first placement. Call it once. */
   start(): void {
     const now = this.#context.now();
-    this.#answer.onClosed(() => this.#onCallerLeft());
-    this.#answer.onDrain(() => this.#attempt?.resume());
     this.#deadlineTimer = setTimeout(() => this.#onDeadline(), Math.max(0, this.#deadlineAt - now));
-    this.#context.retryBudget.recordRequest(this.#request.service.name, now);
+    this.#place();
+  }
+
+  /**
+   * Returns the endpoint that has kept this request waiting in silence.
+   *
+   * @param now - present time in ms, monotonic
+   * @returns the endpoint's id, or undefined if the request doesn't wait for one
+   */
+  silentEndpoint(now: number): string | undefined {
+    const attempt = this.#attempt;
+    if (attempt?.kind !== 'endpoint' || attempt.ended || !attempt.written) return undefined;
+    return now - attempt.heardAt > SILENCE_MS ? attempt.target : undefined;
+  }
+
+  /**
+   * Moves the request to a peer if this gateway has ceased to reach endpoints, or if the peer that has it is
+   * gone. Call it periodically meanwhile.
+   *
+   * @param now - present time in ms, monotonic
+   */
+  review(now: number): void {
+    if (this.#done) return;
+    const attempt = this.#attempt;
+    if (this.#ticketId !== undefined) {
+      if (this.#forwarding.findPeer() === undefined) return;
+      this.#cancel();
+      this.#place();
+      return;
+    }
+    if (attempt === undefined || attempt.ended) return;
+    if (attempt.kind === 'peer') {
+      if (this.#context.forwarder.isAlive(attempt.target)) return;
+      attempt.cancel();
+      this.#onBroken(attempt, { detail: 'the peer is gone', connectionLost: false });
+      return;
+    }
+    if (this.#forwarding.findPeer() !== undefined) this.#reviewEndpointAttempt(attempt, now);
+  }
+
+  /** An attempt that hangs is given up if the request may be executed again. */
+  #reviewEndpointAttempt(attempt: RequestAttempt, now: number): void {
+    if (attempt.written) {
+      const mayRepeat = this.#retries.mayRepeat(this.#retries.executions + 1);
+      if (now - attempt.heardAt <= SILENCE_MS || !mayRepeat || !this.#retries.tryCharge()) return;
+      this.#retries.executions += 1;
+    }
+    attempt.cancel();
     this.#place();
   }
 
@@ -88,30 +137,47 @@
     this.#abandon(STATUS.badGateway, 'the gateway is stopping');
   }
 
+  #forward(peer: Member): void {
+    const attempt = this.#forwarding.makeAttempt(
+      peer,
+      {
+        remainingMs: this.#deadlineAt - this.#context.now(),
+        executions: this.#retries.executions,
+        avoid: this.#avoidedEndpoints,
+        isCharged: this.#isCharged,
+        isCounted: this.#retries.isCounted,
+        answerBegun: this.#answer.begun,
+        lastEventId: this.#lastEventId,
+      },
+      (event) => this.#onAttemptEvent(attempt, event),
+    );
+    this.#retries.isCounted = true;
+    this.#attempt = attempt;
+    attempt.start();
+  }
+
   /**
    * Selects an endpoint: by a placement ticket for model engines and endpoints that state a limit, otherwise
-   * directly.
+   * directly. A gateway that reaches no endpoint forwards the request to a peer that does.
    */
   #place(): void {
     this.#placementCount += 1;
+    const peer = this.#forwarding.findPeer();
+    if (peer !== undefined) {
+      this.#forward(peer);
+      return;
+    }
+    this.#retries.countRequest();
     if (this.#request.service.engine !== undefined) this.#requestSlot(false);
-    else if (this.#quarantinedFingerprint().length > 0) this.#placeQuarantined();
+    else if (this.#quarantine.fingerprint.length > 0) this.#placeQuarantined();
     else this.#placeAtPlainEndpoint();
   }
 
-  #quarantinedFingerprint(): readonly string[] {
-    const { service, fingerprint } = this.#request;
-    return this.#context.crashes.quarantinedFingerprint(service.name, fingerprint);
-  }
-
   /** Refuses a request that crashes endpoints, or asks the scheduler to admit it as a trial. */
   #placeQuarantined(): void {
-    const quarantine = this.#context.crashes.findQuarantine(
-      this.#request.service.name,
-      this.#quarantinedFingerprint(),
-    );
-    if (quarantine === undefined) this.#requestSlot(true);
-    else this.#endUnserved('quarantined', quarantine.retryAfterMs);
+    const remainingMs = this.#quarantine.remainingMs();
+    if (remainingMs === undefined) this.#requestSlot(true);
+    else this.#endUnserved('quarantined', remainingMs);
   }
 
   #placeAtPlainEndpoint(): void {
@@ -146,13 +212,15 @@
     const now = this.#context.now();
     const ticket = makePlacementTicket(this.#request, {
       placementNumber: this.#placementCount,
-      waitedMs: now - this.#request.inbound.arrivedAt,
+      waitedMs: this.#sinceArrivalMs(),
       remainingMs: this.#deadlineAt - now,
-      answerBegun: this.#answerBegun,
+      answerBegun: this.#answer.begun || this.#request.forwarded?.answerBegun === true,
       avoid: this.#avoidedEndpoints,
       immediate,
-      quarantined: this.#quarantinedFingerprint(),
+      quarantined: this.#quarantine.fingerprint,
+      isCharged: this.#isCharged,
     });
+    this.#isCharged = true;
     this.#ticketId = ticket.id;
     this.#context.placements.requestSlot(ticket, (answer) =>
       this.#onPlacementAnswer(ticket, answer),
@@ -164,12 +232,28 @@
     if (this.#done || this.#ticketId !== ticketId) return;
     this.#ticketId = undefined;
     if (answer._tag === 'refused') {
+      if (answer.reason === 'noEndpoint' && this.#forwarding.findPeer() !== undefined) {
+        this.#place();
+        return;
+      }
       if (this.#sendToUnlimitedEndpoint(ticket, answer)) return;
       const status = answer.reason === 'quota' ? STATUS.tooMany : STATUS.unavailable;
       this.#endUnserved(answer.reason, answer.retryAfterMs, status);
       return;
     }
-    if (this.#refuseQuarantinedGrant(ticket)) return;
+    if (this.#forwarding.findPeer() !== undefined) {
+      this.#context.placements.releaseSlot(ticketId, { outcome: 'unused' });
+      this.#place();
+      return;
+    }
+    if (this.#quarantine.isNewSince(ticket)) {
+      this.#context.placements.releaseSlot(ticketId, { outcome: 'unused' });
+      this.#endUnserved(
+        'quarantined',
+        this.#quarantine.remainingMs() ?? NO_ENDPOINT_RETRY_AFTER_MS,
+      );
+      return;
+    }
     const endpoint = this.#context.directory.findReady(answer.endpoint);
     if (endpoint !== undefined) {
       this.#send(endpoint, ticketId);
@@ -181,17 +265,6 @@
     this.#retryOrEnd('granted endpoint is leaving', { mayHaveRun: false, arrived: false });
   }
 
-  /** Refuses a request that came under quarantine after its ticket was made. */
-  #refuseQuarantinedGrant({ id, promptParts }: PlacementTicket): boolean {
-    const [fingerprint] = this.#quarantinedFingerprint();
-    if (fingerprint === undefined || promptParts?.includes(fingerprint)) return false;
-    const { crashes, placements } = this.#context;
-    const quarantine = crashes.findQuarantine(this.#request.service.name, [fingerprint]);
-    placements.releaseSlot(id, { outcome: 'unused' });
-    this.#endUnserved('quarantined', quarantine?.retryAfterMs ?? NO_ENDPOINT_RETRY_AFTER_MS);
-    return true;
-  }
-
   /** Sends a request of a plain service, to which no limited endpoint was granted, to another one. */
   #sendToUnlimitedEndpoint(
     { immediate }: PlacementTicket,
@@ -222,90 +295,86 @@
     attempt.start();
   }
 
-  #onAttemptEvent(attempt: EndpointAttempt, event: AttemptEvent): void {
+  #onAttemptEvent(attempt: RequestAttempt, event: AttemptEvent): void {
     if (this.#done || this.#attempt !== attempt) return;
     switch (event._tag) {
       case 'streamed':
         if (event.lastEventId !== undefined) this.#lastEventId = event.lastEventId;
-        this.#forward(attempt, event.bytes);
+        this.#passOn(attempt, event.bytes);
         return;
       case 'streamEnded':
-        if (!this.#answerBegun) this.#beginAnswer(attempt);
+        this.#answer.begin(attempt, this.#sinceArrivalMs());
         this.#finish('served', attempt.status, '', () => this.#answer.end());
         return;
       case 'answered':
         this.#onAnswered(attempt, event.body);
         return;
       case 'notRun':
-        this.#avoidedEndpoints.push(attempt.endpoint.id);
+        this.#avoid(attempt);
         this.#retryOrEnd(event.detail, { mayHaveRun: false, arrived: event.arrived });
         return;
       case 'broken':
-        this.#executionCount += 1;
-        this.#avoidedEndpoints.push(attempt.endpoint.id);
-        if (event.connectionLost && this.#isSuspect())
-          this.#endUnserved(event.detail, NO_ENDPOINT_RETRY_AFTER_MS);
-        else this.#retryOrEnd(event.detail, { mayHaveRun: true, arrived: true });
+        this.#onBroken(attempt, event);
+        return;
+      case 'unserved':
+        this.#onUnserved(event);
         return;
       default:
         event satisfies never;
     }
   }
 
-  /** Whether another endpoint crashed under this request before, so that it isn't repeated. */
-  #isSuspect(): boolean {
-    const { service, fingerprint } = this.#request;
-    return this.#context.crashes.isSuspect(service.name, fingerprint);
+  /** Keeps further attempts from the endpoint of this one, unless this gateway alone doesn't reach it. */
+  #avoid({ kind, target }: RequestAttempt): void {
+    if (kind === 'endpoint' && !this.#context.reach.isIsolated) this.#avoidedEndpoints.push(target);
   }
 
-  #beginAnswer({ status, headerLines }: EndpointAttempt): void {
-    this.#answerBegun = true;
-    this.#firstByteMs = this.#context.now() - this.#request.inbound.arrivedAt;
-    this.#answer.begin(status, this.#context.wire.filterResponseHeaders(headerLines));
+  #onBroken(
+    attempt: RequestAttempt,
+    { detail, connectionLost }: { readonly detail: string; readonly connectionLost: boolean },
+  ): void {
+    this.#retries.executions += 1;
+    this.#avoid(attempt);
+    if (connectionLost && this.#quarantine.isSuspect)
+      this.#endUnserved(detail, NO_ENDPOINT_RETRY_AFTER_MS);
+    else this.#retryOrEnd(detail, { mayHaveRun: true, arrived: true });
   }
 
-  #forward(attempt: EndpointAttempt, bytes: Uint8Array): void {
-    if (!this.#answerBegun) this.#beginAnswer(attempt);
+  /** A peer has done for the request what the group can do. */
+  #onUnserved({ mayHaveRun, status, retryAfterMs }: AttemptEvent & { _tag: 'unserved' }): void {
+    const detail = `the peer answered with status ${status}`;
+    if (mayHaveRun) {
+      this.#retries.executions += 1;
+      this.#endUnserved(detail, NO_ENDPOINT_RETRY_AFTER_MS, STATUS.unavailable, status);
+    } else this.#endUnserved(detail, retryAfterMs, status);
+  }
+
+  #passOn(attempt: RequestAttempt, bytes: Uint8Array): void {
+    this.#answer.begin(attempt, this.#sinceArrivalMs());
     if (!this.#answer.write(bytes)) attempt.pause();
   }
 
-  #onAnswered(attempt: EndpointAttempt, body: Uint8Array): void {
-    this.#executionCount += 1;
-    const { status, headerLines, endpoint } = attempt;
+  #onAnswered(attempt: RequestAttempt, body: Uint8Array): void {
+    this.#retries.executions += 1;
+    const { status, kind } = attempt;
     const failed = status >= FIRST_SERVER_ERROR;
-    if (failed && this.#mayRetry() && this.#tryChargeRetryBudget()) {
-      this.#avoidedEndpoints.push(endpoint.id);
+    // A peer has retried already.
+    const isFinal = !failed || kind === 'peer';
+    if (!isFinal && this.#retries.mayRepeat() && this.#retries.tryCharge()) {
+      this.#avoid(attempt);
       this.#place();
       return;
     }
-    if (this.#answerBegun) {
+    if (this.#answer.begun) {
       this.#abortAnswer(`the endpoint that resumed the stream answered with status ${status}`);
       return;
     }
-    this.#firstByteMs = this.#context.now() - this.#request.inbound.arrivedAt;
-    const lines = this.#context.wire.filterResponseHeaders(headerLines);
+    this.#answer.firstByteMs = this.#sinceArrivalMs();
     this.#finish(failed ? 'endpointFailed' : 'served', status, '', () =>
-      this.#answer.send(status, lines, body),
-    );
-  }
-
-  /** Whether the route, its attempt limit and the deadline allow another execution. */
-  #mayRetry(): boolean {
-    const { route } = this.#request;
-    const isRetryable = route.kind === 'safe' || (route.kind === 'stream' && route.resumable);
-    return (
-      isRetryable &&
-      this.#executionCount < route.maximumAttempts &&
-      this.#deadlineAt > this.#context.now()
+      this.#answer.sendWhole(attempt, body),
     );
   }
 
-  /** Charges the retry budget of the service; returns false if it is used up. */
-  #tryChargeRetryBudget(): boolean {
-    const { retryBudget, memberCount, now } = this.#context;
-    return retryBudget.tryRetry(this.#request.service.name, memberCount(), now());
-  }
-
   /**
    * Places the request again, or ends it. A request that was not executed may be placed up to
    * `MAXIMUM_PLACEMENTS` times; one that may have been executed also needs a route that allows retries.
@@ -315,9 +384,9 @@
     detail: string,
     { mayHaveRun, arrived }: { readonly mayHaveRun: boolean; readonly arrived: boolean },
   ): void {
-    const mayPlace = mayHaveRun || this.#executionCount > 0 ? this.#mayRetry() : true;
+    const mayPlace = mayHaveRun || this.#retries.executions > 0 ? this.#retries.mayRepeat() : true;
     const hasPlacementsLeft = this.#placementCount < MAXIMUM_PLACEMENTS;
-    if (mayPlace && hasPlacementsLeft && (!arrived || this.#tryChargeRetryBudget())) this.#place();
+    if (mayPlace && hasPlacementsLeft && (!arrived || this.#retries.tryCharge())) this.#place();
     else this.#endUnserved(detail, NO_ENDPOINT_RETRY_AFTER_MS);
   }
 
@@ -334,7 +403,7 @@
    */
   #abandon(failureStatus: number, reason: string): void {
     if (this.#attempt !== undefined && !this.#attempt.ended && this.#attempt.written)
-      this.#executionCount += 1;
+      this.#retries.executions += 1;
     this.#cancel();
     this.#endUnserved(reason, NO_ENDPOINT_RETRY_AFTER_MS, STATUS.unavailable, failureStatus);
   }
@@ -365,20 +434,24 @@
     refusalStatus: number = STATUS.unavailable,
     failureStatus: number = STATUS.badGateway,
   ): void {
-    if (this.#answerBegun) {
+    if (this.#answer.begun) {
       this.#abortAnswer(reason);
       return;
     }
-    if (this.#executionCount > 0) {
+    if (this.#retries.executions > 0) {
       this.#finish('failed', failureStatus, reason, () =>
-        this.#answer.send(failureStatus, [], EMPTY_BODY),
+        this.#answer.sendOwn(failureStatus, undefined),
       );
       return;
     }
-    const header = this.#context.wire.buildRetryAfterHeader(retryAfterMs);
-    this.#finish('refused', refusalStatus, reason, () =>
-      this.#answer.send(refusalStatus, header, EMPTY_BODY),
-    );
+    // Another peer may have reach.
+    const isDeclined = this.#request.forwarded !== undefined && this.#context.reach.isIsolated;
+    const status = isDeclined ? STATUS_DECLINED : refusalStatus;
+    this.#finish('refused', status, reason, () => this.#answer.sendOwn(status, retryAfterMs));
+  }
+
+  #sinceArrivalMs(): number {
+    return this.#context.now() - this.#request.inbound.arrivedAt;
   }
 
   /** Closes the connection before the end of an answer, so that the caller sees that it is incomplete. */
@@ -392,39 +465,19 @@
     clearTimeout(this.#deadlineTimer);
     sendAnswer();
     const { metrics, onFinished } = this.#context;
-    const { route } = this.#request;
+    const { route, forwarded } = this.#request;
+    if (forwarded !== undefined) metrics.countForwarding('received', outcome);
     metrics.countRequest(route.name, outcome, status);
-    if (outcome === 'served') metrics.recordFirstByteLatency(route.name, this.#firstByteMs);
-    this.#log(outcome, status, reason);
+    if (outcome === 'served') metrics.recordFirstByteLatency(route.name, this.#answer.firstByteMs);
+    logRequestEnd(this.#context.logger, this.#request, this.#attempt, {
+      outcome,
+      status,
+      reason,
+      offers: this.#placementCount,
+      runs: this.#retries.executions,
+      firstByteMs: Math.round(this.#answer.firstByteMs),
+      totalMs: Math.round(this.#sinceArrivalMs()),
+    });
     onFinished(this);
   }
-
-  #log(outcome: RequestOutcome, status: number, reason: string): void {
-    const { id, route, account, service, inbound, configurationVersion, fields } = this.#request;
-    this.#context.logger.info(
-      {
-        request: id,
-        route: route.name,
-        account: account?.name,
-        service: service.name,
-        outcome,
-        status,
-        reason,
-        endpoint: this.#attempt?.endpoint.id,
-        framing: this.#attempt?.framing,
-        ...this.#attempt?.streamProgress,
-        offers: this.#placementCount,
-        runs: this.#executionCount,
-        promptTokens: fields.promptTokens,
-        maximumOutputTokens: fields.maximumOutputTokens,
-        expectedOutputTokens: fields.expectedOutputTokens,
-        deadlineMs: fields.deadlineMs,
-        waitedBeforeMs: this.#request.waitedBeforeMs,
-        firstByteMs: Math.round(this.#firstByteMs),
-        totalMs: Math.round(this.#context.now() - inbound.arrivedAt),
-        configurationVersion,
-      },
-      'request ended',
-    );
-  }
 }
--- /dev/null
+++ b/src/app/gateway/RequestRetries.ts
@@ -0,0 +1,57 @@
+import type { GatewayContext } from './GatewayContext.ts';
+import type { RoutedRequest } from './RoutedRequest.ts';
+
+/** Counts the executions of one request, and decides whether another one is allowed. */
+export class RequestRetries {
+  readonly #context: GatewayContext;
+
+  readonly #request: RoutedRequest;
+
+  readonly #deadlineAt: number;
+
+  /** Attempts in which an endpoint may have executed the request, those of the forwarding peer included. */
+  executions: number;
+
+  /** Whether the request counts in the budget of retries, here or at a peer. */
+  isCounted: boolean;
+
+  /**
+   * @param context - components of the process
+   * @param request - the request
+   * @param deadlineAt - its deadline in ms, monotonic
+   */
+  constructor(context: GatewayContext, request: RoutedRequest, deadlineAt: number) {
+    this.#context = context;
+    this.#request = request;
+    this.#deadlineAt = deadlineAt;
+    this.executions = request.forwarded?.executions ?? 0;
+    this.isCounted = request.forwarded?.isCounted ?? false;
+  }
+
+  /** Counts the request in the budget of retries of this process, once. */
+  countRequest(): void {
+    if (this.isCounted) return;
+    this.isCounted = true;
+    const { retryBudget, now } = this.#context;
+    retryBudget.recordRequest(this.#request.service.name, now());
+  }
+
+  /**
+   * Whether the route, its attempt limit and the deadline allow another execution.
+   *
+   * @param executions - attempts in which an endpoint may have executed the request
+   */
+  mayRepeat(executions = this.executions): boolean {
+    const { route } = this.#request;
+    const isRepeatable = route.kind === 'safe' || (route.kind === 'stream' && route.resumable);
+    return (
+      isRepeatable && executions < route.maximumAttempts && this.#deadlineAt > this.#context.now()
+    );
+  }
+
+  /** Charges the retry budget of the service; returns false if it is used up. */
+  tryCharge(): boolean {
+    const { retryBudget, memberCount, now } = this.#context;
+    return retryBudget.tryRetry(this.#request.service.name, memberCount(), now());
+  }
+}
--- a/src/app/gateway/RoutedRequest.ts
+++ b/src/app/gateway/RoutedRequest.ts
@@ -1,4 +1,4 @@
-import type { DecodedRequestHeaders } from '../../protocol/gateway/index.ts';
+import type { DecodedRequestHeaders, ForwardEnvelope } from '../../protocol/gateway/index.ts';
 import type { Account, Route, Service } from '../../state/gateway/index.ts';
 import type { InboundRequest } from '../../transport/gateway/index.ts';
 
@@ -16,6 +16,8 @@
   readonly waitedBeforeMs: number;
   /** Identifies the request, however often callers send it; computed when it is first needed. */
   readonly fingerprint: () => string;
+  /** What the peer said that forwarded it; undefined if its caller sent it to this gateway. */
+  readonly forwarded: ForwardEnvelope | undefined;
   /** Version of the configuration that routed it. */
   readonly configurationVersion: number;
 }
--- /dev/null
+++ b/src/app/gateway/logRequestEnd.ts
@@ -0,0 +1,75 @@
+import type { Logger } from 'pino';
+import type { RequestAttempt } from './RequestAttempt.ts';
+import type { RoutedRequest } from './RoutedRequest.ts';
+
+/** How a request ended, as logs and metrics state it. */
+export type RequestOutcome =
+  | 'served'
+  /** An error answer of an endpoint was forwarded. */
+  | 'endpointFailed'
+  /** The request was not executed and will not be. */
+  | 'refused'
+  /** The request may have been executed. */
+  | 'failed'
+  /** The connection was closed before the end of the answer. */
+  | 'brokenOff'
+  | 'callerLeft';
+
+/** How a request ended, and what it took. */
+export interface RequestEnd {
+  readonly outcome: RequestOutcome;
+  /** HTTP status of the answer; 0 if none was completed. */
+  readonly status: number;
+  readonly reason: string;
+  /** Placements and forwardings. */
+  readonly offers: number;
+  /** Attempts in which an endpoint may have executed the request. */
+  readonly runs: number;
+  readonly firstByteMs: number;
+  readonly totalMs: number;
+}
+
+/**
+ * Logs the end of a request; a forwarded one is logged by both gateways under its id.
+ *
+ * @param logger - log of the process
+ * @param request - the request
+ * @param attempt - its last attempt, if it had one
+ * @param end - how it ended
+ */
+export const logRequestEnd = (
+  logger: Logger,
+  {
+    id,
+    route,
+    account,
+    service,
+    configurationVersion,
+    fields,
+    forwarded,
+    waitedBeforeMs,
+  }: RoutedRequest,
+  attempt: RequestAttempt | undefined,
+  end: RequestEnd,
+): void => {
+  logger.info(
+    {
+      request: id,
+      route: route.name,
+      account: account?.name,
+      service: service.name,
+      ...end,
+      ...(attempt?.kind === 'peer' ? { peer: attempt.target } : { endpoint: attempt?.target }),
+      forwardedBy: forwarded?.from,
+      framing: attempt?.framing,
+      ...attempt?.streamProgress,
+      promptTokens: fields.promptTokens,
+      maximumOutputTokens: fields.maximumOutputTokens,
+      expectedOutputTokens: fields.expectedOutputTokens,
+      deadlineMs: fields.deadlineMs,
+      waitedBeforeMs,
+      configurationVersion,
+    },
+    'request ended',
+  );
+};
--- a/src/app/gateway/makePlacementTicket.ts
+++ b/src/app/gateway/makePlacementTicket.ts
@@ -15,6 +15,8 @@
   readonly avoid: readonly string[];
   /** Whether it is refused rather than queued. */
   readonly immediate: boolean;
+  /** Whether an earlier ticket of the request may have been charged to its quota. */
+  readonly isCharged: boolean;
   /** The request's fingerprint if it is in quarantine; otherwise empty. */
   readonly quarantined: readonly string[];
 }
@@ -52,12 +54,15 @@
     avoid,
     immediate,
     quarantined,
+    isCharged,
   }: RequestProgress,
 ): PlacementTicket => {
-  const { id, fields, account, route, service } = request;
+  const { id, fields, account, route, service, forwarded } = request;
+  const number =
+    forwarded === undefined ? `${placementNumber}` : `${forwarded.forwarding}.${placementNumber}`;
   const expectedOutputTokens = fields.expectedOutputTokens ?? fields.maximumOutputTokens;
   return {
-    id: `${id}/${placementNumber}`,
+    id: `${id}/${number}`,
     service: service.name,
     route: route.name,
     ...(account && { account: account.name }),
@@ -65,7 +70,7 @@
     priority: route.priority,
     promptTokens: fields.promptTokens,
     outputTokens: Math.min(expectedOutputTokens, Math.max(1, fields.maximumOutputTokens)),
-    quotaUnits: placementNumber === 1 ? computeQuotaUnits(request) : 0,
+    quotaUnits: isCharged ? 0 : computeQuotaUnits(request),
     targetMs: answerBegun ? remainingMs : route.targetLatencyMs - waitedMs - request.waitedBeforeMs,
     gapMs: route.targetGapMs,
     tokensPerEvent: service.engine?.tokensPerEvent ?? 1,
--- a/src/app/gateway/runGateway.ts
+++ b/src/app/gateway/runGateway.ts
@@ -29,8 +29,11 @@
 import type { GatewayLog } from './GatewayLog.ts';
 import { GatewayMetrics } from './GatewayMetrics.ts';
 import { makeIncarnation } from './makeIncarnation.ts';
+import { PeerForwarder } from './PeerForwarder.ts';
 import { PeerGroup } from './PeerGroup.ts';
 import { PlacementCoordinator } from './PlacementCoordinator.ts';
+import { ReachMonitor } from './ReachMonitor.ts';
+import { receiveForwarded } from './receiveForwarded.ts';
 import { StoreSubscription } from './StoreSubscription.ts';
 
 /** Settings, platform adapters and log of a gateway process. */
@@ -67,7 +70,10 @@
 const CONNECT_TIMEOUT_MS = 300;
 /** Connections idle for longer are not reused, because endpoints close idle ones after some seconds. */
 const ENDPOINT_MAXIMUM_IDLE_MS = 1_500;
+const PEER_MAXIMUM_IDLE_MS = 3_000;
 const STORE_MAXIMUM_IDLE_MS = 10_000;
+/** Interval at which requests in flight are looked at while some are, or should be, at peers. */
+const REVIEW_INTERVAL_MS = 250;
 /** Fixed, because the platform provides no secret: every process on the internal network may join. */
 const PEER_SECRET = 'gateways-on-the-internal-network';
 
@@ -118,6 +124,11 @@
       connectionTrustMs: ENDPOINT_MAXIMUM_IDLE_MS,
       now,
     }),
+    peerPool: makeConnectionPool({
+      connectTimeoutMs: CONNECT_TIMEOUT_MS,
+      connectionTrustMs: PEER_MAXIMUM_IDLE_MS,
+      now,
+    }),
     storePool: makeConnectionPool({
       connectTimeoutMs: CONNECT_TIMEOUT_MS,
       connectionTrustMs: STORE_MAXIMUM_IDLE_MS,
@@ -143,7 +154,7 @@
     const directory = new EndpointDirectory();
     const plainEndpoints = new PlainServiceBalancer();
     const timing = yield* Schema.decodeEffect(EntryTiming)(PEER_TIMING).pipe(Effect.orDie);
-    const { endpointPool, storePool } = yield* makeConnectionPools(now);
+    const { endpointPool, peerPool, storePool } = yield* makeConnectionPools(now);
     const lateBound = {
       group: new LateBound<PeerGroup>(),
       gateway: new LateBound<Gateway>(),
@@ -151,6 +162,26 @@
     };
 
     const crashes = new CrashMonitor({ group: () => lateBound.group.get(), logger, now });
+    const reach = new ReachMonitor({
+      pool: endpointPool,
+      listEndpoints: () => directory.listAllReady(),
+      findSilentEndpoint: (at) => lateBound.gateway.peek()?.findSilentEndpoint(at),
+      onChanged: (isIsolated) => {
+        lateBound.group.peek()?.setIsolated(isIsolated, now());
+        lateBound.gateway.peek()?.reviewInFlight(now());
+      },
+      metrics,
+      logger,
+      now,
+    });
+    const forwarder = new PeerForwarder({
+      group: () => lateBound.group.get(),
+      pool: peerPool,
+      wire,
+      secret: PEER_SECRET,
+      failureDomain: settings.failureDomain,
+      random: Math.random,
+    });
     const crashDetector = new CrashDetector({
       checkEndpoint: (address, onChecked) => {
         const url = `http://${address}`;
@@ -159,6 +190,8 @@
           onChecked(outcome._tag === 'connected');
         });
       },
+      checkReach: (endpointId, onVerdict) => reach.check(endpointId, onVerdict),
+      isIsolatedAlone: () => reach.isIsolated && forwarder.choose([]) !== undefined,
       isExpectedToRun: (id) => directory.findReady(id) !== undefined,
       onCrash: (runs, at) => crashes.recordCrash(runs, at),
       metrics,
@@ -211,6 +244,8 @@
       crashes,
       crashDetector,
       limits,
+      reach,
+      forwarder,
       endpointPool,
       metrics,
       logger,
@@ -238,6 +273,13 @@
       secret: PEER_SECRET,
       incarnation: () => lateBound.group.peek()?.incarnation ?? '',
       now,
+      onRequest: receiveForwarded({
+        secret: PEER_SECRET,
+        limits: () => gateway.routeIndex?.table.limits ?? INITIAL_LIMITS,
+        onRequest: (request, answer, envelope) => gateway.serveForwarded(request, answer, envelope),
+        logger,
+        now,
+      }),
     });
     const group = new PeerGroup({
       self: {
@@ -308,10 +350,18 @@
       placements,
       crashes,
       endpointLimits,
+      reach,
       metrics,
       now,
     });
 
+    let reviewedAt = now();
+    const reviewWhenDue = (): void => {
+      if (!reach.isIsolated && forwarder.inProgress === 0) return;
+      if (now() - reviewedAt < REVIEW_INTERVAL_MS) return;
+      reviewedAt = now();
+      gateway.reviewInFlight(reviewedAt);
+    };
     yield* Effect.acquireRelease(
       Effect.sync(() =>
         setInterval(() => {
@@ -320,6 +370,8 @@
           placements.tick();
           crashes.tick();
           limits.tick();
+          reach.tick();
+          reviewWhenDue();
         }, TICK_INTERVAL_MS),
       ),
       (timer) => Effect.sync(() => clearInterval(timer)),
--- a/src/app/gateway/startStatusServers.ts
+++ b/src/app/gateway/startStatusServers.ts
@@ -8,6 +8,7 @@
 import type { GatewayMetrics } from './GatewayMetrics.ts';
 import type { PeerGroup } from './PeerGroup.ts';
 import type { PlacementCoordinator } from './PlacementCoordinator.ts';
+import type { ReachMonitor } from './ReachMonitor.ts';
 import type { GatewayOptions } from './runGateway.ts';
 import type { StoreSubscription } from './StoreSubscription.ts';
 
@@ -23,6 +24,7 @@
   readonly placements: PlacementCoordinator;
   readonly crashes: CrashMonitor;
   readonly endpointLimits: EndpointLimits;
+  readonly reach: ReachMonitor;
   readonly metrics: GatewayMetrics;
   /** Present time in ms, monotonic. */
   readonly now: () => number;
@@ -62,6 +64,7 @@
   placements,
   crashes,
   endpointLimits,
+  reach,
   metrics,
   now,
 }: StatusSources): Effect.Effect<StatusAddresses, never, Scope.Scope> => {
@@ -88,6 +91,7 @@
       quarantinedParts: crashes.quarantined.parts,
       quarantinedRequests: crashes.quarantined.requests,
       limitedEndpoints: endpointLimits.limitedCount,
+      isolated: Number(reach.isIsolated),
       ...placements.countTickets(),
       droppedLogLines: log.droppedLines(),
     });
--- a/src/coordination/gateway/index.ts
+++ b/src/coordination/gateway/index.ts
@@ -1,3 +1,4 @@
+export { chooseForwardPeer } from './chooseForwardPeer.ts';
 export { CallerRetryDetector } from './CallerRetryDetector.ts';
 export { CrashAttribution } from './CrashAttribution.ts';
 export type { CrashCulprit, CrashedRun } from './CrashAttribution.ts';
@@ -6,6 +7,8 @@
 export type { EndpointChange, OutagePhase } from './EndpointDirectory.ts';
 export { EndpointLimits } from './EndpointLimits.ts';
 export type { LimitObservation } from './EndpointLimits.ts';
+export { EndpointReach, SILENCE_MS } from './EndpointReach.ts';
+export type { ReachChange } from './EndpointReach.ts';
 export { EngineSpeed } from './EngineSpeed.ts';
 export { pickService } from './pickService.ts';
 export { CrashQuarantine } from './CrashQuarantine.ts';
--- a/src/coordination/membership/MemberTable.ts
+++ b/src/coordination/membership/MemberTable.ts
@@ -188,7 +188,7 @@
    * @param change - the changed fields; empty to refute a suspicion
    * @param now - current time in ms
    */
-  updateSelf(change: Partial<Pick<Member, 'draining' | 'status'>>, now: number): void {
+  updateSelf(change: Partial<Pick<Member, 'draining' | 'isolated' | 'status'>>, now: number): void {
     this.ownMember = { ...this.ownMember, ...change, revision: this.ownMember.revision + 1 };
     if (change.status === 'left') this.ownIncarnationEnded = true;
     this.updateQueue.add(this.ownMember);
--- a/src/coordination/membership/Membership.ts
+++ b/src/coordination/membership/Membership.ts
@@ -228,6 +228,18 @@
     return this.announce(now);
   }
 
+  /**
+   * Announces whether this process reaches any endpoint.
+   *
+   * @param isolated - whether it reaches none
+   * @param now - current time in ms
+   * @returns probes that carry the updated record
+   */
+  setIsolated(isolated: boolean, now: number): Action[] {
+    this.memberTable.updateSelf({ isolated }, now);
+    return this.announce(now);
+  }
+
   /**
    * Announces that this process has left, and ends its lease.
    *
--- a/src/protocol/gateway/WireAdapter.ts
+++ b/src/protocol/gateway/WireAdapter.ts
@@ -48,6 +48,8 @@
   /** Whether the body has a content encoding, although the gateway accepts none. */
   readonly isEncoded: boolean;
   readonly statedLimit: StatedLimit;
+  /** Time after which the request may be sent again; undefined if the answer states none. */
+  readonly retryAfterMs: number | undefined;
 }
 
 /** Header names and values alternating, in the order and spelling received. */
@@ -57,6 +59,8 @@
 export interface WireAdapter {
   /** Decodes the header lines of a caller's request. */
   readonly readRequestHeaders: (headers: RawHeaders) => DecodedRequestHeaders;
+  /** Removes hop-by-hop headers from a caller's header lines. */
+  readonly filterRequestHeaders: (headers: RawHeaders) => string[];
   /** Removes hop-by-hop headers and those that only the gateway may set from a caller's header lines, then adds the gateway's. */
   readonly buildForwardHeaders: (headers: RawHeaders, fields: AddedRequestHeaders) => string[];
   /** Decodes the status and header lines of a response. */
--- a/src/protocol/gateway/index.ts
+++ b/src/protocol/gateway/index.ts
@@ -1,3 +1,10 @@
+export {
+  FORWARD_HEADER,
+  ForwardEnvelope,
+  decodeForwardEnvelope,
+  encodeForwardEnvelope,
+  isForwardLine,
+} from './ForwardEnvelope.ts';
 export type {
   ListResult,
   ObjectStore,
--- a/src/state/Member.ts
+++ b/src/state/Member.ts
@@ -19,6 +19,8 @@
   revision: Schema.Int,
   /** Whether the member rejects new requests while it completes the running ones. */
   draining: Schema.Boolean,
+  /** Whether the member reaches no endpoint, so that others send its requests; absent if it isn't known. */
+  isolated: Schema.optionalKey(Schema.Boolean),
   /** CPU cores that the process may use, to compare members; absent if all are alike. */
   strength: Schema.optionalKey(Schema.Finite),
 });
--- a/src/transport/gateway/index.ts
+++ b/src/transport/gateway/index.ts
@@ -1,3 +1,4 @@
+export { InboundConnections } from './InboundConnections.ts';
 export type { InboundAnswer, InboundRequest } from './InboundRequest.ts';
 export { makeGatewayServer } from './makeGatewayServer.ts';
 export type { GatewayServer, GatewayServerOptions } from './makeGatewayServer.ts';
--- a/src/transport/http/exchange.ts
+++ b/src/transport/http/exchange.ts
@@ -65,9 +65,10 @@
   | { readonly _tag: 'opened'; readonly outgoing: http.ClientRequest }
   | { readonly _tag: 'refused'; readonly detail: string };
 
-const linesOf = ({ headerLines, body }: HttpRequest): string[] | undefined =>
+const linesOf = ({ headerLines, body }: HttpRequest, asksFirst: boolean): string[] | undefined =>
   headerLines && [
     ...headerLines,
+    ...(asksFirst ? ['Expect', '100-continue'] : []),
     ...(body ? ['Content-Length', String(body.length)] : []),
     'Connection',
     'keep-alive',
@@ -91,7 +92,7 @@
     const outgoing = http.request({
       method,
       path,
-      headers: linesOf(request) ?? fieldsOf(request, asksFirst),
+      headers: linesOf(request, asksFirst) ?? fieldsOf(request, asksFirst),
       createConnection: () => socket,
     });
     // Without an agent Node takes this from header fields, but not from header lines.
--- a/src/transport/peer/PeerListener.ts
+++ b/src/transport/peer/PeerListener.ts
@@ -18,6 +18,8 @@
   readonly secret: string;
   readonly traffic: PeerTraffic;
   readonly onDelivery: (delivery: PeerDelivery) => void;
+  /** Takes HTTP requests of peers; without it they are refused. */
+  readonly onRequest?: http.RequestListener | undefined;
 }
 
 /** Time for a peer to prove that it knows the secret. */
@@ -25,6 +27,12 @@
 /** Peers close their idle links long before this; a link silent for longer is lost. */
 const LOST_AFTER_MS = 120_000;
 const MAXIMUM_CONNECTIONS = 4_096;
+/** Above the limit for callers, whose requests peers forward with more headers. */
+const MAXIMUM_HEADER_BYTES = 131_072;
+
+const refuseRequest: http.RequestListener = (_request, response) => {
+  response.writeHead(426, { connection: 'close' }).end();
+};
 const NONCE = /^[0-9a-f]{32}$/;
 
 /** Takes in links from peers and decodes what they bring. */
@@ -42,9 +50,10 @@
       perMessageDeflate: false,
       maxPayload: MAXIMUM_MESSAGE_BYTES,
     });
-    this.server = http.createServer((_request, response) => {
-      response.writeHead(426, { connection: 'close' }).end();
-    });
+    this.server = http.createServer(
+      { maxHeaderSize: MAXIMUM_HEADER_BYTES, noDelay: true },
+      options.onRequest ?? refuseRequest,
+    );
     this.server.maxConnections = MAXIMUM_CONNECTIONS;
     this.server.on('upgrade', (request, socket, head) => this.#onUpgrade(request, socket, head));
     this.server.on('clientError', (_error, socket) => socket.destroy());
--- a/src/transport/peer/makePeerNetwork.ts
+++ b/src/transport/peer/makePeerNetwork.ts
@@ -1,3 +1,4 @@
+import type * as http from 'node:http';
 import type { AddressInfo } from 'node:net';
 import * as Effect from 'effect/Effect';
 import type * as Scope from 'effect/Scope';
@@ -16,6 +17,8 @@
   readonly incarnation: () => string;
   /** Present time in ms, monotonic. */
   readonly now: () => number;
+  /** Takes HTTP requests of peers; without it they are refused. */
+  readonly onRequest?: http.RequestListener;
 }
 
 /** A network that runs, and where. */
@@ -63,6 +66,7 @@
             secret: options.secret,
             traffic,
             onDelivery: (delivery) => deliver(delivery),
+            onRequest: options.onRequest,
           }),
       ),
       ({ server }) => Effect.sync(() => server.close()),
--- a/src/transport/peer/peerProof.ts
+++ b/src/transport/peer/peerProof.ts
@@ -3,8 +3,11 @@
 const NONCE_BYTES = 16;
 const PROOF_BYTES = 32;
 
-/** Which end of a link a proof comes from; keeps a proof from being sent back as the other end's. */
-export type PeerRole = 'caller' | 'listener';
+/**
+ * What a proof is for: either end of a link, or a forwarded request. Keeps a proof from being sent back as
+ * the other end's.
+ */
+export type PeerRole = 'caller' | 'listener' | 'forwarder';
 
 /** Makes a nonce, in hex. */
 export const makeNonce = (): string => randomBytes(NONCE_BYTES).toString('hex');
