Keep the rejections of brittle endpoints below what they bear

Brittle endpoints go the way of limited ones: EndpointLimits and its exchange carry what they bear, and the scheduler decides about their requests, of plain services too, by slots. RejectionGuard lowers the requests at a time where one is rejected, sends nothing for a while after half of what the endpoint bears, and lets them grow back.

--- a/src/app/gateway/EndpointAttempt.ts
+++ b/src/app/gateway/EndpointAttempt.ts
@@ -179,9 +179,7 @@
     const isForThisRequest =
       answer.id === request.id || (answer.id === undefined && answer.isNotRun);
     if (isForThisRequest && (answer.isSigned || answer.isNotRun) && !answer.isEncoded) {
-      // A rejection without a limit doesn't end one: something else may have written it.
-      if (answer.isSigned || answer.statedLimit._tag !== 'none')
-        context.limits.observe(this.endpoint, answer.statedLimit, this.#sentAt);
+      this.#recordStatements(answer);
       return;
     }
     // The answer belongs to another request, was not written by an endpoint, or has a content encoding
@@ -189,6 +187,21 @@
     this.#fail(`answer does not belong to this request (status ${status})`);
   }
 
+  #recordStatements({ isSigned, statements }: DecodedResponseHeaders): void {
+    const { context } = this.#options;
+    statements.forEach((statement) => {
+      if (statement._tag === 'unreadable')
+        context.logger.warn(
+          { endpoint: this.endpoint.id, header: statement.name },
+          'endpoint states something unreadable',
+        );
+    });
+    const readable = statements.filter(({ _tag }) => _tag !== 'unreadable');
+    // A rejection without a statement doesn't end one: something else may have written it.
+    if (readable.length > 0 || (isSigned && statements.length === 0))
+      context.limits.observe(this.endpoint, readable, this.#sentAt);
+  }
+
   #onData(bytes: Buffer): void {
     if (this.#firstByteAt === undefined) this.#onFirstByte();
     this.#apply(this.#isStream() ? this.#reader.readStream(bytes) : this.#reader.readBody(bytes));
--- a/src/app/gateway/EndpointLimitMonitor.test.ts
+++ b/src/app/gateway/EndpointLimitMonitor.test.ts
@@ -56,7 +56,7 @@
       .get(`gateway-${index}`)
       ?.monitor.observe(
         RECORD,
-        requestsPerSecond === undefined ? { _tag: 'none' } : { _tag: 'stated', requestsPerSecond },
+        requestsPerSecond === undefined ? [] : [{ _tag: 'limit', requestsPerSecond }],
         state.now - 20,
       );
   const tickFor = (ms: number): void => {
--- a/src/app/gateway/EndpointLimitMonitor.ts
+++ b/src/app/gateway/EndpointLimitMonitor.ts
@@ -1,6 +1,6 @@
 import type { Logger } from 'pino';
 import type { EndpointLimits, LimitObservation } from '../../coordination/gateway/index.ts';
-import type { StatedLimit } from '../../protocol/gateway/index.ts';
+import type { EndpointStatement } from '../../protocol/gateway/index.ts';
 import type { PeerMessage } from '../../protocol/peer/PeerMessage.ts';
 import { endpointStartOf, type EndpointRecord } from '../../state/gateway/index.ts';
 import type { PeerGroup } from './PeerGroup.ts';
@@ -35,7 +35,7 @@
 });
 
 /**
- * Follows the rates of requests that endpoints state in their answers. Each gateway reports what its own
+ * Follows the rates of requests and of rejections that endpoints state in their answers. Each gateway reports what its own
  * answers said to the scheduler, which counts the requests of all and tells all the limits.
  */
 export class EndpointLimitMonitor {
@@ -56,9 +56,10 @@
       _tag: 'endpointLimits',
       limits: observations
         .slice(-MAXIMUM_LIMITS_PER_MESSAGE)
-        .map(({ endpoint, requestsPerSecond, sentAt, answeredAt }) => ({
+        .map(({ endpoint, requestsPerSecond, rejectionsPerSecond, sentAt, answeredAt }) => ({
           endpoint,
           ...(requestsPerSecond !== undefined && { requestsPerSecond }),
+          ...(rejectionsPerSecond !== undefined && { rejectionsPerSecond }),
           sentAgeMs: now - sentAt,
           answeredAgeMs: now - answeredAt,
         })),
@@ -75,29 +76,39 @@
   }
 
   /**
-   * Records what an answer of an endpoint said about its limit.
+   * Records what an answer of an endpoint said about the requests that it bears.
    *
    * @param record - the endpoint
-   * @param limit - the limit that it stated
+   * @param statements - what it stated
    * @param sentAt - when the request was sent, in ms, monotonic
    */
-  observe(record: EndpointRecord, limit: StatedLimit, sentAt: number): void {
-    if (limit._tag === 'unreadable') {
-      this.#options.logger.warn({ endpoint: record.id }, 'endpoint states an unreadable limit');
-      return;
-    }
+  observe(record: EndpointRecord, statements: readonly EndpointStatement[], sentAt: number): void {
     const { limits, logger, now } = this.#options;
     const answeredAt = now();
     const endpoint = endpointStartOf(record);
-    const requestsPerSecond = limit._tag === 'stated' ? limit.requestsPerSecond : undefined;
-    const observation = { endpoint, requestsPerSecond, sentAt, answeredAt };
+    const stated: { requestsPerSecond?: number; rejectionsPerSecond?: number } = {};
+    statements.forEach((statement) => {
+      switch (statement._tag) {
+        case 'limit':
+          stated.requestsPerSecond = statement.requestsPerSecond;
+          return;
+        case 'brittle':
+          stated.rejectionsPerSecond = statement.rejectionsPerSecond;
+          return;
+        case 'unreadable':
+          return;
+        default:
+          statement satisfies never;
+      }
+    });
+    const observation = { endpoint, requestsPerSecond: undefined, ...stated, sentAt, answeredAt };
     const changed = limits.observe(observation, answeredAt);
     if (changed) {
       const { id, service, address } = record;
-      logger.info({ service, endpoint: id, address, requestsPerSecond }, 'endpoint limit changed');
+      logger.info({ service, endpoint: id, address, ...stated }, 'endpoint limit changed');
       this.#options.onChanged();
     }
-    const confirms = limit._tag === 'stated' && !this.#exchange.isScheduler;
+    const confirms = statements.length > 0 && !this.#exchange.isScheduler;
     if (changed || (confirms && this.#isConfirmationDue(endpoint, answeredAt)))
       this.#unsent.set(endpoint, observation);
   }
@@ -111,16 +122,20 @@
     if (message._tag !== 'endpointLimits') return;
     const now = this.#options.now();
     const changed = message.limits
-      .map(({ endpoint, requestsPerSecond, sentAgeMs, answeredAgeMs }) => ({
+      .map(({ endpoint, requestsPerSecond, rejectionsPerSecond, sentAgeMs, answeredAgeMs }) => ({
         endpoint,
         requestsPerSecond,
+        rejectionsPerSecond,
         sentAt: now - sentAgeMs,
         answeredAt: now - answeredAgeMs,
       }))
       .filter((observation) => this.#options.limits.observe(observation, now));
     if (changed.length === 0) return;
-    changed.forEach(({ endpoint, requestsPerSecond }) =>
-      this.#options.logger.info({ endpoint, requestsPerSecond }, 'endpoint limit learned'),
+    changed.forEach(({ endpoint, requestsPerSecond, rejectionsPerSecond }) =>
+      this.#options.logger.info(
+        { endpoint, requestsPerSecond, rejectionsPerSecond },
+        'endpoint limit learned',
+      ),
     );
     if (this.#exchange.isScheduler)
       changed.forEach((observation) => this.#unsent.set(observation.endpoint, observation));
--- a/src/coordination/gateway/EndpointLimits.ts
+++ b/src/coordination/gateway/EndpointLimits.ts
@@ -1,11 +1,14 @@
 import { TokenBucket } from '../limits/TokenBucket.ts';
+import { RejectionGuard } from './RejectionGuard.ts';
 
-/** What one answer said about the rate of requests that its endpoint accepts. */
+/** What one answer said about the requests that its endpoint bears. */
 export interface LimitObservation {
   /** One start of an endpoint. */
   readonly endpoint: string;
   /** Requests a second from all gateways together; undefined if the answer stated no limit. */
   readonly requestsPerSecond: number | undefined;
+  /** Rejections a second that it bears from all gateways together; undefined if the answer stated none. */
+  readonly rejectionsPerSecond?: number | undefined;
   /** When the request was sent, in ms, monotonic. */
   readonly sentAt: number;
   /** When the head of the answer arrived, in ms, monotonic. */
@@ -15,9 +18,10 @@
 interface EndpointLimit {
   /** The newest observation. */
   observation: LimitObservation;
-  /** The limit that was stated last, in requests a second. */
+  /** The limit that was stated last, in requests a second; infinite if none was. */
   requestsPerSecond: number;
   readonly bucket: TokenBucket;
+  readonly guard: RejectionGuard;
 }
 
 const MS_PER_SECOND = 1_000;
@@ -37,8 +41,10 @@
 const RETENTION_MS = 600_000;
 const MAXIMUM_ENDPOINTS = 4_096;
 
-const isEnded = ({ observation }: EndpointLimit): boolean =>
-  observation.requestsPerSecond === undefined;
+const statesNothing = ({ requestsPerSecond, rejectionsPerSecond }: LimitObservation): boolean =>
+  requestsPerSecond === undefined && rejectionsPerSecond === undefined;
+
+const isEnded = ({ observation }: EndpointLimit): boolean => statesNothing(observation);
 
 /** Whether a limit ended so long ago that it no longer slows requests down. */
 const isLifted = (limit: EndpointLimit, now: number): boolean =>
@@ -46,14 +52,15 @@
 
 /** Returns the requests a second that all processes together may send. */
 const fullRate = (limit: EndpointLimit, now: number): number => {
+  const { requestsPerSecond = Number.POSITIVE_INFINITY } = limit.observation;
+  if (!isEnded(limit)) return Math.max(MINIMUM_RATE, requestsPerSecond);
   const rate = Math.max(MINIMUM_RATE, limit.requestsPerSecond);
-  if (!isEnded(limit)) return rate;
   return rate * 2 ** ((now - limit.observation.answeredAt) / RAMP_DOUBLING_MS);
 };
 
 /**
- * The rates of requests that endpoints state they accept from all gateways together, and what a scheduler
- * may still send within them. Buckets start empty, because another process may have sent requests before.
+ * The rates of requests and of rejections that endpoints state they bear from all gateways together, and what a
+ * scheduler may still send within them. Buckets start empty, because another process may have sent requests before.
  */
 export class EndpointLimits {
   readonly #limits = new Map<string, EndpointLimit>();
@@ -85,22 +92,24 @@
    * @returns whether the limit of the endpoint changed
    */
   observe(observation: LimitObservation, now: number): boolean {
-    const { endpoint, requestsPerSecond, sentAt, answeredAt } = observation;
+    const { endpoint, requestsPerSecond, rejectionsPerSecond, sentAt, answeredAt } = observation;
     const known = this.#limits.get(endpoint);
-    if (requestsPerSecond === undefined) {
+    if (statesNothing(observation)) {
       if (known === undefined || isEnded(known)) return false;
       if (sentAt <= known.observation.answeredAt + CLOCK_MARGIN_MS) return false;
       known.observation = observation;
       return true;
     }
     if (known === undefined) {
-      this.#add(observation, requestsPerSecond, now);
+      this.#add(observation, now);
       return true;
     }
     if (answeredAt <= known.observation.answeredAt) return false;
-    const changed = known.observation.requestsPerSecond !== requestsPerSecond;
+    const changed =
+      known.observation.requestsPerSecond !== requestsPerSecond ||
+      known.observation.rejectionsPerSecond !== rejectionsPerSecond;
     known.observation = observation;
-    known.requestsPerSecond = requestsPerSecond;
+    known.requestsPerSecond = requestsPerSecond ?? Number.POSITIVE_INFINITY;
     return changed;
   }
 
@@ -121,19 +130,50 @@
    */
   msUntilAllowed(endpoint: string, now: number): number {
     const limit = this.#findBinding(endpoint, now);
-    return limit === undefined ? 0 : this.#bucketOf(limit, now).msUntilLevel(1, now);
+    if (limit === undefined) return 0;
+    const { rejectionsPerSecond } = limit.observation;
+    const untilBorneMs =
+      rejectionsPerSecond === undefined
+        ? 0
+        : limit.guard.msUntilOpen(this.#share * rejectionsPerSecond, now);
+    return Math.max(untilBorneMs, this.#bucketOf(limit, now)?.msUntilLevel(1, now) ?? 0);
   }
 
   /** Counts a request that is sent to an endpoint. */
   consume(endpoint: string, now: number): void {
     const limit = this.#findBinding(endpoint, now);
-    if (limit !== undefined) this.#bucketOf(limit, now).consume(1, now);
+    if (limit !== undefined) this.#bucketOf(limit, now)?.consume(1, now);
   }
 
   /** Takes back a request that was counted and isn't sent. */
   refund(endpoint: string, now: number): void {
     const limit = this.#findBinding(endpoint, now);
-    if (limit !== undefined) this.#bucketOf(limit, now).refund(1, now);
+    if (limit !== undefined) this.#bucketOf(limit, now)?.refund(1, now);
+  }
+
+  /**
+   * Returns the requests that an endpoint may get at a time.
+   *
+   * @param endpoint - one start of an endpoint
+   * @param slots - the most that it may get
+   * @param now - present time in ms, monotonic
+   */
+  slotLimit(endpoint: string, slots: number, now: number): number {
+    const limit = this.#findBinding(endpoint, now);
+    const rejectionsPerSecond = limit?.observation.rejectionsPerSecond;
+    if (limit === undefined || rejectionsPerSecond === undefined) return slots;
+    return limit.guard.slotLimit(slots, rejectionsPerSecond, now);
+  }
+
+  /**
+   * Records that an endpoint rejected a request for want of room.
+   *
+   * @param endpoint - one start of an endpoint
+   * @param running - requests that it has otherwise
+   * @param now - present time in ms, monotonic
+   */
+  recordRejection(endpoint: string, running: number, now: number): void {
+    this.#findBinding(endpoint, now)?.guard.recordRejection(running, now);
   }
 
   /**
@@ -151,8 +191,9 @@
   reset(now: number): void {
     this.#limits.forEach((limit) => {
       if (isLifted(limit, now)) return;
+      limit.guard.reset(now);
       const bucket = this.#bucketOf(limit, now);
-      bucket.consume(bucket.available(now), now);
+      bucket?.consume(bucket.available(now), now);
     });
   }
 
@@ -169,10 +210,12 @@
     });
   }
 
-  #add(observation: LimitObservation, requestsPerSecond: number, now: number): void {
+  #add(observation: LimitObservation, now: number): void {
+    const { requestsPerSecond = Number.POSITIVE_INFINITY } = observation;
     const bucket = new TokenBucket(1, BASE_BURST, now);
     bucket.consume(BASE_BURST, now);
-    this.#limits.set(observation.endpoint, { observation, requestsPerSecond, bucket });
+    const guard = new RejectionGuard();
+    this.#limits.set(observation.endpoint, { observation, requestsPerSecond, bucket, guard });
     const [oldest] = this.#limits.keys();
     if (this.#limits.size > MAXIMUM_ENDPOINTS && oldest !== undefined) this.#limits.delete(oldest);
   }
@@ -183,8 +226,10 @@
     return limit === undefined || isLifted(limit, now) ? undefined : limit;
   }
 
-  #bucketOf(limit: EndpointLimit, now: number): TokenBucket {
+  /** Returns the bucket of a limit to the rate of requests; undefined if there is no such limit. */
+  #bucketOf(limit: EndpointLimit, now: number): TokenBucket | undefined {
     const rate = this.#share * fullRate(limit, now);
+    if (!Number.isFinite(rate)) return undefined;
     limit.bucket.reconfigure(rate, BASE_BURST + (rate * BURST_MS) / MS_PER_SECOND, now);
     return limit.bucket;
   }
--- a/src/coordination/gateway/PlacementScheduler.ts
+++ b/src/coordination/gateway/PlacementScheduler.ts
@@ -198,7 +198,10 @@
     if (running === undefined) return undefined;
     const { engine, placement } = running;
     engine.release(id, now);
-    if (result.outcome === 'unused') this.#limits.refund(endpointStartOf(engine.record), now);
+    const start = endpointStartOf(engine.record);
+    if (result.outcome === 'unused') this.#limits.refund(start, now);
+    if (result.outcome === 'turnedAway')
+      this.#limits.recordRejection(start, engine.running.size, now);
     const backoffMs = engine.availability.recordOutcome(result.outcome, now, placement.owner);
     const { decodeMs, outputTokens } = result;
     if (decodeMs !== undefined && outputTokens !== undefined)
@@ -379,7 +382,7 @@
       targetMs,
       remainingMs,
       now,
-      slotLimitOf: (engine) => group.slotLimit(engine, this.#usableSlots(engine)),
+      slotLimitOf: (engine) => group.slotLimit(engine, this.#usableSlots(engine, now)),
     };
     const candidate =
       this.#chooseUnlimited(ticket, open, group, limits) ?? chooseEngine(ticket, open, limits);
@@ -449,7 +452,7 @@
       endpoint: engine.record.id,
       waitedMs: now - arrivedAt,
       firstTokenMs,
-      freeSlots: this.#usableSlots(engine) - engine.running.size,
+      freeSlots: this.#usableSlots(engine, now) - engine.running.size,
     };
   }
 
@@ -462,19 +465,22 @@
     if (this.#limits.isEmpty || waiting.length === 0)
       return Math.max(
         1,
-        engines.reduce((sum, engine) => sum + this.#usableSlots(engine), 0),
+        engines.reduce((sum, engine) => sum + this.#usableSlots(engine, now), 0),
       );
     const holdMs = waiting.map(({ ticket }) => group.forecast(ticket).slotHoldMs);
     const meanHoldMs = holdMs.reduce((sum, value) => sum + value, 0) / waiting.length;
     const slots = engines.reduce((sum, engine) => {
       const rate = this.#limits.rateOf(endpointStartOf(engine.record), now);
-      return sum + Math.min(this.#usableSlots(engine), (rate * meanHoldMs) / MS_PER_SECOND);
+      return sum + Math.min(this.#usableSlots(engine, now), (rate * meanHoldMs) / MS_PER_SECOND);
     }, 0);
     return Math.max(MINIMUM_SLOTS, slots);
   }
 
-  #usableSlots({ record }: EngineLoad): number {
-    return Math.max(1, Math.floor(record.slots * this.#allocation.share));
+  #usableSlots({ record }: EngineLoad, now: number): number {
+    const slots = Math.max(1, Math.floor(record.slots * this.#allocation.share));
+    return this.#limits.isEmpty
+      ? slots
+      : this.#limits.slotLimit(endpointStartOf(record), slots, now);
   }
 
   #addReported(
--- a/src/protocol/gateway/WireAdapter.ts
+++ b/src/protocol/gateway/WireAdapter.ts
@@ -1,3 +1,4 @@
+import type { EndpointStatement } from './EndpointStatement.ts';
 import type { EndpointRecord, RouteTable } from '../../state/gateway/index.ts';
 
 /** Values decoded from the header lines of a caller's request. */
@@ -30,13 +31,6 @@
   readonly lastEventId: string | undefined;
 }
 
-/** What an answer says about the rate of requests that its endpoint accepts. */
-export type StatedLimit =
-  | { readonly _tag: 'none' }
-  /** Requests a second that the endpoint accepts from all gateways together. */
-  | { readonly _tag: 'stated'; readonly requestsPerSecond: number }
-  | { readonly _tag: 'unreadable' };
-
 /** Values decoded from the status and header lines of a response, which show its origin. */
 export interface DecodedResponseHeaders {
   /** Id of the request that the response belongs to. */
@@ -47,7 +41,8 @@
   readonly isNotRun: boolean;
   /** Whether the body has a content encoding, although the gateway accepts none. */
   readonly isEncoded: boolean;
-  readonly statedLimit: StatedLimit;
+  /** What the endpoint states of itself. */
+  readonly statements: readonly EndpointStatement[];
   /** Time after which the request may be sent again; undefined if the answer states none. */
   readonly retryAfterMs: number | undefined;
 }
--- a/src/protocol/gateway/index.ts
+++ b/src/protocol/gateway/index.ts
@@ -1,3 +1,4 @@
+export { EndpointStatement } from './EndpointStatement.ts';
 export {
   FORWARD_HEADER,
   ForwardEnvelope,
@@ -19,6 +20,5 @@
   DecodedRequestHeaders,
   AddedRequestHeaders,
   RawHeaders,
-  StatedLimit,
   WireAdapter,
 } from './WireAdapter.ts';
--- a/src/protocol/peer/GatewayMessages.ts
+++ b/src/protocol/peer/GatewayMessages.ts
@@ -89,12 +89,14 @@
 });
 export type PlacementResult = typeof PlacementResult.Type;
 
-/** What an answer of an endpoint said about the rate of requests that the endpoint accepts. */
+/** What an answer of an endpoint said about the requests that the endpoint bears. */
 export const EndpointLimitReport = Schema.Struct({
   /** One start of an endpoint. */
   endpoint: Schema.NonEmptyString,
   /** Requests a second from all gateways together; absent if the answer stated no limit. */
   requestsPerSecond: Schema.optionalKey(Schema.Finite),
+  /** Rejections a second that it bears from all gateways together; absent if the answer stated none. */
+  rejectionsPerSecond: Schema.optionalKey(Schema.Finite),
   /** Time since the request was sent. */
   sentAgeMs: Milliseconds,
   /** Time since the head of the answer arrived. */
--- a/test/limits/limits.test.ts
+++ b/test/limits/limits.test.ts
@@ -7,6 +7,7 @@
 import { promisify } from 'node:util';
 import { expect } from 'earl';
 import type { FleetDisturbance } from '../support/FleetDisturbance.ts';
+import { playBrittle } from './playBrittle.ts';
 import { playLimits } from './playLimits.ts';
 
 const BUILD = fileURLToPath(new URL('../../scripts/buildPlatform.mjs', import.meta.url));
@@ -59,4 +60,22 @@
       });
     });
   });
+
+  // Guards against endpoints that fall over because the group makes them reject too many requests (LIMIT).
+  it('let endpoints that bear few rejections stand, and use them', async (context) => {
+    const result = await playBrittle(context, {
+      seed: 7,
+      gateways: 4,
+      endpoints: 3,
+      bears: 4,
+      rate: 120,
+      brittleMs: 9_000,
+      disturbance: { _tag: 'none' },
+      program,
+      folder,
+    });
+    console.log(JSON.stringify(result));
+    expect(result.falls <= 2).toEqual(true);
+    expect(result.usedShare >= 0.5).toEqual(true);
+  });
 });
--- a/test/support/StatingEndpoint.ts
+++ b/test/support/StatingEndpoint.ts
@@ -13,6 +13,10 @@
   readonly store: ObjectStoreStandIn;
   /** Header lines with which it states something of itself in an answer with this status. */
   readonly statements: (status: number) => http.OutgoingHttpHeaders;
+  /** Requests that run at a time; 8 unless given. */
+  readonly slots?: number;
+  /** Time that a run takes before its answer, in ms. */
+  readonly runMs?: number;
   /** Requests that may wait for a slot; it rejects those beyond. */
   readonly room?: () => number;
   /** Rejections within a second beyond which it falls over; undefined if it never does. */
@@ -24,7 +28,7 @@
   readonly onFall?: (at: number) => void;
 }
 
-const SLOTS = 8;
+const DEFAULT_SLOTS = 8;
 const PLAIN_MS = 15;
 const PREFILL_MS = 40;
 const EVENT_MS = 20;
@@ -89,6 +93,10 @@
     this.#silentUntil = performance.now() + forMs;
   }
 
+  get #slots(): number {
+    return this.#options.slots ?? DEFAULT_SLOTS;
+  }
+
   get #id(): string {
     return `${this.#options.name}-${this.#starts}`;
   }
@@ -116,7 +124,7 @@
       address: `127.0.0.1:${this.#port}`,
       zone: 'a',
       version: 'v1',
-      slots: SLOTS,
+      slots: this.#slots,
       state: 'ready',
       cold_remaining_ms: 0,
       seq: 1,
@@ -132,22 +140,22 @@
 
   async #serve(request: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
     const server = this.#server;
-    const { onArrival, onRun, streams, room } = this.#options;
+    const { onArrival, onRun, streams, room, runMs } = this.#options;
     const requestId = String(request.headers['x-corianderwick-request-id'] ?? '');
     request.resume();
     onArrival?.(requestId, performance.now());
-    if (this.#running >= SLOTS && this.#waiting >= (room?.() ?? 0)) {
+    if (this.#running >= this.#slots && this.#waiting >= (room?.() ?? 0)) {
       this.#reject(requestId, response);
       return;
     }
     this.#waiting += 1;
-    while (this.#running >= SLOTS && !response.destroyed) await wait(CHECK_MS);
+    while (this.#running >= this.#slots && !response.destroyed) await wait(CHECK_MS);
     if (server !== this.#server) return;
     this.#waiting -= 1;
     this.#running += 1;
     onRun?.(requestId, performance.now());
     try {
-      await this.#pause(streams ? PREFILL_MS : PLAIN_MS);
+      await this.#pause(runMs ?? (streams ? PREFILL_MS : PLAIN_MS));
       if (streams) await this.#stream(requestId, request, response);
       else {
         this.#begin(requestId, response, OK, { 'Content-Length': requestId.length });
