Log the time after which a rejecting endpoint wants the next request

'try ended' said that it rejected them, and not for how long it wanted nothing, so that the log couldn't tell a request that ignored a rest from one that came after it.

--- a/src/app/gateway/EndpointAttempt.ts
+++ b/src/app/gateway/EndpointAttempt.ts
@@ -332,6 +332,7 @@
           outcome,
           detail,
           framing: this.framing,
+          retryAfterMs: this.#answerFields?.retryAfterMs,
           ...this.streamProgress,
           promptParts: request.fields.sharedPromptParts,
           afterMs: Math.round(totalMs),
