--- a/test/support/StatingEndpoint.ts
+++ b/test/support/StatingEndpoint.ts
@@ -19,6 +19,8 @@
   readonly runMs?: number;
   /** Requests that may wait for a slot; it rejects those beyond. */
   readonly room?: () => number;
+  /** Whether it rejects requests though it has room. */
+  readonly sheds?: () => boolean;
   /** Rejections within a second beyond which it falls over; undefined if it never does. */
   readonly breaksAbove?: () => number | undefined;
   readonly onArrival?: (requestId: string, at: number) => void;
@@ -88,6 +90,13 @@
     }, FALL_MS);
   }
 
+  /** Goes on as another start at the same address. */
+  startAgain(): void {
+    this.#options.store.remove('servers', this.#id);
+    this.#starts += 1;
+    this.#register();
+  }
+
   /** Says nothing for a time in ms, and then goes on. */
   fallSilent(forMs: number): void {
     this.#silentUntil = performance.now() + forMs;
@@ -119,6 +128,10 @@
       server.listen(this.#port, '127.0.0.1', resolve);
     });
     this.#port = (server.address() as AddressInfo).port;
+    this.#register();
+  }
+
+  #register(): void {
     this.#options.store.put('servers', this.#id, {
       service: this.#options.service,
       address: `127.0.0.1:${this.#port}`,
@@ -140,11 +153,12 @@
 
   async #serve(request: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
     const server = this.#server;
-    const { onArrival, onRun, streams, room, runMs } = this.#options;
+    const { onArrival, onRun, streams, room, runMs, sheds } = this.#options;
     const requestId = String(request.headers['x-corianderwick-request-id'] ?? '');
     request.resume();
     onArrival?.(requestId, performance.now());
-    if (this.#running >= this.#slots && this.#waiting >= (room?.() ?? 0)) {
+    const isFull = this.#running >= this.#slots && this.#waiting >= (room?.() ?? 0);
+    if (isFull || sheds?.() === true) {
       this.#reject(requestId, response);
       return;
     }
