Send nothing to an endpoint that has asked this gateway for rest

Cause: nothing read the header in an endpoint's answer. The scheduler backs a rejecting engine off for 50 to 400 ms, and then grants it again, also to the gateway that was asked for rest.

EndpointExclusions keeps what an endpoint asks of this gateway alone, by the endpoint's start. Tickets tell the scheduler which endpoints the gateway must not use and for how long, so that it grants others, and queues what only these can take as long as the deadline allows. The last check stands where the request is sent, for grants that were made before. Other gateways go on using the endpoint. Requests of plain services wait for the end of a rest, spread over 0.3 s, or are refused with the time that is left of it.

--- a/src/app/gateway/EndpointAttempt.ts
+++ b/src/app/gateway/EndpointAttempt.ts
@@ -188,18 +188,11 @@
   }
 
   #recordStatements({ isSigned, statements }: DecodedResponseHeaders): void {
-    const { context } = this.#options;
-    statements.forEach((statement) => {
-      if (statement._tag === 'unreadable')
-        context.logger.warn(
-          { endpoint: this.endpoint.id, header: statement.name },
-          'endpoint states something unreadable',
-        );
-    });
-    const readable = statements.filter(({ _tag }) => _tag !== 'unreadable');
+    const { limits, exclusions } = this.#options.context;
+    exclusions.observe(this.endpoint, statements);
     // A rejection without a statement doesn't end one: something else may have written it.
-    if (readable.length > 0 || (isSigned && statements.length === 0))
-      context.limits.observe(this.endpoint, readable, this.#sentAt);
+    if (isSigned || statements.length > 0)
+      limits.observe(this.endpoint, statements, isSigned, this.#sentAt);
   }
 
   #onData(bytes: Buffer): void {
--- a/src/app/gateway/EndpointLimitMonitor.test.ts
+++ b/src/app/gateway/EndpointLimitMonitor.test.ts
@@ -57,6 +57,7 @@
       ?.monitor.observe(
         RECORD,
         requestsPerSecond === undefined ? [] : [{ _tag: 'limit', requestsPerSecond }],
+        true,
         state.now - 20,
       );
   const tickFor = (ms: number): void => {
--- a/src/app/gateway/EndpointLimitMonitor.ts
+++ b/src/app/gateway/EndpointLimitMonitor.ts
@@ -80,9 +80,15 @@
    *
    * @param record - the endpoint
    * @param statements - what it stated
+   * @param isSigned - whether the endpoint itself gave the answer, so that what it doesn't state has ended
    * @param sentAt - when the request was sent, in ms, monotonic
    */
-  observe(record: EndpointRecord, statements: readonly EndpointStatement[], sentAt: number): void {
+  observe(
+    record: EndpointRecord,
+    statements: readonly EndpointStatement[],
+    isSigned: boolean,
+    sentAt: number,
+  ): void {
     const { limits, logger, now } = this.#options;
     const answeredAt = now();
     const endpoint = endpointStartOf(record);
@@ -96,11 +102,15 @@
           stated.rejectionsPerSecond = statement.rejectionsPerSecond;
           return;
         case 'unreadable':
+        case 'rest':
+        case 'leaving':
           return;
         default:
           statement satisfies never;
       }
     });
+    const statesBound = Object.keys(stated).length > 0;
+    if (!statesBound && (!isSigned || statements.some(({ _tag }) => _tag === 'unreadable'))) return;
     const observation = { endpoint, requestsPerSecond: undefined, ...stated, sentAt, answeredAt };
     const changed = limits.observe(observation, answeredAt);
     if (changed) {
@@ -108,7 +118,7 @@
       logger.info({ service, endpoint: id, address, ...stated }, 'endpoint limit changed');
       this.#options.onChanged();
     }
-    const confirms = statements.length > 0 && !this.#exchange.isScheduler;
+    const confirms = statesBound && !this.#exchange.isScheduler;
     if (changed || (confirms && this.#isConfirmationDue(endpoint, answeredAt)))
       this.#unsent.set(endpoint, observation);
   }
--- a/src/app/gateway/GatewayContext.ts
+++ b/src/app/gateway/GatewayContext.ts
@@ -10,6 +10,7 @@
 import type { CrashDetector } from './CrashDetector.ts';
 import type { CrashMonitor } from './CrashMonitor.ts';
 import type { EndpointLimitMonitor } from './EndpointLimitMonitor.ts';
+import type { ExclusionMonitor } from './ExclusionMonitor.ts';
 import type { GatewayMetrics } from './GatewayMetrics.ts';
 import type { PeerForwarder } from './PeerForwarder.ts';
 import type { PlacementCoordinator } from './PlacementCoordinator.ts';
@@ -27,6 +28,7 @@
   readonly crashes: CrashMonitor;
   readonly crashDetector: CrashDetector;
   readonly limits: EndpointLimitMonitor;
+  readonly exclusions: ExclusionMonitor;
   readonly reach: ReachMonitor;
   readonly forwarder: PeerForwarder;
   readonly endpointPool: ConnectionPool;
--- a/src/app/gateway/GatewayMetrics.test.ts
+++ b/src/app/gateway/GatewayMetrics.test.ts
@@ -14,6 +14,7 @@
   limitedEndpoints: 9,
   quarantinedRequests: 10,
   isolated: 11,
+  excludedEndpoints: 12,
 };
 
 const toMetricName = (name: string): string =>
--- a/src/app/gateway/GatewayMetrics.ts
+++ b/src/app/gateway/GatewayMetrics.ts
@@ -27,6 +27,8 @@
   readonly quarantinedRequests: number;
   /** Endpoints that state a limit to the rate of their requests. */
   readonly limitedEndpoints: number;
+  /** Endpoints that want no requests of this process for now. */
+  readonly excludedEndpoints: number;
   /** 1 while this process reaches no endpoint, else 0. */
   readonly isolated: number;
 }
@@ -121,6 +123,10 @@
       'limited_endpoints',
       'Endpoints that state a limit to the rate of their requests.',
     ),
+    excludedEndpoints: this.#makeGauge(
+      'excluded_endpoints',
+      'Endpoints that want no requests of this process for now.',
+    ),
     isolated: this.#makeGauge('isolated', 'Whether this process reaches no endpoint.'),
     storeOutage: this.#makeGauge('store_outage', 'Whether missing endpoints are kept in use.'),
   };
@@ -206,6 +212,7 @@
     this.#gauges.quarantinedParts.set(gauges.quarantinedParts);
     this.#gauges.quarantinedRequests.set(gauges.quarantinedRequests);
     this.#gauges.limitedEndpoints.set(gauges.limitedEndpoints);
+    this.#gauges.excludedEndpoints.set(gauges.excludedEndpoints);
     this.#gauges.isolated.set(gauges.isolated);
     this.#latencyHistograms.forEach((histogram, route) => {
       PERCENTILES.forEach((quantile) => {
--- a/src/app/gateway/LocalTickets.ts
+++ b/src/app/gateway/LocalTickets.ts
@@ -45,10 +45,17 @@
   now: number,
 ): PlacementTicket => {
   const waitedMs = now - requestedAt;
+  const { excluded } = ticket;
   return {
     ...ticket,
     targetMs: ticket.targetMs - waitedMs,
     remainingMs: ticket.remainingMs - waitedMs,
+    ...(excluded && {
+      excluded: excluded.map(({ endpoint, forMs }) => ({
+        endpoint,
+        ...(forMs !== undefined && { forMs: forMs - waitedMs }),
+      })),
+    }),
   };
 };
 
--- /dev/null
+++ b/src/app/gateway/RequestEndpoints.ts
@@ -0,0 +1,75 @@
+import type { PlainCandidates, PlainSelection } from '../../coordination/gateway/index.ts';
+import type { PlacementTicket } from '../../protocol/peer/GatewayMessages.ts';
+import type { EndpointRecord } from '../../state/gateway/index.ts';
+import type { GatewayContext } from './GatewayContext.ts';
+import type { PlacementAnswer } from './LocalTickets.ts';
+import type { RoutedRequest } from './RoutedRequest.ts';
+
+/** The endpoints that one request may be sent to. */
+export class RequestEndpoints {
+  readonly #context: GatewayContext;
+
+  readonly #request: RoutedRequest;
+
+  /** Ids of endpoints that did not serve the request, the latest one last. */
+  readonly avoided: string[];
+
+  constructor(context: GatewayContext, request: RoutedRequest) {
+    this.#context = context;
+    this.#request = request;
+    this.avoided = [...(request.forwarded?.avoid ?? [])];
+  }
+
+  /** Selects how a request of a plain service gets its endpoint. */
+  selectPlain(): PlainSelection {
+    const { plainSelector, now } = this.#context;
+    return plainSelector.select(this.#listPlainCandidates(), now());
+  }
+
+  /**
+   * Selects another endpoint of a plain service after the scheduler refused one that states a limit.
+   *
+   * @param ticket - the refused ticket
+   * @param answer - the refusal
+   * @returns the endpoint, or undefined if there is no other
+   */
+  selectUnlimited(
+    { immediate }: PlacementTicket,
+    { reason, retryAfterMs }: PlacementAnswer & { readonly _tag: 'refused' },
+  ): EndpointRecord | undefined {
+    if (this.#request.service.engine !== undefined || reason === 'quarantined') return undefined;
+    const { plainSelector, now } = this.#context;
+    const candidates = this.#listPlainCandidates();
+    if (immediate && reason === 'overload')
+      plainSelector.recordRefusal(candidates.service, retryAfterMs, now());
+    return plainSelector.selectUnlimited(candidates, now());
+  }
+
+  /**
+   * Returns the time until the next endpoint has had the rest that it asked for.
+   *
+   * @returns the time in ms; undefined if none is at rest
+   */
+  msUntilRested(): number | undefined {
+    const records = this.#listReady().filter(({ id }) => !this.avoided.includes(id));
+    return this.#context.exclusions.msUntilRested(records);
+  }
+
+  /** Lists the endpoints that want no requests of this gateway, for a ticket. */
+  listExcluded(): NonNullable<PlacementTicket['excluded']> {
+    return this.#context.exclusions.listExcluded(this.#listReady());
+  }
+
+  #listPlainCandidates(): PlainCandidates {
+    return {
+      service: this.#request.service.name,
+      records: this.#context.exclusions.selectIncluded(this.#listReady()),
+      avoid: this.avoided,
+      fraction: this.#context.random(),
+    };
+  }
+
+  #listReady(): readonly EndpointRecord[] {
+    return this.#context.directory.listReady(this.#request.service.name);
+  }
+}
--- a/src/app/gateway/RequestHandler.ts
+++ b/src/app/gateway/RequestHandler.ts
@@ -1,4 +1,4 @@
-import { SILENCE_MS, type PlainCandidates } from '../../coordination/gateway/index.ts';
+import { SILENCE_MS } from '../../coordination/gateway/index.ts';
 import type { EndpointRecord } from '../../state/gateway/index.ts';
 import type { Member } from '../../state/Member.ts';
 import type { InboundAnswer } from '../../transport/gateway/index.ts';
@@ -11,6 +11,7 @@
 import type { PlacementAnswer } from './LocalTickets.ts';
 import { STATUS_DECLINED } from './PeerAttempt.ts';
 import type { AttemptEvent, RequestAttempt } from './RequestAttempt.ts';
+import { RequestEndpoints } from './RequestEndpoints.ts';
 import { RequestForwarding } from './RequestForwarding.ts';
 import { RequestQuarantine } from './RequestQuarantine.ts';
 import { RequestRetries } from './RequestRetries.ts';
@@ -22,6 +23,8 @@
 const MAXIMUM_PLACEMENTS = 4;
 /** `Retry-After` for callers whose request found no endpoint. */
 const NO_ENDPOINT_RETRY_AFTER_MS = 400;
+/** Time over which requests are spread that waited for the same rest. */
+const AFTER_REST_SPREAD_MS = 300;
 /** Time reserved before the caller's deadline for the transfer of the answer. */
 const ANSWER_MARGIN_MS = 15;
 
@@ -35,7 +38,7 @@
 
   readonly #deadlineAt: number;
 
-  readonly #avoidedEndpoints: string[];
+  readonly #endpoints: RequestEndpoints;
 
   readonly #forwarding: RequestForwarding;
 
@@ -58,6 +61,9 @@
 
   #deadlineTimer: NodeJS.Timeout | undefined;
 
+  /** Runs while the request waits for an endpoint at rest. */
+  #restTimer: NodeJS.Timeout | undefined;
+
   constructor(context: GatewayContext, request: RoutedRequest, answer: InboundAnswer) {
     this.#context = context;
     this.#request = request;
@@ -67,7 +73,7 @@
     this.#forwarding = new RequestForwarding(context, request);
     this.#quarantine = new RequestQuarantine(context.crashes, request);
     const { route, inbound, fields, forwarded } = request;
-    this.#avoidedEndpoints = [...(forwarded?.avoid ?? [])];
+    this.#endpoints = new RequestEndpoints(context, request);
     this.#isCharged = forwarded?.isCharged ?? false;
     this.#lastEventId = forwarded === undefined ? fields.lastEventId : forwarded.lastEventId;
     const waitMs = forwarded?.remainingMs ?? fields.deadlineMs ?? route.timeoutMs;
@@ -143,7 +149,7 @@
       {
         remainingMs: this.#deadlineAt - this.#context.now(),
         executions: this.#retries.executions,
-        avoid: this.#avoidedEndpoints,
+        avoid: this.#endpoints.avoided,
         isCharged: this.#isCharged,
         isCounted: this.#retries.isCounted,
         answerBegun: this.#answer.begun,
@@ -181,8 +187,7 @@
   }
 
   #placeAtPlainEndpoint(): void {
-    const { plainSelector, now } = this.#context;
-    const selection = plainSelector.select(this.#listPlainCandidates(), now());
+    const selection = this.#endpoints.selectPlain();
     switch (selection._tag) {
       case 'direct':
         this.#send(selection.endpoint, undefined);
@@ -191,21 +196,25 @@
         this.#requestSlot(selection.immediate);
         return;
       case 'none':
-        this.#endUnserved('no endpoint', NO_ENDPOINT_RETRY_AFTER_MS);
+        this.#waitForRest();
         return;
       default:
         selection satisfies never;
     }
   }
 
-  #listPlainCandidates(): PlainCandidates {
-    const service = this.#request.service.name;
-    return {
-      service,
-      records: this.#context.directory.listReady(service),
-      avoid: this.#avoidedEndpoints,
-      fraction: this.#context.random(),
-    };
+  /** Waits until an endpoint of the service has had the rest that it asked for, if the deadline allows it. */
+  #waitForRest(): void {
+    const { now, random } = this.#context;
+    const restMs = this.#endpoints.msUntilRested();
+    if (restMs === undefined) {
+      this.#endUnserved('no endpoint', NO_ENDPOINT_RETRY_AFTER_MS);
+      return;
+    }
+    // Requests that waited for the same rest don't come at once.
+    const waitMs = restMs + random() * AFTER_REST_SPREAD_MS;
+    if (now() + waitMs >= this.#deadlineAt) this.#endUnserved('endpoints at rest', waitMs);
+    else this.#restTimer = setTimeout(() => this.#place(), waitMs);
   }
 
   #requestSlot(immediate: boolean): void {
@@ -215,7 +224,8 @@
       waitedMs: this.#sinceArrivalMs(),
       remainingMs: this.#deadlineAt - now,
       answerBegun: this.#answer.begun || this.#request.forwarded?.answerBegun === true,
-      avoid: this.#avoidedEndpoints,
+      avoid: this.#endpoints.avoided,
+      excluded: this.#endpoints.listExcluded(),
       immediate,
       quarantined: this.#quarantine.fingerprint,
       isCharged: this.#isCharged,
@@ -236,7 +246,11 @@
         this.#place();
         return;
       }
-      if (this.#sendToUnlimitedEndpoint(ticket, answer)) return;
+      const other = this.#endpoints.selectUnlimited(ticket, answer);
+      if (other !== undefined) {
+        this.#send(other, undefined);
+        return;
+      }
       const status = answer.reason === 'quota' ? STATUS.tooMany : STATUS.unavailable;
       this.#endUnserved(answer.reason, answer.retryAfterMs, status);
       return;
@@ -255,32 +269,21 @@
       return;
     }
     const endpoint = this.#context.directory.findReady(answer.endpoint);
-    if (endpoint !== undefined) {
+    const isExcluded = endpoint && this.#context.exclusions.find(endpoint) !== undefined;
+    if (endpoint !== undefined && !isExcluded) {
       this.#send(endpoint, ticketId);
       return;
     }
-    // The scheduler has not learned yet that the endpoint is leaving.
+    // The scheduler has not learned yet that the endpoint is leaving, or wants rest from this gateway.
     this.#context.placements.releaseSlot(ticketId, { outcome: 'unused' });
-    this.#avoidedEndpoints.push(answer.endpoint);
+    if (isExcluded) {
+      this.#place();
+      return;
+    }
+    this.#endpoints.avoided.push(answer.endpoint);
     this.#retryOrEnd('granted endpoint is leaving', { mayHaveRun: false, arrived: false });
   }
 
-  /** Sends a request of a plain service, to which no limited endpoint was granted, to another one. */
-  #sendToUnlimitedEndpoint(
-    { immediate }: PlacementTicket,
-    { reason, retryAfterMs }: PlacementAnswer & { readonly _tag: 'refused' },
-  ): boolean {
-    if (this.#request.service.engine !== undefined || reason === 'quarantined') return false;
-    const { plainSelector, now } = this.#context;
-    const candidates = this.#listPlainCandidates();
-    if (immediate && reason === 'overload')
-      plainSelector.recordRefusal(candidates.service, retryAfterMs, now());
-    const endpoint = plainSelector.selectUnlimited(candidates, now());
-    if (endpoint === undefined) return false;
-    this.#send(endpoint, undefined);
-    return true;
-  }
-
   #send(endpoint: EndpointRecord, ticketId: string | undefined): void {
     const attempt = new EndpointAttempt({
       context: this.#context,
@@ -326,7 +329,8 @@
 
   /** Keeps further attempts from the endpoint of this one, unless this gateway alone doesn't reach it. */
   #avoid({ kind, target }: RequestAttempt): void {
-    if (kind === 'endpoint' && !this.#context.reach.isIsolated) this.#avoidedEndpoints.push(target);
+    if (kind === 'endpoint' && !this.#context.reach.isIsolated)
+      this.#endpoints.avoided.push(target);
   }
 
   #onBroken(
@@ -463,6 +467,7 @@
     if (this.#done) return;
     this.#done = true;
     clearTimeout(this.#deadlineTimer);
+    clearTimeout(this.#restTimer);
     sendAnswer();
     const { metrics, onFinished } = this.#context;
     const { route, forwarded } = this.#request;
--- a/src/app/gateway/makePlacementTicket.ts
+++ b/src/app/gateway/makePlacementTicket.ts
@@ -1,4 +1,8 @@
-import { limitPromptParts, type PlacementTicket } from '../../protocol/peer/GatewayMessages.ts';
+import {
+  MAXIMUM_EXCLUDED_ENDPOINTS,
+  limitPromptParts,
+  type PlacementTicket,
+} from '../../protocol/peer/GatewayMessages.ts';
 import type { RoutedRequest } from './RoutedRequest.ts';
 
 /** How far a request has progressed when it asks for a slot. */
@@ -13,6 +17,8 @@
   readonly answerBegun: boolean;
   /** Ids of endpoints that did not serve the request earlier, the latest one last. */
   readonly avoid: readonly string[];
+  /** Endpoints of the service to which this gateway must not send requests for now. */
+  readonly excluded: NonNullable<PlacementTicket['excluded']>;
   /** Whether it is refused rather than queued. */
   readonly immediate: boolean;
   /** Whether an earlier ticket of the request may have been charged to its quota. */
@@ -52,6 +58,7 @@
     remainingMs,
     answerBegun,
     avoid,
+    excluded,
     immediate,
     quarantined,
     isCharged,
@@ -77,6 +84,7 @@
     remainingMs,
     avoid: avoid.slice(-MAXIMUM_AVOIDED_ENDPOINTS),
     promptParts: limitPromptParts([...quarantined, ...fields.sharedPromptParts]),
+    ...(excluded.length > 0 && { excluded: excluded.slice(0, MAXIMUM_EXCLUDED_ENDPOINTS) }),
     ...(immediate && { immediate }),
   };
 };
--- a/src/app/gateway/runGateway.ts
+++ b/src/app/gateway/runGateway.ts
@@ -27,6 +27,7 @@
 import { CrashMonitor } from './CrashMonitor.ts';
 import { Gateway } from './Gateway.ts';
 import type { GatewayLog } from './GatewayLog.ts';
+import { ExclusionMonitor } from './ExclusionMonitor.ts';
 import { GatewayMetrics } from './GatewayMetrics.ts';
 import { makeIncarnation } from './makeIncarnation.ts';
 import { PeerForwarder } from './PeerForwarder.ts';
@@ -230,6 +231,7 @@
       logger,
       now,
     });
+    const exclusions = new ExclusionMonitor({ logger, now });
     const gateway = new Gateway({
       wire,
       directory,
@@ -244,6 +246,7 @@
       crashes,
       crashDetector,
       limits,
+      exclusions,
       reach,
       forwarder,
       endpointPool,
@@ -350,6 +353,7 @@
       placements,
       crashes,
       endpointLimits,
+      exclusions,
       reach,
       metrics,
       now,
--- a/src/app/gateway/startStatusServers.ts
+++ b/src/app/gateway/startStatusServers.ts
@@ -4,6 +4,7 @@
 import { makePlainServer, type PlainAnswer } from '../../transport/gateway/index.ts';
 import { listAddressesForCallers } from './listAddressesForCallers.ts';
 import type { CrashMonitor } from './CrashMonitor.ts';
+import type { ExclusionMonitor } from './ExclusionMonitor.ts';
 import type { Gateway } from './Gateway.ts';
 import type { GatewayMetrics } from './GatewayMetrics.ts';
 import type { PeerGroup } from './PeerGroup.ts';
@@ -24,6 +25,7 @@
   readonly placements: PlacementCoordinator;
   readonly crashes: CrashMonitor;
   readonly endpointLimits: EndpointLimits;
+  readonly exclusions: ExclusionMonitor;
   readonly reach: ReachMonitor;
   readonly metrics: GatewayMetrics;
   /** Present time in ms, monotonic. */
@@ -64,6 +66,7 @@
   placements,
   crashes,
   endpointLimits,
+  exclusions,
   reach,
   metrics,
   now,
@@ -91,6 +94,7 @@
       quarantinedParts: crashes.quarantined.parts,
       quarantinedRequests: crashes.quarantined.requests,
       limitedEndpoints: endpointLimits.limitedCount,
+      excludedEndpoints: exclusions.count,
       isolated: Number(reach.isIsolated),
       ...placements.countTickets(),
       droppedLogLines: log.droppedLines(),
--- a/src/coordination/gateway/PlacementScheduler.ts
+++ b/src/coordination/gateway/PlacementScheduler.ts
@@ -11,6 +11,7 @@
 import { EngineLoad, type RunningPlacement } from './EngineLoad.ts';
 import { orderQueue, fairnessGroup, type WaitingPlacement } from './orderQueue.ts';
 import { chooseEngine, type EngineCandidate, type PlacementLimits } from './chooseEngine.ts';
+import { msUntilIncluded } from './msUntilIncluded.ts';
 import { MeanEngineTimes } from './MeanEngineTimes.ts';
 import { preferHealthy } from './preferHealthy.ts';
 import { RouteMeanSizes } from './RouteMeanSizes.ts';
@@ -347,10 +348,15 @@
   ): PlacementDecision | undefined {
     const { ticket, owner, arrivedAt } = queued;
     const waitedMs = now - arrivedAt;
-    const usable = group.engines.filter(
+    const reachable = group.engines.filter(
       ({ record, availability }) =>
         !ticket.avoid.includes(record.id) && availability.isReachableFrom(owner, now),
     );
+    const restMs = ({ record }: EngineLoad): number => msUntilIncluded(ticket, record.id, waitedMs);
+    const usable =
+      ticket.excluded === undefined
+        ? reachable
+        : reachable.filter((engine) => restMs(engine) === 0);
     const engines = { listed, usable: usable.length };
     const refuse = (
       reason: PlacementRefusalReason,
@@ -371,7 +377,15 @@
     });
     const remainingMs = ticket.remainingMs - waitedMs;
     if (remainingMs < MINIMUM_REMAINING_MS) return refuse('deadline');
-    if (usable.length === 0) return refuse('noEndpoint');
+    if (usable.length === 0) {
+      const untilIncludedMs = Math.min(...reachable.map(restMs));
+      if (!Number.isFinite(untilIncludedMs)) return refuse('noEndpoint');
+      if (ticket.immediate) return refuseImmediately(queued, untilIncludedMs, engines, now);
+      // It waits for the end of a rest as long as its deadline allows.
+      return untilIncludedMs + group.forecast(ticket).firstTokenMs > remainingMs
+        ? refuse('overload', untilIncludedMs)
+        : undefined;
+    }
     const targetMs = ticket.targetMs - waitedMs;
     const limitWaitMs = (engine: EngineLoad): number =>
       this.#limits.msUntilAllowed(endpointStartOf(engine.record), now);
--- a/src/coordination/gateway/index.ts
+++ b/src/coordination/gateway/index.ts
@@ -5,6 +5,8 @@
 export { EndpointAvailability } from './EndpointAvailability.ts';
 export { EndpointDirectory, MISSING_ENTRY_GRACE_MS } from './EndpointDirectory.ts';
 export type { EndpointChange, OutagePhase } from './EndpointDirectory.ts';
+export { EndpointExclusions } from './EndpointExclusions.ts';
+export type { EndpointExclusion } from './EndpointExclusions.ts';
 export { EndpointLimits } from './EndpointLimits.ts';
 export type { LimitObservation } from './EndpointLimits.ts';
 export { EndpointReach, SILENCE_MS } from './EndpointReach.ts';
--- a/src/protocol/gateway/EndpointStatement.ts
+++ b/src/protocol/gateway/EndpointStatement.ts
@@ -1,5 +1,6 @@
 import * as Schema from 'effect/Schema';
 
+const Milliseconds = Schema.Finite.check(Schema.isBetween({ minimum: 0, maximum: 1e12 }));
 const Rate = Schema.Finite.check(Schema.isBetween({ minimum: 0, maximum: 1e9 }));
 
 /** What an endpoint states of itself in an answer. */
@@ -8,6 +9,10 @@
   Schema.TaggedStruct('limit', { requestsPerSecond: Rate }),
   /** It falls over if it has to reject more requests a second than this, from all gateways together. */
   Schema.TaggedStruct('brittle', { rejectionsPerSecond: Rate }),
+  /** It wants no requests for so long from the gateway whose request it rejected. */
+  Schema.TaggedStruct('rest', { forMs: Milliseconds }),
+  /** It will stop soon: it completes its requests and wants no new ones. */
+  Schema.TaggedStruct('leaving', {}),
   /** It states something that can't be read, under this header name. */
   Schema.TaggedStruct('unreadable', { name: Schema.String }),
 ]);
--- a/src/protocol/peer/GatewayMessages.ts
+++ b/src/protocol/peer/GatewayMessages.ts
@@ -2,6 +2,8 @@
 
 const Milliseconds = Schema.Finite;
 
+/** Most endpoints that a ticket excludes. */
+export const MAXIMUM_EXCLUDED_ENDPOINTS = 64;
 const MAXIMUM_PROMPT_PARTS = 32;
 const MAXIMUM_PART_ID_LENGTH = 64;
 
@@ -38,6 +40,12 @@
   remainingMs: Milliseconds,
   /** Endpoints that rejected an earlier attempt. */
   avoid: Schema.Array(Schema.String).check(Schema.isMaxLength(16)),
+  /** Endpoints to which its gateway must not send requests for so long, or at all if no time is given. */
+  excluded: Schema.optionalKey(
+    Schema.Array(
+      Schema.Struct({ endpoint: Schema.String, forMs: Schema.optionalKey(Milliseconds) }),
+    ).check(Schema.isMaxLength(MAXIMUM_EXCLUDED_ENDPOINTS)),
+  ),
   /** Ids of the parts of its prompt that other requests may share, in order. */
   promptParts: Schema.optionalKey(PromptParts),
   /** Whether it is refused rather than queued, because its gateway has another endpoint for it. */
