Take a peer's client error for a declined request

Found by reading: an older build answers a forwarded request with 426, and the gateway passed that on to the caller as a failure after which the request may have run. A gateway itself answers so only to what it doesn't take, so the next peer is tried.

--- a/src/app/gateway/PeerAttempt.ts
+++ b/src/app/gateway/PeerAttempt.ts
@@ -19,6 +19,8 @@
 export const STATUS_DECLINED = 421;
 /** Statuses of gateways that promise that the request has not run. */
 const NOT_RUN_STATUSES: readonly number[] = [408, 429, 503];
+/** Other statuses of this class come from peers that can't take the request, such as those of an older build. */
+const isClientError = (status: number): boolean => status >= 400 && status < 500;
 
 const isSuccess = (status: number): boolean => status >= 200 && status < 300;
 
@@ -162,7 +164,7 @@
 
   #onPeerAnswer(): void {
     const { status } = this;
-    if (status === STATUS_DECLINED) {
+    if (isClientError(status) && !NOT_RUN_STATUSES.includes(status)) {
       const detail = 'the peer declined the request';
       this.#finish('turnedAway', detail, { _tag: 'notRun', arrived: false, detail });
       return;
