Avoid endpoints that failed if no peer reaches them either

Found by reading: while this gateway reaches no endpoint and no other gateway does, as in an outage of all endpoints, a request was placed at the same endpoint again and again. Endpoints are now avoided unless a peer may reach them, and checks go round the endpoints by the number that they try.

--- a/src/app/gateway/RequestHandler.ts
+++ b/src/app/gateway/RequestHandler.ts
@@ -327,9 +327,9 @@
     }
   }
 
-  /** Keeps further attempts from the endpoint of this one, unless this gateway alone doesn't reach it. */
+  /** Keeps further attempts from the endpoint of this one, unless a peer may reach it where this gateway doesn't. */
   #avoid({ kind, target }: RequestAttempt): void {
-    if (kind === 'endpoint' && !this.#context.reach.isIsolated)
+    if (kind === 'endpoint' && this.#forwarding.findPeer() === undefined)
       this.#endpoints.avoided.push(target);
   }
 
--- a/src/coordination/gateway/EndpointReach.ts
+++ b/src/coordination/gateway/EndpointReach.ts
@@ -92,7 +92,7 @@
     const others = records.filter(({ id }) => id !== suspect);
     const candidates = others.length > 0 ? others : records;
     const start = candidates.length === 0 ? 0 : this.#nextTarget % candidates.length;
-    this.#nextTarget += 1;
+    this.#nextTarget += CHECKED_ENDPOINTS;
     const turned = [...candidates.slice(start), ...candidates.slice(0, start)];
     const [first] = turned;
     const elsewhere = turned.filter(({ failureDomain }) => failureDomain !== first?.failureDomain);
