Cut gateways of the soak from all runners

The soak's plans have two cuts each, of any number of gateways, by a generator of their own, so that the plans of known seeds keep their times.

--- a/test/soak/SoakOperator.ts
+++ b/test/soak/SoakOperator.ts
@@ -1,4 +1,5 @@
 import { setTimeout as wait } from 'node:timers/promises';
+import type { EndpointLinks } from './GatewayProcess.ts';
 import type { StoreCondition } from '../gateway/startObjectStore.ts';
 import type { FaultHistory } from './FaultHistory.ts';
 import type { LinkCondition } from './Lane.ts';
@@ -115,6 +116,11 @@
         });
         return;
       }
+      case 'cutGateways':
+        await Promise.all(
+          action.gateways.map((index) => this.#cut(index, action.links, action.forMs)),
+        );
+        return;
       case 'changeConfiguration':
         this.#fleet.changeConfiguration();
         return;
@@ -143,6 +149,21 @@
     });
   }
 
+  async #cut(index: number, links: EndpointLinks, forMs: number): Promise<void> {
+    const gateway = this.#gateway(index);
+    // Runs of others may wait for slots that a cut gateway holds.
+    await this.#during(
+      'unplanned',
+      `${gateway.process.callers} cut: ${links}`,
+      undefined,
+      async () => {
+        gateway.process.setEndpointLinks(links);
+        await wait(forMs);
+        gateway.process.setEndpointLinks('clear');
+      },
+    );
+  }
+
   async #stop(index: number, downMs: number): Promise<void> {
     const gateway = this.#gateway(index);
     if (!gateway.process.runs) return;
--- a/test/soak/planSoak.ts
+++ b/test/soak/planSoak.ts
@@ -1,5 +1,6 @@
 import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64';
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
+import type { EndpointLinks } from './GatewayProcess.ts';
 
 /** Something that is done to the system. Indices are taken modulo the number there is. */
 export type SoakAction =
@@ -43,6 +44,13 @@
       readonly requestsPerSecond: number;
       readonly forMs: number;
     }
+  /** Gateways lose their connections to all runners. */
+  | {
+      readonly _tag: 'cutGateways';
+      readonly gateways: readonly number[];
+      readonly links: EndpointLinks;
+      readonly forMs: number;
+    }
   | { readonly _tag: 'changeConfiguration' };
 
 /** An action with its time from the start of the traffic, in ms. */
@@ -72,12 +80,18 @@
 const LATEST_LIMIT_MS = 1_500;
 const LEAST_LIMIT = 0.5;
 const MOST_LIMIT = 4;
-/** Draws of limits come from a generator of their own, so that the plans of known seeds keep their times. */
+/** Cuts of gateways from all runners. */
+const CUTS = 2;
+const SHORTEST_CUT_MS = 500;
+const LONGEST_CUT_MS = 5_000;
+/** Draws come from generators of their own, so that the plans of known seeds keep their times. */
 const LIMIT_SEED_OFFSET = 1_000_003;
+const CUT_SEED_OFFSET = 2_000_003;
 
 const LINKS = ['store', 'peers', 'callers', 'runner'] as const;
 const LINK_HARMS = ['delay', 'silence', 'silenceToServer', 'silenceToCaller', 'reset'] as const;
 const STORE_HARMS = ['away', 'silent', 'slow', 'losesAnswers'] as const;
+const ENDPOINT_LINKS: readonly EndpointLinks[] = ['silent', 'oneWay', 'reset', 'refusing'];
 const RUNNER_HARMS = ['fails', 'garbles', 'truncates', 'losesAnswers', 'slow'] as const;
 
 /**
@@ -174,3 +188,27 @@
     };
   }).sort((a, b) => a.at - b.at);
 };
+
+/**
+ * Plans which gateways lose their connections to all runners, and when.
+ *
+ * @param shape - seed, time and size
+ * @returns steps in order of time
+ */
+export const planCuts = ({ seed, faultsMs, gateways }: SoakShape): SoakStep[] => {
+  const generator = xoroshiro128plus(seed + CUT_SEED_OFFSET);
+  const fraction = (): number => uniformFloat64(generator);
+  return Array.from({ length: CUTS }, (): SoakStep => {
+    const first = Math.floor(fraction() * gateways);
+    const count = 1 + Math.floor(fraction() * gateways);
+    return {
+      at: Math.round(fraction() * faultsMs),
+      action: {
+        _tag: 'cutGateways',
+        gateways: Array.from({ length: count }, (_, index) => first + index),
+        links: ENDPOINT_LINKS[Math.floor(fraction() * ENDPOINT_LINKS.length)] ?? 'silent',
+        forMs: Math.round(SHORTEST_CUT_MS + fraction() * (LONGEST_CUT_MS - SHORTEST_CUT_MS)),
+      },
+    };
+  }).sort((a, b) => a.at - b.at);
+};
--- a/test/soak/playSoak.ts
+++ b/test/soak/playSoak.ts
@@ -2,7 +2,7 @@
 import * as http from 'node:http';
 import type { Owner } from '../support/Owner.ts';
 import { FaultHistory, type Disturbance } from './FaultHistory.ts';
-import { planLimits, planSoak } from './planSoak.ts';
+import { planCuts, planLimits, planSoak } from './planSoak.ts';
 import { PromiseChecker, type BrokenPromise, type CallerSend } from './PromiseChecker.ts';
 import { SoakCallers, type CallerRoute } from './SoakCallers.ts';
 import { ADDED_ROUTES_KEPT, addedPath, SOAK_HOST } from './soakConfiguration.ts';
@@ -199,7 +199,7 @@
   callers.start();
 
   const shape = { seed, faultsMs, gateways };
-  const steps = [...planSoak(shape), ...planLimits(shape)];
+  const steps = [...planSoak(shape), ...planLimits(shape), ...planCuts(shape)];
   const operator = new SoakOperator(fleet, history);
   const startedAt = performance.now();
   const until = async (isDone: () => boolean): Promise<void> => {
