Write a request without a body at once, as its head is the whole of it

Cause: exchange() held back an empty body, which holds nothing back.

Such a request is now written at once, so that it counts as possibly run. The new test in exchange.test.ts gave 'refused' before.

--- a/src/transport/http/exchange.test.ts
+++ b/src/transport/http/exchange.test.ts
@@ -2,6 +2,7 @@
 import type { AddressInfo } from 'node:net';
 import { describe, it } from 'node:test';
 import type { TestContext } from 'node:test';
+import { setTimeout as wait } from 'node:timers/promises';
 import { expect } from 'earl';
 import { ConnectionPool } from './ConnectionPool.ts';
 import { exchange, type ExchangeEvent } from './exchange.ts';
@@ -118,4 +119,27 @@
     await run(pool, address);
     expect(ports.size).toEqual(2);
   });
+
+  // Guards against a request that is called not run though its head was all of it (TWICE).
+  it('writes a request with an empty body at once, since its head is the whole of it', async (context) => {
+    const address = await startScript(context, () => {});
+    const events: ExchangeEvent['_tag'][] = [];
+    const call = exchange(
+      makePool(context),
+      {
+        address,
+        method: 'POST',
+        path: '/',
+        headers: {},
+        body: Buffer.alloc(0),
+        fresh: false,
+        silenceMs: undefined,
+        continueWithinMs: 20,
+      },
+      ({ _tag }) => events.push(_tag),
+    );
+    await wait(100);
+    expect(events).toEqual(['written']);
+    call.abort();
+  });
 });
--- a/src/transport/http/exchange.ts
+++ b/src/transport/http/exchange.ts
@@ -25,7 +25,8 @@
   readonly silenceMs: number | undefined;
   /**
    * Holds the body back until the server says `100 Continue`, this long at most. A server that stands
-   * still then gets no whole request, and the exchange is `refused`. Undefined sends at once.
+   * still then gets no whole request, and the exchange is `refused`. Undefined sends at once, and so does a
+   * request without a body.
    */
   readonly continueWithinMs?: number;
 }
@@ -211,7 +212,8 @@
     }
     const { socket } = outcome;
     const { body, continueWithinMs } = request;
-    const asksFirst = body !== undefined && continueWithinMs !== undefined;
+    // Without a body the head is the whole request, which can't be held back.
+    const asksFirst = body !== undefined && body.length > 0 && continueWithinMs !== undefined;
     const opened = openRequest(request, socket, asksFirst);
     if (opened._tag === 'refused') {
       socket.destroy();
