--- a/test/soak/FaultLink.ts
+++ b/test/soak/FaultLink.ts
@@ -44,6 +44,11 @@
     return link;
   }
 
+  /** Whether it takes connections; false once its owner has closed it. */
+  get isOpen(): boolean {
+    return this.#server.listening;
+  }
+
   /** `IP:PORT` to connect to. */
   get address(): string {
     const { address, port } = this.#server.address() as net.AddressInfo;
--- a/test/soak/SoakFleet.ts
+++ b/test/soak/SoakFleet.ts
@@ -158,6 +158,8 @@
   }
 
   async #fill(place: SoakRunnerPlace): Promise<void> {
+    // The play may have ended since the place was emptied.
+    if (!place.link.isOpen) return;
     // The place keeps its link and its address; the runner there is another.
     Object.assign(place, { runner: await this.#startRunner(place.name, place.runner.service) });
     this.#register(place);
