--- a/test/crashes/crashes.test.ts
+++ b/test/crashes/crashes.test.ts
@@ -1,15 +1,9 @@
-import { execFile } from 'node:child_process';
-import { mkdtemp, rm } from 'node:fs/promises';
-import { tmpdir } from 'node:os';
-import { join } from 'node:path';
-import { after, before, describe, it } from 'node:test';
-import { fileURLToPath } from 'node:url';
-import { promisify } from 'node:util';
+import { describe, it } from 'node:test';
 import { expect } from 'earl';
+import { useGatewayProgram } from '../support/useGatewayProgram.ts';
 import type { CrashDisturbance } from './CrashDisturbance.ts';
 import { playCrashes } from './playCrashes.ts';
 
-const BUILD = fileURLToPath(new URL('../../scripts/buildPlatform.mjs', import.meta.url));
 /** Requests with a fatal part that may reach engines after the bound. */
 const MOST_ARRIVALS = 3;
 /** Sound requests must begin at least this often, against the time without crashes. */
@@ -29,15 +23,7 @@
 ];
 
 describe('gateways before engines that crash under a part of the prompt', () => {
-  let folder = '';
-  let program = '';
-
-  before(async () => {
-    folder = await mkdtemp(join(tmpdir(), 'crashes-'));
-    program = join(folder, 'gateway.cjs');
-    await promisify(execFile)(process.execPath, [BUILD, program]);
-  });
-  after(() => rm(folder, { recursive: true }));
+  const paths = useGatewayProgram();
 
   PLAYS.forEach(({ seed, name, disturbance }) => {
     // Guards against requests with one part that end engine after engine (BUDGET), and against
@@ -52,8 +38,7 @@
         fatalRate: 2,
         fatalParts: ['bad0bad0'],
         tornShare: 0.05,
-        program,
-        folder,
+        ...paths,
       });
       console.log(JSON.stringify(result));
       expect(result.falselyComplete).toEqual(0);
--- a/test/crashes/fatalRequests.test.ts
+++ b/test/crashes/fatalRequests.test.ts
@@ -1,15 +1,9 @@
-import { execFile } from 'node:child_process';
-import { mkdtemp, rm } from 'node:fs/promises';
-import { tmpdir } from 'node:os';
-import { join } from 'node:path';
-import { after, before, describe, it } from 'node:test';
-import { fileURLToPath } from 'node:url';
-import { promisify } from 'node:util';
+import { describe, it } from 'node:test';
 import { expect } from 'earl';
+import { useGatewayProgram } from '../support/useGatewayProgram.ts';
 import type { CrashDisturbance } from './CrashDisturbance.ts';
 import { playFatalRequests, type FatalRequest } from './playFatalRequests.ts';
 
-const BUILD = fileURLToPath(new URL('../../scripts/buildPlatform.mjs', import.meta.url));
 /** Sendings of a fatal request that may reach endpoints after the bound. */
 const MOST_ARRIVALS = 3;
 /** Once fatal requests are refused, sound ones must be served as often as before, but for chance. */
@@ -31,15 +25,7 @@
 ];
 
 describe('gateways before endpoints that crash under a request which comes again', () => {
-  let folder = '';
-  let program = '';
-
-  before(async () => {
-    folder = await mkdtemp(join(tmpdir(), 'fatal-'));
-    program = join(folder, 'gateway.cjs');
-    await promisify(execFile)(process.execPath, [BUILD, program]);
-  });
-  after(() => rm(folder, { recursive: true }));
+  const paths = useGatewayProgram();
 
   PLAYS.forEach(({ seed, name, fatal, disturbance }) => {
     // Guards against a request that ends endpoint after endpoint (BUDGET), and against refusals of the sound
@@ -54,8 +40,7 @@
         trafficMs: 22_000,
         selfCrashes: 'none',
         disturbance,
-        program,
-        folder,
+        ...paths,
       });
       console.log(JSON.stringify(result));
       expect(Math.max(...result.arrivalsAfterBound) <= MOST_ARRIVALS).toEqual(true);
--- a/test/crashes/playFatalRequests.ts
+++ b/test/crashes/playFatalRequests.ts
@@ -1,17 +1,15 @@
 import { setTimeout as wait } from 'node:timers/promises';
-import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64';
-import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
-import { makeSoakConfiguration, SERVICES } from '../soak/soakConfiguration.ts';
-import { CONTACT_MS, GatewayFleet } from '../support/GatewayFleet.ts';
+import { SERVICES } from '../soak/soakConfiguration.ts';
+import { CONTACT_MS } from '../support/GatewayFleet.ts';
 import type { Owner } from '../support/Owner.ts';
 import {
-  PlayCallers,
   NOT_RUN_STATUSES,
   isServed,
   shareOf,
   type CallerContent,
   type SentRequest,
 } from '../support/PlayCallers.ts';
+import { startPlay, type FleetPlay } from '../support/startPlay.ts';
 import { makeCrashDisturbance, type CrashDisturbance } from './CrashDisturbance.ts';
 import { CrashingEndpoint, type EndpointRequest } from './CrashingEndpoint.ts';
 
@@ -19,9 +17,7 @@
 export type FatalRequest = 'read' | 'write' | 'resumed';
 
 /** One play. */
-export interface FatalRequestPlay {
-  readonly seed: number;
-  readonly gateways: number;
+export interface FatalRequestPlay extends FleetPlay {
   /** Endpoints of each of the two services, a plain one and one of engines. */
   readonly endpoints: number;
   readonly fatal: readonly FatalRequest[];
@@ -32,9 +28,6 @@
   /** Whether endpoints also crash by themselves: one now and then, or all at once and again when they are back. */
   readonly selfCrashes: 'none' | 'single' | 'all';
   readonly disturbance: CrashDisturbance;
-  /** Path of the gateway's bundled program. */
-  readonly program: string;
-  readonly folder: string;
 }
 
 /** What came of a play. */
@@ -105,21 +98,11 @@
   owner: Owner,
   play: FatalRequestPlay,
 ): Promise<FatalRequestResult> => {
-  const generator = xoroshiro128plus(play.seed);
-  const fraction = (): number => uniformFloat64(generator);
-  const fleet = await GatewayFleet.start(owner, {
-    size: play.gateways,
-    configuration: makeSoakConfiguration([5]),
-    program: play.program,
-    folder: play.folder,
-  });
-  const callers = new PlayCallers<SoundKind | FatalRequest>(owner, {
-    fleet,
-    prefix: `fatal-${play.seed}`,
-    fraction,
-    deadlineMs: DEADLINE_MS,
-    patienceMs: 2 * DEADLINE_MS,
-  });
+  const { fleet, callers, fraction } = await startPlay<SoundKind | FatalRequest>(
+    owner,
+    play,
+    DEADLINE_MS,
+  );
   const { sent } = callers;
   const arrivals: { readonly sent: Sent; readonly at: number; readonly runs: boolean }[] = [];
   const crashes = new Map<FatalRequest, number[]>(play.fatal.map((name) => [name, []]));
--- a/test/limits/limits.test.ts
+++ b/test/limits/limits.test.ts
@@ -1,17 +1,10 @@
-import { execFile } from 'node:child_process';
-import { mkdtemp, rm } from 'node:fs/promises';
-import { tmpdir } from 'node:os';
-import { join } from 'node:path';
-import { after, before, describe, it } from 'node:test';
-import { fileURLToPath } from 'node:url';
-import { promisify } from 'node:util';
+import { describe, it } from 'node:test';
 import { expect } from 'earl';
 import type { FleetDisturbance } from '../support/FleetDisturbance.ts';
+import { useGatewayProgram } from '../support/useGatewayProgram.ts';
 import { playBrittle } from './playBrittle.ts';
 import { playLimits } from './playLimits.ts';
 
-const BUILD = fileURLToPath(new URL('../../scripts/buildPlatform.mjs', import.meta.url));
-
 const PLAYS: readonly {
   readonly seed: number;
   readonly name: string;
@@ -28,15 +21,7 @@
 ];
 
 describe('gateways before endpoints that limit the rate of their requests', () => {
-  let folder = '';
-  let program = '';
-
-  before(async () => {
-    folder = await mkdtemp(join(tmpdir(), 'limits-'));
-    program = join(folder, 'gateway.cjs');
-    await promisify(execFile)(process.execPath, [BUILD, program]);
-  });
-  after(() => rm(folder, { recursive: true }));
+  const paths = useGatewayProgram();
 
   PLAYS.forEach(({ seed, name, limited, disturbance }) => {
     // Guards against gateways that each send a limited endpoint as much as before (LIMIT).
@@ -50,8 +35,7 @@
         disturbance,
         rate: 30,
         limitMs: 13_000,
-        program,
-        folder,
+        ...paths,
       });
       console.log(JSON.stringify(result));
       Object.values(result).forEach(({ worstExcess, refusalsWithRetryAfter }) => {
@@ -71,8 +55,7 @@
       rate: 120,
       brittleMs: 9_000,
       disturbance: { _tag: 'none' },
-      program,
-      folder,
+      ...paths,
     });
     console.log(JSON.stringify(result));
     expect(result.falls <= 2).toEqual(true);
--- a/test/limits/playBrittle.ts
+++ b/test/limits/playBrittle.ts
@@ -1,17 +1,14 @@
 import { setTimeout as wait } from 'node:timers/promises';
-import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64';
-import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
-import { makeSoakConfiguration, SERVICES } from '../soak/soakConfiguration.ts';
+import { SERVICES } from '../soak/soakConfiguration.ts';
 import { disturbFleet, type FleetDisturbance } from '../support/FleetDisturbance.ts';
-import { CONTACT_MS, GatewayFleet } from '../support/GatewayFleet.ts';
+import { CONTACT_MS } from '../support/GatewayFleet.ts';
 import type { Owner } from '../support/Owner.ts';
-import { PlayCallers, isServed, shareOf } from '../support/PlayCallers.ts';
+import { isServed, shareOf } from '../support/PlayCallers.ts';
+import { startPlay, type FleetPlay } from '../support/startPlay.ts';
 import { StatingEndpoint } from '../support/StatingEndpoint.ts';
 
 /** One play. */
-export interface BrittlePlay {
-  readonly seed: number;
-  readonly gateways: number;
+export interface BrittlePlay extends FleetPlay {
   /** Endpoints of the plain service. */
   readonly endpoints: number;
   /** Rejections a second above which one falls over. */
@@ -20,9 +17,6 @@
   readonly rate: number;
   readonly brittleMs: number;
   readonly disturbance: FleetDisturbance;
-  /** Path of the gateway's bundled program. */
-  readonly program: string;
-  readonly folder: string;
 }
 
 /** What came of a play. */
@@ -59,14 +53,7 @@
  * @returns what the endpoints had to reject and how requests fared
  */
 export const playBrittle = async (owner: Owner, play: BrittlePlay): Promise<BrittleResult> => {
-  const generator = xoroshiro128plus(play.seed);
-  const fraction = (): number => uniformFloat64(generator);
-  const fleet = await GatewayFleet.start(owner, {
-    size: play.gateways,
-    configuration: makeSoakConfiguration([5]),
-    program: play.program,
-    folder: play.folder,
-  });
+  const { fleet, callers } = await startPlay<'read'>(owner, play, DEADLINE_MS);
   const brittle = { from: Number.POSITIVE_INFINITY, until: Number.POSITIVE_INFINITY };
   const falls: number[] = [];
   const runs: number[] = [];
@@ -91,13 +78,6 @@
       onFall: (at) => falls.push(at),
     });
   }
-  const callers = new PlayCallers<'read'>(owner, {
-    fleet,
-    prefix: `brittle-${play.seed}`,
-    fraction,
-    deadlineMs: DEADLINE_MS,
-    patienceMs: 2 * DEADLINE_MS,
-  });
   const capacity = (play.endpoints * SLOTS * SECOND_MS) / RUN_MS;
   // The endpoints aren't asked for more than they can do until they are brittle.
   const rate = (): number => (isBrittle() ? play.rate : Math.min(play.rate, capacity / 2));
--- a/test/limits/playLimits.ts
+++ b/test/limits/playLimits.ts
@@ -1,12 +1,11 @@
 import { setTimeout as wait } from 'node:timers/promises';
-import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64';
-import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
-import { makeSoakConfiguration, SERVICES } from '../soak/soakConfiguration.ts';
+import { SERVICES } from '../soak/soakConfiguration.ts';
 import { disturbFleet, type FleetDisturbance } from '../support/FleetDisturbance.ts';
-import { CONTACT_MS, GatewayFleet } from '../support/GatewayFleet.ts';
+import { CONTACT_MS } from '../support/GatewayFleet.ts';
 import { LimitLedger } from '../support/LimitLedger.ts';
 import type { Owner } from '../support/Owner.ts';
-import { PlayCallers, isServed, shareOf } from '../support/PlayCallers.ts';
+import { isServed, shareOf } from '../support/PlayCallers.ts';
+import { startPlay, type FleetPlay } from '../support/startPlay.ts';
 import { StatingEndpoint } from '../support/StatingEndpoint.ts';
 
 /** How endpoints limit their requests. */
@@ -18,9 +17,7 @@
   | { readonly _tag: 'twoLines'; readonly perSecond: number };
 
 /** One play. */
-export interface LimitPlay {
-  readonly seed: number;
-  readonly gateways: number;
+export interface LimitPlay extends FleetPlay {
   /** Endpoints of each of the two services, a plain one and one of engines. */
   readonly endpoints: number;
   /** How many of these limit their requests. */
@@ -31,9 +28,6 @@
   readonly rate: number;
   /** Time for which the endpoints state a limit, in ms. */
   readonly limitMs: number;
-  /** Path of the gateway's bundled program. */
-  readonly program: string;
-  readonly folder: string;
 }
 
 /** What came of a play, for each service. */
@@ -56,7 +50,6 @@
 const AFTER_MS = 4_000;
 const DEADLINE_MS = 1_200;
 const DISTURBED_AFTER_MS = 5_000;
-const PATIENCE_MS = 2 * DEADLINE_MS;
 const RETRY_STATUSES = [429, 503];
 
 /**
@@ -71,21 +64,7 @@
   play: LimitPlay,
 ): Promise<Readonly<Record<string, LimitResult>>> => {
   const { shape } = play;
-  const generator = xoroshiro128plus(play.seed);
-  const fraction = (): number => uniformFloat64(generator);
-  const fleet = await GatewayFleet.start(owner, {
-    size: play.gateways,
-    configuration: makeSoakConfiguration([5]),
-    program: play.program,
-    folder: play.folder,
-  });
-  const callers = new PlayCallers<string>(owner, {
-    fleet,
-    prefix: `limit-${play.seed}`,
-    fraction,
-    deadlineMs: DEADLINE_MS,
-    patienceMs: PATIENCE_MS,
-  });
+  const { fleet, callers, fraction } = await startPlay<string>(owner, play, DEADLINE_MS);
   const gatewayOf = (requestId: string): string | undefined =>
     callers.sent.get(requestId)?.gateway.toString();
   const ledgers = new Map<string, LimitLedger[]>();
--- a/test/reach/main.ts
+++ b/test/reach/main.ts
@@ -1,9 +1,7 @@
 // Plays gateways that are cut from all endpoints: `npm run reach -- --seed N [--seeds COUNT] [--gateways K]`.
-import { mkdirSync, rmSync } from 'node:fs';
-import { join } from 'node:path';
 import { parseArgs } from 'node:util';
 import type { EndpointLinks } from '../soak/GatewayProcess.ts';
-import { withOwner } from '../support/withOwner.ts';
+import { runPlays } from '../support/runPlays.ts';
 import { keepsReach } from './keepsReach.ts';
 import { playReach, type ReachDisturbance } from './playReach.ts';
 
@@ -17,8 +15,6 @@
     seconds: { type: 'string', default: '10' },
   },
 });
-const FOLDER = 'target/reach';
-const PROGRAM = 'target/gateway.cjs';
 const MS_PER_SECOND = 1_000;
 
 /** One after the other, by the seed; their numbers have no common factor, so that all pairs come. */
@@ -46,32 +42,27 @@
   (gateways) => Array.from({ length: gateways }, (_, index) => index),
 ];
 
-for (let turn = 0; turn < Number(values.seeds); turn += 1) {
-  const seed = Number(values.seed) + turn;
-  const folder = join(FOLDER, `seed-${seed}`);
-  mkdirSync(folder, { recursive: true });
+const series = {
+  name: 'reach',
+  seed: Number(values.seed),
+  seeds: Number(values.seeds),
+  gateways: Number(values.gateways),
+};
+await runPlays(series, async (owner, common) => {
+  const { seed, gateways } = common;
   const disturbance = DISTURBANCES[seed % DISTURBANCES.length] ?? { _tag: 'none' };
   const links = LINKS[seed % LINKS.length] ?? 'silent';
-  const gateways = Number(values.gateways);
   const cut = MAKE_CUT[seed % MAKE_CUT.length]?.(gateways) ?? [0];
   const play = {
-    seed,
-    gateways,
+    ...common,
     endpoints: Number(values.endpoints),
     cut,
     links,
     disturbance,
     rate: Number(values.rate),
     cutMs: Number(values.seconds) * MS_PER_SECOND,
-    program: PROGRAM,
-    folder,
   };
-  const result = await withOwner((owner) => playReach(owner, play));
-  const kept = keepsReach(play, result);
-  console.log(
-    `seed ${seed}, ${links} at ${cut.join(' ')} of ${gateways}, ${disturbance._tag}: ` +
-      `${kept ? 'kept' : 'BROKEN'} ${JSON.stringify(result)}`,
-  );
-  if (kept) rmSync(folder, { recursive: true });
-  else process.exitCode = 1;
-}
+  const result = await playReach(owner, play);
+  const variant = `${links} at ${cut.join(' ')} of ${gateways}, ${disturbance._tag}`;
+  return { kept: keepsReach(play, result), variant, result };
+});
--- a/test/reach/playReach.ts
+++ b/test/reach/playReach.ts
@@ -1,19 +1,17 @@
 import { setTimeout as wait } from 'node:timers/promises';
-import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64';
-import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
 import type { EndpointLinks } from '../soak/GatewayProcess.ts';
-import { makeSoakConfiguration, SERVICES } from '../soak/soakConfiguration.ts';
+import { SERVICES } from '../soak/soakConfiguration.ts';
 import { disturbFleet, type FleetDisturbance } from '../support/FleetDisturbance.ts';
-import { CONTACT_MS, GatewayFleet } from '../support/GatewayFleet.ts';
+import { CONTACT_MS, type GatewayFleet } from '../support/GatewayFleet.ts';
 import type { Owner } from '../support/Owner.ts';
 import {
-  PlayCallers,
   NOT_RUN_STATUSES,
   isServed,
   shareOf,
   type CallerContent,
   type SentRequest,
 } from '../support/PlayCallers.ts';
+import { startPlay, type FleetPlay } from '../support/startPlay.ts';
 import { StatingEndpoint, STATING_EVENTS } from '../support/StatingEndpoint.ts';
 
 /** What else happens while gateways are cut from all endpoints. */
@@ -30,9 +28,7 @@
   | { readonly _tag: 'reachingPaused'; readonly forMs: number };
 
 /** One play. */
-export interface ReachPlay {
-  readonly seed: number;
-  readonly gateways: number;
+export interface ReachPlay extends FleetPlay {
   /** Endpoints of each of the two services, a plain one and one of engines. */
   readonly endpoints: number;
   /** Indices of the gateways that are cut from all endpoints; 0 is the scheduler. */
@@ -43,9 +39,6 @@
   readonly rate: number;
   /** Time of the cut, in ms. */
   readonly cutMs: number;
-  /** Path of the gateway's bundled program. */
-  readonly program: string;
-  readonly folder: string;
 }
 
 /** What came of a play. */
@@ -156,14 +149,7 @@
  * @returns how requests fared at both kinds of gateways
  */
 export const playReach = async (owner: Owner, play: ReachPlay): Promise<ReachResult> => {
-  const generator = xoroshiro128plus(play.seed);
-  const fraction = (): number => uniformFloat64(generator);
-  const fleet = await GatewayFleet.start(owner, {
-    size: play.gateways,
-    configuration: makeSoakConfiguration([5]),
-    program: play.program,
-    folder: play.folder,
-  });
+  const { fleet, callers } = await startPlay<Kind>(owner, play, DEADLINE_MS);
   const runs = new Map<string, number>();
   const endpoints: StatingEndpoint[] = [];
   for (const service of [SERVICES.plain, SERVICES.model]) {
@@ -181,13 +167,6 @@
       );
     }
   }
-  const callers = new PlayCallers<Kind>(owner, {
-    fleet,
-    prefix: `reach-${play.seed}`,
-    fraction,
-    deadlineMs: DEADLINE_MS,
-    patienceMs: 2 * DEADLINE_MS,
-  });
   let isBurst = false;
   const rate = (): number => play.rate * (isBurst ? BURST_FACTOR : 1);
   const endsAt = performance.now() + CALM_MS + play.cutMs + AFTER_MS;
--- a/test/reach/reach.test.ts
+++ b/test/reach/reach.test.ts
@@ -1,16 +1,9 @@
-import { execFile } from 'node:child_process';
-import { mkdtemp, rm } from 'node:fs/promises';
-import { tmpdir } from 'node:os';
-import { join } from 'node:path';
-import { after, before, describe, it } from 'node:test';
-import { fileURLToPath } from 'node:url';
-import { promisify } from 'node:util';
+import { describe, it } from 'node:test';
 import { expect } from 'earl';
+import { useGatewayProgram } from '../support/useGatewayProgram.ts';
 import { keepsReach } from './keepsReach.ts';
 import { playReach, type ReachPlay } from './playReach.ts';
 
-const BUILD = fileURLToPath(new URL('../../scripts/buildPlatform.mjs', import.meta.url));
-
 const PLAYS: readonly (Pick<ReachPlay, 'seed' | 'cut' | 'links' | 'disturbance'> & {
   readonly name: string;
 })[] = [
@@ -31,15 +24,7 @@
 ];
 
 describe('gateways of which some are cut from all endpoints', () => {
-  let folder = '';
-  let program = '';
-
-  before(async () => {
-    folder = await mkdtemp(join(tmpdir(), 'reach-'));
-    program = join(folder, 'gateway.cjs');
-    await promisify(execFile)(process.execPath, [BUILD, program]);
-  });
-  after(() => rm(folder, { recursive: true }));
+  const paths = useGatewayProgram();
 
   PLAYS.forEach(({ name, ...play }) => {
     // Guards against callers that are refused because their gateway has lost its links (RECOVER), and against
@@ -51,8 +36,7 @@
         endpoints: 3,
         rate: 8,
         cutMs: 7_000,
-        program,
-        folder,
+        ...paths,
       };
       const result = await playReach(context, whole);
       console.log(JSON.stringify(result));
--- a/test/rests/main.ts
+++ b/test/rests/main.ts
@@ -1,9 +1,7 @@
 // Plays endpoints that ask for rest, or say that they leave: `npm run rests -- --seed N [--seeds COUNT]`.
-import { mkdirSync, rmSync } from 'node:fs';
-import { join } from 'node:path';
 import { parseArgs } from 'node:util';
 import type { FleetDisturbance } from '../support/FleetDisturbance.ts';
-import { withOwner } from '../support/withOwner.ts';
+import { runPlays } from '../support/runPlays.ts';
 import { keepsRests } from './keepsRests.ts';
 import { playRests, type RestShape } from './playRests.ts';
 
@@ -17,8 +15,6 @@
     seconds: { type: 'string', default: '12' },
   },
 });
-const FOLDER = 'target/rests';
-const PROGRAM = 'target/gateway.cjs';
 const MS_PER_SECOND = 1_000;
 
 /** One after the other, by the seed. */
@@ -32,36 +28,31 @@
   { _tag: 'release' },
 ];
 
-for (let turn = 0; turn < Number(values.seeds); turn += 1) {
-  const seed = Number(values.seed) + turn;
-  const folder = join(FOLDER, `seed-${seed}`);
-  mkdirSync(folder, { recursive: true });
-  const disturbance = DISTURBANCES[seed % DISTURBANCES.length] ?? { _tag: 'none' };
-  const endpoints = Number(values.endpoints);
-  const shapes: readonly RestShape[] = [
-    { _tag: 'resting', endpoints: 1, restSeconds: 3 },
-    { _tag: 'leaving' },
-    { _tag: 'resting', endpoints, restSeconds: 2.5 },
-    { _tag: 'resting', endpoints: endpoints - 1, restSeconds: 1.2 },
-  ];
-  const shape = shapes[seed % shapes.length] ?? { _tag: 'leaving' };
+const endpoints = Number(values.endpoints);
+const SHAPES: readonly RestShape[] = [
+  { _tag: 'resting', endpoints: 1, restSeconds: 3 },
+  { _tag: 'leaving' },
+  { _tag: 'resting', endpoints, restSeconds: 2.5 },
+  { _tag: 'resting', endpoints: endpoints - 1, restSeconds: 1.2 },
+];
+const series = {
+  name: 'rests',
+  seed: Number(values.seed),
+  seeds: Number(values.seeds),
+  gateways: Number(values.gateways),
+};
+await runPlays(series, async (owner, common) => {
+  const disturbance = DISTURBANCES[common.seed % DISTURBANCES.length] ?? { _tag: 'none' };
+  const shape = SHAPES[common.seed % SHAPES.length] ?? { _tag: 'leaving' };
   const play = {
-    seed,
-    gateways: Number(values.gateways),
+    ...common,
     endpoints,
     shape,
     disturbance,
     rate: Number(values.rate),
     askingMs: Number(values.seconds) * MS_PER_SECOND,
-    program: PROGRAM,
-    folder,
   };
-  const result = await withOwner((owner) => playRests(owner, play));
-  const kept = keepsRests(play, result);
-  console.log(
-    `seed ${seed}, ${disturbance._tag}, ${JSON.stringify(shape)}: ` +
-      `${kept ? 'kept' : 'BROKEN'} ${JSON.stringify(result)}`,
-  );
-  if (kept) rmSync(folder, { recursive: true });
-  else process.exitCode = 1;
-}
+  const result = await playRests(owner, play);
+  const variant = `${disturbance._tag}, ${JSON.stringify(shape)}`;
+  return { kept: keepsRests(play, result), variant, result };
+});
--- a/test/rests/playRests.ts
+++ b/test/rests/playRests.ts
@@ -1,18 +1,11 @@
 import { setTimeout as wait } from 'node:timers/promises';
-import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64';
-import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
-import { makeSoakConfiguration, SERVICES } from '../soak/soakConfiguration.ts';
+import { SERVICES } from '../soak/soakConfiguration.ts';
 import { disturbFleet, type FleetDisturbance } from '../support/FleetDisturbance.ts';
-import { CONTACT_MS, GatewayFleet } from '../support/GatewayFleet.ts';
+import { CONTACT_MS } from '../support/GatewayFleet.ts';
 import type { Owner } from '../support/Owner.ts';
-import {
-  PlayCallers,
-  NOT_RUN_STATUSES,
-  isServed,
-  shareOf,
-  type CallerContent,
-} from '../support/PlayCallers.ts';
+import { NOT_RUN_STATUSES, isServed, shareOf, type CallerContent } from '../support/PlayCallers.ts';
 import { RestLedger } from '../support/RestLedger.ts';
+import { startPlay, type FleetPlay } from '../support/startPlay.ts';
 import { StatingEndpoint } from '../support/StatingEndpoint.ts';
 
 /** What endpoints ask of gateways. */
@@ -23,9 +16,7 @@
   | { readonly _tag: 'leaving' };
 
 /** One play. */
-export interface RestPlay {
-  readonly seed: number;
-  readonly gateways: number;
+export interface RestPlay extends FleetPlay {
   /** Endpoints of each of the two services, a plain one and one of engines. */
   readonly endpoints: number;
   readonly shape: RestShape;
@@ -34,9 +25,6 @@
   readonly rate: number;
   /** Time in which endpoints ask for something, in ms. */
   readonly askingMs: number;
-  /** Path of the gateway's bundled program. */
-  readonly program: string;
-  readonly folder: string;
 }
 
 /** What came of a play. */
@@ -94,21 +82,7 @@
  */
 export const playRests = async (owner: Owner, play: RestPlay): Promise<RestResult> => {
   const { shape } = play;
-  const generator = xoroshiro128plus(play.seed);
-  const fraction = (): number => uniformFloat64(generator);
-  const fleet = await GatewayFleet.start(owner, {
-    size: play.gateways,
-    configuration: makeSoakConfiguration([5]),
-    program: play.program,
-    folder: play.folder,
-  });
-  const callers = new PlayCallers<string>(owner, {
-    fleet,
-    prefix: `rest-${play.seed}`,
-    fraction,
-    deadlineMs: DEADLINE_MS,
-    patienceMs: 2 * DEADLINE_MS,
-  });
+  const { fleet, callers } = await startPlay<string>(owner, play, DEADLINE_MS);
   const restSeconds = shape._tag === 'resting' ? shape.restSeconds : 0;
   const ran = new Set<string>();
   const startEndpoint = async (service: string, index: number): Promise<Asking> => {
--- a/test/rests/rests.test.ts
+++ b/test/rests/rests.test.ts
@@ -1,27 +1,12 @@
-import { execFile } from 'node:child_process';
-import { mkdtemp, rm } from 'node:fs/promises';
-import { tmpdir } from 'node:os';
-import { join } from 'node:path';
-import { after, before, describe, it } from 'node:test';
-import { fileURLToPath } from 'node:url';
-import { promisify } from 'node:util';
+import { describe, it } from 'node:test';
 import { expect } from 'earl';
 import type { Owner } from '../support/Owner.ts';
+import { useGatewayProgram } from '../support/useGatewayProgram.ts';
 import { keepsRests } from './keepsRests.ts';
 import { playRests, type RestShape } from './playRests.ts';
 
-const BUILD = fileURLToPath(new URL('../../scripts/buildPlatform.mjs', import.meta.url));
-
 describe('gateways before endpoints that state what they want', () => {
-  let folder = '';
-  let program = '';
-
-  before(async () => {
-    folder = await mkdtemp(join(tmpdir(), 'rests-'));
-    program = join(folder, 'gateway.cjs');
-    await promisify(execFile)(process.execPath, [BUILD, program]);
-  });
-  after(() => rm(folder, { recursive: true }));
+  const paths = useGatewayProgram();
 
   const play = async (owner: Owner, seed: number, shape: RestShape): Promise<boolean> => {
     const whole = {
@@ -32,8 +17,7 @@
       disturbance: { _tag: 'none' },
       rate: 30,
       askingMs: 9_000,
-      program,
-      folder,
+      ...paths,
     } as const;
     const result = await playRests(owner, whole);
     console.log(JSON.stringify(result));
