--- a/src/coordination/gateway/routingAndPlacement.test.ts
+++ b/src/coordination/gateway/routingAndPlacement.test.ts
@@ -287,6 +287,50 @@
   });
 });
 
+describe('PlacementScheduler before endpoints that want nothing of one gateway', () => {
+  const resting = (id: string, forMs?: number) =>
+    ticket(id, { excluded: [{ endpoint: 'e', ...(forMs !== undefined && { forMs }) }] });
+  const make = (...ids: string[]): PlacementScheduler => {
+    const scheduler = new PlacementScheduler();
+    scheduler.setEngines(ids.map(endpoint));
+    return scheduler;
+  };
+
+  // Guards against grants of an engine that has asked the ticket's gateway for rest (BUDGET).
+  it('grants that gateway another one, and the endpoint to others', () => {
+    const scheduler = make('e', 'f');
+    scheduler.enqueue('told', resting('1', 3_000), 0);
+    const [first] = scheduler.schedule(0);
+    expect(first?._tag === 'grant' && first.endpoint).toEqual('f');
+    const alone = make('e');
+    alone.enqueue('told', resting('1', 3_000), 0);
+    alone.enqueue('other', ticket('2'), 0);
+    expect(alone.schedule(0).map((one) => `${one._tag} ${one.ticket.id}`)).toInclude('grant 2');
+  });
+
+  it('queues a request for the end of the rest, if its deadline allows it', () => {
+    const scheduler = make('e');
+    scheduler.enqueue('told', resting('1', 200), 0);
+    expect(scheduler.schedule(0)).toEqual([]);
+    expect(scheduler.schedule(200).map(({ _tag }) => _tag)).toEqual(['grant']);
+  });
+
+  it('refuses a request that the rest outlasts, with a time that is worth waiting for', () => {
+    const scheduler = make('e');
+    scheduler.enqueue('told', resting('1', 60_000), 0);
+    const [decision] = scheduler.schedule(0);
+    expect(decision?._tag === 'refuse' && decision.reason).toEqual('overload');
+    expect(decision?._tag === 'refuse' && decision.retryAfterMs > 30_000).toEqual(true);
+  });
+
+  it('refuses a request whose only endpoint leaves', () => {
+    const scheduler = make('e');
+    scheduler.enqueue('told', resting('1'), 0);
+    const [decision] = scheduler.schedule(0);
+    expect(decision?._tag === 'refuse' && decision.reason).toEqual('noEndpoint');
+  });
+});
+
 describe('PlacementScheduler before endpoints that state limits', () => {
   const makeLimited = (perSecond: number) => {
     const limits = new EndpointLimits();
