Repeat a check of reach at most once

Cause: a check that fails while the process stood still is repeated, and the process counts as standing still since its last tick; a check under way at the end of a gateway had no ticks any more and went on for good. In a process that is slow for long it would have put off its verdict likewise.

A check is repeated once.

--- a/src/app/gateway/ReachMonitor.ts
+++ b/src/app/gateway/ReachMonitor.ts
@@ -94,8 +94,9 @@
    *
    * @param suspect - id of an endpoint that is left out because a connection to it failed
    * @param silent - id of an endpoint that is tried first
+   * @param mayRepeat - whether the check is repeated if the process stood still meanwhile
    */
-  #startCheck(suspect: string | undefined, silent?: string): void {
+  #startCheck(suspect: string | undefined, silent?: string, mayRepeat = true): void {
     if (this.#isChecking) return;
     const { now, listEndpoints } = this.#options;
     const records = listEndpoints();
@@ -121,7 +122,7 @@
         failures += 1;
         if (failures < targets.length || isSettled) return;
         isSettled = true;
-        this.#onUnreached(targets, startedAt, silent);
+        this.#onUnreached(targets, startedAt, silent, mayRepeat);
       });
     });
   }
@@ -130,16 +131,18 @@
     targets: readonly EndpointRecord[],
     startedAt: number,
     silent: string | undefined,
+    mayRepeat: boolean,
   ): void {
     const wasStalled =
       this.#stalledAt >= startedAt || this.#options.now() - this.#tickedAt > STALL_MS;
-    if (!wasStalled && silent === undefined) {
+    const isRepeated = wasStalled && mayRepeat;
+    if (!isRepeated && silent === undefined) {
       this.#settle(false, targets);
       return;
     }
     // The silent endpoint may have failed alone, and timeouts of a process that stood still tell nothing.
     this.#isChecking = false;
-    this.#startCheck(silent);
+    this.#startCheck(silent, undefined, silent !== undefined);
   }
 
   #settle(isReached: boolean, targets: readonly EndpointRecord[]): void {
