Measure the age of the view of the store at each sending, and log why it is old

ViewFreshness keeps the last moment at which the store confirmed the view of each kind, through a call of the process or through its watcher. Its age is a histogram over all sendings (corianderwick_gateway_view_age_ms, the greatest included) and a field of 'request ended'. 'store view age' says that the view is older than 1.5 s and what each watch is doing; 'store watcher changed' says why the watcher isn't relied upon. Nothing decides by it yet.

--- a/src/app/gateway/EndpointAttempt.ts
+++ b/src/app/gateway/EndpointAttempt.ts
@@ -12,6 +12,7 @@
 import type { GatewayContext } from './GatewayContext.ts';
 import type { AttemptEvent, RequestAttempt } from './RequestAttempt.ts';
 import type { RoutedRequest } from './RoutedRequest.ts';
+import type { ViewAge } from './StoreSubscription.ts';
 
 /** Request, endpoint and time limit of an attempt. */
 export interface EndpointAttemptOptions {
@@ -54,6 +55,9 @@
 
   #ended = false;
 
+  /** How old the view of the store was by which the request was sent. */
+  readonly viewAge: ViewAge;
+
   written = false;
 
   heardAt: number;
@@ -68,6 +72,8 @@
     this.#options = options;
     this.#sentAt = options.context.now();
     this.heardAt = this.#sentAt;
+    this.viewAge = options.context.viewAge(this.#sentAt);
+    options.context.metrics.recordViewAge(this.viewAge.ageMs);
   }
 
   get target(): string {
--- a/src/app/gateway/GatewayContext.ts
+++ b/src/app/gateway/GatewayContext.ts
@@ -16,6 +16,7 @@
 import type { PlacementCoordinator } from './PlacementCoordinator.ts';
 import type { ReachMonitor } from './ReachMonitor.ts';
 import type { RequestHandler } from './RequestHandler.ts';
+import type { ViewAge } from './StoreSubscription.ts';
 
 /** Components of the process that all requests share. */
 export interface GatewayContext {
@@ -38,6 +39,8 @@
   readonly now: () => number;
   /** A random number in [0, 1). */
   readonly random: () => number;
+  /** Returns how old the view of the store is by which requests are sent. */
+  readonly viewAge: (now: number) => ViewAge;
   /** Number of gateways among which the slack of the retry budget is divided. */
   readonly memberCount: () => number;
   /** Called once for each request, after its final answer. */
--- a/src/app/gateway/GatewayMetrics.ts
+++ b/src/app/gateway/GatewayMetrics.ts
@@ -101,6 +101,19 @@
     registers: [this.#registry],
   });
 
+  readonly #viewAges = build({
+    lowestDiscernibleValue: 1,
+    highestTrackableValue: HIGHEST_LATENCY_MS,
+    numberOfSignificantValueDigits: 2,
+  });
+
+  readonly #viewAgeGauge = new Gauge({
+    name: 'corianderwick_gateway_view_age_ms',
+    help: 'Age of the view of the store at each sending to an endpoint, by quantile; 100 is the greatest.',
+    labelNames: ['quantile'],
+    registers: [this.#registry],
+  });
+
   readonly #gauges = {
     configurationVersion: this.#makeGauge('configuration_version', 'Configuration in force.'),
     members: this.#makeGauge('members', 'Gateways believed alive.'),
@@ -195,6 +208,11 @@
     histogram.recordValue(Math.max(1, Math.min(HIGHEST_LATENCY_MS, latencyMs)));
   }
 
+  /** Records the age in ms of the view of the store by which a request is sent to an endpoint. */
+  recordViewAge(ageMs: number): void {
+    this.#viewAges.recordValue(Math.round(Math.max(1, Math.min(HIGHEST_LATENCY_MS, ageMs))));
+  }
+
   /**
    * Renders all metrics as Prometheus text.
    *
@@ -219,6 +237,9 @@
         this.#latencyGauge.set({ route, quantile }, histogram.getValueAtPercentile(quantile));
       });
     });
+    [...PERCENTILES, 100].forEach((quantile) =>
+      this.#viewAgeGauge.set({ quantile }, this.#viewAges.getValueAtPercentile(quantile)),
+    );
     return this.#registry.metrics();
   }
 
--- a/src/app/gateway/PeerAttempt.ts
+++ b/src/app/gateway/PeerAttempt.ts
@@ -28,6 +28,8 @@
 export class PeerAttempt implements RequestAttempt {
   readonly kind = 'peer';
 
+  readonly viewAge = undefined;
+
   readonly #options: PeerAttemptOptions;
 
   readonly #reader = new AnswerReader();
--- a/src/app/gateway/RequestAttempt.ts
+++ b/src/app/gateway/RequestAttempt.ts
@@ -1,4 +1,5 @@
 import type { AnswerFraming } from '../../transport/http/index.ts';
+import type { ViewAge } from './StoreSubscription.ts';
 
 /**
  * Progress of an attempt, in order; `streamEnded`, `answered`, `notRun`, `broken` or `unserved` is the last
@@ -31,6 +32,8 @@
   readonly kind: 'endpoint' | 'peer';
   /** Id of the endpoint, or incarnation of the peer. */
   readonly target: string;
+  /** How old the view of the store was at the sending to an endpoint; undefined for a peer, which has its own. */
+  readonly viewAge: ViewAge | undefined;
   /** Whether the attempt has ended or was cancelled. */
   readonly ended: boolean;
   /** Whether the request was written to a connection, so that it may have arrived. */
--- a/src/app/gateway/StoreSubscription.ts
+++ b/src/app/gateway/StoreSubscription.ts
@@ -3,6 +3,9 @@
   MISSING_ENTRY_GRACE_MS,
   StoreWatcherMonitor,
   RelayedRevisions,
+  ViewFreshness,
+  isBehind,
+  type ConfirmationPath,
   type EndpointChange,
   type EndpointDirectory,
   type OutagePhase,
@@ -17,6 +20,14 @@
 /** What became of relayed changes: `gap` if changes before them are missing here. */
 export type RelayResult = 'applied' | 'gap';
 
+/** How old the view of the store is, and what its age depends on. */
+export interface ViewAge {
+  /** Time since the store last confirmed the view of both kinds of objects, in ms. */
+  readonly ageMs: number;
+  /** How that confirmation reached this process. */
+  readonly path: ConfirmationPath;
+}
+
 /** Collaborators and callbacks of a store subscription. */
 export interface StoreSubscriptionOptions {
   readonly store: ObjectStore;
@@ -49,6 +60,8 @@
 const HEARTBEAT_INTERVAL_MS = 400;
 /** Interval of heartbeats to all members, which are also sent at once after each change. */
 const BROADCAST_INTERVAL_MS = 1_600;
+/** Age of the view that is logged, with the reason: what the promises leave is then short. */
+const OLD_VIEW_MS = 1_500;
 
 /**
  * Keeps the configuration and the endpoint directory up to date with the platform's store. One member
@@ -62,6 +75,10 @@
 
   readonly #watcherMonitor = new StoreWatcherMonitor();
 
+  readonly #freshness = new ViewFreshness();
+
+  #isOldViewReported = false;
+
   /** Whether the watches are suspended because the watcher of the domain relays changes. */
   #isRelying = false;
 
@@ -91,6 +108,7 @@
         kind,
         listener,
         onWatchResult: (from, to, changes) => this.#relayChanges(kind, from, to, changes),
+        onConfirmed: (at) => this.#freshness.confirm(kind, { at, path: 'call' }),
       });
     this.#watches = {
       configuration: watch('configuration', this.#makeConfigurationListener()),
@@ -103,6 +121,16 @@
     return this.#endpointsListed;
   }
 
+  /**
+   * Returns how old the view of the store is.
+   *
+   * @param now - present time in ms, monotonic
+   * @returns the age, and how the last confirmation got here
+   */
+  viewAge(now: number): ViewAge {
+    return { ageMs: this.#freshness.ageMs(now), path: this.#freshness.oldest.path };
+  }
+
   /** Starts both watches. */
   start(): void {
     Object.values(this.#watches).forEach((watch) => {
@@ -130,7 +158,8 @@
     if (isWatcher) this.#sendHeartbeat(now());
     const { configuration, endpoints } = this.#watches;
     const known = { configuration: configuration.revision, endpoints: endpoints.revision };
-    const relies = !isWatcher && this.#watcherMonitor.isReliable(watcher, known, now());
+    const obstacle = this.#watcherMonitor.findObstacle(watcher, known, now());
+    const relies = !isWatcher && obstacle === undefined;
     // Changes that the watcher relays meanwhile are not relayed from here, so that the revisions
     // recorded here no longer tell what the other members have received.
     if (relies) Object.values(this.#relayedRevisions).forEach((revisions) => revisions.reset());
@@ -139,13 +168,17 @@
       const isFailing = Object.values(this.#watches).some((watch) => watch.isFailing);
       if (!relies && isFailing) directory.recordStoreFailure();
       const reported = this.#watcherMonitor.latestRevisions;
-      this.#options.logger.info({ watcher, relies, known, reported }, 'store watcher changed');
+      this.#options.logger.info(
+        { watcher, relies, obstacle, known, reported, ...this.viewAge(now()) },
+        'store watcher changed',
+      );
     }
     configuration.setRelayed(relies);
     endpoints.setRelayed(relies);
     // A process that relies on the watcher makes no calls that could end an outage of its own.
     if (relies) directory.recordStoreResponse(now());
     this.#reportOutage();
+    this.#reportOldView(watcher);
   }
 
   /**
@@ -158,6 +191,15 @@
     const { directory, group, now, logger, onRelayReceived } = this.#options;
     if (message._tag === 'storeWatcherAlive') {
       this.#watcherMonitor.recordHeartbeat(from, group.storeWatcher(), message, now());
+      const { completeSince, confirmedMsAgo } = message;
+      const { configuration, endpoints } = this.#watches;
+      const known = { configuration: configuration.revision, endpoints: endpoints.revision };
+      if (completeSince !== undefined && confirmedMsAgo !== undefined)
+        if (!isBehind(known, completeSince)) {
+          const confirmation = { at: now() - confirmedMsAgo, path: 'peer' } as const;
+          this.#freshness.confirm('configuration', confirmation);
+          this.#freshness.confirm('endpoints', confirmation);
+        }
     }
     if (message._tag !== 'storeChanges') return;
     const { kind, fromRevision, toRevision, changes, afterOutage, graceMs } = message;
@@ -296,6 +338,18 @@
     this.#options.logger.info({ kind, revision, objects }, 'store listed');
   }
 
+  /** Logs that the view has become old, with what it waits for, and that it no longer is. */
+  #reportOldView(watcher: string): void {
+    const { now, logger } = this.#options;
+    const view = this.viewAge(now());
+    const isOld = Number.isFinite(view.ageMs) && view.ageMs > OLD_VIEW_MS;
+    if (isOld === this.#isOldViewReported) return;
+    this.#isOldViewReported = isOld;
+    const { configuration, endpoints } = this.#watches;
+    const phases = { configuration: configuration.phase, endpoints: endpoints.phase };
+    logger.info({ ...view, isOld, watcher, relies: this.#isRelying, phases }, 'store view age');
+  }
+
   #reportOutage(): void {
     const { directory, now, logger } = this.#options;
     const phase = directory.outagePhase(now());
--- a/src/app/gateway/StoreWatch.test.ts
+++ b/src/app/gateway/StoreWatch.test.ts
@@ -29,6 +29,7 @@
     random: () => 0,
     sleep: (ms) => setTimeout(ms),
     onWatchResult: () => {},
+    onConfirmed: () => {},
     listener: {
       onList: () => events.push('list'),
       onChanges: () => events.push('changes'),
--- a/src/app/gateway/StoreWatch.ts
+++ b/src/app/gateway/StoreWatch.ts
@@ -9,6 +9,9 @@
 /** How a process received changes of the store. */
 export type StoreChangeSource = 'list' | 'watch' | 'relay';
 
+/** What a store watch is doing. */
+export type StoreWatchPhase = 'calling' | 'backingOff' | 'suspended';
+
 /** Callbacks of a store watch. */
 export interface StoreWatchListener {
   /**
@@ -48,6 +51,8 @@
     toRevision: number,
     changes: readonly StoreChange[],
   ) => void;
+  /** Called when the store has confirmed the view, with the moment at which it did, in ms. */
+  readonly onConfirmed: (at: number) => void;
 }
 
 /** Longest wait of a watch call after a failure. */
@@ -79,6 +84,8 @@
 
   #relayed = false;
 
+  #phase: StoreWatchPhase = 'calling';
+
   #resume: (() => void) | undefined;
 
   constructor(options: StoreWatchOptions) {
@@ -96,6 +103,11 @@
     }
   }
 
+  /** What the watch is doing, for the log. */
+  get phase(): StoreWatchPhase {
+    return this.#phase;
+  }
+
   /** Store revision up to which all changes are known; 0 before the first list. */
   get revision(): number {
     return this.#revision ?? 0;
@@ -166,6 +178,7 @@
   #waitUntilResumed(): Promise<void> {
     // Earlier failures say nothing about the store at the time of the next call.
     this.#failures = 0;
+    this.#phase = 'suspended';
     return new Promise((resolve) => {
       this.#resume = resolve;
     });
@@ -173,6 +186,7 @@
 
   async #listOrWatch(): Promise<void> {
     const { store, kind, waitMs } = this.#options;
+    this.#phase = 'calling';
     if (this.#revision === undefined || this.#isListDue) {
       const result = await store.list(kind);
       if (this.#stopped) return;
@@ -258,6 +272,7 @@
 
   #reportAvailable(): void {
     this.#confirmedAt = this.#options.now();
+    this.#options.onConfirmed(this.#confirmedAt);
     if (this.#reached && this.#failures === 0) return;
     this.#reached = true;
     this.#failures = 0;
@@ -269,6 +284,7 @@
     const pauseMs = storeRetryDelay(this.#failures, isReliedOn(), random());
     this.#failures += 1;
     if (this.#failures === 1) this.#options.listener.onUnavailable(detail);
+    this.#phase = 'backingOff';
     await sleep(pauseMs);
   }
 }
--- a/src/app/gateway/logRequestEnd.ts
+++ b/src/app/gateway/logRequestEnd.ts
@@ -1,6 +1,7 @@
 import type { Logger } from 'pino';
 import type { RequestAttempt } from './RequestAttempt.ts';
 import type { RoutedRequest } from './RoutedRequest.ts';
+import type { ViewAge } from './StoreSubscription.ts';
 
 /** How a request ended, as logs and metrics state it. */
 export type RequestOutcome =
@@ -29,6 +30,9 @@
   readonly totalMs: number;
 }
 
+const describeViewAge = (view: ViewAge | undefined) =>
+  view === undefined ? {} : { viewAgeMs: Math.round(view.ageMs), viewPath: view.path };
+
 /**
  * Logs the end of a request; a forwarded one is logged by both gateways under its id.
  *
@@ -69,6 +73,7 @@
       deadlineMs: fields.deadlineMs,
       waitedBeforeMs,
       configurationVersion,
+      ...describeViewAge(attempt?.viewAge),
     },
     'request ended',
   );
--- a/src/app/gateway/runGateway.ts
+++ b/src/app/gateway/runGateway.ts
@@ -254,6 +254,7 @@
       logger,
       now,
       random: Math.random,
+      viewAge: (at) => lateBound.storeSubscription.get().viewAge(at),
       memberCount: () =>
         lateBound.group.get().liveMembers().length +
         lateBound.group.get().recentlyLostMembers(now()).length,
--- a/src/coordination/gateway/StoreWatcherMonitor.ts
+++ b/src/coordination/gateway/StoreWatcherMonitor.ts
@@ -30,7 +30,12 @@
 /** Time within which a change that any watcher has seen must be received. */
 const MAXIMUM_LAG_MS = 400;
 
-const isBehind = (known: KnownRevisions, required: KnownRevisions): boolean =>
+/** Why a process doesn't rely on a store watcher, in the order in which the reasons are looked at. */
+export type RelianceObstacle =
+  'watcherSilent' | 'watcherUnreached' | 'watcherUnconfirmed' | 'lagging' | 'incomplete';
+
+/** Tells whether a view lacks changes up to some revisions. */
+export const isBehind = (known: KnownRevisions, required: KnownRevisions): boolean =>
   known.configuration < required.configuration || known.endpoints < required.endpoints;
 
 /**
@@ -92,14 +97,28 @@
    *   changes that the watcher has, so that it must watch the store itself
    */
   isReliable(watcher: string, known: KnownRevisions, now: number): boolean {
+    return this.findObstacle(watcher, known, now) === undefined;
+  }
+
+  /**
+   * Returns why this process can't rely on a watcher.
+   *
+   * @param watcher - incarnation of the member that is assigned as watcher
+   * @param known - store revisions that this process has received
+   * @param now - current time, in ms
+   * @returns the reason; undefined if this process may rely on the watcher
+   */
+  findObstacle(watcher: string, known: KnownRevisions, now: number): RelianceObstacle | undefined {
     if (!isBehind(known, this.#latestRevisions)) this.#laggingSince = undefined;
     else this.#laggingSince ??= now;
     const isStale = this.#laggingSince !== undefined && now - this.#laggingSince > MAXIMUM_LAG_MS;
     const isAlive =
       this.#lastHeartbeatFrom === watcher && now - this.#lastHeartbeatAt <= HEARTBEAT_TIMEOUT_MS;
+    if (!isAlive) return 'watcherSilent';
+    if (!this.#reachesStore) return 'watcherUnreached';
+    if (now - this.#confirmedAt > MAXIMUM_CONFIRMATION_AGE_MS) return 'watcherUnconfirmed';
+    if (isStale) return 'lagging';
     // Relayed changes arrive before the heartbeat that follows them, so what is missing was lost.
-    const isComplete = !isBehind(known, this.#requiredRevisions);
-    const isConfirmed = now - this.#confirmedAt <= MAXIMUM_CONFIRMATION_AGE_MS;
-    return isAlive && this.#reachesStore && isConfirmed && !isStale && isComplete;
+    return isBehind(known, this.#requiredRevisions) ? 'incomplete' : undefined;
   }
 }
