Let all stages of following the store share one deadline, and take entries for expired only after it (DRAIN)

Callers' requests reached an endpoint up to 2,050 ms after its removal (bound 2,000 ms) though nothing was disturbed: any failed call, such as a watch that the store cut, began an outage, and an entry that went missing in it was kept for 2,050 ms from the next answer as if it had expired. An entry removed later was kept for 1,800 ms from when the process heard of it, and followers took over the grace time of a watcher although their own view had been confirmed all along.

An outage is now a time of over 2 s without a confirmation of the view by any path. That holds only if views are younger while all is well, so that both change together: the timers ran one after another from what each process had received last (a watch of its own 2,000 + 500 ms; 1,600 ms until a watcher was given up, then a call that may fail once).

The call after a failure, or after a time without calls, uses a new connection and asks for an answer at once. - A report of any peer that holds nothing more confirms the view, so that StoreWatcherMonitor, which trusted one watcher, gives way to RelianceMonitor. - A removed entry is kept for 1.8 s from when it was last known to be listed.

--- a/src/app/gateway/PeerGroup.ts
+++ b/src/app/gateway/PeerGroup.ts
@@ -36,15 +36,15 @@
 const LOST_MEMBER_RETENTION_MS = 10_000;
 
 /**
- * Returns the member with the highest strength; of equals, the one that started first. Suspected
- * members are considered only if none is alive.
+ * Sorts members by strength, the strongest first; of equals, the one that started first. Suspected members are
+ * left out unless none is alive.
  */
-const findHighestRanked = (members: readonly Member[]): Member | undefined => {
+const rankByStrength = (members: readonly Member[]): readonly Member[] => {
   const alive = members.filter(({ status }) => status === 'alive');
   const candidates = alive.length > 0 ? alive : members;
   return [...candidates].sort(
     (a, b) => (b.strength ?? 0) - (a.strength ?? 0) || (a.incarnation < b.incarnation ? -1 : 1),
-  )[0];
+  );
 };
 
 /**
@@ -145,7 +145,7 @@
    * @returns the leader's incarnation; that of this process if no member is serving
    */
   leader(): string {
-    return findHighestRanked(this.#membership.acceptingMembers())?.incarnation ?? this.incarnation;
+    return rankByStrength(this.#membership.acceptingMembers())[0]?.incarnation ?? this.incarnation;
   }
 
   /**
@@ -154,11 +154,21 @@
    * @returns the member's incarnation; that of this process if no member of the domain is serving
    */
   storeWatcher(): string {
-    const { failureDomain } = this.#options.self;
-    const sameDomainMembers = this.#membership
-      .acceptingMembers()
-      .filter((member) => member.failureDomain === failureDomain);
-    return findHighestRanked(sameDomainMembers)?.incarnation ?? this.incarnation;
+    return this.#rankedDomainMembers()[0]?.incarnation ?? this.incarnation;
+  }
+
+  /**
+   * Returns the place of this process among the serving members of its failure domain, in the order in which they
+   * call the store.
+   *
+   * @returns 0 for the store watcher; infinite if this process isn't serving
+   */
+  storeCallRank(): number {
+    const rank = this.#rankedDomainMembers().findIndex(
+      ({ incarnation }) => incarnation === this.incarnation,
+    );
+    if (rank >= 0) return rank;
+    return this.storeWatcher() === this.incarnation ? 0 : Number.POSITIVE_INFINITY;
   }
 
   /** Returns the other living members of the failure domain of this process. */
@@ -215,6 +225,15 @@
       .forEach(({ peerAddress }) => this.#options.network.send(peerAddress, message));
   }
 
+  #rankedDomainMembers(): readonly Member[] {
+    const { failureDomain } = this.#options.self;
+    return rankByStrength(
+      this.#membership
+        .acceptingMembers()
+        .filter((member) => member.failureDomain === failureDomain),
+    );
+  }
+
   #contactSeeds(now: number): void {
     this.#nextSeedContactAt = now + EAGER_JOIN_INTERVAL_MS;
     this.#perform(this.#membership.join(this.#seeds, now), now);
--- a/src/app/gateway/StoreSubscription.test.ts
+++ b/src/app/gateway/StoreSubscription.test.ts
@@ -67,6 +67,7 @@
     group: {
       incarnation: FOLLOWER,
       storeWatcher: () => WATCHER,
+      storeCallRank: () => 1,
       sameDomainPeers: () => [],
       send: () => true,
       broadcast: () => {},
--- a/src/app/gateway/StoreSubscription.ts
+++ b/src/app/gateway/StoreSubscription.ts
@@ -1,14 +1,15 @@
 import type { Logger } from 'pino';
 import {
-  MISSING_ENTRY_GRACE_MS,
-  StoreWatcherMonitor,
+  EXPIRY_OUTAGE_MS,
   RelayedRevisions,
+  RelianceMonitor,
   ViewFreshness,
   isBehind,
+  type Confirmation,
   type ConfirmationPath,
   type EndpointChange,
   type EndpointDirectory,
-  type OutagePhase,
+  type KnownRevisions,
 } from '../../coordination/gateway/index.ts';
 import type { ObjectStore, StoreChange, WireAdapter } from '../../protocol/gateway/index.ts';
 import type { PeerMessage } from '../../protocol/peer/PeerMessage.ts';
@@ -20,6 +21,9 @@
 /** What became of relayed changes: `gap` if changes before them are missing here, so that the view has a hole. */
 export type RelayResult = 'applied' | 'gap';
 
+type ViewReportMessage = Extract<PeerMessage, { readonly _tag: 'storeWatcherAlive' }>;
+type StoreChangesMessage = Extract<PeerMessage, { readonly _tag: 'storeChanges' }>;
+
 /** How old the view of the store is, and what its age depends on. */
 export interface ViewAge {
   /** Time since the store last confirmed the view of both kinds of objects, in ms. */
@@ -28,6 +32,9 @@
   readonly path: ConfirmationPath;
 }
 
+/** Whether the store is unavailable, or was so recently that entries may still be missing. */
+export type OutagePhase = 'none' | 'unavailable' | 'grace';
+
 /** Collaborators and callbacks of a store subscription. */
 export interface StoreSubscriptionOptions {
   readonly store: ObjectStore;
@@ -35,7 +42,7 @@
   readonly directory: EndpointDirectory;
   readonly group: Pick<
     PeerGroup,
-    'incarnation' | 'storeWatcher' | 'sameDomainPeers' | 'send' | 'broadcast'
+    'incarnation' | 'storeWatcher' | 'storeCallRank' | 'sameDomainPeers' | 'send' | 'broadcast'
   >;
   readonly logger: Logger;
   /** Present time in ms, monotonic. */
@@ -52,12 +59,12 @@
   readonly onRelayReceived: (kind: WatchedKind, result: RelayResult) => void;
 }
 
-/** Longest wait of one watch call that others rely on; a dead connection is detected soon after it. */
-const SHARED_WATCH_WAIT_MS = 900;
-/** The same if only this process uses the watch; longer, because calls to the store are costly. */
-const PRIVATE_WATCH_WAIT_MS = 2_000;
-/** Interval of heartbeats from a watcher to the members of its failure domain. */
+/** Longest time between reports of the watcher to the members of its failure domain. */
 const HEARTBEAT_INTERVAL_MS = 400;
+/** Shortest time between reports that the store has confirmed the view again. */
+const CONFIRMATION_INTERVAL_MS = 100;
+/** Rank of the first member after the watcher, which reports to its failure domain while it calls the store itself. */
+const DEPUTY_RANK = 1;
 /** Interval of heartbeats to all members, which are also sent at once after each change. */
 const BROADCAST_INTERVAL_MS = 1_600;
 /** Age of the view that is logged, with the reason: what the promises leave is then short. */
@@ -73,7 +80,7 @@
 
   readonly #watches: Readonly<Record<WatchedKind, StoreWatch>>;
 
-  readonly #watcherMonitor = new StoreWatcherMonitor();
+  readonly #relianceMonitor = new RelianceMonitor();
 
   readonly #freshness = new ViewFreshness();
 
@@ -92,23 +99,28 @@
 
   #heartbeatSentAt = Number.NEGATIVE_INFINITY;
 
+  /** When the store had confirmed the view as the last report said, in ms. */
+  #reportedConfirmationAt = Number.NEGATIVE_INFINITY;
+
   #endpointsListed = false;
 
   #reportedOutagePhase: OutagePhase = 'none';
 
+  /** Last moment before the changes that are being applied at which the store confirmed the endpoints, in ms. */
+  #endpointsListedAt = Number.NEGATIVE_INFINITY;
+
   constructor(options: StoreSubscriptionOptions) {
     this.#options = options;
     const { store, now, random, sleep, group } = options;
     const isReliedOn = (): boolean => group.storeWatcher() === group.incarnation;
-    const waitMs = (): number => (isReliedOn() ? SHARED_WATCH_WAIT_MS : PRIVATE_WATCH_WAIT_MS);
-    const common = { store, now, random, sleep, waitMs, isReliedOn };
+    const common = { store, now, random, sleep, isReliedOn };
     const watch = (kind: WatchedKind, listener: StoreWatchListener): StoreWatch =>
       new StoreWatch({
         ...common,
         kind,
         listener,
         onWatchResult: (from, to, changes) => this.#relayChanges(kind, from, to, changes),
-        onConfirmed: (at) => this.#freshness.confirm(kind, { at, path: 'call' }),
+        onConfirmed: (at) => this.#confirm(kind, { at, path: 'call' }),
       });
     this.#watches = {
       configuration: watch('configuration', this.#makeConfigurationListener()),
@@ -131,6 +143,18 @@
     return { ageMs: this.#freshness.ageMs(now), path: this.#freshness.oldest.path };
   }
 
+  /**
+   * Returns the phase of the present outage.
+   *
+   * @param now - present time in ms, monotonic
+   * @returns `none` if a missing entry means that its endpoint has left
+   */
+  outagePhase(now: number): OutagePhase {
+    const { at } = this.#freshness.confirmationOf('endpoints');
+    if (Number.isFinite(at) && now - at > EXPIRY_OUTAGE_MS) return 'unavailable';
+    return this.#options.directory.remainingGraceMs(now) > 0 ? 'grace' : 'none';
+  }
+
   /** Starts both watches. */
   start(): void {
     Object.values(this.#watches).forEach((watch) => {
@@ -152,31 +176,29 @@
    */
   tick(): void {
     const { directory, group, now } = this.#options;
-    this.#reportChanges(directory.removeMissing(now()), 'graceExpired');
+    // Entries that expired in an outage are registered again only after its end.
+    if (this.outagePhase(now()) !== 'unavailable')
+      this.#reportChanges(directory.removeMissing(now()), 'graceExpired');
     const watcher = group.storeWatcher();
-    const isWatcher = watcher === group.incarnation;
-    if (isWatcher) this.#sendHeartbeat(now());
-    const { configuration, endpoints } = this.#watches;
-    const known = { configuration: configuration.revision, endpoints: endpoints.revision };
-    const obstacle = this.#watcherMonitor.findObstacle(watcher, known, now());
-    const relies = !isWatcher && obstacle === undefined;
+    const rank = group.storeCallRank();
+    const known = this.#known();
+    const view = { known, ageMs: this.#freshness.ageMs(now()) };
+    const obstacle = this.#relianceMonitor.findObstacle(view, rank, now());
+    this.#requestMissing(known);
+    const relies = rank > 0 && obstacle === undefined;
+    if (rank === 0 || (rank === DEPUTY_RANK && !relies)) this.#sendHeartbeat(now());
     // Changes that the watcher relays meanwhile are not relayed from here, so that the revisions
     // recorded here no longer tell what the other members have received.
     if (relies) Object.values(this.#relayedRevisions).forEach((revisions) => revisions.reset());
     if (relies !== this.#isRelying) {
       this.#isRelying = relies;
-      const isFailing = Object.values(this.#watches).some((watch) => watch.isFailing);
-      if (!relies && isFailing) directory.recordStoreFailure();
-      const reported = this.#watcherMonitor.latestRevisions;
+      const reported = this.#relianceMonitor.latestRevisions;
       this.#options.logger.info(
-        { watcher, relies, obstacle, known, reported, ...this.viewAge(now()) },
+        { watcher, rank, relies, obstacle, known, reported, ...this.viewAge(now()) },
         'store watcher changed',
       );
     }
-    configuration.setRelayed(relies);
-    endpoints.setRelayed(relies);
-    // A process that relies on the watcher makes no calls that could end an outage of its own.
-    if (relies) directory.recordStoreResponse(now());
+    Object.values(this.#watches).forEach((watch) => watch.setRelayed(relies));
     this.#reportOutage();
     this.#reportOldView(watcher);
   }
@@ -188,38 +210,83 @@
    * @param message - the decoded message
    */
   handle(from: string, message: PeerMessage): void {
-    const { directory, group, now, logger, onRelayReceived } = this.#options;
-    if (message._tag === 'storeWatcherAlive') {
-      this.#watcherMonitor.recordHeartbeat(from, group.storeWatcher(), message, now());
-      const { completeSince, confirmedMsAgo } = message;
-      const { configuration, endpoints } = this.#watches;
-      const known = { configuration: configuration.revision, endpoints: endpoints.revision };
-      if (completeSince !== undefined && confirmedMsAgo !== undefined)
-        if (!isBehind(known, completeSince)) {
-          const confirmation = { at: now() - confirmedMsAgo, path: 'peer' } as const;
-          this.#freshness.confirm('configuration', confirmation);
-          this.#freshness.confirm('endpoints', confirmation);
-        }
-    }
-    if (message._tag !== 'storeChanges') return;
-    const { kind, fromRevision, toRevision, changes, afterOutage, graceMs } = message;
-    // The watcher has seen an outage of the store that this process may not have seen.
-    if (afterOutage) directory.extendGrace(graceMs ?? MISSING_ENTRY_GRACE_MS, now());
+    if (message._tag === 'storeWatcherAlive') this.#receiveReport(from, message);
+    else if (message._tag === 'storeChanges') this.#receiveChanges(from, message);
+    else if (message._tag === 'storeChangesRequest')
+      this.#sendChangesSince(from, message.kind, message.sinceRevision);
+  }
+
+  #known(): KnownRevisions {
+    const { configuration, endpoints } = this.#watches;
+    return { configuration: configuration.revision, endpoints: endpoints.revision };
+  }
+
+  /** A peer that holds nothing that is missing here vouches for this view as far as the store does for its own. */
+  #receiveReport(from: string, report: ViewReportMessage): void {
+    const { reached, configurationRevision, endpointsRevision, completeSince } = report;
+    // Reports of the build before may lack revisions of lists and the age.
+    const required = completeSince ?? {
+      configuration: configurationRevision,
+      endpoints: endpointsRevision,
+    };
+    this.#relianceMonitor.recordReport(from, { required });
+    if (!reached && report.confirmedMsAgo === undefined) return;
+    if (isBehind(this.#known(), required)) return;
+    const at = this.#options.now() - (report.confirmedMsAgo ?? 0);
+    this.#confirm('configuration', { at, path: 'peer' });
+    this.#confirm('endpoints', { at, path: 'peer' });
+  }
+
+  #receiveChanges(from: string, message: StoreChangesMessage): void {
+    const { now, logger, onRelayReceived } = this.#options;
+    const { kind, fromRevision, toRevision, changes, confirmedMsAgo = 0 } = message;
     const watch = this.#watches[kind];
     const known = watch.revision;
+    if (watch.canApply(fromRevision) && toRevision >= known)
+      this.#confirm(kind, { at: now() - confirmedMsAgo, path: 'peer' });
     const isApplied = watch.applyRelayed(fromRevision, toRevision, changes);
     onRelayReceived(kind, isApplied ? 'applied' : 'gap');
     if (isApplied) return;
     logger.warn({ kind, from, fromRevision, toRevision, known }, 'relayed changes leave a gap');
   }
 
+  /** Asks the peer that reported the highest revisions for the changes that are missing here. */
+  #requestMissing(known: KnownRevisions): void {
+    const { group, now } = this.#options;
+    const peer = this.#relianceMonitor.takeRequest(now());
+    if (peer === undefined) return;
+    const { latestRevisions } = this.#relianceMonitor;
+    const kinds = ['configuration', 'endpoints'] as const;
+    kinds
+      .filter((kind) => known[kind] > 0 && known[kind] < latestRevisions[kind])
+      .forEach((kind) =>
+        group.send(peer, { _tag: 'storeChangesRequest', kind, sinceRevision: known[kind] }),
+      );
+  }
+
+  #sendChangesSince(to: string, kind: WatchedKind, revision: number): void {
+    const { group, now, logger } = this.#options;
+    const span = this.#watches[kind].changesSince(revision);
+    if (span === undefined) return;
+    const confirmedMsAgo = Math.max(0, now() - this.#freshness.confirmationOf(kind).at);
+    group.send(to, { _tag: 'storeChanges', kind, ...span, confirmedMsAgo, afterOutage: false });
+    logger.info(
+      { kind, to, ...span, changes: span.changes.length },
+      'store changes sent on request',
+    );
+  }
+
   /**
-   * Sends a heartbeat with the latest store revisions: to the failure domain at the short interval, to
-   * all members at the long one or after a change.
+   * Reports what this process knows of the store, and since when: to the failure domain at the short interval and
+   * after each confirmation, to all members at the long interval and after a change.
    */
   #sendHeartbeat(now: number, isUrgent = false): void {
-    if (!isUrgent && now - this.#heartbeatSentAt < HEARTBEAT_INTERVAL_MS) return;
+    const confirmedAt = this.#freshness.oldest.at;
+    const hasNews = confirmedAt > this.#reportedConfirmationAt;
+    const intervalMs = hasNews ? CONFIRMATION_INTERVAL_MS : HEARTBEAT_INTERVAL_MS;
+    if (!isUrgent && now - this.#heartbeatSentAt < intervalMs) return;
     this.#heartbeatSentAt = now;
+    this.#reportedConfirmationAt = confirmedAt;
     const { configuration, endpoints } = this.#watches;
     const heartbeat: PeerMessage = {
       _tag: 'storeWatcherAlive',
@@ -230,7 +297,7 @@
         configuration: configuration.completeSince,
         endpoints: endpoints.completeSince,
       },
-      confirmedMsAgo: now - Math.min(configuration.confirmedAt, endpoints.confirmedAt),
+      ...(Number.isFinite(confirmedAt) ? { confirmedMsAgo: Math.max(0, now - confirmedAt) } : {}),
     };
     const { group } = this.#options;
     if (isUrgent || now - this.#broadcastSentAt >= BROADCAST_INTERVAL_MS) {
@@ -241,6 +308,14 @@
     }
   }
 
+  /** Records a confirmation of the view, before the changes that come with it are applied. */
+  #confirm(kind: WatchedKind, confirmation: Confirmation): void {
+    const previousAt = this.#freshness.confirm(kind, confirmation);
+    if (kind !== 'endpoints') return;
+    this.#endpointsListedAt = previousAt;
+    this.#options.directory.recordConfirmation(previousAt, confirmation.at);
+  }
+
   #relayChanges(
     kind: WatchedKind,
     fromRevision: number,
@@ -248,15 +323,11 @@
     changes: readonly StoreChange[],
   ): void {
     const { group, directory, now, logger } = this.#options;
-    const watcher = group.storeWatcher();
-    if (watcher !== group.incarnation) {
-      if (changes.length > 0) {
-        logger.info({ kind, fromRevision, toRevision, watcher }, 'store changes not relayed');
-      }
-      return;
-    }
     const graceMs = directory.remainingGraceMs(now());
     const afterOutage = graceMs > 0;
+    const isWatcher = group.storeWatcher() === group.incarnation;
+    // A member that calls the store though it isn't the watcher passes on only what has changed.
+    if (!isWatcher && changes.length === 0) return;
     const watched = {
       from: fromRevision,
       to: toRevision,
@@ -277,8 +348,11 @@
       .sameDomainPeers()
       .filter(({ incarnation }) => group.send(incarnation, message)).length;
     if (changes.length === 0) return;
-    logger.info({ kind, fromRevision: from, toRevision, peers }, 'store changes relayed');
-    this.#sendHeartbeat(now(), true);
+    logger.info(
+      { kind, fromRevision: from, toRevision, peers, isWatcher },
+      'store changes relayed',
+    );
+    if (group.storeCallRank() <= DEPUTY_RANK) this.#sendHeartbeat(now(), true);
   }
 
   #makeConfigurationListener(): StoreWatchListener {
@@ -304,7 +378,7 @@
         const directoryChanges = changes.flatMap(({ removed, object }) => {
           const record = removed ? undefined : wire.readEndpoint(object.name, object.spec);
           return record === undefined
-            ? directory.remove(object.name, now())
+            ? directory.remove(object.name, this.#endpointsListedAt, now())
             : directory.put(record);
         });
         this.#reportChanges(directoryChanges, source);
@@ -313,15 +387,13 @@
   }
 
   #makeHealthListener(name: string): Pick<StoreWatchListener, 'onAvailable' | 'onUnavailable'> {
-    const { directory, group, logger, now } = this.#options;
+    const { group, logger, now } = this.#options;
     return {
       onAvailable: () => {
-        directory.recordStoreResponse(now());
         if (group.storeWatcher() === group.incarnation) this.#sendHeartbeat(now(), true);
         logger.info({ dependency: name }, 'dependency regained');
       },
       onUnavailable: (detail) => {
-        if (!this.#isRelying) directory.recordStoreFailure();
         if (group.storeWatcher() === group.incarnation) this.#sendHeartbeat(now(), true);
         logger.warn({ dependency: name, detail }, 'dependency lost');
       },
@@ -347,7 +419,7 @@
 
   #reportOutage(): void {
     const { directory, now, logger } = this.#options;
-    const phase = directory.outagePhase(now());
+    const phase = this.outagePhase(now());
     if (phase === this.#reportedOutagePhase) return;
     const before = this.#reportedOutagePhase;
     this.#reportedOutagePhase = phase;
--- a/src/app/gateway/StoreWatch.test.ts
+++ b/src/app/gateway/StoreWatch.test.ts
@@ -13,7 +13,7 @@
   const holder: { watch?: StoreWatch } = {};
   const store: ObjectStore = {
     list: () => Promise.resolve({ _tag: 'listed', objects: [], revision: 10 }),
-    watch: (_kind, _revision, waitMs) => {
+    watch: (_kind, _revision, { waitMs }) => {
       const result = results[waits.length] ?? { _tag: 'expired' };
       waits.push(waitMs);
       if (waits.length > results.length) holder.watch?.stop();
@@ -23,7 +23,6 @@
   holder.watch = new StoreWatch({
     store,
     kind: 'configuration',
-    waitMs: () => WAIT_MS,
     isReliedOn: () => true,
     now: () => 0,
     random: () => 0,
--- a/src/app/gateway/StoreWatch.ts
+++ b/src/app/gateway/StoreWatch.ts
@@ -1,4 +1,12 @@
-import { ObjectRevisions, storeRetryDelay } from '../../coordination/gateway/index.ts';
+import {
+  CATCH_UP_WAIT_MS,
+  ChangeLog,
+  ObjectRevisions,
+  WATCH_ANSWER_MS,
+  WATCH_WAIT_MS,
+  storeRetryDelay,
+  type ChangeSpan,
+} from '../../coordination/gateway/index.ts';
 import type {
   ObjectStore,
   StoreChange,
@@ -29,8 +37,6 @@
   readonly store: ObjectStore;
   readonly kind: StoreObjectKind;
   readonly listener: StoreWatchListener;
-  /** Returns the longest wait of one call in ms, which also bounds how late a dead connection is detected. */
-  readonly waitMs: () => number;
   /** Returns whether other processes rely on this watch now, so that it retries sooner. */
   readonly isReliedOn: () => boolean;
   /** Present time in ms, monotonic. */
@@ -52,8 +58,8 @@
   readonly onConfirmed: (at: number) => void;
 }
 
-/** Longest wait of a watch call after a failure. */
-const RECOVERY_WATCH_WAIT_MS = 150;
+/** Longest time for the answer to a watch beyond its wait, for a store that is slow. */
+const MAXIMUM_ANSWER_MS = 1_200;
 
 /** Follows the objects of one kind in the store: lists them once, then watches for changes. */
 export class StoreWatch {
@@ -68,12 +74,18 @@
 
   readonly #objects = new ObjectRevisions();
 
+  readonly #log = new ChangeLog();
+
+  /** Whether the next answer is wanted at once, because the last one is old or was lost. */
+  #isCatchUpDue = false;
+
+  /** Time for the answer to the next watch beyond its wait; follows a slow store. */
+  #answerMs = WATCH_ANSWER_MS;
+
   #lastChangeRevision = 0;
 
   #completeSince = 0;
 
-  #confirmedAt = 0;
-
   #failures = 0;
 
   #reached = false;
@@ -122,21 +134,11 @@
     return this.#completeSince;
   }
 
-  /** When the store last answered, and so confirmed the view, in ms; 0 before the first answer. */
-  get confirmedAt(): number {
-    return this.#confirmedAt;
-  }
-
   /** Whether the store answered the last call. */
   get reached(): boolean {
     return this.#reached && this.#failures === 0;
   }
 
-  /** Whether the last call failed, and no other process has relayed changes since. */
-  get isFailing(): boolean {
-    return this.#failures > 0;
-  }
-
   /**
    * Suspends or resumes calls to the store; a call in progress is completed.
    *
@@ -148,6 +150,26 @@
     if (!relayed) this.#resume?.();
   }
 
+  /**
+   * Returns what a view of a peer lacks.
+   *
+   * @param revision - store revision up to which that view is complete
+   * @returns the changes; undefined if they aren't known here
+   */
+  changesSince(revision: number): ChangeSpan | undefined {
+    return this.#log.since(revision);
+  }
+
+  /**
+   * Tells whether relayed changes complete the view.
+   *
+   * @param fromRevision - store revision after which the changes are complete
+   * @returns false if earlier changes are missing here
+   */
+  canApply(fromRevision: number): boolean {
+    return this.#revision !== undefined && fromRevision <= this.#revision;
+  }
+
   /**
    * Applies changes that another process has watched.
    *
@@ -157,14 +179,19 @@
    * @returns false if earlier changes are missing here, so that the view isn't complete up to `toRevision`
    */
   applyRelayed(fromRevision: number, toRevision: number, changes: readonly StoreChange[]): boolean {
-    if (this.#revision === undefined) return false;
-    if (fromRevision > this.#revision) {
+    const known = this.#revision;
+    if (known === undefined) return false;
+    if (!this.canApply(fromRevision)) {
       // What changed earlier is missing, but each of these states holds all the same.
       this.#tell(changes, 'relay');
       return false;
     }
-    if (toRevision <= this.#revision) return true;
+    if (toRevision <= known) return true;
     this.#isListDue = false;
+    this.#log.append(
+      changes.filter(({ object }) => object.revision > known),
+      toRevision,
+    );
     this.#revision = toRevision;
     this.#apply(changes, 'relay');
     return true;
@@ -179,6 +206,7 @@
   #waitUntilResumed(): Promise<void> {
     // Earlier failures say nothing about the store at the time of the next call.
     this.#failures = 0;
+    this.#isCatchUpDue = true;
     this.#phase = 'suspended';
     return new Promise((resolve) => {
       this.#resume = resolve;
@@ -186,32 +214,52 @@
   }
 
   async #listOrWatch(): Promise<void> {
-    const { store, kind, waitMs } = this.#options;
     this.#phase = 'calling';
-    if (this.#revision === undefined || this.#isListDue) {
-      const result = await store.list(kind);
-      if (this.#stopped) return;
-      if (result._tag === 'unavailable') {
-        await this.#backOff(result.detail);
-        return;
-      }
-      this.#reportAvailable();
-      this.#applyList(result.revision, result.objects);
+    await (this.#revision === undefined || this.#isListDue
+      ? this.#list()
+      : this.#watchFrom(this.#revision));
+  }
+
+  async #list(): Promise<void> {
+    const { store, kind, now } = this.#options;
+    const result = await store.list(kind);
+    if (this.#stopped) return;
+    if (result._tag === 'unavailable') {
+      await this.#backOff(result.detail);
       return;
     }
-    // After a failure the wait is short, because a long one would delay the detection of the recovery.
-    const watchWaitMs = this.#failures > 0 ? Math.min(waitMs(), RECOVERY_WATCH_WAIT_MS) : waitMs();
-    const result = await store.watch(kind, this.#revision, watchWaitMs);
+    this.#reportAvailable(now());
+    this.#applyList(result.revision, result.objects);
+  }
+
+  async #watchFrom(revision: number): Promise<void> {
+    const { store, kind, now } = this.#options;
+    const sentAt = now();
+    const isCatchUp = this.#isCatchUpDue;
+    const waitMs = isCatchUp ? CATCH_UP_WAIT_MS : WATCH_WAIT_MS;
+    const result = await store.watch(kind, revision, {
+      waitMs,
+      answerMs: this.#answerMs,
+      fresh: isCatchUp,
+    });
     if (this.#stopped) return;
+    const beyondWaitMs = now() - sentAt - waitMs;
     switch (result._tag) {
       case 'unavailable':
+        this.#isCatchUpDue = true;
+        if (beyondWaitMs >= this.#answerMs)
+          this.#answerMs = Math.min(MAXIMUM_ANSWER_MS, 2 * this.#answerMs);
         await this.#backOff(result.detail);
         return;
       case 'expired':
         this.#isListDue = true;
         return;
       case 'changed':
-        this.#reportAvailable();
+        this.#isCatchUpDue = false;
+        if (beyondWaitMs > 0)
+          this.#answerMs = Math.min(MAXIMUM_ANSWER_MS, Math.max(WATCH_ANSWER_MS, 2 * beyondWaitMs));
+        // The store answered at the end of the wait; what came after that was the way.
+        this.#reportAvailable(beyondWaitMs > 0 ? sentAt + waitMs : now());
         this.#applyWatched(result.revision, result.changes);
         return;
       default:
@@ -227,6 +275,8 @@
     const changes = this.#objects.compare(objects, revision);
     this.#revision = revision;
     this.#apply(changes, 'list');
+    if (before === undefined) this.#log.reset(revision);
+    else this.#log.append(changes, revision);
     if (before === undefined || changes.length > 0) this.#completeSince = revision;
     this.#options.listener.onList(objects.length);
     if (before !== undefined) this.#options.onWatchResult(before, revision, changes);
@@ -237,6 +287,7 @@
     // Changes that were relayed during the call are newer than its result.
     if (revision <= before) return;
     this.#revision = revision;
+    this.#log.append(changes, revision);
     this.#apply(changes, 'watch');
     this.#options.onWatchResult(before, revision, changes);
   }
@@ -254,9 +305,8 @@
     if (news.length > 0) this.#options.listener.onChanges(news, source);
   }
 
-  #reportAvailable(): void {
-    this.#confirmedAt = this.#options.now();
-    this.#options.onConfirmed(this.#confirmedAt);
+  #reportAvailable(confirmedAt: number): void {
+    this.#options.onConfirmed(confirmedAt);
     if (this.#reached && this.#failures === 0) return;
     this.#reached = true;
     this.#failures = 0;
--- a/src/app/gateway/runGateway.ts
+++ b/src/app/gateway/runGateway.ts
@@ -6,12 +6,14 @@
 import type * as Scope from 'effect/Scope';
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
 import {
+  CONNECT_TIMEOUT_MS,
   EndpointDirectory,
   EndpointLimits,
   PlainEndpointSelector,
   PlainServiceBalancer,
   QuotaLimiter,
   RetryBudget,
+  TICK_INTERVAL_MS,
 } from '../../coordination/gateway/index.ts';
 import type { ObjectStore, WireAdapter } from '../../protocol/gateway/index.ts';
 import type { ClientLimits, GatewaySettings } from '../../state/gateway/index.ts';
@@ -66,9 +68,6 @@
   readonly reload: (settings: GatewaySettings) => void;
 }
 
-/** Interval of the periodic work; pending tickets are also scheduled whenever a slot is released. */
-const TICK_INTERVAL_MS = 50;
-const CONNECT_TIMEOUT_MS = 300;
 /** Connections idle for longer are not reused, because endpoints close idle ones after some seconds. */
 const ENDPOINT_MAXIMUM_IDLE_MS = 1_500;
 const PEER_MAXIMUM_IDLE_MS = 3_000;
--- a/src/app/gateway/startStatusServers.ts
+++ b/src/app/gateway/startStatusServers.ts
@@ -90,7 +90,7 @@
       configurationVersion: gateway.routeIndex?.table.version ?? 0,
       members: group.liveMembers().length,
       missingEndpoints: directory.missingCount,
-      storeOutage: Number(directory.outagePhase(now()) !== 'none'),
+      storeOutage: Number(storeSubscription.outagePhase(now()) !== 'none'),
       quarantinedParts: crashes.quarantined.parts,
       quarantinedRequests: crashes.quarantined.requests,
       limitedEndpoints: endpointLimits.limitedCount,
--- a/src/app/routePeerMessage.ts
+++ b/src/app/routePeerMessage.ts
@@ -134,6 +134,7 @@
     case 'servedReports':
     case 'quarantinedParts':
     case 'storeChanges':
+    case 'storeChangesRequest':
     case 'storeWatcherAlive':
       return [];
     default:
--- /dev/null
+++ b/src/coordination/gateway/ChangeLog.ts
@@ -0,0 +1,66 @@
+import type { StoreChange } from '../../protocol/gateway/index.ts';
+
+/** Changes that complete a view from one store revision to another. */
+export interface ChangeSpan {
+  readonly fromRevision: number;
+  readonly toRevision: number;
+  readonly changes: readonly StoreChange[];
+}
+
+/** Objects whose last change is kept for peers. */
+const MAXIMUM_KEPT_CHANGES = 1_024;
+
+/**
+ * The last change of each object of one kind, from a revision on, so that a peer whose view is older can be sent what
+ * it lacks.
+ */
+export class ChangeLog {
+  /** Changes by object, the oldest first. */
+  readonly #last = new Map<string, StoreChange>();
+
+  #completeFrom = 0;
+
+  #completeTo = 0;
+
+  /**
+   * Starts anew with a complete view.
+   *
+   * @param revision - its store revision
+   */
+  reset(revision: number): void {
+    this.#last.clear();
+    this.#completeFrom = revision;
+    this.#completeTo = revision;
+  }
+
+  /**
+   * Appends the changes that complete the view up to a revision.
+   *
+   * @param changes - all changes since the revision before
+   * @param revision - store revision that the view has reached
+   */
+  append(changes: readonly StoreChange[], revision: number): void {
+    changes.forEach((change) => {
+      this.#last.delete(change.object.name);
+      this.#last.set(change.object.name, change);
+    });
+    this.#completeTo = revision;
+    while (this.#last.size > MAXIMUM_KEPT_CHANGES) {
+      const [name, oldest] = [...this.#last.entries()][0] as [string, StoreChange];
+      this.#last.delete(name);
+      this.#completeFrom = Math.max(this.#completeFrom, oldest.object.revision);
+    }
+  }
+
+  /**
+   * Returns what a view lacks.
+   *
+   * @param revision - store revision up to which that view is complete
+   * @returns the changes since then; undefined if they aren't known any more, or if there are none
+   */
+  since(revision: number): ChangeSpan | undefined {
+    if (revision < this.#completeFrom || revision >= this.#completeTo) return undefined;
+    const changes = [...this.#last.values()].filter(({ object }) => object.revision > revision);
+    return { fromRevision: revision, toRevision: this.#completeTo, changes };
+  }
+}
--- a/src/coordination/gateway/EndpointDirectory.test.ts
+++ b/src/coordination/gateway/EndpointDirectory.test.ts
@@ -24,7 +24,7 @@
     const directory = new EndpointDirectory();
     directory.put(record('1'));
     directory.put(record('2'));
-    expect(directory.remove('1', 100).map(({ _tag }) => _tag)).toEqual(['removed']);
+    expect(directory.remove('1', 0, 100).map(({ _tag }) => _tag)).toEqual(['removed']);
     expect(readyIds(directory)).toEqual(['2']);
   });
 
@@ -32,10 +32,9 @@
     const directory = new EndpointDirectory();
     directory.put(record('1'));
     directory.put(record('2'));
-    directory.recordStoreFailure();
-    directory.recordStoreResponse(5_000);
-    directory.remove('1', 5_000);
-    directory.remove('2', 5_000);
+    directory.recordConfirmation(0, 5_000);
+    directory.remove('1', 0, 5_000);
+    directory.remove('2', 0, 5_000);
     directory.put(record('2'));
     directory.removeMissing(6_900);
     expect(readyIds(directory).sort()).toEqual(['1', '2']);
@@ -50,8 +49,8 @@
       'draining',
     ]);
     expect(readyIds(directory)).toEqual([]);
-    directory.recordStoreFailure();
-    directory.remove('1', 10);
+    directory.recordConfirmation(0, 5_000);
+    directory.remove('1', 0, 5_000);
     expect(directory.findReady('1')).toEqual(undefined);
   });
 
@@ -60,4 +59,22 @@
     directory.put(record('1'));
     expect(directory.put(record('1', { bornAt: 2 })).map(({ _tag }) => _tag)).toEqual(['added']);
   });
+
+  // DRAIN: an endpoint that left while one watch was cut was kept as if it had expired in an outage of the store.
+  it('takes a removal between two confirmations of the view for a departure', () => {
+    const directory = new EndpointDirectory();
+    directory.put(record('1'));
+    directory.recordConfirmation(0, 1_500);
+    expect(directory.remove('1', 0, 1_500).map(({ _tag }) => _tag)).toEqual(['removed']);
+  });
+
+  // DRAIN: an endpoint whose removal was noticed late was kept for the whole retention time from then.
+  it('counts the retention of an entry that left after an outage from when it was last listed', () => {
+    const directory = new EndpointDirectory();
+    directory.put(record('1'));
+    directory.recordConfirmation(0, 5_000);
+    expect(directory.remove('1', 5_000, 6_400).map(({ _tag }) => _tag)).toEqual(['missing']);
+    expect(directory.removeMissing(6_790)).toEqual([]);
+    expect(directory.removeMissing(6_800).map(({ _tag }) => _tag)).toEqual(['removed']);
+  });
 });
--- a/src/coordination/gateway/EndpointDirectory.ts
+++ b/src/coordination/gateway/EndpointDirectory.ts
@@ -9,19 +9,22 @@
 export const MISSING_ENTRY_GRACE_MS = 2_050;
 
 /**
- * Longest time for which an entry is kept that was removed after the end of an outage. Most such
- * endpoints have left, and none may be used for longer than 2 s after that.
+ * Longest time for which an entry is kept that was removed after an outage, from the last moment at which it is
+ * known to have been listed. Most such endpoints have left, and none may be used for longer than 2 s after that.
  */
 const REMOVED_ENTRY_RETENTION_MS = 1_800;
 
+/**
+ * Time without a confirmation of the view after which entries may have expired because the store was unavailable.
+ * In a shorter one no endpoint misses enough of its heartbeats.
+ */
+export const EXPIRY_OUTAGE_MS = 2_000;
+
 /** An endpoint's entry in the directory. */
 interface DirectoryEntry {
   readonly record: EndpointRecord;
-  /**
-   * When the store stopped listing the entry, in or after an outage; kept in use until the grace
-   * time ends, or for the retention time if it was removed after the outage.
-   */
-  missingSince?: number | undefined;
+  /** End of its use, in ms; set if the store stopped listing the entry in or after an outage. */
+  missingUntil?: number | undefined;
 }
 
 /** A change of one endpoint in the directory. */
@@ -31,89 +34,53 @@
   | { readonly _tag: 'missing'; readonly record: EndpointRecord }
   | { readonly _tag: 'removed'; readonly record: EndpointRecord };
 
-/** Whether the store is unavailable, or was so recently that entries may still be missing. */
-export type OutagePhase = 'none' | 'unavailable' | 'grace';
+/** A time in which the store didn't confirm the view, so that entries may have expired; in ms. */
+interface Outage {
+  readonly startedAt: number;
+  readonly endedAt: number;
+}
 
 /**
- * The endpoints that the store lists. An entry that goes missing during an outage of the store, or
+ * The endpoints that the store lists. An entry that goes missing in an outage of the store, or
  * shortly after, is kept until its endpoint has had time to register again. At any other time a
  * missing entry means that the endpoint has left.
  */
 export class EndpointDirectory {
   readonly #entries = new Map<string, DirectoryEntry>();
 
-  #isStoreFailing = false;
-
-  /** End of the last outage that this process saw, in ms. */
-  #outageEndedAt = Number.NEGATIVE_INFINITY;
-
-  /** End of the grace time after the last outage, in ms. */
-  #graceUntil = Number.NEGATIVE_INFINITY;
-
-  /** Records a failed call to the store, which starts an outage. */
-  recordStoreFailure(): void {
-    this.#isStoreFailing = true;
-  }
-
-  /**
-   * Records an answer of the store, which ends an outage and starts the grace time.
-   *
-   * @param now - current time, in ms
-   */
-  recordStoreResponse(now: number): void {
-    if (!this.#isStoreFailing) return;
-    this.#isStoreFailing = false;
-    this.#outageEndedAt = now;
-    this.extendGrace(MISSING_ENTRY_GRACE_MS, now);
-  }
+  #lastOutage: Outage = {
+    startedAt: Number.NEGATIVE_INFINITY,
+    endedAt: Number.NEGATIVE_INFINITY,
+  };
 
   /**
-   * Returns the phase of the present outage.
+   * Records that the store has confirmed the view, before the changes that come with that are applied. After a
+   * long time without a confirmation, the grace time starts.
    *
+   * @param previousAt - when it did so before, in ms; `-Infinity` if never
    * @param now - current time, in ms
-   * @returns `none` if a missing entry means that its endpoint has left
    */
-  outagePhase(now: number): OutagePhase {
-    if (this.#isStoreFailing) return 'unavailable';
-    return now < this.#graceUntil ? 'grace' : 'none';
+  recordConfirmation(previousAt: number, now: number): void {
+    if (!Number.isFinite(previousAt) || now - previousAt <= EXPIRY_OUTAGE_MS) return;
+    this.#lastOutage = { startedAt: previousAt, endedAt: now };
   }
 
   /**
    * Returns for how long missing entries are still kept after an outage.
    *
    * @param now - current time, in ms
-   * @returns the remaining grace time in ms, the whole of it during an outage; 0 if there was none
+   * @returns the remaining grace time in ms; 0 if a missing entry means that its endpoint has left
    */
   remainingGraceMs(now: number): number {
-    return this.#isStoreFailing ? MISSING_ENTRY_GRACE_MS : Math.max(0, this.#graceUntil - now);
-  }
-
-  /**
-   * Takes over the grace time of another process, whose view of the store this one receives.
-   *
-   * @param remainingMs - the rest of that grace time, in ms
-   * @param now - current time, in ms
-   */
-  extendGrace(remainingMs: number, now: number): void {
-    this.#graceUntil = Math.max(this.#graceUntil, now + remainingMs);
+    return Math.max(0, this.#graceUntil - now);
   }
 
   /** Number of entries that the store no longer lists and that are kept in use. */
   get missingCount(): number {
-    return [...this.#entries.values()].filter(({ missingSince }) => missingSince !== undefined)
+    return [...this.#entries.values()].filter(({ missingUntil }) => missingUntil !== undefined)
       .length;
   }
 
-  /**
-   * Whether entries may be missing only because of an outage of the store.
-   *
-   * @param now - current time, in ms
-   * @returns true during an outage and the grace time after it
-   */
-  isInOutageOrGrace(now: number): boolean {
-    return this.outagePhase(now) !== 'none';
-  }
-
   /**
    * Adds or updates one entry. An endpoint that restarted under the same id counts as
    * added. An entry that was marked as missing no longer is.
@@ -134,19 +101,21 @@
   }
 
   /**
-   * Handles an entry that the store no longer lists: removes it, or marks it as missing during an
-   * outage and the grace time after it. A draining endpoint is removed in either case.
+   * Handles an entry that the store no longer lists: removes it, or marks it as missing in the grace time after an
+   * outage. A draining endpoint is removed in either case.
    *
    * @param id - the endpoint's id
+   * @param listedAt - last moment at which the store is known to have listed the entry, in ms
    * @param now - current time, in ms
    * @returns the change; empty if the entry is unknown or was marked before
    */
-  remove(id: string, now: number): EndpointChange[] {
+  remove(id: string, listedAt: number, now: number): EndpointChange[] {
     const entry = this.#entries.get(id);
     if (entry === undefined) return [];
-    if (this.isInOutageOrGrace(now) && entry.record.state === 'ready') {
-      if (entry.missingSince !== undefined) return [];
-      entry.missingSince = now;
+    const until = this.#retainUntil(listedAt);
+    if (until > now && entry.record.state === 'ready') {
+      if (entry.missingUntil !== undefined) return [];
+      entry.missingUntil = until;
       return [{ _tag: 'missing', record: entry.record }];
     }
     this.#entries.delete(id);
@@ -154,27 +123,30 @@
   }
 
   /**
-   * Removes the entries that are still missing at the end of the grace time after an outage, or of
-   * their retention time if they were removed after the outage.
+   * Removes the entries whose time as missing ones is over. During an outage, call it only after its end.
    *
    * @param now - current time, in ms
    * @returns the removed endpoints
    */
   removeMissing(now: number): EndpointChange[] {
-    if (this.#isStoreFailing) return [];
     return [...this.#entries.values()]
-      .filter(({ missingSince }) => missingSince !== undefined && this.#isDue(missingSince, now))
+      .filter(({ missingUntil }) => missingUntil !== undefined && now >= missingUntil)
       .map(({ record }) => {
         this.#entries.delete(record.id);
         return { _tag: 'removed', record };
       });
   }
 
-  #isDue(missingSince: number, now: number): boolean {
-    const hasExpiredInOutage = missingSince <= this.#outageEndedAt;
+  /** Returns until when an entry is kept that was removed after a moment at which it was listed. */
+  #retainUntil(listedAt: number): number {
+    const hasExpiredInOutage = listedAt <= this.#lastOutage.startedAt;
     return hasExpiredInOutage
-      ? now >= this.#outageEndedAt + MISSING_ENTRY_GRACE_MS
-      : now >= Math.min(this.#graceUntil, missingSince + REMOVED_ENTRY_RETENTION_MS);
+      ? this.#graceUntil
+      : Math.min(this.#graceUntil, listedAt + REMOVED_ENTRY_RETENTION_MS);
+  }
+
+  get #graceUntil(): number {
+    return this.#lastOutage.endedAt + MISSING_ENTRY_GRACE_MS;
   }
 
   /** Lists the endpoints of a service that accept new requests. */
--- a/src/coordination/gateway/ViewFreshness.ts
+++ b/src/coordination/gateway/ViewFreshness.ts
@@ -24,9 +24,12 @@
    *
    * @param kind - kind of the objects in the view
    * @param confirmation - when, and by which path
+   * @returns when the view was confirmed before; `-Infinity` if never
    */
-  confirm(kind: WatchedKind, confirmation: Confirmation): void {
-    if (confirmation.at > this.#confirmations[kind].at) this.#confirmations[kind] = confirmation;
+  confirm(kind: WatchedKind, confirmation: Confirmation): number {
+    const previous = this.#confirmations[kind];
+    if (confirmation.at > previous.at) this.#confirmations[kind] = confirmation;
+    return previous.at;
   }
 
   /** Returns the last confirmation of the view of one kind. */
--- a/src/protocol/gateway/ObjectStore.ts
+++ b/src/protocol/gateway/ObjectStore.ts
@@ -44,10 +44,24 @@
   | { readonly _tag: 'expired' }
   | StoreFailure;
 
+/** How a change is waited for. */
+export interface WatchCall {
+  /** Longest time in ms for which the store holds the answer back while nothing changes. */
+  readonly waitMs: number;
+  /** Time in ms for the answer beyond that, after which the call is given up. */
+  readonly answerMs: number;
+  /** Whether to call on a new connection, because an idle one may have died unnoticed. */
+  readonly fresh: boolean;
+}
+
 /** Read-only client of the platform's store. Calls are rate-limited and have a cost, so they should be few. */
 export interface ObjectStore {
   /** Lists all objects of a kind. */
   readonly list: (kind: StoreObjectKind) => Promise<ListResult>;
-  /** Waits for changes after a revision, for at most `waitMs`. */
-  readonly watch: (kind: StoreObjectKind, revision: number, waitMs: number) => Promise<WatchResult>;
+  /** Waits for changes after a revision. */
+  readonly watch: (
+    kind: StoreObjectKind,
+    revision: number,
+    call: WatchCall,
+  ) => Promise<WatchResult>;
 }
--- a/src/protocol/gateway/index.ts
+++ b/src/protocol/gateway/index.ts
@@ -13,6 +13,7 @@
   StoreObjectKind,
   StoreObject,
   StoreFailure,
+  WatchCall,
   WatchResult,
 } from './ObjectStore.ts';
 export type {
--- a/src/protocol/peer/GatewayMessages.ts
+++ b/src/protocol/peer/GatewayMessages.ts
@@ -205,15 +205,22 @@
   Schema.TaggedStruct('servedReports', { reports: Schema.Array(ServedReport) }),
   /** Prompt parts and requests in quarantine; the receiver keeps the newest state of each. */
   Schema.TaggedStruct('quarantinedParts', { parts: Schema.Array(QuarantinedPart) }),
-  /** Changes of the store, relayed by a gateway that watches it to those that don't. */
+  /** Asks for the changes of the store that the sender lacks. */
+  Schema.TaggedStruct('storeChangesRequest', {
+    kind: WatchedKind,
+    /** Store revision up to which the sender's view is complete. */
+    sinceRevision: Schema.Finite,
+  }),
+  /** Changes of the store, relayed by a gateway that watches it to those that don't, or asked for. */
   Schema.TaggedStruct('storeChanges', {
     kind: WatchedKind,
     /** The message holds all changes after this store revision, up to and including `toRevision`. */
     fromRevision: Schema.Finite,
     toRevision: Schema.Finite,
-    /** Whether the store was unavailable shortly before, so that missing endpoints may reappear. */
+    /** Time since the store confirmed the view at `toRevision`, in ms; 0 if absent. */
+    confirmedMsAgo: Schema.optionalKey(Milliseconds),
+    /** Only receivers of the build before read these two; others know from their own view of an outage. */
     afterOutage: Schema.Boolean,
-    /** Time for which the sender still keeps missing endpoints, so that all stop at the same time. */
     graceMs: Schema.optionalKey(Milliseconds),
     changes: Schema.Array(
       Schema.Struct({
@@ -227,7 +234,7 @@
       }),
     ),
   }),
-  /** Heartbeat of a gateway that watches the store for others. */
+  /** Says what a gateway that calls the store knows, and since when. */
   Schema.TaggedStruct('storeWatcherAlive', {
     /** Whether the store responds to the sender. */
     reached: Schema.Boolean,
--- a/test/replication/SimulatedGateway.ts
+++ b/test/replication/SimulatedGateway.ts
@@ -63,7 +63,8 @@
       directory: this.directory,
       group: {
         incarnation: this.incarnation,
-        storeWatcher: () => this.#storeWatcher(),
+        storeWatcher: () => this.#storeCallers()[0] as string,
+        storeCallRank: () => this.#storeCallers().indexOf(this.incarnation),
         sameDomainPeers: () =>
           this.#peers().filter(
             ({ failureDomain }) => failureDomain === this.failureDomain,
@@ -155,8 +156,7 @@
         : result;
     return {
       list: async (kind) => afterStall(await store.list(kind)),
-      watch: async (kind, revision, waitMs) =>
-        afterStall(await store.watch(kind, revision, waitMs)),
+      watch: async (kind, revision, call) => afterStall(await store.watch(kind, revision, call)),
     };
   }
 
@@ -169,10 +169,10 @@
     return [...this.#serving.values()];
   }
 
-  #storeWatcher(): string {
+  #storeCallers(): readonly string[] {
     const domain = this.#peers()
       .filter(({ failureDomain }) => failureDomain === this.failureDomain)
       .map(({ incarnation }) => incarnation);
-    return [this.incarnation, ...domain].sort()[0] as string;
+    return [this.incarnation, ...domain].sort();
   }
 }
--- a/test/replication/SimulatedStore.ts
+++ b/test/replication/SimulatedStore.ts
@@ -26,9 +26,7 @@
 const LATENCY_MS = 4;
 /** Interval at which bytes that a silent path held back are sent again. */
 const RETRANSMISSION_MS = 50;
-/** Time for an answer beyond the wait of a watch, after which the client gives up. */
-const WATCH_ANSWER_TIMEOUT_MS = 500;
-const LIST_TIMEOUT_MS = 1_000;
+const LIST_TIMES = { waitMs: 0, timeoutMs: 1_000 };
 const FIRST_REVISION = 10;
 const UNAVAILABLE: StoreFailure = { _tag: 'unavailable', detail: 'simulated' };
 
@@ -105,17 +103,17 @@
   reachedBy(path: () => StorePath, isTurnedAway: () => boolean): ObjectStore {
     return {
       list: (kind) =>
-        this.#call<ListResult>(path, isTurnedAway, LIST_TIMEOUT_MS, (answer) =>
+        this.#call<ListResult>(path, isTurnedAway, LIST_TIMES, (answer) =>
           answer({
             _tag: 'listed',
             objects: [...this.#objects[kind].values()],
             revision: this.#revision,
           }),
         ),
-      watch: (kind, revision, waitMs) => {
+      watch: (kind, revision, { waitMs, answerMs }) => {
         const until = this.#clock.now + waitMs;
-        const timeoutMs = waitMs + WATCH_ANSWER_TIMEOUT_MS;
-        return this.#call<WatchResult>(path, isTurnedAway, timeoutMs, (answer) => {
+        const times = { waitMs, timeoutMs: waitMs + answerMs };
+        return this.#call<WatchResult>(path, isTurnedAway, times, (answer) => {
           if (revision < this.#oldestWatchable) {
             answer({ _tag: 'expired' });
             return;
@@ -163,7 +161,7 @@
   #call<A extends ListResult | WatchResult>(
     path: () => StorePath,
     isTurnedAway: () => boolean,
-    timeoutMs: number,
+    { waitMs, timeoutMs }: { readonly waitMs: number; readonly timeoutMs: number },
     tryAnswer: (answer: (result: A) => void) => void,
   ): Promise<A | StoreFailure> {
     this.calls += 1;
@@ -195,7 +193,7 @@
         }
         this.#waiting.add(waiting);
         waiting.poll();
-        this.#clock.after(timeoutMs - WATCH_ANSWER_TIMEOUT_MS, () => waiting.poll());
+        this.#clock.after(waitMs, () => waiting.poll());
       });
     });
   }
