Tell all gateways that an endpoint says that it leaves

An endpoint's word in an answer reached the gateway that got the answer, and the others learned it from the store alone. That an endpoint leaves holds for all, and never ceases to hold for one start of it, so the gateway that hears it first broadcasts it once: a path that needs no store.

--- a/src/app/gateway/ExclusionMonitor.ts
+++ b/src/app/gateway/ExclusionMonitor.ts
@@ -2,16 +2,23 @@
 import { EndpointExclusions, type EndpointExclusion } from '../../coordination/gateway/index.ts';
 import type { EndpointStatement } from '../../protocol/gateway/index.ts';
 import type { PlacementTicket } from '../../protocol/peer/GatewayMessages.ts';
+import type { PeerMessage } from '../../protocol/peer/PeerMessage.ts';
 import { endpointStartOf, type EndpointRecord } from '../../state/gateway/index.ts';
+import type { PeerGroup } from './PeerGroup.ts';
 
 /** Collaborators of an exclusion monitor. */
 export interface ExclusionMonitorOptions {
+  /** Returns the peer group, which is created later than the monitor. */
+  readonly group: () => Pick<PeerGroup, 'broadcast'>;
   readonly logger: Logger;
   /** Present time in ms, monotonic. */
   readonly now: () => number;
 }
 
-/** Follows what endpoints say to this gateway alone: that they want rest from it, or that they leave. */
+/**
+ * Follows what endpoints say to this gateway alone, that they want rest from it, and what they say to any gateway, that
+ * they leave.
+ */
 export class ExclusionMonitor {
   readonly #options: ExclusionMonitorOptions;
 
@@ -44,8 +51,9 @@
           logger.info({ endpoint, forMs: statement.forMs }, 'endpoint wants rest');
           return;
         case 'leaving':
-          if (this.#exclusions.recordLeaving(start, now))
-            logger.info({ endpoint, address: record.address }, 'endpoint says that it leaves');
+          if (!this.#exclusions.recordLeaving(start, now)) return;
+          logger.info({ endpoint, address: record.address }, 'endpoint says that it leaves');
+          this.#options.group().broadcast({ _tag: 'endpointsLeaving', endpoints: [start] });
           return;
         case 'unreadable':
           logger.warn({ endpoint, header: statement.name }, 'endpoint states something unreadable');
@@ -59,6 +67,19 @@
     });
   }
 
+  /**
+   * Processes what peers have heard of leaving endpoints; other messages are ignored.
+   *
+   * @param message - the decoded message
+   */
+  handle(message: PeerMessage): void {
+    if (message._tag !== 'endpointsLeaving') return;
+    const { logger, now } = this.#options;
+    message.endpoints
+      .filter((start) => this.#exclusions.recordLeaving(start, now()))
+      .forEach((start) => logger.info({ start }, 'endpoint leaves, as a peer says'));
+  }
+
   /** Returns why this gateway must not send requests to an endpoint; undefined if it may. */
   find(record: EndpointRecord): EndpointExclusion | undefined {
     if (this.#exclusions.isEmpty) return undefined;
--- a/src/app/gateway/runGateway.ts
+++ b/src/app/gateway/runGateway.ts
@@ -230,7 +230,11 @@
       logger,
       now,
     });
-    const exclusions = new ExclusionMonitor({ logger, now });
+    const exclusions = new ExclusionMonitor({
+      group: () => lateBound.group.get(),
+      logger,
+      now,
+    });
     const gateway = new Gateway({
       wire,
       directory,
@@ -305,6 +309,7 @@
         placements.handle(from, message, at);
         crashes.handle(message);
         limits.handle(message);
+        exclusions.handle(message);
         lateBound.storeSubscription.peek()?.handle(from, message);
       },
       onMemberEnded: (incarnation) => placements.removeMember(incarnation),
--- a/src/protocol/peer/GatewayMessages.ts
+++ b/src/protocol/peer/GatewayMessages.ts
@@ -205,6 +205,8 @@
   Schema.TaggedStruct('servedReports', { reports: Schema.Array(ServedReport) }),
   /** Prompt parts and requests in quarantine; the receiver keeps the newest state of each. */
   Schema.TaggedStruct('quarantinedParts', { parts: Schema.Array(QuarantinedPart) }),
+  /** Starts of endpoints that have said to the sender, in answers, that they leave. */
+  Schema.TaggedStruct('endpointsLeaving', { endpoints: Schema.Array(Schema.String) }),
   /** Asks for the changes of the store that the sender lacks. */
   Schema.TaggedStruct('storeChangesRequest', {
     kind: WatchedKind,
