--- a/src/app/gateway/StoreWatch.ts
+++ b/src/app/gateway/StoreWatch.ts
@@ -61,6 +61,13 @@
 /** Longest time for the answer to a watch beyond its wait, for a store that is slow. */
 const MAXIMUM_ANSWER_MS = 1_200;
 
+/** Gives a removal a revision after the one that was watched from, if it bears that of the state that it ends. */
+const placeAfter = (revision: number, change: StoreChange): StoreChange => {
+  const { removed, object } = change;
+  if (!removed || object.revision > revision) return change;
+  return { removed, object: { ...object, revision: revision + 1 } };
+};
+
 /** Follows the objects of one kind in the store: lists them once, then watches for changes. */
 export class StoreWatch {
   readonly #options: StoreWatchOptions;
@@ -188,10 +195,7 @@
     }
     if (toRevision <= known) return true;
     this.#isListDue = false;
-    this.#log.append(
-      changes.filter(({ object }) => object.revision > known),
-      toRevision,
-    );
+    this.#log.append(changes, toRevision);
     this.#revision = toRevision;
     this.#apply(changes, 'relay');
     return true;
@@ -282,10 +286,11 @@
     if (before !== undefined) this.#options.onWatchResult(before, revision, changes);
   }
 
-  #applyWatched(revision: number, changes: readonly StoreChange[]): void {
+  #applyWatched(revision: number, watched: readonly StoreChange[]): void {
     const before = this.#revision ?? 0;
     // Changes that were relayed during the call are newer than its result.
     if (revision <= before) return;
+    const changes = watched.map((change) => placeAfter(before, change));
     this.#revision = revision;
     this.#log.append(changes, revision);
     this.#apply(changes, 'watch');
--- a/src/coordination/gateway/ChangeLog.ts
+++ b/src/coordination/gateway/ChangeLog.ts
@@ -15,8 +15,11 @@
  * it lacks.
  */
 export class ChangeLog {
-  /** Changes by object, the oldest first. */
-  readonly #last = new Map<string, StoreChange>();
+  /**
+   * Changes by object, the oldest first, with the store revision of the view that had them: a removal may bear the
+   * revision of the state that it ends.
+   */
+  readonly #last = new Map<string, { readonly change: StoreChange; readonly knownAt: number }>();
 
   #completeFrom = 0;
 
@@ -42,13 +45,14 @@
   append(changes: readonly StoreChange[], revision: number): void {
     changes.forEach((change) => {
       this.#last.delete(change.object.name);
-      this.#last.set(change.object.name, change);
+      this.#last.set(change.object.name, { change, knownAt: revision });
     });
     this.#completeTo = revision;
     while (this.#last.size > MAXIMUM_KEPT_CHANGES) {
-      const [name, oldest] = [...this.#last.entries()][0] as [string, StoreChange];
-      this.#last.delete(name);
-      this.#completeFrom = Math.max(this.#completeFrom, oldest.object.revision);
+      const [oldest] = this.#last;
+      if (oldest === undefined) return;
+      this.#last.delete(oldest[0]);
+      this.#completeFrom = oldest[1].knownAt;
     }
   }
 
@@ -56,11 +60,13 @@
    * Returns what a view lacks.
    *
    * @param revision - store revision up to which that view is complete
-   * @returns the changes since then; undefined if they aren't known any more, or if there are none
+   * @returns the changes since then, possibly with some before; undefined if they aren't known any more, or if there are none
    */
   since(revision: number): ChangeSpan | undefined {
     if (revision < this.#completeFrom || revision >= this.#completeTo) return undefined;
-    const changes = [...this.#last.values()].filter(({ object }) => object.revision > revision);
+    const changes = [...this.#last.values()]
+      .filter(({ knownAt }) => knownAt > revision)
+      .map(({ change }) => change);
     return { fromRevision: revision, toRevision: this.#completeTo, changes };
   }
 }
