Split reporting and logging of the view from StoreSubscription, and date a late answer by its call

An answer to a watch that holds changes was dated by its arrival, also when a busy event loop handled it after the end of the wait; it now counts from the call then. The time for an answer returns to its least after any catch-up call that was answered fast. ViewReporter sends the reports, ViewLog writes the lines; nothing else changes.

--- a/src/app/gateway/StoreSubscription.ts
+++ b/src/app/gateway/StoreSubscription.ts
@@ -17,6 +17,8 @@
 import type { RouteTable } from '../../state/gateway/index.ts';
 import type { PeerGroup } from './PeerGroup.ts';
 import { StoreWatch, type StoreChangeSource, type StoreWatchListener } from './StoreWatch.ts';
+import { ViewLog } from './ViewLog.ts';
+import { ViewReporter } from './ViewReporter.ts';
 
 /** What became of relayed changes: `gap` if changes before them are missing here, so that the view has a hole. */
 export type RelayResult = 'applied' | 'gap';
@@ -59,21 +61,13 @@
   readonly onRelayReceived: (kind: WatchedKind, result: RelayResult) => void;
 }
 
-/** Longest time between reports of the watcher to the members of its failure domain. */
-const HEARTBEAT_INTERVAL_MS = 400;
-/** Shortest time between reports that the store has confirmed the view again. */
-const CONFIRMATION_INTERVAL_MS = 100;
 /** Rank of the first member after the watcher, which reports to its failure domain while it calls the store itself. */
 const DEPUTY_RANK = 1;
-/** Interval of heartbeats to all members, which are also sent at once after each change. */
-const BROADCAST_INTERVAL_MS = 1_600;
-/** Age of the view that is logged, with the reason: what the promises leave is then short. */
-const OLD_VIEW_MS = 1_500;
 
 /**
  * Keeps the configuration and the endpoint directory up to date with the platform's store. One member
- * of each failure domain watches the store and relays changes to the others of its domain; a member that
- * cannot rely on it watches the store itself.
+ * of each failure domain, the watcher, watches the store and relays changes to the others of its domain; a member
+ * whose view gets old, or lacks what a peer reports, watches the store itself.
  */
 export class StoreSubscription {
   readonly #options: StoreSubscriptionOptions;
@@ -84,8 +78,6 @@
 
   readonly #freshness = new ViewFreshness();
 
-  #isOldViewReported = false;
-
   /** Whether the watches are suspended because the watcher of the domain relays changes. */
   #isRelying = false;
 
@@ -95,17 +87,12 @@
     endpoints: new RelayedRevisions(),
   };
 
-  #broadcastSentAt = Number.NEGATIVE_INFINITY;
-
-  #heartbeatSentAt = Number.NEGATIVE_INFINITY;
+  readonly #reporter: ViewReporter;
 
-  /** When the store had confirmed the view as the last report said, in ms. */
-  #reportedConfirmationAt = Number.NEGATIVE_INFINITY;
+  readonly #log: ViewLog;
 
   #endpointsListed = false;
 
-  #reportedOutagePhase: OutagePhase = 'none';
-
   /** Last moment before the changes that are being applied at which the store confirmed the endpoints, in ms. */
   #endpointsListedAt = Number.NEGATIVE_INFINITY;
 
@@ -126,6 +113,12 @@
       configuration: watch('configuration', this.#makeConfigurationListener()),
       endpoints: watch('endpoints', this.#makeEndpointsListener()),
     };
+    this.#reporter = new ViewReporter({
+      group,
+      watches: this.#watches,
+      freshness: this.#freshness,
+    });
+    this.#log = new ViewLog(options.logger, this.#watches);
   }
 
   /** Whether the endpoints have been listed at least once. */
@@ -170,9 +163,8 @@
   }
 
   /**
-   * Removes endpoints that are still missing after an outage of the store and its grace time, sends
-   * heartbeats if this process is the watcher, and decides whether to rely on the watcher. Call it
-   * periodically.
+   * Removes endpoints that are still missing after an outage of the store and its grace time, decides whether to
+   * rely on peers, asks them for what is missing and reports to them what is known here. Call it periodically.
    */
   tick(): void {
     const { directory, group, now } = this.#options;
@@ -186,7 +178,7 @@
     const obstacle = this.#relianceMonitor.findObstacle(view, rank, now());
     this.#requestMissing(known);
     const relies = rank > 0 && obstacle === undefined;
-    if (rank === 0 || (rank === DEPUTY_RANK && !relies)) this.#sendHeartbeat(now());
+    if (rank === 0 || (rank === DEPUTY_RANK && !relies)) this.#reporter.sendWhenDue(now());
     // Changes that the watcher relays meanwhile are not relayed from here, so that the revisions
     // recorded here no longer tell what the other members have received.
     if (relies) Object.values(this.#relayedRevisions).forEach((revisions) => revisions.reset());
@@ -199,12 +191,12 @@
       );
     }
     Object.values(this.#watches).forEach((watch) => watch.setRelayed(relies));
-    this.#reportOutage();
-    this.#reportOldView(watcher);
+    this.#log.recordOutage(this.outagePhase(now()), directory.missingCount);
+    this.#log.recordAge(this.viewAge(now()), { watcher, relies });
   }
 
   /**
-   * Processes a heartbeat or relayed changes of a watcher; other messages are ignored.
+   * Processes reports of peers, changes that they send and their requests for changes; other messages are ignored.
    *
    * @param from - incarnation of the sender
    * @param message - the decoded message
@@ -276,38 +268,6 @@
     );
   }
 
-  /**
-   * Reports what this process knows of the store, and since when: to the failure domain at the short interval and
-   * after each confirmation, to all members at the long interval and after a change.
-   */
-  #sendHeartbeat(now: number, isUrgent = false): void {
-    const confirmedAt = this.#freshness.oldest.at;
-    const hasNews = confirmedAt > this.#reportedConfirmationAt;
-    const intervalMs = hasNews ? CONFIRMATION_INTERVAL_MS : HEARTBEAT_INTERVAL_MS;
-    if (!isUrgent && now - this.#heartbeatSentAt < intervalMs) return;
-    this.#heartbeatSentAt = now;
-    this.#reportedConfirmationAt = confirmedAt;
-    const { configuration, endpoints } = this.#watches;
-    const heartbeat: PeerMessage = {
-      _tag: 'storeWatcherAlive',
-      reached: configuration.reached && endpoints.reached,
-      configurationRevision: configuration.lastChangeRevision,
-      endpointsRevision: endpoints.lastChangeRevision,
-      completeSince: {
-        configuration: configuration.completeSince,
-        endpoints: endpoints.completeSince,
-      },
-      ...(Number.isFinite(confirmedAt) ? { confirmedMsAgo: Math.max(0, now - confirmedAt) } : {}),
-    };
-    const { group } = this.#options;
-    if (isUrgent || now - this.#broadcastSentAt >= BROADCAST_INTERVAL_MS) {
-      this.#broadcastSentAt = now;
-      group.broadcast(heartbeat);
-    } else {
-      group.sameDomainPeers().forEach(({ incarnation }) => group.send(incarnation, heartbeat));
-    }
-  }
-
   /** Records a confirmation of the view, before the changes that come with it are applied. */
   #confirm(kind: WatchedKind, confirmation: Confirmation): void {
     const previousAt = this.#freshness.confirm(kind, confirmation);
@@ -352,13 +312,13 @@
       { kind, fromRevision: from, toRevision, peers, isWatcher },
       'store changes relayed',
     );
-    if (group.storeCallRank() <= DEPUTY_RANK) this.#sendHeartbeat(now(), true);
+    if (group.storeCallRank() <= DEPUTY_RANK) this.#reporter.sendToAll(now());
   }
 
   #makeConfigurationListener(): StoreWatchListener {
     return {
       ...this.#makeHealthListener('store: configuration'),
-      onList: (count) => this.#logList('configuration', count),
+      onList: (count) => this.#log.recordList('configuration', count),
       onChanges: (changes, source) =>
         changes
           .filter(({ removed }) => !removed)
@@ -372,7 +332,7 @@
       ...this.#makeHealthListener('store: endpoints'),
       onList: (count) => {
         this.#endpointsListed = true;
-        this.#logList('endpoints', count);
+        this.#log.recordList('endpoints', count);
       },
       onChanges: (changes, source) => {
         const directoryChanges = changes.flatMap(({ removed, object }) => {
@@ -390,42 +350,16 @@
     const { group, logger, now } = this.#options;
     return {
       onAvailable: () => {
-        if (group.storeWatcher() === group.incarnation) this.#sendHeartbeat(now(), true);
+        if (group.storeWatcher() === group.incarnation) this.#reporter.sendToAll(now());
         logger.info({ dependency: name }, 'dependency regained');
       },
       onUnavailable: (detail) => {
-        if (group.storeWatcher() === group.incarnation) this.#sendHeartbeat(now(), true);
+        if (group.storeWatcher() === group.incarnation) this.#reporter.sendToAll(now());
         logger.warn({ dependency: name, detail }, 'dependency lost');
       },
     };
   }
 
-  #logList(kind: WatchedKind, objects: number): void {
-    const { revision } = this.#watches[kind];
-    this.#options.logger.info({ kind, revision, objects }, 'store listed');
-  }
-
-  /** Logs that the view has become old, with what it waits for, and that it no longer is. */
-  #reportOldView(watcher: string): void {
-    const { now, logger } = this.#options;
-    const view = this.viewAge(now());
-    const isOld = Number.isFinite(view.ageMs) && view.ageMs > OLD_VIEW_MS;
-    if (isOld === this.#isOldViewReported) return;
-    this.#isOldViewReported = isOld;
-    const { configuration, endpoints } = this.#watches;
-    const phases = { configuration: configuration.phase, endpoints: endpoints.phase };
-    logger.info({ ...view, isOld, watcher, relies: this.#isRelying, phases }, 'store view age');
-  }
-
-  #reportOutage(): void {
-    const { directory, now, logger } = this.#options;
-    const phase = this.outagePhase(now());
-    if (phase === this.#reportedOutagePhase) return;
-    const before = this.#reportedOutagePhase;
-    this.#reportedOutagePhase = phase;
-    logger.info({ phase, before, missing: directory.missingCount }, 'store outage');
-  }
-
   #applyConfiguration(spec: unknown, source: StoreChangeSource): void {
     const table = this.#options.wire.readRouteTable(spec);
     if (table === undefined)
@@ -437,21 +371,7 @@
     changes: readonly EndpointChange[],
     source: StoreChangeSource | 'graceExpired',
   ): void {
-    changes.forEach(({ _tag, record }) => {
-      this.#options.logger.info(
-        {
-          endpoint: record.id,
-          address: record.address,
-          service: record.service,
-          failureDomain: record.failureDomain,
-          version: record.version,
-          change: _tag,
-          source,
-          revision: this.#watches.endpoints.revision,
-        },
-        'endpoint changed',
-      );
-    });
+    this.#log.recordEndpoints(changes, source);
     if (changes.length > 0) this.#options.onEndpointsChanged();
   }
 }
--- a/src/app/gateway/StoreWatch.ts
+++ b/src/app/gateway/StoreWatch.ts
@@ -260,10 +260,9 @@
         return;
       case 'changed':
         this.#isCatchUpDue = false;
-        if (beyondWaitMs > 0)
+        if (isCatchUp || beyondWaitMs > 0)
           this.#answerMs = Math.min(MAXIMUM_ANSWER_MS, Math.max(WATCH_ANSWER_MS, 2 * beyondWaitMs));
-        // The store answered at the end of the wait; what came after that was the way.
-        this.#reportAvailable(beyondWaitMs > 0 ? sentAt + waitMs : now());
+        this.#reportAvailable(this.#confirmationOf(result.changes, sentAt, waitMs));
         this.#applyWatched(result.revision, result.changes);
         return;
       default:
@@ -271,6 +270,14 @@
     }
   }
 
+  /** Returns a moment as of which the answer to a watch holds, also if it was long on the way or handled late. */
+  #confirmationOf(changes: readonly StoreChange[], sentAt: number, waitMs: number): number {
+    const now = this.#options.now();
+    if (now <= sentAt + waitMs) return now;
+    // Without a change the store answers at the end of the wait; what came after that was the way.
+    return changes.length === 0 ? sentAt + waitMs : sentAt;
+  }
+
   #applyList(revision: number, objects: readonly StoreObject[]): void {
     const before = this.#revision;
     this.#isListDue = false;
