--- a/test/replication/ReplicationPlan.ts
+++ b/test/replication/ReplicationPlan.ts
@@ -31,7 +31,16 @@
   /** A gateway's event loop is busy: what arrives meanwhile is handled late. */
   | { readonly _tag: 'stall'; readonly gateway: number; readonly forMs: number }
   /** Some gateways' next calls are turned away, as when many come at once. */
-  | { readonly _tag: 'turnAway'; readonly gateways: readonly number[]; readonly calls: number };
+  | { readonly _tag: 'turnAway'; readonly gateways: readonly number[]; readonly calls: number }
+  /** The store's answers take longer. */
+  | { readonly _tag: 'slowStore'; readonly byMs: number; readonly forMs: number }
+  /** Messages of a gateway to its peers take longer. */
+  | {
+      readonly _tag: 'slowLinks';
+      readonly gateway: number;
+      readonly byMs: number;
+      readonly forMs: number;
+    };
 
 /** An action with its time in ms. */
 export interface ReplicationStep {
@@ -111,6 +120,30 @@
   { maxLength: MOST_STEPS, size: 'max' },
 );
 
+/** Longest delay of messages on a link that isn't disturbed in the sense of the promises. */
+const LONGEST_LINK_DELAY_MS = 100;
+const LONGEST_STORE_DELAY_MS = 1_500;
+
+const slowAction: fc.Arbitrary<ReplicationAction> = fc.oneof(
+  fc.record({
+    _tag: fc.constant('slowStore' as const),
+    byMs: fc.integer({ min: 20, max: LONGEST_STORE_DELAY_MS }),
+    forMs,
+  }),
+  fc.record({
+    _tag: fc.constant('slowLinks' as const),
+    gateway: index,
+    byMs: fc.integer({ min: 5, max: LONGEST_LINK_DELAY_MS }),
+    forMs,
+  }),
+);
+
+/** Further steps, in which answers and messages are slow. */
+export const slowSteps: fc.Arbitrary<readonly ReplicationStep[]> = fc.array(
+  fc.record({ at: fc.nat({ max: FAULTS_MS }), action: slowAction }),
+  { maxLength: MOST_STEPS / 2, size: 'max' },
+);
+
 /** Merges the steps of several plans. */
 export const mergePlans = (
   ...plans: readonly (readonly ReplicationStep[])[]
--- a/test/replication/SimulatedStore.ts
+++ b/test/replication/SimulatedStore.ts
@@ -52,6 +52,9 @@
   /** How all calls reach the store. */
   path: StorePath = 'open';
 
+  /** Time by which all answers are late. */
+  slowByMs = 0;
+
   /** Number of calls so far. */
   calls = 0;
 
@@ -176,7 +179,7 @@
           if (!this.#waiting.has(waiting) || this.#effective(path()) !== 'open') return;
           tryAnswer((result) => {
             this.#waiting.delete(waiting);
-            this.#clock.after(LATENCY_MS, () =>
+            this.#clock.after(LATENCY_MS + this.slowByMs, () =>
               this.#deliver(path, () => this.#clock.resolve(resolve, result), waiting.fail),
             );
           });
--- a/test/replication/main.ts
+++ b/test/replication/main.ts
@@ -1,7 +1,7 @@
 import { parseArgs } from 'node:util';
 import fc from 'fast-check';
 import { playReplication } from './playReplication.ts';
-import { calmSteps, mergePlans, replicationPlan } from './ReplicationPlan.ts';
+import { calmSteps, mergePlans, replicationPlan, slowSteps } from './ReplicationPlan.ts';
 
 const { values } = parseArgs({
   options: {
@@ -10,11 +10,16 @@
     path: { type: 'string' },
     /** Adds faults that disturb neither the store nor a gateway. */
     calm: { type: 'boolean', default: false },
+    /** Adds times in which the store or links between gateways are slow. */
+    slow: { type: 'boolean', default: false },
     log: { type: 'boolean', default: false },
   },
 });
 
-const furtherSteps = values.calm ? calmSteps : fc.constant([]);
+const none = fc.constant([]);
+const furtherSteps = fc
+  .tuple(values.calm ? calmSteps : none, values.slow ? slowSteps : none)
+  .map(([calm, slow]) => mergePlans(calm, slow));
 const start = performance.now();
 let calls = 0;
 let played = 0;
--- a/test/replication/playReplication.ts
+++ b/test/replication/playReplication.ts
@@ -45,6 +45,8 @@
   /** Set while the path between the place and the store is cut. */
   path: StorePath;
   arePeersCut: boolean;
+  /** Time by which messages of the place are late. */
+  linkDelayMs: number;
   lastDisturbedAt: number;
   /** Disturbances that go on. */
   disturbances: number;
@@ -95,6 +97,7 @@
         process: undefined,
         path: 'open' as const,
         arePeersCut: false,
+        linkDelayMs: 0,
         lastDisturbedAt: Number.NEGATIVE_INFINITY,
         disturbances: 0,
       })),
@@ -177,6 +180,19 @@
           if (process !== undefined) process.turnedAwayCalls = action.calls;
         });
         return;
+      case 'slowStore':
+        this.#disturbStore(action.forMs);
+        this.#store.slowByMs = action.byMs;
+        this.#clock.after(action.forMs, () => {
+          this.#store.slowByMs = 0;
+        });
+        return;
+      case 'slowLinks': {
+        const place = this.#placeAt(action.gateway);
+        Object.assign(place, { linkDelayMs: action.byMs });
+        this.#clock.after(action.forMs, () => Object.assign(place, { linkDelayMs: 0 }));
+        return;
+      }
       case 'suspect': {
         const [by, about] = [this.#placeAt(action.by).process, this.#placeAt(action.about).process];
         if (by === undefined || about === undefined || by === about) return;
@@ -301,7 +317,7 @@
     }
     const toPlace = this.#places.find(({ process }) => process === to);
     if (toPlace === undefined || fromPlace.arePeersCut || toPlace.arePeersCut) return false;
-    this.#clock.after(PEER_LATENCY_MS, () => {
+    this.#clock.after(PEER_LATENCY_MS + fromPlace.linkDelayMs, () => {
       if (this.#isRunning(to)) to.receive(from.incarnation, message);
     });
     return true;
