Pass on and report what a gateway held before its view was complete (CONFIG)

A gateway could answer by an old configuration for over 3 s: its watcher had got the new one in a span that left a gap, and then listed the store. The list showed nothing new, so that it was neither relayed nor in the watcher's reports, which confirmed the old view of a follower.

--- a/src/app/gateway/StoreWatch.ts
+++ b/src/app/gateway/StoreWatch.ts
@@ -83,6 +83,9 @@
 
   readonly #log = new ChangeLog();
 
+  /** Changes that hold here although changes before them are missing. */
+  #ahead: readonly StoreChange[] = [];
+
   /** Whether the next answer is wanted at once, because the last one is old or was lost. */
   #isCatchUpDue = false;
 
@@ -190,6 +193,7 @@
     if (known === undefined) return false;
     if (!this.canApply(fromRevision)) {
       // What changed earlier is missing, but each of these states holds all the same.
+      this.#ahead = [...this.#ahead, ...changes];
       this.#tell(changes, 'relay');
       return false;
     }
@@ -283,7 +287,9 @@
     this.#isListDue = false;
     // Changes that were relayed during the call are newer than its result.
     if (before !== undefined && revision <= before) return;
-    const changes = this.#objects.compare(objects, revision);
+    // A list doesn't show the changes that hold already, but peers may lack them.
+    const held = this.#ahead.filter(({ object }) => object.revision <= revision);
+    const changes = [...held, ...this.#objects.compare(objects, revision)];
     this.#revision = revision;
     this.#apply(changes, 'list');
     if (before === undefined) this.#log.reset(revision);
@@ -306,6 +312,7 @@
 
   /** Applies what is news of changes that complete the view up to its revision. */
   #apply(changes: readonly StoreChange[], source: StoreChangeSource): void {
+    this.#ahead = this.#ahead.filter(({ object }) => object.revision > this.revision);
     const last = Math.max(0, ...changes.map(({ object }) => object.revision));
     this.#lastChangeRevision = Math.max(this.#lastChangeRevision, last);
     this.#completeSince = Math.max(this.#completeSince, this.#lastChangeRevision);
--- a/test/replication/replication.test.ts
+++ b/test/replication/replication.test.ts
@@ -105,6 +105,21 @@
     expect(await findStaleViews(plan)).toEqual([]);
   });
 
+  // CONFIG: a watcher that held a change before its view was complete didn't pass it on, nor report it.
+  it('learn from a list of their watcher what it held before', async () => {
+    const plan: readonly ReplicationStep[] = [
+      { at: 0, action: { _tag: 'leave', endpoint: 0, drains: true } },
+      { at: 0, action: { _tag: 'suspect', by: 0, about: 0, forMs: 20 } },
+      { at: 1_845, action: { _tag: 'cutPeers', gateway: 2, forMs: 695 } },
+      { at: 3_461, action: { _tag: 'storeDown', how: 'silent', forMs: 2_045 } },
+      { at: 5_953, action: { _tag: 'cutStore', gateways: [0], how: 'silent', forMs: 1_589 } },
+      { at: 6_233, action: { _tag: 'leave', endpoint: 0, drains: true } },
+      { at: 7_596, action: { _tag: 'kill', gateways: [9, 0], downMs: 1_167 } },
+      { at: 8_893, action: { _tag: 'compact', mutedMs: 0, leaves: false } },
+    ];
+    expect(await findStaleViews(plan, 2_147_479_539)).toEqual([]);
+  });
+
   it('act on no view that is older than promised, whatever happens', async () => {
     const property = fc.asyncProperty(fc.integer(), replicationPlan, async (seed, plan) => {
       expect(await findStaleViews(plan, seed)).toEqual([]);
