--- a/src/app/gateway/Gateway.ts
+++ b/src/app/gateway/Gateway.ts
@@ -3,10 +3,10 @@
 import type { DecodedRequestHeaders, ForwardEnvelope } from '../../protocol/gateway/index.ts';
 import type { EndpointRecord, RouteTable } from '../../state/gateway/index.ts';
 import type { InboundAnswer, InboundRequest } from '../../transport/gateway/index.ts';
-import { fingerprintRequest } from './fingerprintRequest.ts';
+import { fingerprintRequest } from './crashes/fingerprintRequest.ts';
 import type { GatewayContext } from './GatewayContext.ts';
-import { STATUS_DECLINED } from './PeerAttempt.ts';
-import { RequestHandler } from './RequestHandler.ts';
+import { STATUS_DECLINED } from './reach/PeerAttempt.ts';
+import { RequestHandler } from './request/RequestHandler.ts';
 
 /** Whether a gateway is serving normally or draining before it stops. */
 export type GatewayPhase =
--- a/src/app/gateway/GatewayContext.ts
+++ b/src/app/gateway/GatewayContext.ts
@@ -7,16 +7,16 @@
 } from '../../coordination/gateway/index.ts';
 import type { WireAdapter } from '../../protocol/gateway/index.ts';
 import type { ConnectionPool } from '../../transport/http/index.ts';
-import type { CrashDetector } from './CrashDetector.ts';
-import type { CrashMonitor } from './CrashMonitor.ts';
-import type { EndpointLimitMonitor } from './EndpointLimitMonitor.ts';
-import type { ExclusionMonitor } from './ExclusionMonitor.ts';
+import type { CrashDetector } from './crashes/CrashDetector.ts';
+import type { CrashMonitor } from './crashes/CrashMonitor.ts';
+import type { EndpointLimitMonitor } from './placement/EndpointLimitMonitor.ts';
+import type { ExclusionMonitor } from './reach/ExclusionMonitor.ts';
 import type { GatewayMetrics } from './GatewayMetrics.ts';
-import type { PeerForwarder } from './PeerForwarder.ts';
-import type { PlacementCoordinator } from './PlacementCoordinator.ts';
-import type { ReachMonitor } from './ReachMonitor.ts';
-import type { RequestHandler } from './RequestHandler.ts';
-import type { ViewAge } from './StoreSubscription.ts';
+import type { PeerForwarder } from './reach/PeerForwarder.ts';
+import type { PlacementCoordinator } from './placement/PlacementCoordinator.ts';
+import type { ReachMonitor } from './reach/ReachMonitor.ts';
+import type { RequestHandler } from './request/RequestHandler.ts';
+import type { ViewAge } from './following/StoreSubscription.ts';
 
 /** Components of the process that all requests share. */
 export interface GatewayContext {
--- a/src/app/gateway/CrashDetector.test.ts
+++ b/src/app/gateway/crashes/CrashDetector.test.ts
@@ -3,8 +3,8 @@
 import { expect } from 'earl';
 import pino from 'pino';
 import { CrashDetector, type CrashFinding } from './CrashDetector.ts';
-import { GatewayMetrics } from './GatewayMetrics.ts';
-import type { ReachVerdict } from './ReachMonitor.ts';
+import { GatewayMetrics } from '../GatewayMetrics.ts';
+import type { ReachVerdict } from '../reach/ReachMonitor.ts';
 
 const RUN = {
   id: 'request/1',
--- a/src/app/gateway/CrashDetector.ts
+++ b/src/app/gateway/crashes/CrashDetector.ts
@@ -1,6 +1,6 @@
 import type { Logger } from 'pino';
-import type { GatewayMetrics } from './GatewayMetrics.ts';
-import type { ReachVerdict } from './ReachMonitor.ts';
+import type { GatewayMetrics } from '../GatewayMetrics.ts';
+import type { ReachVerdict } from '../reach/ReachMonitor.ts';
 
 /** A run whose connection broke before the end of the answer. */
 export interface BrokenRun {
--- a/src/app/gateway/CrashMonitor.test.ts
+++ b/src/app/gateway/crashes/CrashMonitor.test.ts
@@ -1,9 +1,9 @@
 import { describe, it } from 'node:test';
 import { expect } from 'earl';
 import pino from 'pino';
-import type { PeerMessage } from '../../protocol/peer/PeerMessage.ts';
+import type { PeerMessage } from '../../../protocol/peer/PeerMessage.ts';
 import { CrashMonitor } from './CrashMonitor.ts';
-import type { PeerGroup } from './PeerGroup.ts';
+import type { PeerGroup } from '../PeerGroup.ts';
 
 const SERVICE = 'plain';
 const FATAL = 'request:fatal';
--- a/src/app/gateway/CrashMonitor.ts
+++ b/src/app/gateway/crashes/CrashMonitor.ts
@@ -4,16 +4,16 @@
   CrashQuarantine,
   RequestCrashAttribution,
   type QuarantineDecision,
-} from '../../coordination/gateway/index.ts';
+} from '../../../coordination/gateway/index.ts';
 import type {
   CrashReport,
   QuarantinedPart,
   ServedReport,
-} from '../../protocol/peer/GatewayMessages.ts';
-import type { PeerMessage } from '../../protocol/peer/PeerMessage.ts';
+} from '../../../protocol/peer/GatewayMessages.ts';
+import type { PeerMessage } from '../../../protocol/peer/PeerMessage.ts';
 import type { BrokenRun } from './CrashDetector.ts';
-import type { PeerGroup } from './PeerGroup.ts';
-import { SchedulerExchange } from './SchedulerExchange.ts';
+import type { PeerGroup } from '../PeerGroup.ts';
+import { SchedulerExchange } from '../placement/SchedulerExchange.ts';
 
 /** Collaborators of a crash monitor. */
 export interface CrashMonitorOptions {
--- a/src/app/gateway/RequestQuarantine.ts
+++ b/src/app/gateway/crashes/RequestQuarantine.ts
@@ -1,6 +1,6 @@
-import type { PlacementTicket } from '../../protocol/peer/GatewayMessages.ts';
+import type { PlacementTicket } from '../../../protocol/peer/GatewayMessages.ts';
 import type { CrashMonitor } from './CrashMonitor.ts';
-import type { RoutedRequest } from './RoutedRequest.ts';
+import type { RoutedRequest } from '../request/RoutedRequest.ts';
 
 /** What the group believes of one request that may crash endpoints. */
 export class RequestQuarantine {
--- a/src/app/gateway/fingerprintRequest.test.ts
+++ b/src/app/gateway/crashes/fingerprintRequest.test.ts
@@ -1,6 +1,6 @@
 import { describe, it } from 'node:test';
 import { expect } from 'earl';
-import type { InboundRequest } from '../../transport/gateway/index.ts';
+import type { InboundRequest } from '../../../transport/gateway/index.ts';
 import { fingerprintRequest } from './fingerprintRequest.ts';
 
 const REQUEST: InboundRequest = {
--- a/src/app/gateway/fingerprintRequest.ts
+++ b/src/app/gateway/crashes/fingerprintRequest.ts
@@ -1,5 +1,5 @@
 import { createHash } from 'node:crypto';
-import type { InboundRequest } from '../../transport/gateway/index.ts';
+import type { InboundRequest } from '../../../transport/gateway/index.ts';
 
 /** Long enough that two requests of a group never share one by chance. */
 const FINGERPRINT_LENGTH = 32;
--- a/src/app/gateway/refuseQuarantined.ts
+++ b/src/app/gateway/crashes/refuseQuarantined.ts
@@ -1,6 +1,6 @@
-import type { PlacementDecision } from '../../coordination/gateway/index.ts';
-import type { PlacementTicket } from '../../protocol/peer/GatewayMessages.ts';
-import type { PlacementAnswer } from './LocalTickets.ts';
+import type { PlacementDecision } from '../../../coordination/gateway/index.ts';
+import type { PlacementTicket } from '../../../protocol/peer/GatewayMessages.ts';
+import type { PlacementAnswer } from '../placement/LocalTickets.ts';
 
 /** Returns the shared prompt parts of a ticket; a gateway of an older build states none. */
 export const partsOf = ({ promptParts }: PlacementTicket): readonly string[] => promptParts ?? [];
--- a/src/app/gateway/StoreSubscription.test.ts
+++ b/src/app/gateway/following/StoreSubscription.test.ts
@@ -2,10 +2,10 @@
 import type { TestContext } from 'node:test';
 import { expect } from 'earl';
 import pino from 'pino';
-import { EndpointDirectory } from '../../coordination/gateway/index.ts';
-import type { ObjectStore, StoreFailure, WatchResult } from '../../protocol/gateway/index.ts';
-import type { PeerMessage } from '../../protocol/peer/PeerMessage.ts';
-import type { EndpointRecord } from '../../state/gateway/index.ts';
+import { EndpointDirectory } from '../../../coordination/gateway/index.ts';
+import type { ObjectStore, StoreFailure, WatchResult } from '../../../protocol/gateway/index.ts';
+import type { PeerMessage } from '../../../protocol/peer/PeerMessage.ts';
+import type { EndpointRecord } from '../../../state/gateway/index.ts';
 import { StoreSubscription } from './StoreSubscription.ts';
 
 const WATCHER = 'watcher';
--- a/src/app/gateway/StoreSubscription.ts
+++ b/src/app/gateway/following/StoreSubscription.ts
@@ -10,12 +10,12 @@
   type EndpointChange,
   type EndpointDirectory,
   type KnownRevisions,
-} from '../../coordination/gateway/index.ts';
-import type { ObjectStore, StoreChange, WireAdapter } from '../../protocol/gateway/index.ts';
-import type { PeerMessage } from '../../protocol/peer/PeerMessage.ts';
-import type { WatchedKind } from '../../protocol/peer/GatewayMessages.ts';
-import type { RouteTable } from '../../state/gateway/index.ts';
-import type { PeerGroup } from './PeerGroup.ts';
+} from '../../../coordination/gateway/index.ts';
+import type { ObjectStore, StoreChange, WireAdapter } from '../../../protocol/gateway/index.ts';
+import type { PeerMessage } from '../../../protocol/peer/PeerMessage.ts';
+import type { WatchedKind } from '../../../protocol/peer/GatewayMessages.ts';
+import type { RouteTable } from '../../../state/gateway/index.ts';
+import type { PeerGroup } from '../PeerGroup.ts';
 import { StoreWatch, type StoreChangeSource, type StoreWatchListener } from './StoreWatch.ts';
 import { ViewLog } from './ViewLog.ts';
 import { ViewReporter } from './ViewReporter.ts';
--- a/src/app/gateway/StoreWatch.test.ts
+++ b/src/app/gateway/following/StoreWatch.test.ts
@@ -1,7 +1,7 @@
 import { describe, it } from 'node:test';
 import { setTimeout } from 'node:timers/promises';
 import { expect } from 'earl';
-import type { ObjectStore, WatchResult } from '../../protocol/gateway/index.ts';
+import type { ObjectStore, WatchResult } from '../../../protocol/gateway/index.ts';
 import { StoreWatch } from './StoreWatch.ts';
 
 const WAIT_MS = 900;
--- a/src/app/gateway/StoreWatch.ts
+++ b/src/app/gateway/following/StoreWatch.ts
@@ -6,13 +6,13 @@
   WATCH_WAIT_MS,
   storeRetryDelay,
   type ChangeSpan,
-} from '../../coordination/gateway/index.ts';
+} from '../../../coordination/gateway/index.ts';
 import type {
   ObjectStore,
   StoreChange,
   StoreObjectKind,
   StoreObject,
-} from '../../protocol/gateway/index.ts';
+} from '../../../protocol/gateway/index.ts';
 
 /** How a process received changes of the store. */
 export type StoreChangeSource = 'list' | 'watch' | 'relay';
--- a/src/app/gateway/ViewLog.ts
+++ b/src/app/gateway/following/ViewLog.ts
@@ -1,6 +1,6 @@
 import type { Logger } from 'pino';
-import type { EndpointChange } from '../../coordination/gateway/index.ts';
-import type { WatchedKind } from '../../protocol/peer/GatewayMessages.ts';
+import type { EndpointChange } from '../../../coordination/gateway/index.ts';
+import type { WatchedKind } from '../../../protocol/peer/GatewayMessages.ts';
 import type { StoreChangeSource, StoreWatch } from './StoreWatch.ts';
 import type { OutagePhase, ViewAge } from './StoreSubscription.ts';
 
--- a/src/app/gateway/ViewReporter.ts
+++ b/src/app/gateway/following/ViewReporter.ts
@@ -1,7 +1,7 @@
-import type { ViewFreshness } from '../../coordination/gateway/index.ts';
-import type { WatchedKind } from '../../protocol/peer/GatewayMessages.ts';
-import type { PeerMessage } from '../../protocol/peer/PeerMessage.ts';
-import type { PeerGroup } from './PeerGroup.ts';
+import type { ViewFreshness } from '../../../coordination/gateway/index.ts';
+import type { WatchedKind } from '../../../protocol/peer/GatewayMessages.ts';
+import type { PeerMessage } from '../../../protocol/peer/PeerMessage.ts';
+import type { PeerGroup } from '../PeerGroup.ts';
 import type { StoreWatch } from './StoreWatch.ts';
 
 /** What is reported, and to whom. */
--- a/src/app/gateway/EndpointLimitMonitor.test.ts
+++ b/src/app/gateway/placement/EndpointLimitMonitor.test.ts
@@ -1,11 +1,11 @@
 import { describe, it } from 'node:test';
 import { expect } from 'earl';
 import pino from 'pino';
-import { EndpointLimits } from '../../coordination/gateway/index.ts';
-import type { PeerMessage } from '../../protocol/peer/PeerMessage.ts';
-import type { EndpointRecord } from '../../state/gateway/index.ts';
+import { EndpointLimits } from '../../../coordination/gateway/index.ts';
+import type { PeerMessage } from '../../../protocol/peer/PeerMessage.ts';
+import type { EndpointRecord } from '../../../state/gateway/index.ts';
 import { EndpointLimitMonitor } from './EndpointLimitMonitor.ts';
-import type { PeerGroup } from './PeerGroup.ts';
+import type { PeerGroup } from '../PeerGroup.ts';
 
 const RECORD: EndpointRecord = {
   id: 'i-1',
--- a/src/app/gateway/EndpointLimitMonitor.ts
+++ b/src/app/gateway/placement/EndpointLimitMonitor.ts
@@ -1,9 +1,9 @@
 import type { Logger } from 'pino';
-import type { EndpointLimits, LimitObservation } from '../../coordination/gateway/index.ts';
-import type { EndpointStatement } from '../../protocol/gateway/index.ts';
-import type { PeerMessage } from '../../protocol/peer/PeerMessage.ts';
-import { endpointStartOf, type EndpointRecord } from '../../state/gateway/index.ts';
-import type { PeerGroup } from './PeerGroup.ts';
+import type { EndpointLimits, LimitObservation } from '../../../coordination/gateway/index.ts';
+import type { EndpointStatement } from '../../../protocol/gateway/index.ts';
+import type { PeerMessage } from '../../../protocol/peer/PeerMessage.ts';
+import { endpointStartOf, type EndpointRecord } from '../../../state/gateway/index.ts';
+import type { PeerGroup } from '../PeerGroup.ts';
 import { SchedulerExchange } from './SchedulerExchange.ts';
 
 /** Collaborators of an endpoint limit monitor. */
--- a/src/app/gateway/LocalTickets.ts
+++ b/src/app/gateway/placement/LocalTickets.ts
@@ -2,7 +2,7 @@
   ActivePlacement,
   PlacementRefusalReason,
   PlacementTicket,
-} from '../../protocol/peer/GatewayMessages.ts';
+} from '../../../protocol/peer/GatewayMessages.ts';
 
 /** Decision on a placement ticket; `decidedBy` is the incarnation whose scheduler made it. */
 export type PlacementAnswer =
--- a/src/app/gateway/PlacementCoordinator.test.ts
+++ b/src/app/gateway/placement/PlacementCoordinator.test.ts
@@ -1,14 +1,14 @@
 import { describe, it } from 'node:test';
 import { expect } from 'earl';
 import pino from 'pino';
-import { EndpointLimits, QuotaLimiter } from '../../coordination/gateway/index.ts';
-import type { PeerMessage } from '../../protocol/peer/PeerMessage.ts';
-import type { PlacementTicket } from '../../protocol/peer/GatewayMessages.ts';
-import type { EndpointRecord } from '../../state/gateway/index.ts';
+import { EndpointLimits, QuotaLimiter } from '../../../coordination/gateway/index.ts';
+import type { PeerMessage } from '../../../protocol/peer/PeerMessage.ts';
+import type { PlacementTicket } from '../../../protocol/peer/GatewayMessages.ts';
+import type { EndpointRecord } from '../../../state/gateway/index.ts';
 import type { PlacementAnswer } from './LocalTickets.ts';
-import { CrashMonitor } from './CrashMonitor.ts';
-import { GatewayMetrics } from './GatewayMetrics.ts';
-import type { PeerGroup } from './PeerGroup.ts';
+import { CrashMonitor } from '../crashes/CrashMonitor.ts';
+import { GatewayMetrics } from '../GatewayMetrics.ts';
+import type { PeerGroup } from '../PeerGroup.ts';
 import { PlacementCoordinator } from './PlacementCoordinator.ts';
 
 const ACCOUNT = {
--- a/src/app/gateway/PlacementCoordinator.ts
+++ b/src/app/gateway/placement/PlacementCoordinator.ts
@@ -4,23 +4,23 @@
   QuotaLimiter,
   type EndpointLimits,
   type PlacementDecision,
-} from '../../coordination/gateway/index.ts';
+} from '../../../coordination/gateway/index.ts';
 import type {
   PlacementRefusalReason,
   PlacementResult,
   PlacementTicket,
-} from '../../protocol/peer/GatewayMessages.ts';
-import type { PeerMessage } from '../../protocol/peer/PeerMessage.ts';
-import { endpointStartOf, type Account } from '../../state/gateway/index.ts';
+} from '../../../protocol/peer/GatewayMessages.ts';
+import type { PeerMessage } from '../../../protocol/peer/PeerMessage.ts';
+import { endpointStartOf, type Account } from '../../../state/gateway/index.ts';
 import { ChargeConfirmations } from './ChargeConfirmations.ts';
-import type { CrashMonitor } from './CrashMonitor.ts';
+import type { CrashMonitor } from '../crashes/CrashMonitor.ts';
 import { listEngineSpeeds } from './listEngineSpeeds.ts';
 import { LocalTickets, withRemainingTimes, type PlacementAnswer } from './LocalTickets.ts';
-import type { GatewayMetrics } from './GatewayMetrics.ts';
+import type { GatewayMetrics } from '../GatewayMetrics.ts';
 import { logPlacementDecision } from './logPlacementDecision.ts';
 import { refuseOverQuota } from './refuseOverQuota.ts';
-import { partsOf, quarantineAnswer, refuseQuarantined } from './refuseQuarantined.ts';
-import type { PeerGroup } from './PeerGroup.ts';
+import { partsOf, quarantineAnswer, refuseQuarantined } from '../crashes/refuseQuarantined.ts';
+import type { PeerGroup } from '../PeerGroup.ts';
 import { ownShare, schedulerShare } from './slotShares.ts';
 
 /** Collaborators of a placement coordinator. */
--- a/src/app/gateway/SchedulerExchange.test.ts
+++ b/src/app/gateway/placement/SchedulerExchange.test.ts
@@ -1,7 +1,7 @@
 import { describe, it } from 'node:test';
 import { expect } from 'earl';
-import type { PeerMessage } from '../../protocol/peer/PeerMessage.ts';
-import type { PeerGroup } from './PeerGroup.ts';
+import type { PeerMessage } from '../../../protocol/peer/PeerMessage.ts';
+import type { PeerGroup } from '../PeerGroup.ts';
 import { SchedulerExchange } from './SchedulerExchange.ts';
 
 interface Report {
--- a/src/app/gateway/SchedulerExchange.ts
+++ b/src/app/gateway/placement/SchedulerExchange.ts
@@ -1,5 +1,5 @@
-import type { PeerMessage } from '../../protocol/peer/PeerMessage.ts';
-import type { PeerGroup } from './PeerGroup.ts';
+import type { PeerMessage } from '../../../protocol/peer/PeerMessage.ts';
+import type { PeerGroup } from '../PeerGroup.ts';
 
 /** Encoding and collaborators of an exchange. */
 export interface SchedulerExchangeOptions<Report> {
--- a/src/app/gateway/listEngineSpeeds.ts
+++ b/src/app/gateway/placement/listEngineSpeeds.ts
@@ -1,4 +1,4 @@
-import type { EngineLoad } from '../../coordination/gateway/EngineLoad.ts';
+import type { EngineLoad } from '../../../coordination/gateway/placement/EngineLoad.ts';
 
 /** Estimated speed of one engine, as gateways exchange it. */
 export interface EngineSpeedEstimate {
--- a/src/app/gateway/logPlacementDecision.ts
+++ b/src/app/gateway/placement/logPlacementDecision.ts
@@ -1,5 +1,5 @@
 import type { Logger } from 'pino';
-import type { PlacementDecision } from '../../coordination/gateway/index.ts';
+import type { PlacementDecision } from '../../../coordination/gateway/index.ts';
 
 /**
  * Logs one decision of the scheduler with the values that it depended on.
--- a/src/app/gateway/makePlacementTicket.ts
+++ b/src/app/gateway/placement/makePlacementTicket.ts
@@ -2,8 +2,8 @@
   MAXIMUM_EXCLUDED_ENDPOINTS,
   limitPromptParts,
   type PlacementTicket,
-} from '../../protocol/peer/GatewayMessages.ts';
-import type { RoutedRequest } from './RoutedRequest.ts';
+} from '../../../protocol/peer/GatewayMessages.ts';
+import type { RoutedRequest } from '../request/RoutedRequest.ts';
 
 /** How far a request has progressed when it asks for a slot. */
 export interface RequestProgress {
--- a/src/app/gateway/refuseOverQuota.ts
+++ b/src/app/gateway/placement/refuseOverQuota.ts
@@ -1,6 +1,6 @@
-import type { PlacementDecision } from '../../coordination/gateway/index.ts';
-import { computeRetryAfterMs } from '../../coordination/scheduling/computeRetryAfterMs.ts';
-import type { PlacementTicket } from '../../protocol/peer/GatewayMessages.ts';
+import type { PlacementDecision } from '../../../coordination/gateway/index.ts';
+import { computeRetryAfterMs } from '../../../coordination/scheduling/computeRetryAfterMs.ts';
+import type { PlacementTicket } from '../../../protocol/peer/GatewayMessages.ts';
 
 /**
  * Makes the decision on a ticket that exceeds the quota of its client account.
--- a/src/app/gateway/slotShares.ts
+++ b/src/app/gateway/placement/slotShares.ts
@@ -1,4 +1,4 @@
-import type { PeerGroup } from './PeerGroup.ts';
+import type { PeerGroup } from '../PeerGroup.ts';
 
 /**
  * Returns the share of slots, quotas and limits that the scheduler may use. The rest is reserved for members that
--- a/src/app/gateway/ExclusionMonitor.test.ts
+++ b/src/app/gateway/reach/ExclusionMonitor.test.ts
@@ -1,8 +1,8 @@
 import { describe, it } from 'node:test';
 import { expect } from 'earl';
 import pino from 'pino';
-import type { PeerMessage } from '../../protocol/peer/PeerMessage.ts';
-import type { EndpointRecord } from '../../state/gateway/index.ts';
+import type { PeerMessage } from '../../../protocol/peer/PeerMessage.ts';
+import type { EndpointRecord } from '../../../state/gateway/index.ts';
 import { ExclusionMonitor } from './ExclusionMonitor.ts';
 
 const RECORD: EndpointRecord = {
--- a/src/app/gateway/ExclusionMonitor.ts
+++ b/src/app/gateway/reach/ExclusionMonitor.ts
@@ -1,10 +1,10 @@
 import type { Logger } from 'pino';
-import { EndpointExclusions, type EndpointExclusion } from '../../coordination/gateway/index.ts';
-import type { EndpointStatement } from '../../protocol/gateway/index.ts';
-import type { PlacementTicket } from '../../protocol/peer/GatewayMessages.ts';
-import type { PeerMessage } from '../../protocol/peer/PeerMessage.ts';
-import { endpointStartOf, type EndpointRecord } from '../../state/gateway/index.ts';
-import type { PeerGroup } from './PeerGroup.ts';
+import { EndpointExclusions, type EndpointExclusion } from '../../../coordination/gateway/index.ts';
+import type { EndpointStatement } from '../../../protocol/gateway/index.ts';
+import type { PlacementTicket } from '../../../protocol/peer/GatewayMessages.ts';
+import type { PeerMessage } from '../../../protocol/peer/PeerMessage.ts';
+import { endpointStartOf, type EndpointRecord } from '../../../state/gateway/index.ts';
+import type { PeerGroup } from '../PeerGroup.ts';
 
 /** Collaborators of an exclusion monitor. */
 export interface ExclusionMonitorOptions {
--- a/src/app/gateway/PeerAttempt.ts
+++ b/src/app/gateway/reach/PeerAttempt.ts
@@ -1,10 +1,10 @@
-import type { DecodedResponseHeaders, ForwardEnvelope } from '../../protocol/gateway/index.ts';
-import type { Member } from '../../state/Member.ts';
-import type { AnswerFraming, Exchange, ExchangeEvent } from '../../transport/http/index.ts';
-import { AnswerReader, type ReadOutcome } from './AnswerReader.ts';
-import type { GatewayContext } from './GatewayContext.ts';
-import type { AttemptEvent, RequestAttempt } from './RequestAttempt.ts';
-import type { RoutedRequest } from './RoutedRequest.ts';
+import type { DecodedResponseHeaders, ForwardEnvelope } from '../../../protocol/gateway/index.ts';
+import type { Member } from '../../../state/Member.ts';
+import type { AnswerFraming, Exchange, ExchangeEvent } from '../../../transport/http/index.ts';
+import { AnswerReader, type ReadOutcome } from '../request/AnswerReader.ts';
+import type { GatewayContext } from '../GatewayContext.ts';
+import type { AttemptEvent, RequestAttempt } from '../request/RequestAttempt.ts';
+import type { RoutedRequest } from '../request/RoutedRequest.ts';
 
 /** A request, the peer that is to have it served, and what that peer must know. */
 export interface PeerAttemptOptions {
--- a/src/app/gateway/PeerForwarder.ts
+++ b/src/app/gateway/reach/PeerForwarder.ts
@@ -1,21 +1,21 @@
-import { chooseForwardPeer } from '../../coordination/gateway/index.ts';
+import { chooseForwardPeer } from '../../../coordination/gateway/index.ts';
 import {
   FORWARD_HEADER,
   encodeForwardEnvelope,
   isForwardLine,
   type ForwardEnvelope,
   type WireAdapter,
-} from '../../protocol/gateway/index.ts';
-import type { Member } from '../../state/Member.ts';
-import type { InboundRequest } from '../../transport/gateway/index.ts';
+} from '../../../protocol/gateway/index.ts';
+import type { Member } from '../../../state/Member.ts';
+import type { InboundRequest } from '../../../transport/gateway/index.ts';
 import {
   exchange,
   type ConnectionPool,
   type Exchange,
   type ExchangeEvent,
-} from '../../transport/http/index.ts';
-import { makeProof } from '../../transport/peer/index.ts';
-import type { PeerGroup } from './PeerGroup.ts';
+} from '../../../transport/http/index.ts';
+import { makeProof } from '../../../transport/peer/index.ts';
+import type { PeerGroup } from '../PeerGroup.ts';
 
 /** Collaborators of a peer forwarder. */
 export interface PeerForwarderOptions {
--- a/src/app/gateway/ReachMonitor.test.ts
+++ b/src/app/gateway/reach/ReachMonitor.test.ts
@@ -1,8 +1,8 @@
 import { describe, it } from 'node:test';
 import { expect } from 'earl';
 import pino from 'pino';
-import type { EndpointRecord } from '../../state/gateway/index.ts';
-import { GatewayMetrics } from './GatewayMetrics.ts';
+import type { EndpointRecord } from '../../../state/gateway/index.ts';
+import { GatewayMetrics } from '../GatewayMetrics.ts';
 import { ReachMonitor, type ReachVerdict } from './ReachMonitor.ts';
 
 const RECORD: EndpointRecord = {
--- a/src/app/gateway/ReachMonitor.ts
+++ b/src/app/gateway/reach/ReachMonitor.ts
@@ -1,8 +1,8 @@
 import type { Logger } from 'pino';
-import { EndpointReach } from '../../coordination/gateway/index.ts';
-import type { EndpointRecord } from '../../state/gateway/index.ts';
-import type { ConnectionPool } from '../../transport/http/index.ts';
-import type { GatewayMetrics } from './GatewayMetrics.ts';
+import { EndpointReach } from '../../../coordination/gateway/index.ts';
+import type { EndpointRecord } from '../../../state/gateway/index.ts';
+import type { ConnectionPool } from '../../../transport/http/index.ts';
+import type { GatewayMetrics } from '../GatewayMetrics.ts';
 
 /** What a failed connection means: the endpoint is at fault, or this gateway reaches none at all. */
 export type ReachVerdict = 'reaching' | 'isolated';
--- a/src/app/gateway/RequestForwarding.ts
+++ b/src/app/gateway/reach/RequestForwarding.ts
@@ -1,9 +1,9 @@
-import type { ForwardEnvelope } from '../../protocol/gateway/index.ts';
-import type { Member } from '../../state/Member.ts';
-import type { GatewayContext } from './GatewayContext.ts';
+import type { ForwardEnvelope } from '../../../protocol/gateway/index.ts';
+import type { Member } from '../../../state/Member.ts';
+import type { GatewayContext } from '../GatewayContext.ts';
 import { PeerAttempt } from './PeerAttempt.ts';
-import type { AttemptEvent } from './RequestAttempt.ts';
-import type { RoutedRequest } from './RoutedRequest.ts';
+import type { AttemptEvent } from '../request/RequestAttempt.ts';
+import type { RoutedRequest } from '../request/RoutedRequest.ts';
 
 /** How far a request has progressed when it is forwarded. */
 export type ForwardProgress = Omit<
--- a/src/app/gateway/receiveForwarded.ts
+++ b/src/app/gateway/reach/receiveForwarded.ts
@@ -4,14 +4,14 @@
   decodeForwardEnvelope,
   isForwardLine,
   type ForwardEnvelope,
-} from '../../protocol/gateway/index.ts';
-import type { ClientLimits } from '../../state/gateway/index.ts';
+} from '../../../protocol/gateway/index.ts';
+import type { ClientLimits } from '../../../state/gateway/index.ts';
 import {
   InboundConnections,
   type InboundAnswer,
   type InboundRequest,
-} from '../../transport/gateway/index.ts';
-import { isProof, makeProof } from '../../transport/peer/index.ts';
+} from '../../../transport/gateway/index.ts';
+import { isProof, makeProof } from '../../../transport/peer/index.ts';
 
 /** What receives the forwarded requests of peers. */
 export interface ForwardedReceiver {
--- a/src/app/gateway/AnswerReader.ts
+++ b/src/app/gateway/request/AnswerReader.ts
@@ -1,4 +1,4 @@
-import { EventCutter, type AnswerFraming } from '../../transport/http/index.ts';
+import { EventCutter, type AnswerFraming } from '../../../transport/http/index.ts';
 import type { AttemptEvent } from './RequestAttempt.ts';
 
 /** Size limit of an answer that is buffered until it is complete. */
--- a/src/app/gateway/CallerAnswer.ts
+++ b/src/app/gateway/request/CallerAnswer.ts
@@ -1,5 +1,5 @@
-import type { WireAdapter } from '../../protocol/gateway/index.ts';
-import type { InboundAnswer } from '../../transport/gateway/index.ts';
+import type { WireAdapter } from '../../../protocol/gateway/index.ts';
+import type { InboundAnswer } from '../../../transport/gateway/index.ts';
 import type { RequestAttempt } from './RequestAttempt.ts';
 
 const EMPTY_BODY = Buffer.alloc(0);
--- a/src/app/gateway/EndpointAttempt.ts
+++ b/src/app/gateway/request/EndpointAttempt.ts
@@ -1,18 +1,18 @@
-import type { DecodedResponseHeaders } from '../../protocol/gateway/index.ts';
-import { limitPromptParts, type PlacementResult } from '../../protocol/peer/GatewayMessages.ts';
-import { endpointStartOf, type EndpointRecord } from '../../state/gateway/index.ts';
+import type { DecodedResponseHeaders } from '../../../protocol/gateway/index.ts';
+import { limitPromptParts, type PlacementResult } from '../../../protocol/peer/GatewayMessages.ts';
+import { endpointStartOf, type EndpointRecord } from '../../../state/gateway/index.ts';
 import {
   exchange,
   type AnswerFraming,
   type Exchange,
   type ExchangeEvent,
-} from '../../transport/http/index.ts';
+} from '../../../transport/http/index.ts';
 import { AnswerReader, type ReadOutcome } from './AnswerReader.ts';
-import type { CrashFinding } from './CrashDetector.ts';
-import type { GatewayContext } from './GatewayContext.ts';
+import type { CrashFinding } from '../crashes/CrashDetector.ts';
+import type { GatewayContext } from '../GatewayContext.ts';
 import type { AttemptEvent, RequestAttempt } from './RequestAttempt.ts';
 import type { RoutedRequest } from './RoutedRequest.ts';
-import type { ViewAge } from './StoreSubscription.ts';
+import type { ViewAge } from '../following/StoreSubscription.ts';
 
 /** Request, endpoint and time limit of an attempt. */
 export interface EndpointAttemptOptions {
--- a/src/app/gateway/RequestAttempt.ts
+++ b/src/app/gateway/request/RequestAttempt.ts
@@ -1,5 +1,5 @@
-import type { AnswerFraming } from '../../transport/http/index.ts';
-import type { ViewAge } from './StoreSubscription.ts';
+import type { AnswerFraming } from '../../../transport/http/index.ts';
+import type { ViewAge } from '../following/StoreSubscription.ts';
 
 /**
  * Progress of an attempt, in order; `streamEnded`, `answered`, `notRun`, `broken` or `unserved` is the last
--- a/src/app/gateway/RequestEndpoints.ts
+++ b/src/app/gateway/request/RequestEndpoints.ts
@@ -1,8 +1,8 @@
-import type { PlainCandidates, PlainSelection } from '../../coordination/gateway/index.ts';
-import type { PlacementTicket } from '../../protocol/peer/GatewayMessages.ts';
-import type { EndpointRecord } from '../../state/gateway/index.ts';
-import type { GatewayContext } from './GatewayContext.ts';
-import type { PlacementAnswer } from './LocalTickets.ts';
+import type { PlainCandidates, PlainSelection } from '../../../coordination/gateway/index.ts';
+import type { PlacementTicket } from '../../../protocol/peer/GatewayMessages.ts';
+import type { EndpointRecord } from '../../../state/gateway/index.ts';
+import type { GatewayContext } from '../GatewayContext.ts';
+import type { PlacementAnswer } from '../placement/LocalTickets.ts';
 import type { RoutedRequest } from './RoutedRequest.ts';
 
 /** The endpoints that one request may be sent to. */
--- a/src/app/gateway/RequestRetries.ts
+++ b/src/app/gateway/request/RequestRetries.ts
@@ -1,4 +1,4 @@
-import type { GatewayContext } from './GatewayContext.ts';
+import type { GatewayContext } from '../GatewayContext.ts';
 import type { RoutedRequest } from './RoutedRequest.ts';
 
 /** Counts the executions of one request, and decides whether another one is allowed. */
--- a/src/app/gateway/RoutedRequest.ts
+++ b/src/app/gateway/request/RoutedRequest.ts
@@ -1,6 +1,6 @@
-import type { DecodedRequestHeaders, ForwardEnvelope } from '../../protocol/gateway/index.ts';
-import type { Account, Route, Service } from '../../state/gateway/index.ts';
-import type { InboundRequest } from '../../transport/gateway/index.ts';
+import type { DecodedRequestHeaders, ForwardEnvelope } from '../../../protocol/gateway/index.ts';
+import type { Account, Route, Service } from '../../../state/gateway/index.ts';
+import type { InboundRequest } from '../../../transport/gateway/index.ts';
 
 /** A request with the route, client account and service that the configuration gives it. */
 export interface RoutedRequest {
--- a/src/app/gateway/logRequestEnd.ts
+++ b/src/app/gateway/request/logRequestEnd.ts
@@ -1,7 +1,7 @@
 import type { Logger } from 'pino';
 import type { RequestAttempt } from './RequestAttempt.ts';
 import type { RoutedRequest } from './RoutedRequest.ts';
-import type { ViewAge } from './StoreSubscription.ts';
+import type { ViewAge } from '../following/StoreSubscription.ts';
 
 /** How a request ended, as logs and metrics state it. */
 export type RequestOutcome =
--- a/src/app/gateway/runGateway.ts
+++ b/src/app/gateway/runGateway.ts
@@ -24,20 +24,20 @@
 import { makePeerNetwork } from '../../transport/peer/index.ts';
 import { startStatusServers } from './startStatusServers.ts';
 import { drainGateway } from './drainGateway.ts';
-import { EndpointLimitMonitor } from './EndpointLimitMonitor.ts';
-import { CrashDetector } from './CrashDetector.ts';
-import { CrashMonitor } from './CrashMonitor.ts';
+import { EndpointLimitMonitor } from './placement/EndpointLimitMonitor.ts';
+import { CrashDetector } from './crashes/CrashDetector.ts';
+import { CrashMonitor } from './crashes/CrashMonitor.ts';
 import { Gateway } from './Gateway.ts';
 import type { GatewayLog } from './GatewayLog.ts';
-import { ExclusionMonitor } from './ExclusionMonitor.ts';
+import { ExclusionMonitor } from './reach/ExclusionMonitor.ts';
 import { GatewayMetrics } from './GatewayMetrics.ts';
 import { makeIncarnation } from './makeIncarnation.ts';
-import { PeerForwarder } from './PeerForwarder.ts';
+import { PeerForwarder } from './reach/PeerForwarder.ts';
 import { PeerGroup } from './PeerGroup.ts';
-import { PlacementCoordinator } from './PlacementCoordinator.ts';
-import { ReachMonitor } from './ReachMonitor.ts';
-import { receiveForwarded } from './receiveForwarded.ts';
-import { StoreSubscription } from './StoreSubscription.ts';
+import { PlacementCoordinator } from './placement/PlacementCoordinator.ts';
+import { ReachMonitor } from './reach/ReachMonitor.ts';
+import { receiveForwarded } from './reach/receiveForwarded.ts';
+import { StoreSubscription } from './following/StoreSubscription.ts';
 
 /** Settings, platform adapters and log of a gateway process. */
 export interface GatewayOptions {
--- a/src/app/gateway/startStatusServers.ts
+++ b/src/app/gateway/startStatusServers.ts
@@ -3,15 +3,15 @@
 import type { EndpointDirectory, EndpointLimits } from '../../coordination/gateway/index.ts';
 import { makePlainServer, type PlainAnswer } from '../../transport/gateway/index.ts';
 import { listAddressesForCallers } from './listAddressesForCallers.ts';
-import type { CrashMonitor } from './CrashMonitor.ts';
-import type { ExclusionMonitor } from './ExclusionMonitor.ts';
+import type { CrashMonitor } from './crashes/CrashMonitor.ts';
+import type { ExclusionMonitor } from './reach/ExclusionMonitor.ts';
 import type { Gateway } from './Gateway.ts';
 import type { GatewayMetrics } from './GatewayMetrics.ts';
 import type { PeerGroup } from './PeerGroup.ts';
-import type { PlacementCoordinator } from './PlacementCoordinator.ts';
-import type { ReachMonitor } from './ReachMonitor.ts';
+import type { PlacementCoordinator } from './placement/PlacementCoordinator.ts';
+import type { ReachMonitor } from './reach/ReachMonitor.ts';
 import type { GatewayOptions } from './runGateway.ts';
-import type { StoreSubscription } from './StoreSubscription.ts';
+import type { StoreSubscription } from './following/StoreSubscription.ts';
 
 /** Components whose status is served, and the addresses and paths of the servers. */
 export interface StatusSources extends Pick<
--- a/src/coordination/gateway/CrashQuarantine.ts
+++ b/src/coordination/gateway/crashes/CrashQuarantine.ts
@@ -1,4 +1,4 @@
-import type { QuarantinedPart } from '../../protocol/peer/GatewayMessages.ts';
+import type { QuarantinedPart } from '../../../protocol/peer/GatewayMessages.ts';
 
 /** What became of a request under the quarantine. */
 export type QuarantineDecision =
--- a/src/coordination/gateway/ChangeLog.ts
+++ b/src/coordination/gateway/following/ChangeLog.ts
@@ -1,4 +1,4 @@
-import type { StoreChange } from '../../protocol/gateway/index.ts';
+import type { StoreChange } from '../../../protocol/gateway/index.ts';
 
 /** Changes that complete a view from one store revision to another. */
 export interface ChangeSpan {
--- a/src/coordination/gateway/EndpointDirectory.test.ts
+++ b/src/coordination/gateway/following/EndpointDirectory.test.ts
@@ -1,6 +1,6 @@
 import { describe, it } from 'node:test';
 import { expect } from 'earl';
-import type { EndpointRecord } from '../../state/gateway/index.ts';
+import type { EndpointRecord } from '../../../state/gateway/index.ts';
 import { EndpointDirectory } from './EndpointDirectory.ts';
 
 const record = (id: string, more: Partial<EndpointRecord> = {}): EndpointRecord => ({
--- a/src/coordination/gateway/EndpointDirectory.ts
+++ b/src/coordination/gateway/following/EndpointDirectory.ts
@@ -1,4 +1,4 @@
-import type { EndpointRecord } from '../../state/gateway/index.ts';
+import type { EndpointRecord } from '../../../state/gateway/index.ts';
 
 /**
  * Time after an outage of the store in which missing entries are kept. Entries that expired during
--- a/src/coordination/gateway/ObjectRevisions.ts
+++ b/src/coordination/gateway/following/ObjectRevisions.ts
@@ -1,4 +1,4 @@
-import type { StoreChange, StoreObject } from '../../protocol/gateway/index.ts';
+import type { StoreChange, StoreObject } from '../../../protocol/gateway/index.ts';
 
 /** Removed objects that are remembered, so that an older state of theirs isn't taken for a new object. */
 const MAXIMUM_REMOVED = 4_096;
--- a/src/coordination/gateway/ViewFreshness.ts
+++ b/src/coordination/gateway/following/ViewFreshness.ts
@@ -1,4 +1,4 @@
-import type { WatchedKind } from '../../protocol/peer/GatewayMessages.ts';
+import type { WatchedKind } from '../../../protocol/peer/GatewayMessages.ts';
 
 /** How the store's word reached this process: in an answer to a call of its own, or through a peer. */
 export type ConfirmationPath = 'call' | 'peer';
--- a/src/coordination/gateway/index.ts
+++ b/src/coordination/gateway/index.ts
@@ -1,39 +1,39 @@
-export { ChangeLog } from './ChangeLog.ts';
-export type { ChangeSpan } from './ChangeLog.ts';
-export { chooseForwardPeer } from './chooseForwardPeer.ts';
-export { CallerRetryDetector } from './CallerRetryDetector.ts';
-export { CrashAttribution } from './CrashAttribution.ts';
-export type { CrashCulprit, CrashedRun } from './CrashAttribution.ts';
-export { EndpointAvailability } from './EndpointAvailability.ts';
-export { EndpointDirectory, EXPIRY_OUTAGE_MS } from './EndpointDirectory.ts';
-export type { EndpointChange } from './EndpointDirectory.ts';
-export { EndpointExclusions } from './EndpointExclusions.ts';
-export type { EndpointExclusion } from './EndpointExclusions.ts';
-export { EndpointLimits } from './EndpointLimits.ts';
-export type { LimitObservation } from './EndpointLimits.ts';
-export { EndpointReach, SILENCE_MS } from './EndpointReach.ts';
-export type { ReachChange } from './EndpointReach.ts';
-export { EngineSpeed } from './EngineSpeed.ts';
-export { pickService } from './pickService.ts';
-export { CrashQuarantine } from './CrashQuarantine.ts';
-export type { QuarantineDecision } from './CrashQuarantine.ts';
-export { ObjectRevisions } from './ObjectRevisions.ts';
-export { PlainEndpointSelector } from './PlainEndpointSelector.ts';
-export type { PlainCandidates, PlainSelection } from './PlainEndpointSelector.ts';
-export { PlainServiceBalancer } from './PlainServiceBalancer.ts';
-export { PlacementScheduler } from './PlacementScheduler.ts';
-export type { PlacementDecision } from './PlacementScheduler.ts';
-export { QuotaLimiter } from './QuotaLimiter.ts';
-export { RelianceMonitor, isBehind } from './RelianceMonitor.ts';
-export type { KnownRevisions } from './RelianceMonitor.ts';
-export { ViewFreshness } from './ViewFreshness.ts';
-export type { Confirmation, ConfirmationPath } from './ViewFreshness.ts';
-export { RequestCrashAttribution } from './RequestCrashAttribution.ts';
-export { RetryBudget } from './RetryBudget.ts';
-export { storeRetryDelay } from './storeRetryDelay.ts';
-export { RouteIndex } from './RouteIndex.ts';
-export type { RouteMatch } from './RouteIndex.ts';
-export { RelayedRevisions } from './RelayedRevisions.ts';
+export { ChangeLog } from './following/ChangeLog.ts';
+export type { ChangeSpan } from './following/ChangeLog.ts';
+export { chooseForwardPeer } from './reach/chooseForwardPeer.ts';
+export { CallerRetryDetector } from './routing/CallerRetryDetector.ts';
+export { CrashAttribution } from './crashes/CrashAttribution.ts';
+export type { CrashCulprit, CrashedRun } from './crashes/CrashAttribution.ts';
+export { EndpointAvailability } from './placement/EndpointAvailability.ts';
+export { EndpointDirectory, EXPIRY_OUTAGE_MS } from './following/EndpointDirectory.ts';
+export type { EndpointChange } from './following/EndpointDirectory.ts';
+export { EndpointExclusions } from './reach/EndpointExclusions.ts';
+export type { EndpointExclusion } from './reach/EndpointExclusions.ts';
+export { EndpointLimits } from './limits/EndpointLimits.ts';
+export type { LimitObservation } from './limits/EndpointLimits.ts';
+export { EndpointReach, SILENCE_MS } from './reach/EndpointReach.ts';
+export type { ReachChange } from './reach/EndpointReach.ts';
+export { EngineSpeed } from './placement/EngineSpeed.ts';
+export { pickService } from './routing/pickService.ts';
+export { CrashQuarantine } from './crashes/CrashQuarantine.ts';
+export type { QuarantineDecision } from './crashes/CrashQuarantine.ts';
+export { ObjectRevisions } from './following/ObjectRevisions.ts';
+export { PlainEndpointSelector } from './placement/PlainEndpointSelector.ts';
+export type { PlainCandidates, PlainSelection } from './placement/PlainEndpointSelector.ts';
+export { PlainServiceBalancer } from './placement/PlainServiceBalancer.ts';
+export { PlacementScheduler } from './placement/PlacementScheduler.ts';
+export type { PlacementDecision } from './placement/PlacementScheduler.ts';
+export { QuotaLimiter } from './limits/QuotaLimiter.ts';
+export { RelianceMonitor, isBehind } from './following/RelianceMonitor.ts';
+export type { KnownRevisions } from './following/RelianceMonitor.ts';
+export { ViewFreshness } from './following/ViewFreshness.ts';
+export type { Confirmation, ConfirmationPath } from './following/ViewFreshness.ts';
+export { RequestCrashAttribution } from './crashes/RequestCrashAttribution.ts';
+export { RetryBudget } from './limits/RetryBudget.ts';
+export { storeRetryDelay } from './following/storeRetryDelay.ts';
+export { RouteIndex } from './routing/RouteIndex.ts';
+export type { RouteMatch } from './routing/RouteIndex.ts';
+export { RelayedRevisions } from './following/RelayedRevisions.ts';
 export {
   CATCH_UP_WAIT_MS,
   CONNECT_TIMEOUT_MS,
@@ -41,4 +41,4 @@
   WATCH_ANSWER_MS,
   WATCH_WAIT_MS,
   relianceMs,
-} from './viewTiming.ts';
+} from './following/viewTiming.ts';
--- a/src/coordination/gateway/EndpointLimits.ts
+++ b/src/coordination/gateway/limits/EndpointLimits.ts
@@ -1,4 +1,4 @@
-import { TokenBucket } from '../limits/TokenBucket.ts';
+import { TokenBucket } from '../../limits/TokenBucket.ts';
 import { RejectionGuard } from './RejectionGuard.ts';
 
 /** What one answer said about the requests that its endpoint bears. */
--- a/src/coordination/gateway/QuotaLimiter.test.ts
+++ b/src/coordination/gateway/limits/QuotaLimiter.test.ts
@@ -1,6 +1,6 @@
 import { describe, it } from 'node:test';
 import { expect } from 'earl';
-import type { Account } from '../../state/gateway/index.ts';
+import type { Account } from '../../../state/gateway/index.ts';
 import { QuotaLimiter } from './QuotaLimiter.ts';
 
 const BOUNDS = { windowMs: 8_000, overshoot: 0.1, slack: 10_000 };
--- a/src/coordination/gateway/QuotaLimiter.ts
+++ b/src/coordination/gateway/limits/QuotaLimiter.ts
@@ -1,5 +1,5 @@
-import type { Account } from '../../state/gateway/index.ts';
-import { TokenBucket } from '../limits/TokenBucket.ts';
+import type { Account } from '../../../state/gateway/index.ts';
+import { TokenBucket } from '../../limits/TokenBucket.ts';
 
 /** Bounds of quota use over all processes together. */
 export interface QuotaBounds {
--- a/src/coordination/gateway/EndpointAvailability.ts
+++ b/src/coordination/gateway/placement/EndpointAvailability.ts
@@ -1,4 +1,4 @@
-import type { PlacementResult } from '../../protocol/peer/GatewayMessages.ts';
+import type { PlacementResult } from '../../../protocol/peer/GatewayMessages.ts';
 
 /** Backoff after the first failed connection; doubles with each consecutive one. */
 const INITIAL_UNREACHABLE_BACKOFF_MS = 400;
--- a/src/coordination/gateway/EngineGroup.ts
+++ b/src/coordination/gateway/placement/EngineGroup.ts
@@ -1,4 +1,4 @@
-import type { PlacementTicket } from '../../protocol/peer/GatewayMessages.ts';
+import type { PlacementTicket } from '../../../protocol/peer/GatewayMessages.ts';
 import { estimateFirstTokenMs } from './EngineSpeed.ts';
 import type { EngineLoad } from './EngineLoad.ts';
 
--- a/src/coordination/gateway/EngineLoad.ts
+++ b/src/coordination/gateway/placement/EngineLoad.ts
@@ -1,5 +1,5 @@
-import type { PlacementTicket } from '../../protocol/peer/GatewayMessages.ts';
-import type { EndpointRecord } from '../../state/gateway/index.ts';
+import type { PlacementTicket } from '../../../protocol/peer/GatewayMessages.ts';
+import type { EndpointRecord } from '../../../state/gateway/index.ts';
 import { EndpointAvailability } from './EndpointAvailability.ts';
 import { EngineSpeed } from './EngineSpeed.ts';
 
--- a/src/coordination/gateway/EngineSpeed.ts
+++ b/src/coordination/gateway/placement/EngineSpeed.ts
@@ -1,4 +1,4 @@
-import { RunningLogMean } from '../scheduling/RunningLogMean.ts';
+import { RunningLogMean } from '../../scheduling/RunningLogMean.ts';
 
 /** Assumed speeds until the first samples, which replace them within a few requests. */
 const DEFAULT_PREFILL_MS_PER_TOKEN = 0.02;
--- a/src/coordination/gateway/PlacementScheduler.ts
+++ b/src/coordination/gateway/placement/PlacementScheduler.ts
@@ -3,10 +3,10 @@
   PlacementRefusalReason,
   PlacementResult,
   PlacementTicket,
-} from '../../protocol/peer/GatewayMessages.ts';
-import { endpointStartOf, type EndpointRecord } from '../../state/gateway/index.ts';
+} from '../../../protocol/peer/GatewayMessages.ts';
+import { endpointStartOf, type EndpointRecord } from '../../../state/gateway/index.ts';
 import { adviseRetryAfter } from './adviseRetryAfter.ts';
-import { EndpointLimits } from './EndpointLimits.ts';
+import { EndpointLimits } from '../limits/EndpointLimits.ts';
 import { EngineGroup } from './EngineGroup.ts';
 import { EngineLoad, type RunningPlacement } from './EngineLoad.ts';
 import { orderQueue, fairnessGroup, type WaitingPlacement } from './orderQueue.ts';
--- a/src/coordination/gateway/PlainEndpointSelector.test.ts
+++ b/src/coordination/gateway/placement/PlainEndpointSelector.test.ts
@@ -1,7 +1,7 @@
 import { describe, it } from 'node:test';
 import { expect } from 'earl';
-import type { EndpointRecord } from '../../state/gateway/index.ts';
-import { EndpointLimits } from './EndpointLimits.ts';
+import type { EndpointRecord } from '../../../state/gateway/index.ts';
+import { EndpointLimits } from '../limits/EndpointLimits.ts';
 import { PlainEndpointSelector } from './PlainEndpointSelector.ts';
 import { PlainServiceBalancer } from './PlainServiceBalancer.ts';
 
--- a/src/coordination/gateway/PlainEndpointSelector.ts
+++ b/src/coordination/gateway/placement/PlainEndpointSelector.ts
@@ -1,5 +1,5 @@
-import { endpointStartOf, type EndpointRecord } from '../../state/gateway/index.ts';
-import type { EndpointLimits } from './EndpointLimits.ts';
+import { endpointStartOf, type EndpointRecord } from '../../../state/gateway/index.ts';
+import type { EndpointLimits } from '../limits/EndpointLimits.ts';
 import type { PlainServiceBalancer } from './PlainServiceBalancer.ts';
 
 /** How a request of a plain service gets its endpoint. */
--- a/src/coordination/gateway/PlainServiceBalancer.ts
+++ b/src/coordination/gateway/placement/PlainServiceBalancer.ts
@@ -1,5 +1,5 @@
-import type { EndpointRecord } from '../../state/gateway/index.ts';
-import type { PlacementResult } from '../../protocol/peer/GatewayMessages.ts';
+import type { EndpointRecord } from '../../../state/gateway/index.ts';
+import type { PlacementResult } from '../../../protocol/peer/GatewayMessages.ts';
 import { EndpointAvailability } from './EndpointAvailability.ts';
 import { preferHealthy } from './preferHealthy.ts';
 
--- a/src/coordination/gateway/RouteMeanSizes.ts
+++ b/src/coordination/gateway/placement/RouteMeanSizes.ts
@@ -1,4 +1,4 @@
-import type { PlacementTicket } from '../../protocol/peer/GatewayMessages.ts';
+import type { PlacementTicket } from '../../../protocol/peer/GatewayMessages.ts';
 
 /** Decoding an output token takes about as long as the prefill of this many prompt tokens. */
 const PROMPT_TOKENS_PER_OUTPUT_TOKEN = 10;
--- a/src/coordination/gateway/adviseRetryAfter.ts
+++ b/src/coordination/gateway/placement/adviseRetryAfter.ts
@@ -1,4 +1,4 @@
-import { computeRetryAfterMs } from '../scheduling/computeRetryAfterMs.ts';
+import { computeRetryAfterMs } from '../../scheduling/computeRetryAfterMs.ts';
 
 /** Assumed duration of the congestion if no recent request of a fairness group got a slot. */
 const MAXIMUM_CONGESTION_MS = 8_000;
--- a/src/coordination/gateway/chooseEngine.ts
+++ b/src/coordination/gateway/placement/chooseEngine.ts
@@ -1,4 +1,4 @@
-import type { PlacementTicket } from '../../protocol/peer/GatewayMessages.ts';
+import type { PlacementTicket } from '../../../protocol/peer/GatewayMessages.ts';
 import type { EngineLoad } from './EngineLoad.ts';
 
 /** An engine with its expected times for one request. */
--- a/src/coordination/gateway/msUntilIncluded.ts
+++ b/src/coordination/gateway/placement/msUntilIncluded.ts
@@ -1,4 +1,4 @@
-import type { PlacementTicket } from '../../protocol/peer/GatewayMessages.ts';
+import type { PlacementTicket } from '../../../protocol/peer/GatewayMessages.ts';
 
 /**
  * Returns the time for which a ticket excludes an endpoint.
--- a/src/coordination/gateway/orderQueue.ts
+++ b/src/coordination/gateway/placement/orderQueue.ts
@@ -1,4 +1,4 @@
-import type { PlacementTicket } from '../../protocol/peer/GatewayMessages.ts';
+import type { PlacementTicket } from '../../../protocol/peer/GatewayMessages.ts';
 import type { EngineGroup } from './EngineGroup.ts';
 import type { RouteMeanSizes } from './RouteMeanSizes.ts';
 import type { GrantRatios } from './GrantRatios.ts';
--- a/src/coordination/gateway/routingAndPlacement.test.ts
+++ b/src/coordination/gateway/placement/routingAndPlacement.test.ts
@@ -1,15 +1,15 @@
 import { describe, it } from 'node:test';
 import { expect } from 'earl';
-import type { PlacementTicket } from '../../protocol/peer/GatewayMessages.ts';
-import type { EndpointRecord, Route, RouteTable } from '../../state/gateway/index.ts';
+import type { PlacementTicket } from '../../../protocol/peer/GatewayMessages.ts';
+import type { EndpointRecord, Route, RouteTable } from '../../../state/gateway/index.ts';
 import { adviseRetryAfter } from './adviseRetryAfter.ts';
-import { CallerRetryDetector } from './CallerRetryDetector.ts';
-import { pickService } from './pickService.ts';
-import { EndpointLimits } from './EndpointLimits.ts';
+import { CallerRetryDetector } from '../routing/CallerRetryDetector.ts';
+import { pickService } from '../routing/pickService.ts';
+import { EndpointLimits } from '../limits/EndpointLimits.ts';
 import { PlacementScheduler } from './PlacementScheduler.ts';
 import { PlainServiceBalancer } from './PlainServiceBalancer.ts';
-import { RetryBudget } from './RetryBudget.ts';
-import { RouteIndex } from './RouteIndex.ts';
+import { RetryBudget } from '../limits/RetryBudget.ts';
+import { RouteIndex } from '../routing/RouteIndex.ts';
 
 const route = (name: string, pathPrefix: string, more: Partial<Route> = {}): Route => ({
   name,
--- a/src/coordination/gateway/EndpointReach.test.ts
+++ b/src/coordination/gateway/reach/EndpointReach.test.ts
@@ -1,7 +1,7 @@
 import { describe, it } from 'node:test';
 import { expect } from 'earl';
-import type { EndpointRecord } from '../../state/gateway/index.ts';
-import type { Member } from '../../state/Member.ts';
+import type { EndpointRecord } from '../../../state/gateway/index.ts';
+import type { Member } from '../../../state/Member.ts';
 import { chooseForwardPeer } from './chooseForwardPeer.ts';
 import { EndpointReach } from './EndpointReach.ts';
 
--- a/src/coordination/gateway/EndpointReach.ts
+++ b/src/coordination/gateway/reach/EndpointReach.ts
@@ -1,4 +1,4 @@
-import type { EndpointRecord } from '../../state/gateway/index.ts';
+import type { EndpointRecord } from '../../../state/gateway/index.ts';
 
 /** What a check of this gateway's connections changed. */
 export type ReachChange = 'none' | 'isolated' | 'regained';
--- a/src/coordination/gateway/chooseForwardPeer.ts
+++ b/src/coordination/gateway/reach/chooseForwardPeer.ts
@@ -1,4 +1,4 @@
-import type { Member } from '../../state/Member.ts';
+import type { Member } from '../../../state/Member.ts';
 
 /** A member's cost relative to one of the same failure domain, for the traffic between domains. */
 const OTHER_DOMAIN_FACTOR = 2;
--- a/src/coordination/gateway/RouteIndex.ts
+++ b/src/coordination/gateway/routing/RouteIndex.ts
@@ -1,4 +1,4 @@
-import type { Account, Route, RouteTable, Service } from '../../state/gateway/index.ts';
+import type { Account, Route, RouteTable, Service } from '../../../state/gateway/index.ts';
 
 /** Result of matching a request to a route. */
 export type RouteMatch =
--- a/src/coordination/gateway/pickService.ts
+++ b/src/coordination/gateway/routing/pickService.ts
@@ -1,4 +1,4 @@
-import type { Route } from '../../state/gateway/index.ts';
+import type { Route } from '../../../state/gateway/index.ts';
 
 /**
  * Picks one of a route's services at random, in proportion to their weights.
--- a/test/replication/SimulatedGateway.ts
+++ b/test/replication/SimulatedGateway.ts
@@ -1,5 +1,5 @@
 import pino from 'pino';
-import { StoreSubscription } from '../../src/app/gateway/StoreSubscription.ts';
+import { StoreSubscription } from '../../src/app/gateway/following/StoreSubscription.ts';
 import { EndpointDirectory } from '../../src/coordination/gateway/index.ts';
 import type { ObjectStore } from '../../src/protocol/gateway/index.ts';
 import type { PeerMessage } from '../../src/protocol/peer/PeerMessage.ts';
