Play the loads of the wire desk and the image registry in virtual time

Cause: the load patterns had one customer without accounts and engines of other times, so that contention between callers could not be measured. A play states the share served, requests refused again, the worth of the accounts beside one that sends more than usual, and the account, kind and size group that is served least. A refusal that was held costs up to the full value, as docs/design/hard-load.md has it (half of it before), so netWorth isn't comparable with earlier figures.

--- a/test/load/EngineModel.ts
+++ b/test/load/EngineModel.ts
@@ -5,10 +5,22 @@
   readonly outputTokens: number;
 }
 
+/** Times of an engine of slowness 1. */
+export interface EngineCalibration {
+  /** Time of a step that makes one token for each running request, without the part of each. */
+  readonly stepMs: number;
+  readonly stepMsPerRequest: number;
+  readonly promptTokensPerMs: number;
+  /** Prompt tokens that one step processes at most. */
+  readonly chunkTokens: number;
+}
+
 /** How fast an engine is; times are multiplied by `slowness`. */
 export interface EngineShape {
   readonly slots: number;
   readonly slowness: number;
+  /** The brokerage's unless given. */
+  readonly calibration?: EngineCalibration;
   /** A time in which the engine does nothing with what it gets, and says so at once. */
   readonly fault?: {
     readonly outcome: 'failed' | 'turnedAway';
@@ -35,18 +47,26 @@
   made: number;
 }
 
-/** Time of a step that makes one token for each running request. */
-const STEP_MS = 3.88;
-const STEP_MS_PER_REQUEST = 0.0276;
-const READ_TOKENS_PER_MS = 66.2;
-/** Prompt tokens that one step reads at most. */
-const CHUNK_TOKENS = 4_096;
+/** Times of the brokerage's engines. */
+const BROKERAGE_CALIBRATION: EngineCalibration = {
+  stepMs: 3.88,
+  stepMsPerRequest: 0.0276,
+  promptTokensPerMs: 66.2,
+  chunkTokens: 4_096,
+};
+
+/** Returns the times of an engine before they are multiplied by its slowness. */
+export const calibrationOf = ({ calibration }: EngineShape): EngineCalibration =>
+  calibration ?? BROKERAGE_CALIBRATION;
+
 const FIRST_TOKEN_MS = 12;
 
 /** An engine with continuous batching: prompts are read in chunks between the tokens of other requests. */
 export class EngineModel {
   readonly #shape: EngineShape;
 
+  readonly #calibration: EngineCalibration;
+
   readonly #listener: EngineListener;
 
   readonly #running: Running[] = [];
@@ -58,6 +78,7 @@
 
   constructor(shape: EngineShape, listener: EngineListener) {
     this.#shape = shape;
+    this.#calibration = calibrationOf(shape);
     this.#listener = listener;
   }
 
@@ -101,9 +122,10 @@
       this.nextAt = undefined;
       return;
     }
-    const readMs = this.#read() / READ_TOKENS_PER_MS;
-    const stepMs = STEP_MS + STEP_MS_PER_REQUEST * this.#running.length;
-    this.nextAt = now + (stepMs + readMs) * this.#shape.slowness;
+    const { stepMs, stepMsPerRequest, promptTokensPerMs } = this.#calibration;
+    const readMs = this.#read() / promptTokensPerMs;
+    const decodeMs = stepMs + stepMsPerRequest * this.#running.length;
+    this.nextAt = now + (decodeMs + readMs) * this.#shape.slowness;
   }
 
   #admit(): void {
@@ -115,14 +137,15 @@
   }
 
   #read(): number {
-    let budget = CHUNK_TOKENS;
+    const { chunkTokens } = this.#calibration;
+    let budget = chunkTokens;
     this.#running.forEach((running) => {
       const entry = running;
       const part = Math.min(budget, entry.unread);
       entry.unread -= part;
       budget -= part;
     });
-    return CHUNK_TOKENS - budget;
+    return chunkTokens - budget;
   }
 
   #makeTokens(now: number): void {
--- a/test/load/boundOf.ts
+++ b/test/load/boundOf.ts
@@ -1,14 +1,14 @@
-import type { EngineShape } from './EngineModel.ts';
+import { calibrationOf, type EngineShape } from './EngineModel.ts';
 import type { LoadRequest } from './loadPattern.ts';
 
-const READ_TOKENS_PER_MS = 66.2;
-const STEP_MS = 3.88;
-const STEP_MS_PER_REQUEST = 0.0276;
-
 /** Time that a request takes of an engine of slowness 1 whose batch is full. */
-const engineMs = ({ promptTokens, outputTokens }: LoadRequest, slots: number): number =>
-  promptTokens / READ_TOKENS_PER_MS +
-  (outputTokens * (STEP_MS + STEP_MS_PER_REQUEST * slots)) / slots;
+const engineMs = ({ promptTokens, outputTokens }: LoadRequest, engine: EngineShape): number => {
+  const { stepMs, stepMsPerRequest, promptTokensPerMs } = calibrationOf(engine);
+  return (
+    promptTokens / promptTokensPerMs +
+    (outputTokens * (stepMs + stepMsPerRequest * engine.slots)) / engine.slots
+  );
+};
 
 /**
  * Gives a bound on the worth that any schedule of the load can earn, one that knows all lengths and
@@ -25,7 +25,8 @@
   engines: readonly EngineShape[],
   durationMs: number,
 ): number => {
-  const slots = engines[0]?.slots ?? 1;
+  const [engine] = engines;
+  if (engine === undefined) return 0;
   // The last requests may end after the last has come.
   const latestMs = Math.max(...load.map(({ kind }) => kind.targetMs));
   const capacity = engines.reduce(
@@ -35,7 +36,7 @@
   const items = load
     .map((request) => ({
       worth: request.kind.worth * request.weight,
-      ms: engineMs(request, slots),
+      ms: engineMs(request, engine),
     }))
     .sort((a, b) => b.worth / b.ms - a.worth / a.ms);
   let left = capacity;
--- a/test/load/loadPattern.ts
+++ b/test/load/loadPattern.ts
@@ -16,14 +16,44 @@
   readonly deadlineMs: number;
   readonly worth: number;
   readonly lateWorth: number;
+  /** Longest pause between events of an answer that is on time; `LONGEST_PAUSE_MS` unless given. */
+  readonly pauseMs?: number;
+  /** Tokens that one event holds; 5 unless given. */
+  readonly tokensPerEvent?: number;
+  /** Time without an event after which the caller disconnects; the deadline unless given. */
+  readonly silenceMs?: number;
 }
 
-/** A time in which some or all kinds come more often. */
+/** A client account with its part of the requests. */
+export interface LoadAccount {
+  readonly name: string;
+  /** Part of all requests while no burst raises it; the parts of all accounts add up to 1. */
+  readonly share: number;
+  /** Quota relative to that of the other accounts. */
+  readonly quota: number;
+}
+
+/** Waves in which each failure domain's rate rises and falls, out of phase with the others. */
+export interface LoadWaves {
+  readonly domains: number;
+  /** Largest deviation from the mean rate of a domain, as a part of it. */
+  readonly amplitude: number;
+  readonly periodMs: number;
+}
+
+/** What a pattern has besides kinds and bursts. */
+export interface LoadTraffic {
+  readonly accounts?: readonly LoadAccount[];
+  readonly waves?: LoadWaves;
+}
+
+/** A time in which some or all kinds, or one account's requests, come more often. */
 export interface LoadBurst {
   readonly fromMs: number;
   readonly toMs: number;
   readonly factor: number;
   readonly kind?: string;
+  readonly account?: string;
 }
 
 /** A request of a pattern. */
@@ -39,6 +69,7 @@
   readonly patienceMs: number;
   /** Share of the kind's worth, by size. */
   readonly weight: number;
+  readonly account?: LoadAccount;
 }
 
 const HINT_SPREAD = 0.5;
@@ -110,13 +141,57 @@
     Math.min(most, Math.round(mean * Math.exp(spread * normal(random) - spread ** 2 / 2))),
   );
 
-const rateAt = (kind: RequestKind, bursts: readonly LoadBurst[], at: number): number =>
-  bursts
-    .filter(
-      ({ fromMs, toMs, kind: name }) =>
-        at >= fromMs && at < toMs && (name ?? kind.name) === kind.name,
-    )
-    .reduce((rate, { factor }) => rate * factor, kind.perSecond);
+const isDuring = ({ fromMs, toMs }: LoadBurst, at: number): boolean => at >= fromMs && at < toMs;
+
+const product = (bursts: readonly LoadBurst[]): number =>
+  bursts.reduce((rate, { factor }) => rate * factor, 1);
+
+/** Share of an account relative to the usual rate of all, raised by its bursts. */
+const shareAt = ({ name, share }: LoadAccount, bursts: readonly LoadBurst[], at: number): number =>
+  share * product(bursts.filter((burst) => burst.account === name && isDuring(burst, at)));
+
+/** Rate relative to the mean of the waves. */
+const waveAt = (waves: LoadWaves | undefined, phases: readonly number[], at: number): number =>
+  waves === undefined
+    ? 1
+    : phases.reduce(
+        (sum, phase) =>
+          sum + 1 + waves.amplitude * Math.sin(2 * Math.PI * (at / waves.periodMs + phase)),
+        0,
+      ) / phases.length;
+
+const rateAt = (
+  kind: RequestKind,
+  bursts: readonly LoadBurst[],
+  accounts: readonly LoadAccount[],
+  at: number,
+): number =>
+  kind.perSecond *
+  product(
+    bursts.filter(
+      (burst) =>
+        burst.account === undefined &&
+        (burst.kind ?? kind.name) === kind.name &&
+        isDuring(burst, at),
+    ),
+  ) *
+  (accounts.length === 0
+    ? 1
+    : accounts.reduce((sum, account) => sum + shareAt(account, bursts, at), 0));
+
+const pickAccount = (
+  accounts: readonly LoadAccount[],
+  bursts: readonly LoadBurst[],
+  at: number,
+  random: RandomGenerator,
+): LoadAccount | undefined => {
+  const shares = accounts.map((account) => shareAt(account, bursts, at));
+  let left = uniformFloat64(random) * shares.reduce((sum, share) => sum + share, 0);
+  return accounts.find((_, index) => {
+    left -= shares[index] ?? 0;
+    return left <= 0;
+  });
+};
 
 const makeRequest = (
   kind: RequestKind,
@@ -145,16 +220,22 @@
   durationMs: number,
   bursts: readonly LoadBurst[],
   random: RandomGenerator,
-): LoadRequest[] =>
-  kinds
+  { accounts = [], waves }: LoadTraffic = {},
+): LoadRequest[] => {
+  const phases = Array.from({ length: waves?.domains ?? 0 }, () => uniformFloat64(random));
+  return kinds
     .flatMap((kind) => {
       const requests: LoadRequest[] = [];
       let at = 0;
       while (at < durationMs) {
-        const rate = rateAt(kind, bursts, at);
+        const rate = rateAt(kind, bursts, accounts, at) * waveAt(waves, phases, at);
         at += (-Math.log(1 - uniformFloat64(random)) / rate) * 1_000;
-        requests.push(makeRequest(kind, requests.length, at, random));
+        const account =
+          accounts.length === 0 ? undefined : pickAccount(accounts, bursts, at, random);
+        const request = makeRequest(kind, requests.length, at, random);
+        requests.push(account === undefined ? request : { ...request, account });
       }
       return requests;
     })
     .sort((a, b) => a.at - b.at);
+};
--- a/test/load/main.ts
+++ b/test/load/main.ts
@@ -1,4 +1,6 @@
 // Prints what becomes of each pattern: `node --import tsx test/load/main.ts [SEEDS]`.
+import type { RequestKind } from './loadPattern.ts';
+import type { ServedRatio } from './LoadTally.ts';
 import { PATTERNS } from './patterns.ts';
 import { playLoad } from './playLoad.ts';
 
@@ -14,7 +16,14 @@
   console.log(
     `${name.padEnd(16)} worth ${round(mean(({ worth }) => worth))} bound ${round(mean(({ bound }) => bound))} net ${round(mean(({ netWorth }) => netWorth))} worst ${round(mean(({ worstWindow }) => worstWindow))} held ${mean(({ meanHeldMs }) => meanHeldMs).toFixed(0)} ms limits used ${round(mean(({ limitUse }) => limitUse))}`,
   );
-  pattern.kinds.forEach((kind) => {
+  const worst = (pick: (outcome: (typeof outcomes)[number]) => ServedRatio): string => {
+    const found = outcomes.map(pick).reduce((a, b) => (b.ratio < a.ratio ? b : a));
+    return `${round(found.ratio)} (${found.group}, mean ${round(mean((outcome) => pick(outcome).ratio))})`;
+  };
+  console.log(
+    `  served ${round(mean(({ served }) => served))} refused again ${round(mean(({ refusedAgain }) => refusedAgain))} neighbours ${round(mean(({ neighbours }) => neighbours))} least served account ${worst(({ worstAccount }) => worstAccount)} kind ${worst(({ worstKind }) => worstKind)} size ${worst(({ worstSize }) => worstSize)}`,
+  );
+  pattern.kinds.forEach((kind: RequestKind) => {
     const of = (
       pick: 'asked' | 'onTime' | 'late' | 'refusedAgain' | 'paused' | 'refused' | 'unfinished',
     ) => mean((outcome) => outcome.kinds.get(kind.name)?.[pick] ?? 0).toFixed(0);
--- a/test/load/patterns.test.ts
+++ b/test/load/patterns.test.ts
@@ -1,7 +1,8 @@
 import { describe, it } from 'node:test';
 import { expect } from 'earl';
 import { PATTERNS } from './patterns.ts';
-import { playLoad, type KindOutcome, type LoadOutcome, type LoadPlay } from './playLoad.ts';
+import type { KindOutcome } from './LoadTally.ts';
+import { playLoad, type LoadOutcome, type LoadPlay } from './playLoad.ts';
 
 const SEEDS = [1, 2, 3, 4];
 
--- a/test/load/patterns.ts
+++ b/test/load/patterns.ts
@@ -1,4 +1,5 @@
 import type { EngineShape } from './EngineModel.ts';
+import { IMAGE_REGISTRY, WIRE_DESK } from './customers.ts';
 import { BROKERAGE, type RequestKind } from './loadPattern.ts';
 import type { LoadPlay } from './playLoad.ts';
 
@@ -67,4 +68,44 @@
     durationMs: 30_000,
     bursts: [],
   },
+  /** The wire desk with waves and a burst of all kinds. */
+  wireDesk: {
+    ...WIRE_DESK,
+    durationMs: 30_000,
+    bursts: [{ fromMs: 8_000, toMs: 13_000, factor: 1.7 }],
+  },
+  /** The wire desk at more than its usual rates, and an account that sends five times its own. */
+  wireDeskHot: {
+    ...WIRE_DESK,
+    kinds: times(WIRE_DESK.kinds, 1.25),
+    durationMs: 30_000,
+    bursts: [
+      { fromMs: 6_000, toMs: 10_000, factor: 1.5 },
+      { fromMs: 14_000, toMs: 23_000, factor: 5, account: 'account-2' },
+    ],
+  },
+  /** The wire desk at nearly twice what its engines can do. */
+  wireDeskFull: {
+    ...WIRE_DESK,
+    kinds: times(WIRE_DESK.kinds, 1.7),
+    durationMs: 30_000,
+    bursts: [{ fromMs: 14_000, toMs: 23_000, factor: 4, account: 'account-1' }],
+  },
+  /** The image registry with waves, a burst of one kind and two accounts that send more than usual. */
+  registry: {
+    ...IMAGE_REGISTRY,
+    durationMs: 30_000,
+    bursts: [
+      { fromMs: 6_000, toMs: 11_000, factor: 2.2, kind: 'manifest-explain' },
+      { fromMs: 15_000, toMs: 23_000, factor: 4.5, account: 'account-1' },
+      { fromMs: 17_000, toMs: 24_000, factor: 5, account: 'account-4' },
+    ],
+  },
+  /** The image registry at more than its engines can do. */
+  registryFull: {
+    ...IMAGE_REGISTRY,
+    kinds: times(IMAGE_REGISTRY.kinds, 1.4),
+    durationMs: 30_000,
+    bursts: [{ fromMs: 10_000, toMs: 18_000, factor: 4, account: 'account-2' }],
+  },
 } satisfies Record<string, Omit<LoadPlay, 'seed'>>;
--- a/test/load/playLoad.ts
+++ b/test/load/playLoad.ts
@@ -13,11 +13,13 @@
   makeLoad,
   type LoadBurst,
   type LoadRequest,
+  type LoadTraffic,
   type RequestKind,
 } from './loadPattern.ts';
+import { LoadTally, type KindOutcome, type ServedRatio } from './LoadTally.ts';
 
 /** A pattern of load with the engines that it meets. */
-export interface LoadPlay {
+export interface LoadPlay extends LoadTraffic {
   readonly kinds: readonly RequestKind[];
   readonly engines: readonly EngineShape[];
   readonly durationMs: number;
@@ -25,24 +27,6 @@
   readonly seed: number;
 }
 
-/** What became of one kind's requests. */
-export interface KindOutcome {
-  asked: number;
-  onTime: number;
-  late: number;
-  refused: number;
-  unfinished: number;
-  /** Refused once more after they came back. */
-  refusedAgain: number;
-  /** Of the largest tenth by size. */
-  largeAsked: number;
-  largeServed: number;
-  /** Late only because of a pause. */
-  paused: number;
-  worth: number;
-  owed: number;
-}
-
 /** What became of a play. */
 export interface LoadOutcome {
   readonly kinds: ReadonlyMap<string, KindOutcome>;
@@ -58,6 +42,15 @@
   readonly meanHeldMs: number;
   /** Requests that engines got while they stated a limit, as a share of what it allowed. */
   readonly limitUse: number;
+  /** Share of the requests that got a whole answer. */
+  readonly served: number;
+  /** Share of the requests that were refused again after they came back. */
+  readonly refusedAgain: number;
+  /** Worth earned for the accounts that send as usual while another one sends more. */
+  readonly neighbours: number;
+  readonly worstAccount: ServedRatio;
+  readonly worstKind: ServedRatio;
+  readonly worstSize: ServedRatio;
 }
 
 interface Attempt {
@@ -87,22 +80,14 @@
 const OFFERS = 3;
 /** Part of the time left that a caller waits at most before it comes back. */
 const LONGEST_RETURN_SHARE = 1 / 3;
-const WINDOW_MS = 2_000;
 const RUN_OUT_MS = 20_000;
 const SCHEDULER_TICK_MS = 25;
 const MS_PER_SECOND = 1_000;
 
-/** Ids of the largest tenth of each kind's requests. */
-const largestTenths = (load: readonly LoadRequest[]): ReadonlySet<string> => {
-  const kinds = new Set(load.map(({ kind }) => kind.name));
-  const ids = [...kinds].flatMap((name) => {
-    const sorted = load
-      .filter(({ kind }) => kind.name === name)
-      .sort((a, b) => b.weight - a.weight || b.promptTokens - a.promptTokens);
-    return sorted.slice(0, Math.ceil(sorted.length / 10)).map(({ id }) => id);
-  });
-  return new Set(ids);
-};
+const pauseMsOf = ({ pauseMs }: RequestKind): number => pauseMs ?? LONGEST_PAUSE_MS;
+
+const tokensPerEventOf = ({ tokensPerEvent }: RequestKind): number =>
+  tokensPerEvent ?? TOKENS_PER_EVENT;
 
 /** What a refusal costs its caller besides the answer: waiting for it, and having come back in vain. */
 const costOfRefusal = ({ kind, weight }: LoadRequest, number: number, heldMs: number): number => {
@@ -110,7 +95,7 @@
   const fullMs = 0.75 * kind.deadlineMs;
   const held = Math.min(1, Math.max(0, (heldMs - freeMs) / (fullMs - freeMs)));
   const again = number >= RETRIES ? 0.3 : 0;
-  return kind.worth * weight * (0.5 * held + again);
+  return kind.worth * weight * (held + again);
 };
 
 class Play {
@@ -130,13 +115,9 @@
 
   readonly #attempts = new Map<string, Attempt>();
 
-  readonly #kinds = new Map<string, KindOutcome>();
-
-  readonly #windows = new Map<number, { worth: number; owed: number }>();
-
   readonly #options: LoadPlay;
 
-  #large: ReadonlySet<string> = new Set();
+  #tally = new LoadTally([]);
 
   #cost = 0;
 
@@ -174,14 +155,9 @@
 
   run(): LoadOutcome {
     const { kinds, durationMs, bursts, seed } = this.#options;
-    const load = makeLoad(kinds, durationMs, bursts, xoroshiro128plus(seed));
-    this.#large = largestTenths(load);
+    const load = makeLoad(kinds, durationMs, bursts, xoroshiro128plus(seed), this.#options);
+    this.#tally = new LoadTally(load);
     load.forEach((request) => {
-      const kind = this.#kind(request.kind.name);
-      kind.asked += 1;
-      if (this.#large.has(request.id)) kind.largeAsked += 1;
-      kind.owed += request.kind.worth * request.weight;
-      this.#window(request.at).owed += request.kind.worth * request.weight;
       this.#timeline.add(request.at, (now) => this.#arrive(request, 0, now));
     });
     for (let at = 0; at < durationMs + RUN_OUT_MS; at += SCHEDULER_TICK_MS) {
@@ -214,7 +190,8 @@
       waitedBeforeMs: this.#patience.estimateWaitedMs(request.kind.name, remainingMs),
     };
     this.#attempts.set(id, attempt);
-    this.#timeline.add(now + remainingMs, () => this.#giveUp(id));
+    this.#timeline.add(now + remainingMs, (at) => this.#giveUp(id, at));
+    this.#followSilence(id, attempt, now);
     this.#timeline.add(now + HOP_MS, (at) => this.#request(id, attempt, at));
   }
 
@@ -228,14 +205,15 @@
         id,
         service: SERVICE,
         route: kind.name,
+        ...(request.account && { account: request.account.name }),
         accountPriority: 1,
         priority: kind.priority,
         promptTokens,
         outputTokens: expectedOutputTokens,
         quotaUnits: 0,
         targetMs: kind.targetMs - waitedBeforeMs - waitedMs,
-        gapMs: LONGEST_PAUSE_MS,
-        tokensPerEvent: TOKENS_PER_EVENT,
+        gapMs: pauseMsOf(kind),
+        tokensPerEvent: tokensPerEventOf(kind),
         remainingMs: remainingMs - waitedMs,
         avoid: [...avoid],
       },
@@ -319,7 +297,7 @@
       attempt.firstAt = now;
       const firstTokenMs = now - attempt.sentAt;
       this.#timeline.add(now + HOP_MS, (at) => this.#onHead(id, attempt, firstTokenMs, at));
-    } else if (tokens % TOKENS_PER_EVENT === 0) {
+    } else if (tokens % tokensPerEventOf(attempt.request.kind) === 0) {
       attempt.longestPauseMs = Math.max(attempt.longestPauseMs, now - attempt.lastAt);
     } else {
       return;
@@ -350,15 +328,13 @@
     const { request, firstAt = now } = attempt;
     const { kind } = request;
     const isOnTime =
-      firstAt - request.at <= kind.targetMs && attempt.longestPauseMs <= LONGEST_PAUSE_MS;
+      firstAt - request.at <= kind.targetMs && attempt.longestPauseMs <= pauseMsOf(kind);
     const worth = (isOnTime ? kind.worth : kind.lateWorth) * request.weight;
     const outcome = this.#kind(kind.name);
+    this.#tally.recordServed(request, worth);
     if (isOnTime) outcome.onTime += 1;
     else outcome.late += 1;
     if (!isOnTime && firstAt - request.at <= kind.targetMs) outcome.paused += 1;
-    outcome.worth += worth;
-    if (this.#large.has(request.id)) outcome.largeServed += 1;
-    this.#window(request.at).worth += worth;
     this.#timeline.add(now + HOP_MS, (at) => {
       this.#scheduler.recordEnd(
         id,
@@ -392,41 +368,27 @@
     this.#timeline.add(now + backMs, (at) => this.#arrive(request, number + 1, at));
   }
 
-  #giveUp(id: string): void {
+  /** A caller disconnects when no event came for a time. */
+  #followSilence(id: string, attempt: Attempt, now: number): void {
+    const { silenceMs } = attempt.request.kind;
+    if (silenceMs === undefined || attempt.over) return;
+    const until = Math.max(attempt.arrivedAt, attempt.lastAt) + silenceMs;
+    if (now >= until) this.#giveUp(id, now);
+    else this.#timeline.add(until, (at) => this.#followSilence(id, attempt, at));
+  }
+
+  #giveUp(id: string, now: number): void {
     const attempt = this.#attempts.get(id);
     if (attempt === undefined || attempt.over) return;
     attempt.over = true;
     attempt.engine?.cancel(id);
     this.#scheduler.withdraw(id);
-    this.#scheduler.recordEnd(id, { outcome: 'cancelled' }, this.#options.durationMs);
+    this.#scheduler.recordEnd(id, { outcome: 'cancelled' }, now);
     this.#kind(attempt.request.kind.name).unfinished += 1;
   }
 
   #kind(name: string): KindOutcome {
-    const known = this.#kinds.get(name);
-    if (known !== undefined) return known;
-    const outcome = {
-      asked: 0,
-      onTime: 0,
-      late: 0,
-      refused: 0,
-      unfinished: 0,
-      refusedAgain: 0,
-      largeAsked: 0,
-      largeServed: 0,
-      paused: 0,
-      worth: 0,
-      owed: 0,
-    };
-    this.#kinds.set(name, outcome);
-    return outcome;
-  }
-
-  #window(at: number): { worth: number; owed: number } {
-    const index = Math.floor(at / WINDOW_MS);
-    const known = this.#windows.get(index) ?? { worth: 0, owed: 0 };
-    this.#windows.set(index, known);
-    return known;
+    return this.#tally.kind(name);
   }
 
   /** Requests that the stated limits allowed over their whole time. */
@@ -441,18 +403,22 @@
   }
 
   #outcome(bound: number): LoadOutcome {
-    const all = [...this.#kinds.values()];
+    const all = [...this.#tally.kinds.values()];
     const sum = (pick: (outcome: KindOutcome) => number): number =>
       all.reduce((total, outcome) => total + pick(outcome), 0);
     return {
-      kinds: this.#kinds,
+      kinds: this.#tally.kinds,
       worth: sum(({ worth }) => worth) / sum(({ owed }) => owed),
       bound,
       netWorth: (sum(({ worth }) => worth) - this.#cost) / sum(({ owed }) => owed),
-      worstWindow: Math.min(
-        ...[...this.#windows.values()].map(({ worth, owed }) => (owed === 0 ? 1 : worth / owed)),
-      ),
+      worstWindow: this.#tally.worstWindow(),
       meanHeldMs: this.#heldMs / Math.max(1, this.#refusals),
+      served: sum(({ onTime, late }) => onTime + late) / sum(({ asked }) => asked),
+      refusedAgain: sum(({ refusedAgain }) => refusedAgain) / sum(({ asked }) => asked),
+      neighbours: this.#tally.neighbours(this.#options.bursts),
+      worstAccount: this.#tally.worstAccount(),
+      worstKind: this.#tally.worstKind(),
+      worstSize: this.#tally.worstSize(),
       limitUse: this.#sentWhileLimited / Math.max(1, this.#allowedByLimits()),
     };
   }
