--- a/src/coordination/gateway/index.ts
+++ b/src/coordination/gateway/index.ts
@@ -22,7 +22,7 @@
 export type { PlainCandidates, PlainSelection } from './placement/PlainEndpointSelector.ts';
 export { PlainServiceBalancer } from './placement/PlainServiceBalancer.ts';
 export { PlacementScheduler } from './placement/PlacementScheduler.ts';
-export type { PlacementDecision } from './placement/PlacementScheduler.ts';
+export type { PlacementDecision } from './placement/PlacementDecision.ts';
 export { QuotaLimiter } from './limits/QuotaLimiter.ts';
 export { RelianceMonitor, isBehind } from './following/RelianceMonitor.ts';
 export type { KnownRevisions } from './following/RelianceMonitor.ts';
--- a/src/coordination/gateway/placement/PlacementScheduler.ts
+++ b/src/coordination/gateway/placement/PlacementScheduler.ts
@@ -1,48 +1,21 @@
 import type {
   ActivePlacement,
-  PlacementRefusalReason,
   PlacementResult,
   PlacementTicket,
 } from '../../../protocol/peer/GatewayMessages.ts';
 import { endpointStartOf, type EndpointRecord } from '../../../state/gateway/index.ts';
-import { adviseRetryAfter } from './adviseRetryAfter.ts';
 import { EndpointLimits } from '../limits/EndpointLimits.ts';
+import type { EngineCandidate } from './chooseEngine.ts';
 import { EngineGroup } from './EngineGroup.ts';
 import { EngineLoad, type RunningPlacement } from './EngineLoad.ts';
-import { orderQueue, fairnessGroup, type WaitingPlacement } from './orderQueue.ts';
-import { chooseEngine, type EngineCandidate, type PlacementLimits } from './chooseEngine.ts';
-import { msUntilIncluded } from './msUntilIncluded.ts';
+import { GrantRatios } from './GrantRatios.ts';
 import { MeanEngineTimes } from './MeanEngineTimes.ts';
+import { orderQueue, fairnessGroup, type WaitingPlacement } from './orderQueue.ts';
+import type { PlacementDecision } from './PlacementDecision.ts';
 import { preferHealthy } from './preferHealthy.ts';
 import { RouteMeanSizes } from './RouteMeanSizes.ts';
-import { GrantRatios } from './GrantRatios.ts';
-
-/** A scheduler's decision for one ticket. */
-export type PlacementDecision =
-  | {
-      readonly _tag: 'grant';
-      readonly owner: string;
-      readonly ticket: PlacementTicket;
-      readonly endpoint: string;
-      readonly waitedMs: number;
-      /** Expected time to first token, in ms. */
-      readonly firstTokenMs: number;
-      /** Slots that are left at the engine after the grant. */
-      readonly freeSlots: number;
-    }
-  | {
-      readonly _tag: 'refuse';
-      readonly owner: string;
-      readonly ticket: PlacementTicket;
-      readonly reason: PlacementRefusalReason;
-      readonly waitedMs: number;
-      /** Expected time until a slot would have been free, in ms. */
-      readonly expectedWaitMs: number;
-      /** Time after which the caller should retry, in ms. */
-      readonly retryAfterMs: number;
-      /** Engines of the service, and those of them that this request could use; absent if it wasn't queued. */
-      readonly engines?: { readonly listed: number; readonly usable: number };
-    };
+import { SlotCounter, type SlotAllocation } from './SlotCounter.ts';
+import { TicketAdmission, type Admission } from './TicketAdmission.ts';
 
 /** An engine that gets no requests for a while, because of the outcome of one. */
 export interface EngineBackoff {
@@ -52,36 +25,8 @@
   readonly backoffMs: number;
 }
 
-const MS_PER_SECOND = 1_000;
 /** Time for a grant to reach its gateway and to appear in the state that the gateway reports. */
 const GRANT_DELIVERY_GRACE_MS = 1_000;
-/** Lower bound that keeps the expected wait finite. */
-const MINIMUM_SLOTS = 1e-4;
-/** A request with less time left is refused instead of placed. */
-const MINIMUM_REMAINING_MS = 50;
-
-/** Part of the engine slots that a scheduler may use; other processes use the rest. */
-export interface SlotAllocation {
-  /** Fraction of each engine's slots, from 0 to 1. */
-  readonly share: number;
-}
-
-/** Refuses a request that isn't queued; its gateway sends it to another endpoint. */
-const refuseImmediately = (
-  { owner, ticket, arrivedAt }: WaitingPlacement,
-  untilAllowedMs: number,
-  engines: { readonly listed: number; readonly usable: number },
-  now: number,
-): PlacementDecision => ({
-  _tag: 'refuse',
-  owner,
-  ticket,
-  reason: 'overload',
-  waitedMs: now - arrivedAt,
-  expectedWaitMs: untilAllowedMs,
-  retryAfterMs: untilAllowedMs,
-  engines,
-});
 
 /**
  * Queues requests for model engines and places them. An engine admits requests in order of arrival,
@@ -100,16 +45,26 @@
 
   readonly #meanEngineTimes = new MeanEngineTimes();
 
-  #allocation: SlotAllocation = { share: 1 };
+  readonly #slots: SlotCounter;
+
+  readonly #admission: TicketAdmission;
 
   /** @param limits - rates of requests that endpoints accept, of which each grant uses one request */
   constructor(limits: EndpointLimits = new EndpointLimits()) {
     this.#limits = limits;
+    this.#slots = new SlotCounter(limits);
+    this.#admission = new TicketAdmission({
+      limits,
+      slots: this.#slots,
+      grantRatios: this.#grantRatios,
+      routeSizes: this.#routeSizes,
+      meanEngineTimes: this.#meanEngineTimes,
+    });
   }
 
   /** Sets the fraction of each endpoint's slots and limits that this scheduler may use. */
   setSlotAllocation(allocation: SlotAllocation): void {
-    this.#allocation = allocation;
+    this.#slots.setAllocation(allocation);
     this.#limits.setShare(allocation.share);
   }
 
@@ -313,134 +268,42 @@
       now,
     });
     const decisions: PlacementDecision[] = [];
-    const listed = engines.length;
     /** Slot time that the tickets ahead in the queue are expected to use, in ms. */
     let slotMsQueuedAhead = 0;
-    const slots = this.#countSlots(group, ordered, now);
+    const slots = this.#slots.ofGroup(group, ordered, now);
     ordered.forEach((queued) => {
-      const decision = this.#decide(queued, { group, listed }, slotMsQueuedAhead / slots, now);
-      if (decision === undefined) {
+      const admission = this.#admission.decide(
+        queued,
+        { group, listed: engines.length, expectedWaitMs: slotMsQueuedAhead / slots },
+        now,
+      );
+      if (admission._tag === 'wait') {
         slotMsQueuedAhead += group.forecast(queued.ticket).slotHoldMs;
         return;
       }
-      if (decision._tag === 'grant')
+      if (admission._tag === 'grant')
         this.#meanEngineTimes.record(service, group.forecast(queued.ticket).engineTimeMs);
       this.#waiting.delete(queued.ticket.id);
-      decisions.push(decision);
+      decisions.push(this.#carryOut(queued, admission, now));
     });
     return decisions;
   }
 
-  /**
-   * Grants a slot to a ticket, or refuses it.
-   *
-   * @param queued - the ticket
-   * @param engines - the usable engines of its service, and the number of all that are listed
-   * @param expectedWaitMs - expected time until a slot is free, in ms
-   * @param now - current time, in ms
-   * @returns the decision, or undefined if the ticket stays in the queue
-   */
-  #decide(
+  #carryOut(
     queued: WaitingPlacement,
-    { group, listed }: { readonly group: EngineGroup; readonly listed: number },
-    expectedWaitMs: number,
+    admission: Exclude<Admission, { readonly _tag: 'wait' }>,
     now: number,
-  ): PlacementDecision | undefined {
-    const { ticket, owner, arrivedAt } = queued;
-    const waitedMs = now - arrivedAt;
-    const reachable = group.engines.filter(
-      ({ record, availability }) =>
-        !ticket.avoid.includes(record.id) && availability.isReachableFrom(owner, now),
-    );
-    const restMs = ({ record }: EngineLoad): number => msUntilIncluded(ticket, record.id, waitedMs);
-    const usable =
-      ticket.excluded === undefined
-        ? reachable
-        : reachable.filter((engine) => restMs(engine) === 0);
-    const engines = { listed, usable: usable.length };
-    const refuse = (
-      reason: PlacementRefusalReason,
-      expectedMs = expectedWaitMs,
-    ): PlacementDecision => ({
-      _tag: 'refuse',
-      owner,
-      ticket,
-      reason,
-      waitedMs,
-      expectedWaitMs: expectedMs,
-      retryAfterMs: adviseRetryAfter(
-        ticket.id,
-        expectedMs,
-        this.#grantRatios.grantRatio(fairnessGroup(ticket, this.#routeSizes), now),
-      ),
-      engines,
-    });
-    const remainingMs = ticket.remainingMs - waitedMs;
-    if (remainingMs < MINIMUM_REMAINING_MS) return refuse('deadline');
-    if (usable.length === 0) {
-      const untilIncludedMs = Math.min(...reachable.map(restMs));
-      if (!Number.isFinite(untilIncludedMs)) return refuse('noEndpoint');
-      if (ticket.immediate) return refuseImmediately(queued, untilIncludedMs, engines, now);
-      // It waits for the end of a rest as long as its deadline allows.
-      return untilIncludedMs + group.forecast(ticket).firstTokenMs > remainingMs
-        ? refuse('overload', untilIncludedMs)
-        : undefined;
-    }
-    const targetMs = ticket.targetMs - waitedMs;
-    const limitWaitMs = (engine: EngineLoad): number =>
-      this.#limits.msUntilAllowed(endpointStartOf(engine.record), now);
-    const open = this.#limits.isEmpty
-      ? usable
-      : usable.filter((engine) => limitWaitMs(engine) <= 0);
-    const limits: PlacementLimits = {
-      targetMs,
-      remainingMs,
-      now,
-      slotLimitOf: (engine) => group.slotLimit(engine, this.#usableSlots(engine, now)),
-    };
-    const candidate =
-      this.#chooseUnlimited(ticket, open, group, limits) ?? chooseEngine(ticket, open, limits);
-    if (candidate !== undefined) return this.#grant(queued, candidate, now);
-    if (open.length === 0) {
-      const untilAllowedMs = Math.min(...usable.map(limitWaitMs));
-      if (ticket.immediate) return refuseImmediately(queued, untilAllowedMs, engines, now);
-      // Requests that only limited endpoints can take wait as long as their deadlines allow.
-      const limitedWaitMs = expectedWaitMs + untilAllowedMs;
-      return limitedWaitMs + group.forecast(ticket).firstTokenMs > remainingMs
-        ? refuse('overload', limitedWaitMs)
-        : undefined;
+  ): PlacementDecision {
+    switch (admission._tag) {
+      case 'grant':
+        return this.#grant(queued, admission.candidate, now);
+      case 'refuse': {
+        const { owner, ticket, arrivedAt } = queued;
+        return { ...admission, owner, ticket, waitedMs: now - arrivedAt };
+      }
+      default:
+        return admission satisfies never;
     }
-    if (ticket.immediate) return refuseImmediately(queued, 0, engines, now);
-    const willMissTarget = expectedWaitMs + group.forecast(ticket).firstTokenMs > targetMs;
-    if (!willMissTarget) return undefined;
-    // The target for the first token can't be met by waiting, so the request is placed late if its
-    // deadline allows it.
-    const lateCandidate = chooseEngine(ticket, open, {
-      ...limits,
-      targetMs: Number.POSITIVE_INFINITY,
-    });
-    return lateCandidate === undefined
-      ? refuse('overload')
-      : this.#grant(queued, lateCandidate, now);
-  }
-
-  /**
-   * Chooses an engine without a limit for a short request, so that engines that accept few requests get the
-   * long ones.
-   */
-  #chooseUnlimited(
-    ticket: PlacementTicket,
-    engines: readonly EngineLoad[],
-    group: EngineGroup,
-    limits: PlacementLimits,
-  ): EngineCandidate | undefined {
-    if (this.#limits.isEmpty) return undefined;
-    const { engineTimeMs } = group.forecast(ticket);
-    if (this.#meanEngineTimes.isLong(ticket.service, engineTimeMs)) return undefined;
-    const unlimited = engines.filter(
-      ({ record }) => !this.#limits.isLimited(endpointStartOf(record), limits.now),
-    );
-    return chooseEngine(ticket, unlimited, limits);
   }
 
   #grant(
@@ -466,37 +329,10 @@
       endpoint: engine.record.id,
       waitedMs: now - arrivedAt,
       firstTokenMs,
-      freeSlots: this.#usableSlots(engine, now) - engine.running.size,
+      freeSlots: this.#slots.ofEngine(engine, now) - engine.running.size,
     };
   }
 
-  /**
-   * Counts the slots of a group. An endpoint that limits the rate of its requests counts with the slots that
-   * requests at this rate hold.
-   */
-  #countSlots(group: EngineGroup, waiting: readonly WaitingPlacement[], now: number): number {
-    const { engines } = group;
-    if (this.#limits.isEmpty || waiting.length === 0)
-      return Math.max(
-        1,
-        engines.reduce((sum, engine) => sum + this.#usableSlots(engine, now), 0),
-      );
-    const holdMs = waiting.map(({ ticket }) => group.forecast(ticket).slotHoldMs);
-    const meanHoldMs = holdMs.reduce((sum, value) => sum + value, 0) / waiting.length;
-    const slots = engines.reduce((sum, engine) => {
-      const rate = this.#limits.rateOf(endpointStartOf(engine.record), now);
-      return sum + Math.min(this.#usableSlots(engine, now), (rate * meanHoldMs) / MS_PER_SECOND);
-    }, 0);
-    return Math.max(MINIMUM_SLOTS, slots);
-  }
-
-  #usableSlots({ record }: EngineLoad, now: number): number {
-    const slots = Math.max(1, Math.floor(record.slots * this.#allocation.share));
-    return this.#limits.isEmpty
-      ? slots
-      : this.#limits.slotLimit(endpointStartOf(record), slots, now);
-  }
-
   #addReported(
     owner: string,
     { ticket, endpoint, ageMs, started }: ActivePlacement,
--- /dev/null
+++ b/src/coordination/gateway/placement/TicketAdmission.ts
@@ -0,0 +1,190 @@
+import type {
+  PlacementRefusalReason,
+  PlacementTicket,
+} from '../../../protocol/peer/GatewayMessages.ts';
+import { endpointStartOf } from '../../../state/gateway/index.ts';
+import type { EndpointLimits } from '../limits/EndpointLimits.ts';
+import { adviseRetryAfter } from './adviseRetryAfter.ts';
+import { chooseEngine, type EngineCandidate, type PlacementLimits } from './chooseEngine.ts';
+import type { EngineGroup } from './EngineGroup.ts';
+import type { EngineLoad } from './EngineLoad.ts';
+import type { GrantRatios } from './GrantRatios.ts';
+import type { MeanEngineTimes } from './MeanEngineTimes.ts';
+import { msUntilIncluded } from './msUntilIncluded.ts';
+import { fairnessGroup, type WaitingPlacement } from './orderQueue.ts';
+import type { RouteMeanSizes } from './RouteMeanSizes.ts';
+import type { SlotCounter } from './SlotCounter.ts';
+
+/** A request with less time left is refused instead of placed. */
+const MINIMUM_REMAINING_MS = 50;
+
+/** What becomes of a waiting ticket now. */
+export type Admission =
+  | { readonly _tag: 'grant'; readonly candidate: EngineCandidate }
+  | { readonly _tag: 'wait' }
+  | {
+      readonly _tag: 'refuse';
+      readonly reason: PlacementRefusalReason;
+      /** Expected time until a slot would have been free, in ms. */
+      readonly expectedWaitMs: number;
+      /** Time after which the caller should retry, in ms. */
+      readonly retryAfterMs: number;
+      /** Engines of the service, and those of them that this request could use. */
+      readonly engines: { readonly listed: number; readonly usable: number };
+    };
+
+/** State of a service's engines and queue at the turn of a ticket. */
+export interface AdmissionContext {
+  /** The usable engines. */
+  readonly group: EngineGroup;
+  /** Number of all engines that are listed. */
+  readonly listed: number;
+  /** Expected time until a slot is free, in ms. */
+  readonly expectedWaitMs: number;
+}
+
+/** Collaborators of the admission; the scheduler updates them. */
+export interface TicketAdmissionOptions {
+  readonly limits: EndpointLimits;
+  readonly slots: SlotCounter;
+  readonly grantRatios: GrantRatios;
+  readonly routeSizes: RouteMeanSizes;
+  readonly meanEngineTimes: MeanEngineTimes;
+}
+
+/** Refuses a request that isn't queued; its gateway sends it to another endpoint. */
+const refuseImmediately = (
+  untilAllowedMs: number,
+  engines: { readonly listed: number; readonly usable: number },
+): Admission => ({
+  _tag: 'refuse',
+  reason: 'overload',
+  expectedWaitMs: untilAllowedMs,
+  retryAfterMs: untilAllowedMs,
+  engines,
+});
+
+/** Decides whether a ticket gets a slot, waits or is refused. */
+export class TicketAdmission {
+  readonly #limits: EndpointLimits;
+
+  readonly #slots: SlotCounter;
+
+  readonly #grantRatios: GrantRatios;
+
+  readonly #routeSizes: RouteMeanSizes;
+
+  readonly #meanEngineTimes: MeanEngineTimes;
+
+  constructor(options: TicketAdmissionOptions) {
+    this.#limits = options.limits;
+    this.#slots = options.slots;
+    this.#grantRatios = options.grantRatios;
+    this.#routeSizes = options.routeSizes;
+    this.#meanEngineTimes = options.meanEngineTimes;
+  }
+
+  /**
+   * Decides on one ticket.
+   *
+   * @param queued - the ticket
+   * @param context - engines and queue of its service
+   * @param now - current time, in ms
+   * @returns what becomes of it now
+   */
+  decide(
+    queued: WaitingPlacement,
+    { group, listed, expectedWaitMs }: AdmissionContext,
+    now: number,
+  ): Admission {
+    const { ticket, owner, arrivedAt } = queued;
+    const waitedMs = now - arrivedAt;
+    const reachable = group.engines.filter(
+      ({ record, availability }) =>
+        !ticket.avoid.includes(record.id) && availability.isReachableFrom(owner, now),
+    );
+    const restMs = ({ record }: EngineLoad): number => msUntilIncluded(ticket, record.id, waitedMs);
+    const usable =
+      ticket.excluded === undefined
+        ? reachable
+        : reachable.filter((engine) => restMs(engine) === 0);
+    const engines = { listed, usable: usable.length };
+    const refuse = (reason: PlacementRefusalReason, expectedMs = expectedWaitMs): Admission => ({
+      _tag: 'refuse',
+      reason,
+      expectedWaitMs: expectedMs,
+      retryAfterMs: adviseRetryAfter(
+        ticket.id,
+        expectedMs,
+        this.#grantRatios.grantRatio(fairnessGroup(ticket, this.#routeSizes), now),
+      ),
+      engines,
+    });
+    const remainingMs = ticket.remainingMs - waitedMs;
+    if (remainingMs < MINIMUM_REMAINING_MS) return refuse('deadline');
+    if (usable.length === 0) {
+      const untilIncludedMs = Math.min(...reachable.map(restMs));
+      if (!Number.isFinite(untilIncludedMs)) return refuse('noEndpoint');
+      if (ticket.immediate) return refuseImmediately(untilIncludedMs, engines);
+      // It waits for the end of a rest as long as its deadline allows.
+      return untilIncludedMs + group.forecast(ticket).firstTokenMs > remainingMs
+        ? refuse('overload', untilIncludedMs)
+        : { _tag: 'wait' };
+    }
+    const targetMs = ticket.targetMs - waitedMs;
+    const limitWaitMs = (engine: EngineLoad): number =>
+      this.#limits.msUntilAllowed(endpointStartOf(engine.record), now);
+    const open = this.#limits.isEmpty
+      ? usable
+      : usable.filter((engine) => limitWaitMs(engine) <= 0);
+    const limits: PlacementLimits = {
+      targetMs,
+      remainingMs,
+      now,
+      slotLimitOf: (engine) => group.slotLimit(engine, this.#slots.ofEngine(engine, now)),
+    };
+    const candidate =
+      this.#chooseUnlimited(ticket, open, group, limits) ?? chooseEngine(ticket, open, limits);
+    if (candidate !== undefined) return { _tag: 'grant', candidate };
+    if (open.length === 0) {
+      const untilAllowedMs = Math.min(...usable.map(limitWaitMs));
+      if (ticket.immediate) return refuseImmediately(untilAllowedMs, engines);
+      // Requests that only limited endpoints can take wait as long as their deadlines allow.
+      const limitedWaitMs = expectedWaitMs + untilAllowedMs;
+      return limitedWaitMs + group.forecast(ticket).firstTokenMs > remainingMs
+        ? refuse('overload', limitedWaitMs)
+        : { _tag: 'wait' };
+    }
+    if (ticket.immediate) return refuseImmediately(0, engines);
+    const willMissTarget = expectedWaitMs + group.forecast(ticket).firstTokenMs > targetMs;
+    if (!willMissTarget) return { _tag: 'wait' };
+    // The target for the first token can't be met by waiting, so the request is placed late if its
+    // deadline allows it.
+    const lateCandidate = chooseEngine(ticket, open, {
+      ...limits,
+      targetMs: Number.POSITIVE_INFINITY,
+    });
+    return lateCandidate === undefined
+      ? refuse('overload')
+      : { _tag: 'grant', candidate: lateCandidate };
+  }
+
+  /**
+   * Chooses an engine without a limit for a short request, so that engines that accept few requests get the
+   * long ones.
+   */
+  #chooseUnlimited(
+    ticket: PlacementTicket,
+    engines: readonly EngineLoad[],
+    group: EngineGroup,
+    limits: PlacementLimits,
+  ): EngineCandidate | undefined {
+    if (this.#limits.isEmpty) return undefined;
+    const { engineTimeMs } = group.forecast(ticket);
+    if (this.#meanEngineTimes.isLong(ticket.service, engineTimeMs)) return undefined;
+    const unlimited = engines.filter(
+      ({ record }) => !this.#limits.isLimited(endpointStartOf(record), limits.now),
+    );
+    return chooseEngine(ticket, unlimited, limits);
+  }
+}
