Reserve the retries of rejected callers over the time in which they can retry

Cause: a rejected caller was asked to retry after the expected wait and a guess at the congestion, mostly well within it, and the retries of a burst met again. A ticket states how long its caller has waited since its first attempt (retriedAfterMs, optional), and among late requests of one priority those go first.

--- a/src/app/gateway/placement/makePlacementTicket.ts
+++ b/src/app/gateway/placement/makePlacementTicket.ts
@@ -79,6 +79,7 @@
     outputTokens: Math.min(expectedOutputTokens, Math.max(1, fields.maximumOutputTokens)),
     quotaUnits: isCharged ? 0 : computeQuotaUnits(request),
     targetMs: answerBegun ? remainingMs : route.targetLatencyMs - waitedMs - request.waitedBeforeMs,
+    ...(request.waitedBeforeMs > 0 && { retriedAfterMs: request.waitedBeforeMs }),
     gapMs: route.targetGapMs,
     tokensPerEvent: service.engine?.tokensPerEvent ?? 1,
     remainingMs,
--- a/src/coordination/gateway/placement/PlacementScheduler.ts
+++ b/src/coordination/gateway/placement/PlacementScheduler.ts
@@ -13,6 +13,7 @@
 import { orderQueue, fairnessGroup, type WaitingPlacement } from './orderQueue.ts';
 import type { PlacementDecision } from './PlacementDecision.ts';
 import { preferHealthy } from './preferHealthy.ts';
+import { RetryReservations } from './RetryReservations.ts';
 import { RouteMeanSizes } from './RouteMeanSizes.ts';
 import { SlotCounter, type SlotAllocation } from './SlotCounter.ts';
 import { TicketAdmission, type Admission } from './TicketAdmission.ts';
@@ -59,6 +60,7 @@
       grantRatios: this.#grantRatios,
       routeSizes: this.#routeSizes,
       meanEngineTimes: this.#meanEngineTimes,
+      reservations: new RetryReservations(),
     });
   }
 
--- a/src/coordination/gateway/placement/TicketAdmission.ts
+++ b/src/coordination/gateway/placement/TicketAdmission.ts
@@ -12,26 +12,39 @@
 import type { MeanEngineTimes } from './MeanEngineTimes.ts';
 import { msUntilIncluded } from './msUntilIncluded.ts';
 import { fairnessGroup, type WaitingPlacement } from './orderQueue.ts';
+import type { RetryReservations } from './RetryReservations.ts';
 import type { RouteMeanSizes } from './RouteMeanSizes.ts';
 import type { SlotCounter } from './SlotCounter.ts';
 
+/** Part of its remaining time that a rejected caller waits at most before it retries. */
+const LONGEST_RETRY_SHARE = 1 / 3;
+/**
+ * A retry is late in most cases, so its caller loses nothing by waiting, and the later it comes the more of
+ * the congestion is over: it is placed in the last half of the time that the caller can wait.
+ */
+const EARLIEST_RETRY_SHARE = 0.5;
+/** Shortest time to a retry, in ms. */
+const MINIMUM_RETRY_MS = 250;
 /** A request with less time left is refused instead of placed. */
 const MINIMUM_REMAINING_MS = 50;
 
+/** A ticket that doesn't get a slot. */
+export interface Refusal {
+  readonly _tag: 'refuse';
+  readonly reason: PlacementRefusalReason;
+  /** Expected time until a slot would have been free, in ms. */
+  readonly expectedWaitMs: number;
+  /** Time after which the caller should retry, in ms. */
+  readonly retryAfterMs: number;
+  /** Engines of the service, and those of them that this request could use. */
+  readonly engines: { readonly listed: number; readonly usable: number };
+}
+
 /** What becomes of a waiting ticket now. */
 export type Admission =
   | { readonly _tag: 'grant'; readonly candidate: EngineCandidate }
   | { readonly _tag: 'wait' }
-  | {
-      readonly _tag: 'refuse';
-      readonly reason: PlacementRefusalReason;
-      /** Expected time until a slot would have been free, in ms. */
-      readonly expectedWaitMs: number;
-      /** Time after which the caller should retry, in ms. */
-      readonly retryAfterMs: number;
-      /** Engines of the service, and those of them that this request could use. */
-      readonly engines: { readonly listed: number; readonly usable: number };
-    };
+  | Refusal;
 
 /** State of a service's engines and queue at the turn of a ticket. */
 export interface AdmissionContext {
@@ -50,6 +63,7 @@
   readonly grantRatios: GrantRatios;
   readonly routeSizes: RouteMeanSizes;
   readonly meanEngineTimes: MeanEngineTimes;
+  readonly reservations: RetryReservations;
 }
 
 /** Refuses a request that isn't queued; its gateway sends it to another endpoint. */
@@ -76,12 +90,15 @@
 
   readonly #meanEngineTimes: MeanEngineTimes;
 
+  readonly #reservations: RetryReservations;
+
   constructor(options: TicketAdmissionOptions) {
     this.#limits = options.limits;
     this.#slots = options.slots;
     this.#grantRatios = options.grantRatios;
     this.#routeSizes = options.routeSizes;
     this.#meanEngineTimes = options.meanEngineTimes;
+    this.#reservations = options.reservations;
   }
 
   /**
@@ -109,15 +126,11 @@
         ? reachable
         : reachable.filter((engine) => restMs(engine) === 0);
     const engines = { listed, usable: usable.length };
-    const refuse = (reason: PlacementRefusalReason, expectedMs = expectedWaitMs): Admission => ({
+    const refuse = (reason: PlacementRefusalReason, expectedMs = expectedWaitMs): Refusal => ({
       _tag: 'refuse',
       reason,
       expectedWaitMs: expectedMs,
-      retryAfterMs: adviseRetryAfter(
-        ticket.id,
-        expectedMs,
-        this.#grantRatios.grantRatio(fairnessGroup(ticket, this.#routeSizes), now),
-      ),
+      retryAfterMs: this.#adviseRetry(ticket, expectedMs, now),
       engines,
     });
     const remainingMs = ticket.remainingMs - waitedMs;
@@ -164,9 +177,10 @@
       ...limits,
       targetMs: Number.POSITIVE_INFINITY,
     });
-    return lateCandidate === undefined
-      ? refuse('overload')
-      : { _tag: 'grant', candidate: lateCandidate };
+    if (lateCandidate !== undefined) return { _tag: 'grant', candidate: lateCandidate };
+    const refusal = refuse('overload');
+    const reservedMs = this.#reserveRetry(queued, group, expectedWaitMs, now);
+    return reservedMs === undefined ? refusal : { ...refusal, retryAfterMs: reservedMs };
   }
 
   /**
@@ -187,4 +201,28 @@
     );
     return chooseEngine(ticket, unlimited, limits);
   }
+
+  #adviseRetry(ticket: PlacementTicket, expectedMs: number, now: number): number {
+    const group = fairnessGroup(ticket, this.#routeSizes);
+    return adviseRetryAfter(ticket.id, expectedMs, this.#grantRatios.grantRatio(group, now));
+  }
+
+  /**
+   * Reserves engine time for the retry of a caller whose request finds no slot, and returns the time until then.
+   * Callers retry once, so nothing is reserved for one that already did, or for one that can't wait until a
+   * slot is expected to be free.
+   */
+  #reserveRetry(
+    { ticket, arrivedAt }: WaitingPlacement,
+    group: EngineGroup,
+    expectedMs: number,
+    now: number,
+  ): number | undefined {
+    const latestMs = (ticket.remainingMs - (now - arrivedAt)) * LONGEST_RETRY_SHARE;
+    const earliestMs = Math.max(MINIMUM_RETRY_MS, expectedMs, latestMs * EARLIEST_RETRY_SHARE);
+    if (ticket.retriedAfterMs !== undefined || earliestMs >= latestMs) return undefined;
+    const { engineTimeMs } = group.forecast(ticket);
+    const period = { earliestMs, latestMs };
+    return this.#reservations.reserve(ticket.service, engineTimeMs, period, now);
+  }
 }
--- a/src/coordination/gateway/placement/orderQueue.ts
+++ b/src/coordination/gateway/placement/orderQueue.ts
@@ -37,8 +37,9 @@
 
 /**
  * Orders waiting requests: starved fairness groups first, then requests that can still be on time,
- * then by the client account's priority and the route's, lower numbers first, and within a priority
- * by value per engine time, so that as many callers as possible are served.
+ * then by the client account's priority and the route's, lower numbers first, then late callers that
+ * retry before other late ones, as their second rejection costs them more, and last by value per engine
+ * time, so that as many callers as possible are served.
  *
  * @param waiting - the waiting requests
  * @param context - engines, grant ratios and mean sizes
@@ -59,6 +60,7 @@
           ? 0
           : 1,
       latenessRank: slackMs < 0 ? 1 : 0,
+      retryRank: slackMs < 0 && ticket.retriedAfterMs !== undefined ? 0 : 1,
       valuePerMs: routeSizes.answerValue(ticket) / engineTimeMs,
     };
   });
@@ -68,6 +70,7 @@
       a.latenessRank - b.latenessRank ||
       a.queued.ticket.accountPriority - b.queued.ticket.accountPriority ||
       a.queued.ticket.priority - b.queued.ticket.priority ||
+      a.retryRank - b.retryRank ||
       b.valuePerMs - a.valuePerMs,
   );
   return ranked.map(({ queued }) => queued);
--- a/src/protocol/peer/GatewayMessages.ts
+++ b/src/protocol/peer/GatewayMessages.ts
@@ -32,6 +32,8 @@
   quotaUnits: Schema.Finite,
   /** Time left, when the message was sent, until the first token is due. */
   targetMs: Milliseconds,
+  /** Time since the first attempt of a caller that retries; absent if this may be the first one. */
+  retriedAfterMs: Schema.optionalKey(Milliseconds),
   /** Target for the longest pause between tokens. */
   gapMs: Milliseconds,
   /** Tokens per event of the response stream. */
--- a/test/load/playLoad.ts
+++ b/test/load/playLoad.ts
@@ -212,6 +212,7 @@
         outputTokens: expectedOutputTokens,
         quotaUnits: 0,
         targetMs: kind.targetMs - waitedBeforeMs - waitedMs,
+        ...(waitedBeforeMs > 0 && { retriedAfterMs: waitedBeforeMs }),
         gapMs: pauseMsOf(kind),
         tokensPerEvent: tokensPerEventOf(kind),
         remainingMs: remainingMs - waitedMs,
