Let accounts above their share yield to the others under contention

Cause: an account that sent several times its usual rate got as large a part of the engines as it asked for, and all others were rejected with it. Change: AccountShares keeps the engine time granted to each account of a rank, decaying over 5 s, and compares it with the account's share by token quota (accountWeight on the ticket, optional; equal shares without quotas). Requests of an account above twice its share come after those of others of the same account priority, before the route's priority is compared; an account that is served 0.4 times as often as the others doesn't yield. At most 256 accounts of a rank are remembered.

--- a/src/app/gateway/placement/makePlacementTicket.ts
+++ b/src/app/gateway/placement/makePlacementTicket.ts
@@ -3,6 +3,7 @@
   limitPromptParts,
   type PlacementTicket,
 } from '../../../protocol/peer/GatewayMessages.ts';
+import type { Account } from '../../../state/gateway/index.ts';
 import type { RoutedRequest } from '../request/RoutedRequest.ts';
 
 /** How far a request has progressed when it asks for a slot. */
@@ -42,6 +43,12 @@
     : account.quota.defaultTokens;
 };
 
+/** Rates in requests and in tokens can't be compared, so only token quotas weigh shares. */
+const accountWeightOf = ({
+  quota: { unit, ratePerSecond },
+}: Account): Pick<PlacementTicket, 'accountWeight'> =>
+  unit === 'tokens' && ratePerSecond > 0 ? { accountWeight: ratePerSecond } : {};
+
 /**
  * Creates the ticket with which a request asks the scheduler for a slot at a model engine, or at an
  * endpoint that states a limit. Only the first ticket of a request is charged against the quota.
@@ -74,6 +81,7 @@
     route: route.name,
     ...(account && { account: account.name }),
     accountPriority: account?.priority ?? 0,
+    ...(account && accountWeightOf(account)),
     priority: route.priority,
     promptTokens: fields.promptTokens,
     outputTokens: Math.min(expectedOutputTokens, Math.max(1, fields.maximumOutputTokens)),
--- a/src/coordination/gateway/placement/PlacementScheduler.ts
+++ b/src/coordination/gateway/placement/PlacementScheduler.ts
@@ -5,6 +5,7 @@
 } from '../../../protocol/peer/GatewayMessages.ts';
 import { endpointStartOf, type EndpointRecord } from '../../../state/gateway/index.ts';
 import { EndpointLimits } from '../limits/EndpointLimits.ts';
+import { AccountShares } from './AccountShares.ts';
 import type { EngineCandidate } from './chooseEngine.ts';
 import { EngineGroup } from './EngineGroup.ts';
 import { EngineLoad, type RunningPlacement } from './EngineLoad.ts';
@@ -42,6 +43,8 @@
 
   readonly #routeSizes = new RouteMeanSizes();
 
+  readonly #accountShares = new AccountShares();
+
   readonly #limits: EndpointLimits;
 
   readonly #meanEngineTimes = new MeanEngineTimes();
@@ -100,6 +103,7 @@
     // A ticket with endpoints to avoid is a further attempt of a request that was counted before.
     if (ticket.avoid.length === 0) {
       this.#routeSizes.record(ticket);
+      this.#accountShares.recordRequest(ticket, now);
       this.#grantRatios.recordRequest(fairnessGroup(ticket, this.#routeSizes), now);
     }
     this.#waiting.set(ticket.id, { owner, ticket, arrivedAt: now });
@@ -267,6 +271,7 @@
       group,
       grantRatios: this.#grantRatios,
       routeSizes: this.#routeSizes,
+      accountShares: this.#accountShares,
       now,
     });
     const decisions: PlacementDecision[] = [];
@@ -283,8 +288,12 @@
         slotMsQueuedAhead += group.forecast(queued.ticket).slotHoldMs;
         return;
       }
-      if (admission._tag === 'grant')
-        this.#meanEngineTimes.record(service, group.forecast(queued.ticket).engineTimeMs);
+      if (admission._tag === 'grant') {
+        const { engineTimeMs } = group.forecast(queued.ticket);
+        this.#meanEngineTimes.record(service, engineTimeMs);
+        if (queued.ticket.avoid.length === 0)
+          this.#accountShares.recordGrant(queued.ticket, engineTimeMs, now);
+      }
       this.#waiting.delete(queued.ticket.id);
       decisions.push(this.#carryOut(queued, admission, now));
     });
--- a/src/coordination/gateway/placement/orderQueue.ts
+++ b/src/coordination/gateway/placement/orderQueue.ts
@@ -1,4 +1,5 @@
 import type { PlacementTicket } from '../../../protocol/peer/GatewayMessages.ts';
+import type { AccountShares } from './AccountShares.ts';
 import type { EngineGroup } from './EngineGroup.ts';
 import type { RouteMeanSizes } from './RouteMeanSizes.ts';
 import type { GrantRatios } from './GrantRatios.ts';
@@ -20,6 +21,7 @@
   readonly group: EngineGroup;
   readonly grantRatios: GrantRatios;
   readonly routeSizes: RouteMeanSizes;
+  readonly accountShares: AccountShares;
   /** Current time, in ms. */
   readonly now: number;
 }
@@ -37,7 +39,8 @@
 
 /**
  * Orders waiting requests: starved fairness groups first, then requests that can still be on time,
- * then by the client account's priority and the route's, lower numbers first, then late callers that
+ * then by the client account's priority, accounts within their shares before those above, then by the
+ * route's priority, lower numbers first, then late callers that
  * retry before other late ones, as their second rejection costs them more, and last by value per engine
  * time, so that as many callers as possible are served.
  *
@@ -47,8 +50,9 @@
  */
 export const orderQueue = (
   waiting: readonly WaitingPlacement[],
-  { group, grantRatios, routeSizes, now }: QueueContext,
+  { group, grantRatios, routeSizes, accountShares, now }: QueueContext,
 ): WaitingPlacement[] => {
+  const isAboveShare = accountShares.findAboveShare(now);
   const ranked = waiting.map((queued) => {
     const { ticket, arrivedAt } = queued;
     const { firstTokenMs, engineTimeMs } = group.forecast(ticket);
@@ -59,6 +63,7 @@
         grantRatios.grantRatio(fairnessGroup(ticket, routeSizes), now) < MINIMUM_GRANT_RATIO
           ? 0
           : 1,
+      shareRank: isAboveShare(ticket) ? 1 : 0,
       latenessRank: slackMs < 0 ? 1 : 0,
       retryRank: slackMs < 0 && ticket.retriedAfterMs !== undefined ? 0 : 1,
       valuePerMs: routeSizes.answerValue(ticket) / engineTimeMs,
@@ -69,6 +74,7 @@
       a.starvationRank - b.starvationRank ||
       a.latenessRank - b.latenessRank ||
       a.queued.ticket.accountPriority - b.queued.ticket.accountPriority ||
+      a.shareRank - b.shareRank ||
       a.queued.ticket.priority - b.queued.ticket.priority ||
       a.retryRank - b.retryRank ||
       b.valuePerMs - a.valuePerMs,
--- a/src/protocol/peer/GatewayMessages.ts
+++ b/src/protocol/peer/GatewayMessages.ts
@@ -23,6 +23,8 @@
   account: Schema.optionalKey(Schema.String),
   /** Rank of the client account, compared before that of the route; 0 is served first. */
   accountPriority: Schema.Finite,
+  /** Tokens per second of the account's quota, which weigh its share under contention; absent without one. */
+  accountWeight: Schema.optionalKey(Schema.Finite),
   /** Rank of the route; 0 is served first. */
   priority: Schema.Finite,
   promptTokens: Schema.Finite,
--- a/test/load/playLoad.ts
+++ b/test/load/playLoad.ts
@@ -205,7 +205,10 @@
         id,
         service: SERVICE,
         route: kind.name,
-        ...(request.account && { account: request.account.name }),
+        ...(request.account && {
+          account: request.account.name,
+          accountWeight: request.account.quota,
+        }),
         accountPriority: 1,
         priority: kind.priority,
         promptTokens,
