Put sizes first that are served far less often than their route

Change: SizeShares keeps the grant ratio of the largest tenth, the fifth below and the rest of each route; a size whose ratio is below 0.6 of its route's goes first within the route's priority. The new patterns' bounds on accounts, kinds, sizes and the accounts beside a hot one are tests.

--- a/src/coordination/gateway/placement/PlacementScheduler.ts
+++ b/src/coordination/gateway/placement/PlacementScheduler.ts
@@ -16,6 +16,7 @@
 import { preferHealthy } from './preferHealthy.ts';
 import { RetryReservations } from './RetryReservations.ts';
 import { RouteMeanSizes } from './RouteMeanSizes.ts';
+import { SizeShares } from './SizeShares.ts';
 import { SlotCounter, type SlotAllocation } from './SlotCounter.ts';
 import { TicketAdmission, type Admission } from './TicketAdmission.ts';
 
@@ -43,6 +44,8 @@
 
   readonly #routeSizes = new RouteMeanSizes();
 
+  readonly #sizeShares = new SizeShares(this.#routeSizes);
+
   readonly #accountShares = new AccountShares();
 
   readonly #limits: EndpointLimits;
@@ -104,6 +107,7 @@
     if (ticket.avoid.length === 0) {
       this.#routeSizes.record(ticket);
       this.#accountShares.recordRequest(ticket, now);
+      this.#sizeShares.recordRequest(ticket, now);
       this.#grantRatios.recordRequest(fairnessGroup(ticket, this.#routeSizes), now);
     }
     this.#waiting.set(ticket.id, { owner, ticket, arrivedAt: now });
@@ -272,6 +276,7 @@
       grantRatios: this.#grantRatios,
       routeSizes: this.#routeSizes,
       accountShares: this.#accountShares,
+      sizeShares: this.#sizeShares,
       now,
     });
     const decisions: PlacementDecision[] = [];
@@ -332,6 +337,7 @@
     });
     if (ticket.avoid.length === 0) {
       this.#grantRatios.recordGrant(fairnessGroup(ticket, this.#routeSizes), now);
+      this.#sizeShares.recordGrant(ticket, now);
     }
     return {
       _tag: 'grant',
--- a/src/coordination/gateway/placement/RouteMeanSizes.ts
+++ b/src/coordination/gateway/placement/RouteMeanSizes.ts
@@ -6,6 +6,8 @@
 const MEAN_SIZE_SMOOTHING = 0.05;
 /** A request counts as large above this multiple of the mean size; about a tenth of all do. */
 const LARGE_SIZE_RATIO = 2.2;
+/** A request belongs to the largest three tenths above this multiple of the mean size, as sizes are log-normal. */
+const MEDIUM_SIZE_RATIO = 1;
 /**
  * A request's weight in the queue order: a fixed part plus a part in proportion to its size relative
  * to the route's mean, up to a maximum.
@@ -17,6 +19,9 @@
 const sizeInPromptTokens = ({ promptTokens, outputTokens }: PlacementTicket): number =>
   promptTokens + PROMPT_TOKENS_PER_OUTPUT_TOKEN * outputTokens;
 
+/** The largest tenth of a route's requests, the fifth below it, or the rest. */
+export type SizeGroup = 'tenth' | 'fifth' | 'rest';
+
 /** Mean request size of each route, and the size of single requests relative to it. */
 export class RouteMeanSizes {
   readonly #means = new Map<string, number>();
@@ -33,6 +38,13 @@
     return this.#relativeSize(ticket) > LARGE_SIZE_RATIO;
   }
 
+  /** Returns whether a request is about in the largest tenth of its route, in the fifth below, or in the rest. */
+  sizeGroup(ticket: PlacementTicket): SizeGroup {
+    const size = this.#relativeSize(ticket);
+    if (size > LARGE_SIZE_RATIO) return 'tenth';
+    return size > MEDIUM_SIZE_RATIO ? 'fifth' : 'rest';
+  }
+
   /**
    * Value that serving the request has for the queue order; 1 for a request of the route's mean
    * size.
--- a/src/coordination/gateway/placement/orderQueue.ts
+++ b/src/coordination/gateway/placement/orderQueue.ts
@@ -2,6 +2,7 @@
 import type { AccountShares } from './AccountShares.ts';
 import type { EngineGroup } from './EngineGroup.ts';
 import type { RouteMeanSizes } from './RouteMeanSizes.ts';
+import type { SizeShares } from './SizeShares.ts';
 import type { GrantRatios } from './GrantRatios.ts';
 
 /** A request that waits for a slot. */
@@ -22,6 +23,7 @@
   readonly grantRatios: GrantRatios;
   readonly routeSizes: RouteMeanSizes;
   readonly accountShares: AccountShares;
+  readonly sizeShares: SizeShares;
   /** Current time, in ms. */
   readonly now: number;
 }
@@ -40,7 +42,7 @@
 /**
  * Orders waiting requests: starved fairness groups first, then requests that can still be on time,
  * then by the client account's priority, accounts within their shares before those above, then by the
- * route's priority, lower numbers first, then late callers that
+ * route's priority, lower numbers first, then sizes that are behind their route, then late callers that
  * retry before other late ones, as their second rejection costs them more, and last by value per engine
  * time, so that as many callers as possible are served.
  *
@@ -50,7 +52,7 @@
  */
 export const orderQueue = (
   waiting: readonly WaitingPlacement[],
-  { group, grantRatios, routeSizes, accountShares, now }: QueueContext,
+  { group, grantRatios, routeSizes, accountShares, sizeShares, now }: QueueContext,
 ): WaitingPlacement[] => {
   const isAboveShare = accountShares.findAboveShare(now);
   const ranked = waiting.map((queued) => {
@@ -65,6 +67,7 @@
           : 1,
       shareRank: isAboveShare(ticket) ? 1 : 0,
       latenessRank: slackMs < 0 ? 1 : 0,
+      sizeRank: sizeShares.isBehind(ticket, now) ? 0 : 1,
       retryRank: slackMs < 0 && ticket.retriedAfterMs !== undefined ? 0 : 1,
       valuePerMs: routeSizes.answerValue(ticket) / engineTimeMs,
     };
@@ -76,6 +79,7 @@
       a.queued.ticket.accountPriority - b.queued.ticket.accountPriority ||
       a.shareRank - b.shareRank ||
       a.queued.ticket.priority - b.queued.ticket.priority ||
+      a.sizeRank - b.sizeRank ||
       a.retryRank - b.retryRank ||
       b.valuePerMs - a.valuePerMs,
   );
--- a/test/load/patterns.test.ts
+++ b/test/load/patterns.test.ts
@@ -143,4 +143,27 @@
       );
     });
   });
+
+  const CONTENDED = {
+    wireDeskHot: { pattern: PATTERNS.wireDeskHot, neighbours: 0.78 },
+    wireDeskFull: { pattern: PATTERNS.wireDeskFull, neighbours: 0.58 },
+    registryFull: { pattern: PATTERNS.registryFull, neighbours: 0.68 },
+  };
+  Object.entries(CONTENDED).forEach(([name, { pattern, neighbours: leastWorth }]) => {
+    describe(`while the callers of ${name} compete for too few slots`, () => {
+      const outcomes = play(pattern);
+
+      it('starves no account, kind or size', () => {
+        outcomes.forEach(({ worstAccount, worstKind, worstSize }) => {
+          expect(worstAccount.ratio).toBeGreaterThan(0.25);
+          expect(worstKind.ratio).toBeGreaterThan(0.25);
+          expect(worstSize.ratio).toBeGreaterThan(0.5);
+        });
+      });
+
+      it('serves accounts that send as usual beside one that sends several times its rate', () => {
+        expect(mean(outcomes, ({ neighbours }) => neighbours)).toBeGreaterThan(leastWorth);
+      });
+    });
+  });
 });
