--- a/src/coordination/gateway/placement/chooseEngine.ts
+++ b/src/coordination/gateway/placement/chooseEngine.ts
@@ -108,15 +108,16 @@
   const failureWeightedMs = (candidate: EngineCandidate): number =>
     candidate.totalMs /
     (1 - Math.min(MAXIMUM_COUNTED_FAILURE_RATE, candidate.engine.availability.failureRate));
-  return enginesWithFreeSlot
-    .map((engine) => estimateCandidate(ticket, engine, now))
-    .filter((candidate) => candidate.firstTokenMs <= targetMs && mayMeetDeadline(candidate))
-    .filter((candidate) => !wouldStallStreams(ticket, candidate))
-    .reduce<EngineCandidate | undefined>(
-      (best, candidate) =>
-        best === undefined || failureWeightedMs(candidate) < failureWeightedMs(best)
-          ? candidate
-          : best,
-      undefined,
-    );
+  let best: EngineCandidate | undefined;
+  let bestMs = Number.POSITIVE_INFINITY;
+  // Runs for each waiting request and each free engine, so the cheap comparisons come first.
+  enginesWithFreeSlot.forEach((engine) => {
+    const candidate = estimateCandidate(ticket, engine, now);
+    const candidateMs = failureWeightedMs(candidate);
+    if (candidateMs >= bestMs || candidate.firstTokenMs > targetMs) return;
+    if (!mayMeetDeadline(candidate) || wouldStallStreams(ticket, candidate)) return;
+    best = candidate;
+    bestMs = candidateMs;
+  });
+  return best;
 };
