Show the scheduler's decisions by account, priority and engine group

Cause: the log lines of the scheduler named neither account nor route, and the metrics had no account, so that nobody could see who waits and who is rejected under contention. Change: `slot granted` and `slot refused` have route, account, its priority, whether the account yielded because it is above its share, and how long the caller of a retry has waited; a grant has the speed group of its engine.

--- a/src/app/gateway/GatewayMetrics.ts
+++ b/src/app/gateway/GatewayMetrics.ts
@@ -1,6 +1,7 @@
 import { build } from 'hdr-histogram-js';
 import type { Histogram } from 'hdr-histogram-js';
 import { Counter, Gauge, Registry } from 'prom-client';
+import { PlacementMetrics } from './placement/PlacementMetrics.ts';
 
 const PERCENTILES = [50, 95, 99];
 /** Higher latencies are recorded as this value. */
@@ -72,6 +73,9 @@
     registers: [this.#registry],
   });
 
+  /** Decisions by account, priority and engine group. */
+  readonly placements = new PlacementMetrics(this.#registry);
+
   readonly #endpointCrashes = new Counter({
     name: 'corianderwick_gateway_endpoint_crashes_total',
     help: 'Crashes of endpoints that runs of this process met, by service.',
--- a/src/app/gateway/placement/PlacementCoordinator.ts
+++ b/src/app/gateway/placement/PlacementCoordinator.ts
@@ -445,6 +445,7 @@
     const group = this.#options.group();
     const isOwn = owner === group.incarnation;
     metrics.countPlacement(ticket.route, decision._tag === 'grant' ? 'grant' : decision.reason);
+    metrics.placements.countDecision(decision);
     logPlacementDecision(logger, decision, this.scheduler.waitingCount);
     if (decision._tag === 'grant') {
       const { endpoint } = decision;
--- a/src/app/gateway/placement/logPlacementDecision.ts
+++ b/src/app/gateway/placement/logPlacementDecision.ts
@@ -17,15 +17,22 @@
   const common = {
     ticket: ticket.id,
     owner,
+    route: ticket.route,
+    ...(ticket.account !== undefined && { account: ticket.account }),
+    accountPriority: ticket.accountPriority,
     priority: ticket.priority,
+    ...(decision.aboveShare === true && { aboveShare: true }),
+    ...(ticket.retriedAfterMs !== undefined && {
+      retriedAfterMs: Math.round(ticket.retriedAfterMs),
+    }),
     waitedMs: Math.round(decision.waitedMs),
     waiting,
   };
   switch (decision._tag) {
     case 'grant': {
-      const { endpoint, freeSlots: free, firstTokenMs } = decision;
+      const { endpoint, engineGroup, freeSlots: free, firstTokenMs } = decision;
       const expectedFirstTokenMs = Math.round(firstTokenMs);
-      logger.info({ ...common, endpoint, free, expectedFirstTokenMs }, 'slot granted');
+      logger.info({ ...common, endpoint, engineGroup, free, expectedFirstTokenMs }, 'slot granted');
       return;
     }
     case 'refuse': {
--- a/src/coordination/gateway/placement/EngineGroup.ts
+++ b/src/coordination/gateway/placement/EngineGroup.ts
@@ -1,6 +1,7 @@
 import type { PlacementTicket } from '../../../protocol/peer/GatewayMessages.ts';
 import { estimateFirstTokenMs } from './EngineSpeed.ts';
 import type { EngineLoad } from './EngineLoad.ts';
+import type { EngineSpeedGroup } from './PlacementDecision.ts';
 
 /** Expected times of a request in a group of engines. */
 export interface RequestForecast {
@@ -22,6 +23,8 @@
 const PROBE_ONLY_FAILURE_MARGIN = 0.3;
 /** Concurrent requests at such an engine. */
 const PROBE_CONCURRENCY = 1;
+/** Speeds are estimates, so that engines up to this multiple of the mean time per token count as fast. */
+const EQUAL_SPEED_FACTOR = 1.2;
 /** Lower bound that keeps the value per ms of engine time finite. */
 const MINIMUM_ENGINE_TIME_MS = 0.1;
 
@@ -66,6 +69,13 @@
     return isFailing ? Math.min(PROBE_CONCURRENCY, slots) : slots;
   }
 
+  /** Returns whether an engine prefills faster than the mean of the group; engines of equal speed are fast. */
+  speedGroup({ speed }: EngineLoad): EngineSpeedGroup {
+    return speed.prefillMsPerToken <= this.#meanPrefillMsPerToken * EQUAL_SPEED_FACTOR
+      ? 'fast'
+      : 'slow';
+  }
+
   /**
    * Estimates the times of a request from its prompt and its expected output.
    *
--- a/src/coordination/gateway/placement/PlacementDecision.ts
+++ b/src/coordination/gateway/placement/PlacementDecision.ts
@@ -3,6 +3,9 @@
   PlacementTicket,
 } from '../../../protocol/peer/GatewayMessages.ts';
 
+/** Whether an engine is faster than the mean of its service's usable engines. */
+export type EngineSpeedGroup = 'fast' | 'slow';
+
 /** A scheduler's decision for one ticket. */
 export type PlacementDecision =
   | {
@@ -15,6 +18,9 @@
       readonly firstTokenMs: number;
       /** Slots that are left at the engine after the grant. */
       readonly freeSlots: number;
+      readonly engineGroup: EngineSpeedGroup;
+      /** Whether its account was above its share, so that it yielded to others. */
+      readonly aboveShare: boolean;
     }
   | {
       readonly _tag: 'refuse';
@@ -26,6 +32,8 @@
       readonly expectedWaitMs: number;
       /** Time after which the caller should retry, in ms. */
       readonly retryAfterMs: number;
+      /** Whether its account was above its share, so that it yielded to others; absent if it wasn't queued. */
+      readonly aboveShare?: boolean;
       /** Engines of the service, and those of them that this request could use; absent if it wasn't queued. */
       readonly engines?: { readonly listed: number; readonly usable: number };
     };
--- a/src/coordination/gateway/placement/PlacementScheduler.ts
+++ b/src/coordination/gateway/placement/PlacementScheduler.ts
@@ -271,11 +271,12 @@
     const engines = [...this.#engines.values()].filter(({ record }) => record.service === service);
     const group = new EngineGroup(preferHealthy(engines, ({ availability }) => availability, now));
     const waiting = [...this.#waiting.values()].filter(({ ticket }) => ticket.service === service);
+    const isAboveShare = this.#accountShares.findAboveShare(now);
     const ordered = orderQueue(waiting, {
       group,
       grantRatios: this.#grantRatios,
       routeSizes: this.#routeSizes,
-      accountShares: this.#accountShares,
+      isAboveShare,
       sizeShares: this.#sizeShares,
       now,
     });
@@ -300,7 +301,8 @@
           this.#accountShares.recordGrant(queued.ticket, engineTimeMs, now);
       }
       this.#waiting.delete(queued.ticket.id);
-      decisions.push(this.#carryOut(queued, admission, now));
+      const aboveShare = isAboveShare(queued.ticket);
+      decisions.push(this.#carryOut(queued, admission, { group, aboveShare }, now));
     });
     return decisions;
   }
@@ -308,14 +310,19 @@
   #carryOut(
     queued: WaitingPlacement,
     admission: Exclude<Admission, { readonly _tag: 'wait' }>,
+    { group, aboveShare }: { readonly group: EngineGroup; readonly aboveShare: boolean },
     now: number,
   ): PlacementDecision {
     switch (admission._tag) {
       case 'grant':
-        return this.#grant(queued, admission.candidate, now);
+        return {
+          ...this.#grant(queued, admission.candidate, now),
+          engineGroup: group.speedGroup(admission.candidate.engine),
+          aboveShare,
+        };
       case 'refuse': {
         const { owner, ticket, arrivedAt } = queued;
-        return { ...admission, owner, ticket, waitedMs: now - arrivedAt };
+        return { ...admission, owner, ticket, aboveShare, waitedMs: now - arrivedAt };
       }
       default:
         return admission satisfies never;
@@ -326,7 +333,7 @@
     { ticket, owner, arrivedAt }: WaitingPlacement,
     { engine, firstTokenMs, prefillTokens }: EngineCandidate,
     now: number,
-  ): PlacementDecision {
+  ): Omit<Extract<PlacementDecision, { readonly _tag: 'grant' }>, 'engineGroup' | 'aboveShare'> {
     this.#limits.consume(endpointStartOf(engine.record), now);
     engine.grant({
       ticket,
--- a/src/coordination/gateway/placement/orderQueue.ts
+++ b/src/coordination/gateway/placement/orderQueue.ts
@@ -1,5 +1,4 @@
 import type { PlacementTicket } from '../../../protocol/peer/GatewayMessages.ts';
-import type { AccountShares } from './AccountShares.ts';
 import type { EngineGroup } from './EngineGroup.ts';
 import type { RouteMeanSizes } from './RouteMeanSizes.ts';
 import type { SizeShares } from './SizeShares.ts';
@@ -22,7 +21,8 @@
   readonly group: EngineGroup;
   readonly grantRatios: GrantRatios;
   readonly routeSizes: RouteMeanSizes;
-  readonly accountShares: AccountShares;
+  /** Whether the account of a request is above its share. */
+  readonly isAboveShare: (ticket: PlacementTicket) => boolean;
   readonly sizeShares: SizeShares;
   /** Current time, in ms. */
   readonly now: number;
@@ -52,9 +52,8 @@
  */
 export const orderQueue = (
   waiting: readonly WaitingPlacement[],
-  { group, grantRatios, routeSizes, accountShares, sizeShares, now }: QueueContext,
+  { group, grantRatios, routeSizes, isAboveShare, sizeShares, now }: QueueContext,
 ): WaitingPlacement[] => {
-  const isAboveShare = accountShares.findAboveShare(now);
   const ranked = waiting.map((queued) => {
     const { ticket, arrivedAt } = queued;
     const { firstTokenMs, engineTimeMs } = group.forecast(ticket);
