--- a/src/coordination/gateway/placement/RetryReservations.ts
+++ b/src/coordination/gateway/placement/RetryReservations.ts
@@ -1,7 +1,5 @@
 /** Width of one interval of the ledger, in ms. */
 const INTERVAL_MS = 100;
-/** Intervals that the ledger remembers; later reservations share the last one. */
-const MAXIMUM_INTERVALS = 100;
 
 /** A period in which a rejected caller may be asked to retry, relative to the present. */
 export interface RetryPeriod {
@@ -39,7 +37,7 @@
     const first = Math.floor((now + earliestMs) / INTERVAL_MS);
     const last = Math.max(first, Math.floor((now + latestMs) / INTERVAL_MS) - 1);
     let best = last;
-    for (let index = last - 1; index >= Math.max(first, last - MAXIMUM_INTERVALS); index -= 1) {
+    for (let index = last - 1; index >= first; index -= 1) {
       if ((intervals.get(index) ?? 0) < (intervals.get(best) ?? 0)) best = index;
     }
     intervals.set(best, (intervals.get(best) ?? 0) + engineTimeMs);
--- a/src/coordination/gateway/placement/TicketAdmission.ts
+++ b/src/coordination/gateway/placement/TicketAdmission.ts
@@ -23,6 +23,8 @@
  * the congestion is over: it is placed in the last half of the time that the caller can wait.
  */
 const EARLIEST_RETRY_SHARE = 0.5;
+/** Longest time for which engine time is reserved, in ms, which bounds the reservations that are kept. */
+const MAXIMUM_RETRY_MS = 10_000;
 /** Shortest time to a retry, in ms. */
 const MINIMUM_RETRY_MS = 250;
 /** A request with less time left is refused instead of placed. */
@@ -218,7 +220,8 @@
     expectedMs: number,
     now: number,
   ): number | undefined {
-    const latestMs = (ticket.remainingMs - (now - arrivedAt)) * LONGEST_RETRY_SHARE;
+    const remainingMs = ticket.remainingMs - (now - arrivedAt);
+    const latestMs = Math.min(MAXIMUM_RETRY_MS, remainingMs * LONGEST_RETRY_SHARE);
     const earliestMs = Math.max(MINIMUM_RETRY_MS, expectedMs, latestMs * EARLIEST_RETRY_SHARE);
     if (ticket.retriedAfterMs !== undefined || earliestMs >= latestMs) return undefined;
     const { engineTimeMs } = group.forecast(ticket);
