Keep the requests to endpoints that may turn cold within their bound, over all gateways

Cause: a cold endpoint crashes at a rate well above `cold_per_s`, and it may turn cold without notice, so that its record says so only up to 2 s later. Nothing limited the requests to it; 60 waiting requests were granted at once.

Change: `EndpointLimits` also holds caps (`ColdStartCaps`) for services with `cold_per_s` above 0, if the settings state `cold_overshoot` or `cold_slack`. They apply at all times; a warm endpoint has a wider burst and rate than a cold one. `deriveColdRates` plans for 0.8 of the bound: four fifths of that for the scheduler, the rest for two gateways for each endpoint (`EndpointOwners`) that may decide alone at the same time, since a share for each of 90 gateways would be less than a request. Plain services with a cold rate are placed by the scheduler, by tickets as where endpoints state limits. A grant states for how long its ticket waited at the scheduler; a gateway gives back grants that were on the way for more than 350 ms, that come from a replaced scheduler, or from an older build, which counts nothing. A scheduler empties its buckets after a pause. Cold engines are expected to be slower by a factor that is measured.

The tests of the gateway's placement, limits, following and requests pass.

--- a/src/app/gateway/GatewayMetrics.ts
+++ b/src/app/gateway/GatewayMetrics.ts
@@ -27,6 +27,8 @@
   readonly quarantinedRequests: number;
   /** Endpoints that state a limit to the rate of their requests. */
   readonly limitedEndpoints: number;
+  /** Capped endpoints that are taken as cold; 0 if absent. */
+  readonly coldEndpoints?: number;
   /** Endpoints that want no requests of this process for now. */
   readonly excludedEndpoints: number;
   /** 1 while this process reaches no endpoint, else 0. */
@@ -72,6 +74,13 @@
     registers: [this.#registry],
   });
 
+  readonly #capDelays = new Counter({
+    name: 'corianderwick_gateway_cap_delays_total',
+    help: 'Requests that this process delayed as the scheduler because endpoints were at their caps, by service.',
+    labelNames: ['service'],
+    registers: [this.#registry],
+  });
+
   readonly #endpointCrashes = new Counter({
     name: 'corianderwick_gateway_endpoint_crashes_total',
     help: 'Crashes of endpoints that runs of this process met, by service.',
@@ -136,6 +145,10 @@
       'limited_endpoints',
       'Endpoints that state a limit to the rate of their requests.',
     ),
+    coldEndpoints: this.#makeGauge(
+      'cold_endpoints',
+      'Endpoints that are taken as cold and get fewer requests.',
+    ),
     excludedEndpoints: this.#makeGauge(
       'excluded_endpoints',
       'Endpoints that want no requests of this process for now.',
@@ -180,6 +193,11 @@
     this.#placements.inc({ route, decision });
   }
 
+  /** Counts a request that the local scheduler delayed because endpoints were at their caps. */
+  countCapDelay(service: string): void {
+    this.#capDelays.inc({ service });
+  }
+
   /** Counts a crash of an endpoint that runs of this process met. */
   countEndpointCrash(service: string): void {
     this.#endpointCrashes.inc({ service });
@@ -230,6 +248,7 @@
     this.#gauges.quarantinedParts.set(gauges.quarantinedParts);
     this.#gauges.quarantinedRequests.set(gauges.quarantinedRequests);
     this.#gauges.limitedEndpoints.set(gauges.limitedEndpoints);
+    this.#gauges.coldEndpoints.set(gauges.coldEndpoints ?? 0);
     this.#gauges.excludedEndpoints.set(gauges.excludedEndpoints);
     this.#gauges.isolated.set(gauges.isolated);
     this.#latencyHistograms.forEach((histogram, route) => {
--- a/src/app/gateway/PeerGroup.ts
+++ b/src/app/gateway/PeerGroup.ts
@@ -34,6 +34,8 @@
  * reserved.
  */
 const LOST_MEMBER_RETENTION_MS = 10_000;
+/** Longest time for which lost members are remembered. */
+const MAXIMUM_RETENTION_MS = 60_000;
 
 /**
  * Sorts members by strength, the strongest first; of equals, the one that started first. Suspected members are
@@ -190,19 +192,17 @@
   }
 
   /**
-   * Returns the members that died within `LOST_MEMBER_RETENTION_MS` without leaving: they may be on the
-   * other side of a network partition and still serve.
+   * Returns the members that died within a time without leaving: they may be on the other side of a network
+   * partition and still serve.
    *
    * @param now - present time in ms, monotonic
+   * @param retentionMs - the time, at most `MAXIMUM_RETENTION_MS`
    * @returns the lost members whose addresses no living member has taken over
    */
-  recentlyLostMembers(now: number): readonly Member[] {
+  recentlyLostMembers(now: number, retentionMs = LOST_MEMBER_RETENTION_MS): readonly Member[] {
     const addresses = new Set(this.liveMembers().map(({ peerAddress }) => peerAddress));
     return [...this.#lostMembers.values()]
-      .filter(
-        ({ at, member }) =>
-          now - at < LOST_MEMBER_RETENTION_MS && !addresses.has(member.peerAddress),
-      )
+      .filter(({ at, member }) => now - at < retentionMs && !addresses.has(member.peerAddress))
       .map(({ member }) => member);
   }
 
@@ -266,7 +266,7 @@
       this.#options.onMemberEnded(incarnation);
     });
     this.#lostMembers.forEach(({ at }, incarnation) => {
-      if (now - at > LOST_MEMBER_RETENTION_MS) this.#lostMembers.delete(incarnation);
+      if (now - at > MAXIMUM_RETENTION_MS) this.#lostMembers.delete(incarnation);
     });
   }
 }
--- a/src/app/gateway/following/StoreSubscription.ts
+++ b/src/app/gateway/following/StoreSubscription.ts
@@ -14,7 +14,7 @@
 import type { ObjectStore, StoreChange, WireAdapter } from '../../../protocol/gateway/index.ts';
 import type { PeerMessage } from '../../../protocol/peer/PeerMessage.ts';
 import type { WatchedKind } from '../../../protocol/peer/GatewayMessages.ts';
-import type { RouteTable } from '../../../state/gateway/index.ts';
+import type { EndpointRecord, RouteTable } from '../../../state/gateway/index.ts';
 import type { PeerGroup } from '../PeerGroup.ts';
 import { StoreWatch, type StoreChangeSource, type StoreWatchListener } from './StoreWatch.ts';
 import { ViewLog } from './ViewLog.ts';
@@ -55,6 +55,14 @@
   readonly sleep: (ms: number) => Promise<void>;
   /** Called for each readable configuration, also for one that is not newer than the last. */
   readonly onConfiguration: (table: RouteTable, source: StoreChangeSource) => void;
+  /**
+   * Called with each record of an endpoint, its store revision, and whether the endpoint has registered since the
+   * first list.
+   */
+  readonly onEndpointRecord?: (
+    record: EndpointRecord,
+    seen: { readonly revision: number; readonly isNew: boolean },
+  ) => void;
   /** Called after changes in the directory of endpoints. */
   readonly onEndpointsChanged: () => void;
   /** Called for each message of relayed changes, with what became of it. */
@@ -327,7 +335,7 @@
   }
 
   #makeEndpointsListener(): StoreWatchListener {
-    const { wire, directory, now } = this.#options;
+    const { wire, directory, now, onEndpointRecord } = this.#options;
     return {
       ...this.#makeHealthListener('store: endpoints'),
       onList: (count) => {
@@ -337,9 +345,13 @@
       onChanges: (changes, source) => {
         const directoryChanges = changes.flatMap(({ removed, object }) => {
           const record = removed ? undefined : wire.readEndpoint(object.name, object.spec);
-          return record === undefined
-            ? directory.remove(object.name, this.#endpointsListedAt, now())
-            : directory.put(record);
+          if (record === undefined)
+            return directory.remove(object.name, this.#endpointsListedAt, now());
+          const changed = directory.put(record);
+          const isAdded = changed.some(({ _tag }) => _tag === 'added');
+          const isNew = isAdded && this.#endpointsListed;
+          onEndpointRecord?.(record, { revision: object.revision, isNew });
+          return changed;
         });
         this.#reportChanges(directoryChanges, source);
       },
--- a/src/app/gateway/placement/LocalTickets.ts
+++ b/src/app/gateway/placement/LocalTickets.ts
@@ -24,6 +24,10 @@
   readonly onAnswer: (answer: PlacementAnswer) => void;
   /** Incarnation of the gateway whose scheduler is to decide. */
   scheduler: string;
+  /** When the ticket was last sent to that scheduler, in ms; `requestedAt` if absent. */
+  sentAt?: number;
+  /** Number of grants that came too late to be used. */
+  lateGrants?: number;
 }
 
 interface HeldTicket {
@@ -90,6 +94,21 @@
     return this.#pending.delete(id);
   }
 
+  /**
+   * Records that a grant of a pending ticket came too late, and that the ticket is sent again.
+   *
+   * @param id - id of the ticket
+   * @param now - present time in ms, monotonic
+   * @returns the number of its late grants
+   */
+  recordLateGrant(id: string, now: number): number {
+    const entry = this.#pending.get(id);
+    if (entry === undefined) return 0;
+    entry.sentAt = now;
+    entry.lateGrants = (entry.lateGrants ?? 0) + 1;
+    return entry.lateGrants;
+  }
+
   /** Removes a pending ticket and passes the decision to its `onAnswer`. */
   answer(id: string, answer: PlacementAnswer): void {
     const pending = this.#pending.get(id);
@@ -149,6 +168,23 @@
     }));
   }
 
+  /**
+   * Returns what is reported to a scheduler: the held slots, and the pending tickets that it is to decide.
+   *
+   * @param own - incarnation of this process, whose own scheduler decides the other pending tickets
+   * @param now - present time in ms, monotonic
+   */
+  report(
+    own: string,
+    now: number,
+  ): { readonly running: ActivePlacement[]; readonly waiting: PlacementTicket[] } {
+    const waiting = this.listPending().filter(({ scheduler }) => scheduler !== own);
+    return {
+      running: this.listHeld(now),
+      waiting: waiting.map((pending) => withRemainingTimes(pending, now)),
+    };
+  }
+
   /**
    * Marks pending tickets whose quota the scheduler says that it has charged. The next scheduler then charges
    * only the others.
--- a/src/app/gateway/placement/PlacementCoordinator.ts
+++ b/src/app/gateway/placement/PlacementCoordinator.ts
@@ -5,22 +5,26 @@
   type EndpointLimits,
   type PlacementDecision,
 } from '../../../coordination/gateway/index.ts';
-import type {
-  PlacementRefusalReason,
-  PlacementResult,
-  PlacementTicket,
-} from '../../../protocol/peer/GatewayMessages.ts';
+import type { PlacementResult, PlacementTicket } from '../../../protocol/peer/GatewayMessages.ts';
 import type { PeerMessage } from '../../../protocol/peer/PeerMessage.ts';
 import { endpointStartOf, type Account } from '../../../state/gateway/index.ts';
 import { ChargeConfirmations } from './ChargeConfirmations.ts';
+import { DecisionTimer } from './DecisionTimer.ts';
 import type { CrashMonitor } from '../crashes/CrashMonitor.ts';
-import { listEngineSpeeds } from './listEngineSpeeds.ts';
-import { LocalTickets, withRemainingTimes, type PlacementAnswer } from './LocalTickets.ts';
+import { CapGuard, grantTransitMs, type ReceivedGrant } from './CapGuard.ts';
+import {
+  LocalTickets,
+  withRemainingTimes,
+  type PendingTicket,
+  type PlacementAnswer,
+} from './LocalTickets.ts';
 import type { GatewayMetrics } from '../GatewayMetrics.ts';
 import { logPlacementDecision } from './logPlacementDecision.ts';
 import { refuseOverQuota } from './refuseOverQuota.ts';
 import { partsOf, quarantineAnswer, refuseQuarantined } from '../crashes/refuseQuarantined.ts';
 import type { PeerGroup } from '../PeerGroup.ts';
+import { SchedulerHeartbeat } from './SchedulerHeartbeat.ts';
+import { TicketQuotas } from './TicketQuotas.ts';
 import { ownShare, schedulerShare } from './slotShares.ts';
 
 /** Collaborators of a placement coordinator. */
@@ -41,16 +45,10 @@
 
 /** Silence of the leader after which a gateway schedules its pending tickets itself. */
 const LEADER_SILENCE_MS = 350;
-/** Interval of the heartbeats from the leader to gateways that sent it tickets. */
-const HEARTBEAT_INTERVAL_MS = 100;
-/** Minimum interval between two runs of the scheduler. */
-const MINIMUM_DECISION_INTERVAL_MS = 2;
 /** Interval at which a gateway reports all its tickets, which repairs the effects of lost messages. */
 const STATE_REPORT_INTERVAL_MS = 2_000;
-/** Interval at which the leader sends the engine speed estimates that a successor would need. */
-const ESTIMATES_INTERVAL_MS = 4_000;
-/** Time for which a gateway receives heartbeats after its last request or state report. */
-const REQUESTER_RETENTION_MS = 1_000;
+/** Late grants of a ticket after which its gateway decides alone, because the way to the scheduler is slow. */
+const MAXIMUM_LATE_GRANTS = 2;
 
 /**
  * Obtains slots at model engines for the requests of this process. One gateway, the leader, schedules
@@ -70,8 +68,9 @@
 
   readonly #charges = new ChargeConfirmations();
 
-  /** Time of the last request or state report of each gateway, with its incarnation as the key. */
-  readonly #requesters = new Map<string, number>();
+  readonly #caps: CapGuard;
+
+  readonly #heartbeat = new SchedulerHeartbeat();
 
   /** Incarnation of the gateway that schedules for all. */
   #leader = '';
@@ -85,19 +84,18 @@
   /** Time of the last message of the leader, or of the change of leader if that is later. */
   #leaderHeardAt = Number.NEGATIVE_INFINITY;
 
-  #heartbeatSentAt = 0;
-
   #stateReportedAt = 0;
 
-  #estimatesSentAt = 0;
+  readonly #decisions: DecisionTimer;
 
-  #decidedAt = Number.NEGATIVE_INFINITY;
-
-  #decisionTimer: NodeJS.Timeout | undefined;
+  readonly #quotas: TicketQuotas;
 
   constructor(options: PlacementCoordinatorOptions) {
     this.#options = options;
     this.scheduler = new PlacementScheduler(options.limits);
+    this.#caps = new CapGuard(options.limits, this.scheduler);
+    this.#decisions = new DecisionTimer((now) => this.#decide(now), options.now);
+    this.#quotas = new TicketQuotas(options.quotas, options.findAccount);
   }
 
   /**
@@ -120,7 +118,7 @@
     this.#tickets.addPending({ ticket, requestedAt: now, onAnswer, scheduler: leader });
     if (leader === group.incarnation) {
       this.#enqueue(leader, ticket, 1, now);
-      this.#decideWhenDue(now);
+      this.#decisions.runWhenDue(now);
       return;
     }
     // The leader sends heartbeats only to gateways that sent it tickets recently, so that its silence
@@ -163,7 +161,7 @@
     const now = this.#options.now();
     this.#recordEnd(id, result, now);
     this.#sendToLeader({ _tag: 'placementEnd', id, result });
-    this.#decideWhenDue(now);
+    this.#decisions.runWhenDue(now);
   }
 
   /** Returns the numbers of pending tickets and of held slots of this process. */
@@ -177,10 +175,11 @@
    */
   tick(): void {
     const now = this.#options.now();
+    this.#caps.tick(now);
     this.#updateLeader(now);
     if (this.#isLeader()) this.#tickLeader(now);
     else this.#tickFollower(now);
-    this.#decideWhenDue(now);
+    this.#decisions.runWhenDue(now);
     this.#charges
       .take((id) => this.scheduler.isWaiting(id))
       .forEach(({ owner, ids }) =>
@@ -204,13 +203,14 @@
       case 'placementRequest':
         this.#noteRequester(from, now);
         this.#startChargingQuotas(now);
-        message.tickets.forEach((ticket) =>
-          this.#enqueue(from, ticket, schedulerShare(this.#options.group(), now), now),
-        );
-        this.#decideWhenDue(now);
+        this.#enqueueAll(from, message.tickets, now);
         return;
       case 'placementGrant':
-        this.#onGrant(from, message.id, message.endpoint, now);
+        this.#onGrant(
+          message.id,
+          { from, endpoint: message.endpoint, waitedMs: message.waitedMs },
+          now,
+        );
         return;
       case 'placementRefusal':
         this.#tickets.answer(message.id, {
@@ -231,15 +231,12 @@
         return;
       case 'placementEnd':
         this.#recordEnd(message.id, message.result, now);
-        this.#decideWhenDue(now);
+        this.#decisions.runWhenDue(now);
         return;
       case 'placementState':
         this.#noteRequester(from, now);
         this.scheduler.reconcile(from, message.running, now);
-        message.waiting.forEach((ticket) =>
-          this.#enqueue(from, ticket, schedulerShare(this.#options.group(), now), now),
-        );
-        this.#decideWhenDue(now);
+        this.#enqueueAll(from, message.waiting, now);
         return;
       case 'schedulerNotes':
         this.scheduler.seedSpeeds(message.engines);
@@ -252,8 +249,8 @@
   removeMember(incarnation: string): void {
     if (incarnation === this.#options.group().incarnation) return;
     this.scheduler.removeOwner(incarnation);
-    this.#requesters.delete(incarnation);
-    this.#decideWhenDue(this.#options.now());
+    this.#heartbeat.removeRequester(incarnation);
+    this.#decisions.runWhenDue(this.#options.now());
   }
 
   #isLeader(): boolean {
@@ -276,6 +273,7 @@
       'scheduler changed',
     );
     this.#isChargingQuotas = false;
+    this.#caps.allocate(group, this.#isLeader(), now);
     if (leader === group.incarnation) {
       this.#startChargingQuotas(now);
       this.#tickets.listPending().forEach((entry) => {
@@ -287,33 +285,20 @@
     this.scheduler.removeOtherOwners(group.incarnation);
     this.#tickets.listPending().forEach((entry) => {
       entry.scheduler = leader;
+      entry.sentAt = now;
       this.scheduler.withdraw(entry.ticket.id);
     });
     this.#reportState(now);
   }
 
   #tickLeader(now: number): void {
-    const group = this.#options.group();
-    this.scheduler.setSlotAllocation({ share: schedulerShare(this.#options.group(), now) });
-    if (now - this.#heartbeatSentAt >= HEARTBEAT_INTERVAL_MS) {
-      this.#heartbeatSentAt = now;
-      const message: PeerMessage = {
-        _tag: 'schedulerAlive',
-        configurationVersion: this.#options.configurationVersion(),
-      };
-      this.#requesters.forEach((at, incarnation) => {
-        if (now - at > REQUESTER_RETENTION_MS) this.#requesters.delete(incarnation);
-        else group.send(incarnation, message);
-      });
-    }
-    if (now - this.#estimatesSentAt < ESTIMATES_INTERVAL_MS) return;
-    this.#estimatesSentAt = now;
-    const engines = listEngineSpeeds(this.scheduler.engines());
-    if (engines.length > 0) group.broadcast({ _tag: 'schedulerNotes', engines });
+    this.#allocate(now);
+    const { group, configurationVersion } = this.#options;
+    this.#heartbeat.send(group(), this.scheduler, configurationVersion(), now);
   }
 
   #tickFollower(now: number): void {
-    this.scheduler.setSlotAllocation({ share: ownShare(this.#options.group(), now) });
+    this.#allocate(now);
     if (
       now - this.#stateReportedAt >= STATE_REPORT_INTERVAL_MS &&
       this.#tickets.heldCount + this.#tickets.waitingCount > 0
@@ -330,6 +315,15 @@
       .forEach(({ ticket }) => this.#decideLocally(ticket.id, now));
   }
 
+  /** Sets the shares of slots, limits and caps that the scheduler of this process may use. */
+  #allocate(now: number): void {
+    const group = this.#options.group();
+    const isLeader = this.#isLeader();
+    const share = isLeader ? schedulerShare(group, now) : ownShare(group, now);
+    this.scheduler.setSlotAllocation({ share });
+    this.#caps.allocate(group, isLeader, now);
+  }
+
   #isLeaderSilent(now: number): boolean {
     return now - this.#leaderHeardAt > LEADER_SILENCE_MS;
   }
@@ -342,20 +336,25 @@
   }
 
   #decideLocally(id: string, now: number): void {
+    if (this.#tickets.findPending(id) === undefined) return;
+    this.#options.logger.warn(
+      { ticket: id, scheduler: this.#leader, silentMs: Math.round(now - this.#leaderHeardAt) },
+      'scheduler is silent; deciding alone',
+    );
+    this.#decideAlone(id, now);
+  }
+
+  #decideAlone(id: string, now: number): void {
     const pending = this.#tickets.findPending(id);
     if (pending === undefined) return;
     const own = this.#options.group().incarnation;
     this.#startChargingQuotas(now);
     this.#options.crashes.decideQuarantine();
     pending.scheduler = own;
+    this.#allocate(now);
     const share = ownShare(this.#options.group(), now);
-    this.scheduler.setSlotAllocation({ share });
-    this.#options.logger.warn(
-      { ticket: id, scheduler: this.#leader, silentMs: Math.round(now - this.#leaderHeardAt) },
-      'scheduler is silent; deciding alone',
-    );
     this.#enqueue(own, withRemainingTimes(pending, now), share, now);
-    this.#decideWhenDue(now);
+    this.#decisions.runWhenDue(now);
   }
 
   /**
@@ -369,6 +368,12 @@
     this.#options.limits.reset(now);
   }
 
+  #enqueueAll(owner: string, tickets: readonly PlacementTicket[], now: number): void {
+    const share = schedulerShare(this.#options.group(), now);
+    tickets.forEach((ticket) => this.#enqueue(owner, ticket, share, now));
+    this.#decisions.runWhenDue(now);
+  }
+
   #enqueue(owner: string, ticket: PlacementTicket, share: number, now: number): void {
     if (this.scheduler.hasTicket(ticket.id)) return;
     const { service, avoid } = ticket;
@@ -379,35 +384,18 @@
       return;
     }
     if (admission._tag === 'trial') this.#trials.add(ticket.id);
-    const account =
-      ticket.account === undefined ? undefined : this.#options.findAccount(ticket.account);
-    if (account !== undefined && ticket.quotaUnits > 0) {
-      const waitMs = this.#options.quotas.take(account, ticket.quotaUnits, share, now);
-      if (waitMs > 0) {
-        this.#deliverDecision(refuseOverQuota(owner, ticket, waitMs));
-        return;
-      }
+    const waitMs = this.#quotas.take(ticket, share, now);
+    if (waitMs > 0) {
+      this.#deliverDecision(refuseOverQuota(owner, ticket, waitMs));
+      return;
     }
     this.scheduler.enqueue(owner, ticket, now);
     if (owner !== this.#options.group().incarnation && ticket.quotaUnits > 0)
       this.#charges.add(owner, ticket.id);
   }
 
-  /** Runs the scheduler now, or after the minimum interval: under load one run serves many messages. */
-  #decideWhenDue(now: number): void {
-    if (this.#decisionTimer !== undefined) return;
-    if (now - this.#decidedAt < MINIMUM_DECISION_INTERVAL_MS) {
-      this.#decisionTimer = setTimeout(() => {
-        this.#decisionTimer = undefined;
-        this.#decideNow(this.#options.now());
-      }, MINIMUM_DECISION_INTERVAL_MS);
-      return;
-    }
-    this.#decideNow(now);
-  }
-
-  #decideNow(now: number): void {
-    this.#decidedAt = now;
+  #decide(now: number): void {
+    this.#caps.resetAfterPause(now);
     this.scheduler
       .schedule(now)
       .forEach((decision) => this.#deliverDecision(this.#withQuarantine(decision, now)));
@@ -435,8 +423,8 @@
   }
 
   #noteRequester(incarnation: string, now: number): void {
-    if (!this.#requesters.has(incarnation)) this.#options.crashes.welcome(incarnation);
-    this.#requesters.set(incarnation, now);
+    if (this.#heartbeat.recordRequester(incarnation, now))
+      this.#options.crashes.welcome(incarnation);
   }
 
   #deliverDecision(decision: PlacementDecision): void {
@@ -445,16 +433,17 @@
     const group = this.#options.group();
     const isOwn = owner === group.incarnation;
     metrics.countPlacement(ticket.route, decision._tag === 'grant' ? 'grant' : decision.reason);
+    if (decision.isDelayedByCap) metrics.countCapDelay(ticket.service);
     logPlacementDecision(logger, decision, this.scheduler.waitingCount);
     if (decision._tag === 'grant') {
-      const { endpoint } = decision;
+      const { endpoint, waitedMs } = decision;
       if (isOwn) this.#occupySlot(ticket.id, endpoint, owner);
-      else group.send(owner, { _tag: 'placementGrant', id: ticket.id, endpoint });
+      else group.send(owner, { _tag: 'placementGrant', id: ticket.id, endpoint, waitedMs });
       return;
     }
     const { reason, retryAfterMs } = decision;
     this.#trials.delete(ticket.id);
-    this.#refundQuota(ticket, reason);
+    this.#quotas.refund(ticket, reason, this.#options.now());
     if (isOwn) {
       this.#tickets.answer(ticket.id, { _tag: 'refused', reason, retryAfterMs, decidedBy: owner });
     } else {
@@ -462,12 +451,8 @@
     }
   }
 
-  #refundQuota(ticket: PlacementTicket, reason: PlacementRefusalReason): void {
-    if (reason === 'quota' || ticket.quotaUnits === 0 || ticket.account === undefined) return;
-    this.#options.quotas.refund(ticket.account, ticket.quotaUnits, this.#options.now());
-  }
-
-  #onGrant(from: string, id: string, endpoint: string, now: number): void {
+  #onGrant(id: string, grant: ReceivedGrant, now: number): void {
+    const { from, endpoint } = grant;
     const pending = this.#tickets.findPending(id);
     // The ticket was withdrawn or decided, or this process now schedules it itself: the slot is unused.
     if (pending === undefined || pending.scheduler === this.#options.group().incarnation) {
@@ -478,6 +463,10 @@
       });
       return;
     }
+    if (this.#caps.isUnusable(pending, grant, now)) {
+      this.#replaceGrant(pending, grant, now);
+      return;
+    }
     this.scheduler.reconcile(
       this.#options.group().incarnation,
       [
@@ -489,6 +478,24 @@
     this.#occupySlot(id, endpoint, from);
   }
 
+  /** Gives the slot of an unusable grant back, and asks again or decides alone. */
+  #replaceGrant(pending: PendingTicket, grant: ReceivedGrant, now: number): void {
+    const group = this.#options.group();
+    const { id } = pending.ticket;
+    const transitMs = Math.round(grantTransitMs(pending, grant, now));
+    this.#options.logger.warn({ ticket: id, ...grant, transitMs }, 'grant is not used');
+    group.send(grant.from, { _tag: 'placementEnd', id, result: { outcome: 'unused' } });
+    // The present scheduler has the ticket.
+    if (grant.from !== pending.scheduler) return;
+    // The scheduler that granted the slot has charged the ticket.
+    this.#tickets.markQuotaCharged([id]);
+    const lateGrants = this.#tickets.recordLateGrant(id, now);
+    const asksAgain = grant.waitedMs !== undefined && lateGrants <= MAXIMUM_LATE_GRANTS;
+    const tickets = [withRemainingTimes(pending, now)];
+    if (!asksAgain || !group.send(this.#leader, { _tag: 'placementRequest', tickets }))
+      this.#decideAlone(id, now);
+  }
+
   #occupySlot(id: string, endpoint: string, grantedBy: string): void {
     const now = this.#options.now();
     if (this.#tickets.grant(id, endpoint, grantedBy, now)) return;
@@ -498,14 +505,7 @@
   #reportState(now: number): void {
     this.#stateReportedAt = now;
     const own = this.#options.group().incarnation;
-    this.#sendToLeader({
-      _tag: 'placementState',
-      running: this.#tickets.listHeld(now),
-      waiting: this.#tickets
-        .listPending()
-        .filter(({ scheduler }) => scheduler !== own)
-        .map((pending) => withRemainingTimes(pending, now)),
-    });
+    this.#sendToLeader({ _tag: 'placementState', ...this.#tickets.report(own, now) });
   }
 
   #sendToLeader(message: PeerMessage): void {
--- a/src/app/gateway/placement/logPlacementDecision.ts
+++ b/src/app/gateway/placement/logPlacementDecision.ts
@@ -20,6 +20,7 @@
     priority: ticket.priority,
     waitedMs: Math.round(decision.waitedMs),
     waiting,
+    ...(decision.isDelayedByCap && { isDelayedByCap: true }),
   };
   switch (decision._tag) {
     case 'grant': {
--- a/src/app/gateway/runGateway.ts
+++ b/src/app/gateway/runGateway.ts
@@ -318,7 +318,9 @@
     peers.network.onDelivery(({ from, message }) => group.handle(from, message, now()));
     group.join(settings.seeds, now());
 
+    const { coldCaps } = endpointLimits;
     const updateEngines = (): void => {
+      coldCaps.retain(new Set(directory.listAll().map(endpointStartOf)));
       updateScheduledEndpoints();
       directory
         .listReadyVersions()
@@ -337,7 +339,14 @@
           random: Math.random,
           sleep: (ms) => sleep(ms),
           onConfiguration: (table, source) => {
-            if (gateway.configure(table, source)) updateEngines();
+            if (!gateway.configure(table, source)) return;
+            coldCaps.setServices(table.services, bounds, now());
+            updateEngines();
+          },
+          onEndpointRecord: (record, seen) => {
+            if (!coldCaps.observe(record, seen, now())) return;
+            const { id, service, coldMs } = record;
+            logger.info({ endpoint: id, service, coldMs, ...seen }, 'endpoint taken as cold');
           },
           onEndpointsChanged: updateEngines,
           onRelayReceived: (kind, result) => metrics.countRelay(kind, result),
--- a/src/app/gateway/startStatusServers.ts
+++ b/src/app/gateway/startStatusServers.ts
@@ -94,6 +94,7 @@
       quarantinedParts: crashes.quarantined.parts,
       quarantinedRequests: crashes.quarantined.requests,
       limitedEndpoints: endpointLimits.limitedCount,
+      coldEndpoints: endpointLimits.coldCaps.countCold(now()),
       excludedEndpoints: exclusions.count,
       isolated: Number(reach.isIsolated),
       ...placements.countTickets(),
--- a/src/coordination/gateway/following/EndpointDirectory.ts
+++ b/src/coordination/gateway/following/EndpointDirectory.ts
@@ -156,6 +156,11 @@
       .map(({ record }) => record);
   }
 
+  /** Lists all endpoints, also those that don't accept new requests. */
+  listAll(): EndpointRecord[] {
+    return [...this.#entries.values()].map(({ record }) => record);
+  }
+
   /** Lists the endpoints of all services that accept new requests. */
   listAllReady(): EndpointRecord[] {
     return [...this.#entries.values()]
--- a/src/coordination/gateway/index.ts
+++ b/src/coordination/gateway/index.ts
@@ -1,5 +1,7 @@
 export { ChangeLog } from './following/ChangeLog.ts';
 export type { ChangeSpan } from './following/ChangeLog.ts';
+export { ColdStartCaps } from './limits/ColdStartCaps.ts';
+export type { ColdPart } from './limits/ColdStartCaps.ts';
 export { chooseForwardPeer } from './reach/chooseForwardPeer.ts';
 export { CallerRetryDetector } from './routing/CallerRetryDetector.ts';
 export { CrashAttribution } from './crashes/CrashAttribution.ts';
@@ -11,6 +13,7 @@
 export type { EndpointExclusion } from './reach/EndpointExclusions.ts';
 export { EndpointLimits } from './limits/EndpointLimits.ts';
 export type { LimitObservation } from './limits/EndpointLimits.ts';
+export { EndpointOwners } from './limits/EndpointOwners.ts';
 export { EndpointReach, SILENCE_MS } from './reach/EndpointReach.ts';
 export type { ReachChange } from './reach/EndpointReach.ts';
 export { EngineSpeed } from './placement/EngineSpeed.ts';
--- a/src/coordination/gateway/limits/EndpointLimits.ts
+++ b/src/coordination/gateway/limits/EndpointLimits.ts
@@ -1,4 +1,5 @@
 import { TokenBucket } from '../../limits/TokenBucket.ts';
+import { ColdStartCaps } from './ColdStartCaps.ts';
 import { RejectionGuard } from './RejectionGuard.ts';
 
 /** What one answer said about the requests that its endpoint bears. */
@@ -65,6 +66,9 @@
 export class EndpointLimits {
   readonly #limits = new Map<string, EndpointLimit>();
 
+  /** Caps of endpoints that may turn cold, which hold in addition to the stated limits. */
+  readonly coldCaps = new ColdStartCaps();
+
   /** Fraction of each limit that this process may use. */
   #share = 1;
 
@@ -73,9 +77,14 @@
     return [...this.#limits.values()].filter((limit) => !isEnded(limit)).length;
   }
 
-  /** Whether no endpoint has stated a limit lately, so that none has to be looked up. */
+  /** Whether no endpoint has stated a limit lately or is capped, so that none has to be looked up. */
   get isEmpty(): boolean {
-    return this.#limits.size === 0;
+    return this.#limits.size === 0 && this.coldCaps.isEmpty;
+  }
+
+  /** Whether any endpoint has stated a limit lately. */
+  get hasStatedLimits(): boolean {
+    return this.#limits.size > 0;
   }
 
   /** Sets the fraction of each limit that this process may use, from 0 to 1. */
@@ -114,10 +123,15 @@
   }
 
   /**
-   * Whether requests to an endpoint need a decision of the scheduler: it states a limit, or did so until
-   * a moment ago.
+   * Whether requests to an endpoint need a decision of the scheduler: it is capped, states a limit, or did so
+   * until a moment ago.
    */
   isLimited(endpoint: string, now: number): boolean {
+    return this.coldCaps.isCapped(endpoint) || this.statesLimit(endpoint, now);
+  }
+
+  /** Whether an endpoint states a limit, or did so until a moment ago. */
+  statesLimit(endpoint: string, now: number): boolean {
     return this.#findBinding(endpoint, now) !== undefined;
   }
 
@@ -129,24 +143,27 @@
    * @returns the time in ms; 0 if it may be sent now
    */
   msUntilAllowed(endpoint: string, now: number): number {
+    const capMs = this.coldCaps.msUntilAllowed(endpoint, now);
     const limit = this.#findBinding(endpoint, now);
-    if (limit === undefined) return 0;
+    if (limit === undefined) return capMs;
     const { rejectionsPerSecond } = limit.observation;
     const untilBorneMs =
       rejectionsPerSecond === undefined
         ? 0
         : limit.guard.msUntilOpen(this.#share * rejectionsPerSecond, now);
-    return Math.max(untilBorneMs, this.#bucketOf(limit, now)?.msUntilLevel(1, now) ?? 0);
+    return Math.max(capMs, untilBorneMs, this.#bucketOf(limit, now)?.msUntilLevel(1, now) ?? 0);
   }
 
   /** Counts a request that is sent to an endpoint. */
   consume(endpoint: string, now: number): void {
+    this.coldCaps.consume(endpoint, now);
     const limit = this.#findBinding(endpoint, now);
     if (limit !== undefined) this.#bucketOf(limit, now)?.consume(1, now);
   }
 
   /** Takes back a request that was counted and isn't sent. */
   refund(endpoint: string, now: number): void {
+    this.coldCaps.refund(endpoint, now);
     const limit = this.#findBinding(endpoint, now);
     if (limit !== undefined) this.#bucketOf(limit, now)?.refund(1, now);
   }
@@ -179,16 +196,17 @@
   /**
    * Returns the requests a second that this process may send to an endpoint.
    *
-   * @returns the rate; infinite if the endpoint has no limit
+   * @returns the rate; infinite if the endpoint has no limit and isn't capped
    */
   rateOf(endpoint: string, now: number): number {
+    const cap = this.coldCaps.rateOf(endpoint, now);
     const limit = this.#findBinding(endpoint, now);
-    if (limit === undefined) return Number.POSITIVE_INFINITY;
-    return this.#share * fullRate(limit, now);
+    return limit === undefined ? cap : Math.min(cap, this.#share * fullRate(limit, now));
   }
 
   /** Empties all buckets, for a process that begins to schedule. */
   reset(now: number): void {
+    this.coldCaps.reset(now);
     this.#limits.forEach((limit) => {
       if (isLifted(limit, now)) return;
       limit.guard.reset(now);
--- a/src/coordination/gateway/placement/PlacementScheduler.ts
+++ b/src/coordination/gateway/placement/PlacementScheduler.ts
@@ -7,6 +7,7 @@
 import { endpointStartOf, type EndpointRecord } from '../../../state/gateway/index.ts';
 import { adviseRetryAfter } from './adviseRetryAfter.ts';
 import { EndpointLimits } from '../limits/EndpointLimits.ts';
+import { ColdSlowdown } from './ColdSlowdown.ts';
 import { EngineGroup } from './EngineGroup.ts';
 import { EngineLoad, type RunningPlacement } from './EngineLoad.ts';
 import { orderQueue, fairnessGroup, type WaitingPlacement } from './orderQueue.ts';
@@ -14,6 +15,7 @@
 import { msUntilIncluded } from './msUntilIncluded.ts';
 import { MeanEngineTimes } from './MeanEngineTimes.ts';
 import { preferHealthy } from './preferHealthy.ts';
+import { refuseImmediately } from './refuseImmediately.ts';
 import { RouteMeanSizes } from './RouteMeanSizes.ts';
 import { GrantRatios } from './GrantRatios.ts';
 
@@ -29,6 +31,8 @@
       readonly firstTokenMs: number;
       /** Slots that are left at the engine after the grant. */
       readonly freeSlots: number;
+      /** Whether the ticket waited because all endpoints that it could use were at their caps. */
+      readonly isDelayedByCap?: boolean;
     }
   | {
       readonly _tag: 'refuse';
@@ -42,6 +46,8 @@
       readonly retryAfterMs: number;
       /** Engines of the service, and those of them that this request could use; absent if it wasn't queued. */
       readonly engines?: { readonly listed: number; readonly usable: number };
+      /** Whether the ticket waited because all endpoints that it could use were at their caps. */
+      readonly isDelayedByCap?: boolean;
     };
 
 /** An engine that gets no requests for a while, because of the outcome of one. */
@@ -66,23 +72,6 @@
   readonly share: number;
 }
 
-/** Refuses a request that isn't queued; its gateway sends it to another endpoint. */
-const refuseImmediately = (
-  { owner, ticket, arrivedAt }: WaitingPlacement,
-  untilAllowedMs: number,
-  engines: { readonly listed: number; readonly usable: number },
-  now: number,
-): PlacementDecision => ({
-  _tag: 'refuse',
-  owner,
-  ticket,
-  reason: 'overload',
-  waitedMs: now - arrivedAt,
-  expectedWaitMs: untilAllowedMs,
-  retryAfterMs: untilAllowedMs,
-  engines,
-});
-
 /**
  * Queues requests for model engines and places them. An engine admits requests in order of arrival,
  * so they are queued and ordered here, and sent only when a slot is free.
@@ -100,6 +89,11 @@
 
   readonly #meanEngineTimes = new MeanEngineTimes();
 
+  readonly #coldSlowdown = new ColdSlowdown();
+
+  /** Ids of waiting tickets that were delayed by the caps of endpoints. */
+  readonly #delayedByCap = new Set<string>();
+
   #allocation: SlotAllocation = { share: 1 };
 
   /** @param limits - rates of requests that endpoints accept, of which each grant uses one request */
@@ -166,9 +160,15 @@
     return running && { ticket: running.placement.ticket, record: running.engine.record };
   }
 
+  /** Returns the record of an engine; undefined if it isn't known here. */
+  findRecord(endpoint: string): EndpointRecord | undefined {
+    return this.#engines.get(endpoint)?.record;
+  }
+
   /** Removes a ticket from the queue; one that doesn't wait is ignored. */
   withdraw(id: string): void {
     this.#waiting.delete(id);
+    this.#delayedByCap.delete(id);
   }
 
   /**
@@ -182,7 +182,7 @@
     const running = this.#findRunning(id);
     if (running === undefined) return;
     const { engine, placement } = running;
-    if (!placement.started) engine.speed.recordPrefill(placement.prefillTokens, firstTokenMs);
+    if (!placement.started) this.#recordPrefill(engine, placement, firstTokenMs, now);
     engine.recordFirstToken(id, now);
   }
 
@@ -205,7 +205,8 @@
       this.#limits.recordRejection(start, engine.running.size, now);
     const backoffMs = engine.availability.recordOutcome(result.outcome, now, placement.owner);
     const { decodeMs, outputTokens } = result;
-    if (decodeMs !== undefined && outputTokens !== undefined)
+    const isCold = this.#limits.coldCaps.isCold(start, now);
+    if (decodeMs !== undefined && outputTokens !== undefined && !isCold)
       engine.speed.recordDecode(outputTokens, decodeMs);
     const isBackoff = result.outcome === 'unreachable' || result.outcome === 'turnedAway';
     return isBackoff && backoffMs > 0
@@ -236,7 +237,7 @@
   /** Removes the waiting and running requests of a gateway that is gone. */
   removeOwner(owner: string): void {
     this.#waiting.forEach((queued, id) => {
-      if (queued.owner === owner) this.#waiting.delete(id);
+      if (queued.owner === owner) this.withdraw(id);
     });
     this.#engines.forEach(({ running }) =>
       running.forEach((placement, id) => {
@@ -326,7 +327,8 @@
       if (decision._tag === 'grant')
         this.#meanEngineTimes.record(service, group.forecast(queued.ticket).engineTimeMs);
       this.#waiting.delete(queued.ticket.id);
-      decisions.push(decision);
+      const isDelayedByCap = this.#delayedByCap.delete(queued.ticket.id);
+      decisions.push(isDelayedByCap ? { ...decision, isDelayedByCap } : decision);
     });
     return decisions;
   }
@@ -397,11 +399,16 @@
       remainingMs,
       now,
       slotLimitOf: (engine) => group.slotLimit(engine, this.#usableSlots(engine, now)),
+      slowdownOf: ({ record }) =>
+        this.#limits.coldCaps.isCold(endpointStartOf(record), now) ? this.#coldSlowdown.factor : 1,
     };
     const candidate =
       this.#chooseUnlimited(ticket, open, group, limits) ?? chooseEngine(ticket, open, limits);
     if (candidate !== undefined) return this.#grant(queued, candidate, now);
     if (open.length === 0) {
+      const { coldCaps } = this.#limits;
+      if (usable.some(({ record }) => coldCaps.msUntilAllowed(endpointStartOf(record), now) > 0))
+        this.#delayedByCap.add(ticket.id);
       const untilAllowedMs = Math.min(...usable.map(limitWaitMs));
       if (ticket.immediate) return refuseImmediately(queued, untilAllowedMs, engines, now);
       // Requests that only limited endpoints can take wait as long as their deadlines allow.
@@ -434,15 +441,27 @@
     group: EngineGroup,
     limits: PlacementLimits,
   ): EngineCandidate | undefined {
-    if (this.#limits.isEmpty) return undefined;
+    if (!this.#limits.hasStatedLimits) return undefined;
     const { engineTimeMs } = group.forecast(ticket);
     if (this.#meanEngineTimes.isLong(ticket.service, engineTimeMs)) return undefined;
     const unlimited = engines.filter(
-      ({ record }) => !this.#limits.isLimited(endpointStartOf(record), limits.now),
+      ({ record }) => !this.#limits.statesLimit(endpointStartOf(record), limits.now),
     );
     return chooseEngine(ticket, unlimited, limits);
   }
 
+  /** The speed of an engine is estimated from what it does while it is warm. */
+  #recordPrefill(
+    { speed, record }: EngineLoad,
+    { prefillTokens }: RunningPlacement,
+    firstTokenMs: number,
+    now: number,
+  ): void {
+    if (this.#limits.coldCaps.isCold(endpointStartOf(record), now))
+      this.#coldSlowdown.recordFirstToken(firstTokenMs, speed.estimateFirstTokenMs(prefillTokens));
+    else speed.recordPrefill(prefillTokens, firstTokenMs);
+  }
+
   #grant(
     { ticket, owner, arrivedAt }: WaitingPlacement,
     { engine, firstTokenMs, prefillTokens }: EngineCandidate,
--- a/src/coordination/gateway/placement/PlainEndpointSelector.test.ts
+++ b/src/coordination/gateway/placement/PlainEndpointSelector.test.ts
@@ -29,7 +29,7 @@
       { service: 'plain', records: [record('i-1'), record('i-2')], avoid, fraction: 0 },
       now,
     );
-  return { balancer, selector, select };
+  return { balancer, limits, selector, select };
 };
 
 describe('PlainEndpointSelector', () => {
@@ -55,6 +55,19 @@
     expect(select(310)._tag).toEqual('scheduled');
   });
 
+  // Guards against gateways that each send a cold endpoint what it bears in all.
+  it('queues at the scheduler if the endpoints of the service are capped', () => {
+    const { limits, select } = makeSelector([]);
+    const coldStart = { durationMs: 3_000, requestsPerSecond: 11 };
+    const service = { name: 'plain', healthPath: '/', maximumConnections: 9, coldStart };
+    ['i-1', 'i-2'].forEach((id) =>
+      limits.coldCaps.observe(record(id), { revision: 1, isNew: false }, 0),
+    );
+    expect(select(10)._tag).toEqual('direct');
+    limits.coldCaps.setServices([service], { coldOvershoot: 1.5, coldSlack: 5 }, 0);
+    expect(select(10)).toEqual({ _tag: 'scheduled', immediate: false });
+  });
+
   it("doesn't ask for an endpoint that the request was sent to before", () => {
     expect(makeSelector(['i-1']).select(10, ['i-1'])).toEqual({
       _tag: 'direct',
--- a/src/coordination/gateway/placement/chooseEngine.ts
+++ b/src/coordination/gateway/placement/chooseEngine.ts
@@ -20,6 +20,8 @@
   readonly remainingMs: number;
   /** Current time, in ms. */
   readonly now: number;
+  /** Factor by which an engine is slower than its speed estimate, because it is cold; 1 if absent. */
+  readonly slowdownOf?: (engine: EngineLoad) => number;
   /** Number of requests that an engine may run at once. */
   readonly slotLimitOf: (engine: EngineLoad) => number;
 }
@@ -48,16 +50,17 @@
 const estimateCandidate = (
   ticket: PlacementTicket,
   engine: EngineLoad,
-  now: number,
+  { now, slowdownOf }: Pick<PlacementLimits, 'now' | 'slowdownOf'>,
 ): EngineCandidate => {
   const { speed } = engine;
+  const slowdown = slowdownOf?.(engine) ?? 1;
   const prefillTokens = engine.pendingPrefillTokens(now) + ticket.promptTokens;
-  const firstTokenMs = speed.estimateFirstTokenMs(prefillTokens);
+  const firstTokenMs = slowdown * speed.estimateFirstTokenMs(prefillTokens);
   return {
     engine,
     prefillTokens,
     firstTokenMs,
-    totalMs: firstTokenMs + ticket.outputTokens * speed.decodeMsPerToken,
+    totalMs: firstTokenMs + slowdown * ticket.outputTokens * speed.decodeMsPerToken,
   };
 };
 
@@ -88,14 +91,15 @@
 export const chooseEngine = (
   ticket: PlacementTicket,
   engines: readonly EngineLoad[],
-  { targetMs, remainingMs, now, slotLimitOf }: PlacementLimits,
+  limits: PlacementLimits,
 ): EngineCandidate | undefined => {
+  const { targetMs, remainingMs, slotLimitOf } = limits;
   const enginesWithFreeSlot = engines.filter((engine) => engine.running.size < slotLimitOf(engine));
   if (enginesWithFreeSlot.length === 0) return undefined;
   let fastestTotalMs: number | undefined;
   const getFastestTotalMs = (): number => {
     fastestTotalMs ??= Math.min(
-      ...engines.map((engine) => estimateCandidate(ticket, engine, now).totalMs),
+      ...engines.map((engine) => estimateCandidate(ticket, engine, limits).totalMs),
     );
     return fastestTotalMs;
   };
@@ -109,7 +113,7 @@
     candidate.totalMs /
     (1 - Math.min(MAXIMUM_COUNTED_FAILURE_RATE, candidate.engine.availability.failureRate));
   return enginesWithFreeSlot
-    .map((engine) => estimateCandidate(ticket, engine, now))
+    .map((engine) => estimateCandidate(ticket, engine, limits))
     .filter((candidate) => candidate.firstTokenMs <= targetMs && mayMeetDeadline(candidate))
     .filter((candidate) => !wouldStallStreams(ticket, candidate))
     .reduce<EngineCandidate | undefined>(
--- a/src/protocol/peer/GatewayMessages.ts
+++ b/src/protocol/peer/GatewayMessages.ts
@@ -165,6 +165,11 @@
   Schema.TaggedStruct('placementGrant', {
     id: Schema.NonEmptyString,
     endpoint: Schema.NonEmptyString,
+    /**
+     * Time for which the ticket waited at the scheduler; the rest of the time since it was sent went by on the way. A
+     * scheduler that doesn't state it doesn't count the requests of capped endpoints.
+     */
+    waitedMs: Schema.optionalKey(Milliseconds),
   }),
   Schema.TaggedStruct('placementRefusal', {
     id: Schema.NonEmptyString,
--- a/src/state/gateway/GatewaySettings.ts
+++ b/src/state/gateway/GatewaySettings.ts
@@ -24,6 +24,13 @@
   quotaOvershoot: NonNegative,
   /** Permitted use above a quota in units, in addition to `quotaOvershoot`. */
   quotaSlack: NonNegative,
+  /**
+   * Factor by which the requests to a cold endpoint in any second may exceed those that it bears. Cold endpoints are
+   * bounded only if this or `coldSlack` is present.
+   */
+  coldOvershoot: Schema.optionalKey(NonNegative),
+  /** Requests to a cold endpoint in any second, in addition to `coldOvershoot`. */
+  coldSlack: Schema.optionalKey(NonNegative),
   /** Longest time for which callers cache the list of addresses. */
   addressesKeepMs: NonNegative,
 });
--- a/src/state/gateway/RouteTable.ts
+++ b/src/state/gateway/RouteTable.ts
@@ -47,6 +47,15 @@
 });
 export type EngineLimits = typeof EngineLimits.Type;
 
+/** How endpoints behave while they are cold: after a start, and whenever they say so. */
+export const ColdStart = Schema.Struct({
+  /** Time for which an endpoint is cold after its start, in ms. */
+  durationMs: Schema.Finite,
+  /** Requests a second that a cold endpoint bears; 0 if it bears as many as a warm one. */
+  requestsPerSecond: Schema.Finite,
+});
+export type ColdStart = typeof ColdStart.Type;
+
 /** A group of interchangeable endpoints. */
 export const Service = Schema.Struct({
   name: Schema.String,
@@ -56,6 +65,8 @@
   maximumConnections: Schema.Finite,
   /** Present where the endpoints are model engines. */
   engine: Schema.optionalKey(EngineLimits),
+  /** Present where endpoints are slow, and bear few requests, for a time after their start. */
+  coldStart: Schema.optionalKey(ColdStart),
 });
 export type Service = typeof Service.Type;
 
--- a/src/state/gateway/index.ts
+++ b/src/state/gateway/index.ts
@@ -4,6 +4,7 @@
   Account,
   AccountQuota,
   ClientLimits,
+  ColdStart,
   EngineLimits,
   Route,
   RouteKind,
