Confirm that a server still runs before an answer without an end mark counts as complete

Cause: an answer that has neither a length nor chunks ends by the clean close of its connection, and so does an answer of an endpoint whose process ends. A stream cut between two events, and a plain answer cut anywhere, therefore reached the caller as complete. The entry program passed plain services' answers on by the same rule.

Answers with a length or chunks aren't affected, nor are those that have no body (HEAD, 204, 304), whose framing is now `length`.

--- a/src/app/gateway/request/EndpointAttempt.ts
+++ b/src/app/gateway/request/EndpointAttempt.ts
@@ -2,6 +2,7 @@
 import { limitPromptParts, type PlacementResult } from '../../../protocol/peer/GatewayMessages.ts';
 import { endpointStartOf, type EndpointRecord } from '../../../state/gateway/index.ts';
 import {
+  confirmServerRuns,
   exchange,
   type AnswerFraming,
   type Exchange,
@@ -243,10 +244,11 @@
       this.#onStreamEnded();
       return;
     }
-    const failed = status >= FIRST_SERVER_ERROR;
-    this.#recordAnswer();
-    this.#end(failed ? 'failed' : 'served', `status ${status}`);
-    this.#emit({ _tag: 'answered', body: this.#reader.body() });
+    this.#confirmEnd(() => {
+      this.#recordAnswer();
+      this.#end(status >= FIRST_SERVER_ERROR ? 'failed' : 'served', `status ${status}`);
+      this.#emit({ _tag: 'answered', body: this.#reader.body() });
+    });
   }
 
   #onStreamEnded(): void {
@@ -256,9 +258,28 @@
       return;
     }
     this.#apply(outcome);
-    this.#recordAnswer();
-    this.#end('served', '');
-    this.#emit({ _tag: 'streamEnded' });
+    this.#confirmEnd(() => {
+      this.#recordAnswer();
+      this.#end('served', '');
+      this.#emit({ _tag: 'streamEnded' });
+    });
+  }
+
+  /**
+   * Completes an answer. The end of its connection alone is also what the end of the endpoint's process looks like, so
+   * an answer without another mark is complete only if the endpoint still accepts connections.
+   */
+  #confirmEnd(onComplete: () => void): void {
+    if (this.framing !== 'close') {
+      onComplete();
+      return;
+    }
+    const { context, endpoint } = this.#options;
+    confirmServerRuns(context.endpointPool, `http://${endpoint.address}`, (runs) => {
+      if (this.#ended) return;
+      if (runs) onComplete();
+      else this.#onConnectionLost('the endpoint is gone, and its answer has no end mark');
+    });
   }
 
   /**
--- a/src/transport/endpoint/ServiceCall.ts
+++ b/src/transport/endpoint/ServiceCall.ts
@@ -4,8 +4,8 @@
   EndpointEvent,
   EndpointRequest,
 } from '../../protocol/engine/EndpointClient.ts';
-import { EventCutter, exchange } from '../http/index.ts';
-import type { ConnectionPool, Exchange, ExchangeEvent } from '../http/index.ts';
+import { confirmServerRuns, EventCutter, exchange } from '../http/index.ts';
+import type { AnswerFraming, ConnectionPool, Exchange, ExchangeEvent } from '../http/index.ts';
 import { endpointHeaders } from './endpointHeaders.ts';
 
 /** A request at a plain service: passed through once, without resume. */
@@ -16,8 +16,13 @@
 
   readonly #exchange: Exchange;
 
+  readonly #pool: ConnectionPool;
+
   #headSeen = false;
 
+  /** How the end of the answer is marked; undefined until its head arrives. */
+  #framing: AnswerFraming | undefined;
+
   /** Cuts an event stream after complete events; undefined for other answers. */
   #eventCutter: EventCutter | undefined;
 
@@ -28,6 +33,7 @@
     request: EndpointRequest,
     onEvent: (event: EndpointEvent) => void,
   ) {
+    this.#pool = pool;
     this.#request = request;
     this.#onEvent = onEvent;
     this.#exchange = exchange(
@@ -67,13 +73,14 @@
         this.#onEvent(event);
         return;
       case 'head':
+        this.#framing = event.framing;
         this.#onHead(event.status, event.headers);
         return;
       case 'data':
         this.#tellPart(this.#eventCutter?.push(event.bytes).bytes ?? event.bytes);
         return;
       case 'ended':
-        this.#onEnded();
+        this.#confirmEnd();
         return;
       case 'broken':
         this.#fail(event.detail);
@@ -102,6 +109,19 @@
     this.#onEvent({ _tag: 'head', status, headers: filterResponseHeaders(headers) });
   }
 
+  /** The end of the connection alone is also what the end of the service's process looks like. */
+  #confirmEnd(): void {
+    if (this.#framing !== 'close') {
+      this.#onEnded();
+      return;
+    }
+    confirmServerRuns(this.#pool, this.#request.address, (runs) => {
+      if (this.#ended) return;
+      if (runs) this.#onEnded();
+      else this.#fail('the service is gone, and its answer has no end mark');
+    });
+  }
+
   #onEnded(): void {
     if (this.#eventCutter?.isInsideEvent === true) {
       this.#fail('stream ended inside an event');
--- a/src/transport/endpoint/makeEndpointClient.test.ts
+++ b/src/transport/endpoint/makeEndpointClient.test.ts
@@ -313,6 +313,16 @@
   });
 });
 
+// Guards against a truncated answer that its caller gets as a success, because the service's end looks like its own.
+test('an answer without a length of a plain service that ends with it is told as cut', async (context) => {
+  const server = await startInlineServer(context, (_request, response) => {
+    response.socket?.end('HTTP/1.1 200 OK\r\n\r\nhel');
+    server.stopListening();
+  });
+  const request = requestTo(server.address, { engine: false, responseForm: 'whole', path: '/x' });
+  expect(tagsOf(await collect(await makeClient(context), request))).toEqual('head part answer_cut');
+});
+
 test('a refused connect is told as refused, so that the request may go elsewhere', async (context) => {
   const events = await collect(await makeClient(context), requestTo(await closedAddress()));
   expect(tagsOf(events)).toEqual('refused');
--- a/src/transport/http/exchange.test.ts
+++ b/src/transport/http/exchange.test.ts
@@ -4,9 +4,11 @@
 import type { TestContext } from 'node:test';
 import { setTimeout as wait } from 'node:timers/promises';
 import { expect } from 'earl';
+import fc from 'fast-check';
 import { ConnectionPool } from './ConnectionPool.ts';
 import { exchange, type ExchangeEvent } from './exchange.ts';
 
+const SEED = 4;
 const UNFRAMED = 'HTTP/1.1 200 OK\r\n\r\nabc';
 const FRAMED = 'HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabc';
 
@@ -82,6 +84,68 @@
     expect(lastOf(await run(makePool(context), address))).toEqual('broken');
   });
 
+  // Guards against a truncated answer that counts as complete, at whichever byte and however its connection ends.
+  const MARKED = {
+    'a length': FRAMED,
+    chunks: 'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n',
+  };
+  Object.entries(MARKED).forEach(([name, whole]) =>
+    (['end', 'reset'] as const).forEach((ending) =>
+      it(`breaks an answer with ${name} that is cut at any byte by ${ending}`, async (context) => {
+        let length = 0;
+        const address = await startScript(context, (socket) => {
+          const part = whole.slice(0, length);
+          if (ending === 'end') socket.end(part);
+          else socket.write(part, () => socket.resetAndDestroy());
+        });
+        const pool = makePool(context);
+        for (length = 0; length < whole.length; length += 1) {
+          // eslint-disable-next-line no-await-in-loop
+          expect([length, lastOf(await run(pool, address))]).toEqual([length, 'broken']);
+        }
+        if (ending === 'end') expect(lastOf(await run(pool, address))).toEqual('ended');
+      }),
+    ),
+  );
+
+  it('reads the same answer whichever parts its bytes come in', async (context) => {
+    let cuts: readonly number[] = [];
+    const address = await startScript(context, async (socket) => {
+      const borders = [0, ...cuts, MARKED.chunks.length];
+      const parts = borders.slice(1).map((end, index) => MARKED.chunks.slice(borders[index], end));
+      for (const part of parts) {
+        socket.write(part);
+        // eslint-disable-next-line no-await-in-loop
+        await wait(1);
+      }
+    });
+    const pool = makePool(context);
+    const positions = fc.subarray(
+      Array.from({ length: MARKED.chunks.length }, (_, at) => at),
+      {
+        maxLength: 6,
+      },
+    );
+    await fc.assert(
+      fc.asyncProperty(positions, async (next) => {
+        cuts = next;
+        const events = await run(pool, address);
+        const body = events.map((event) => (event._tag === 'data' ? event.bytes.toString() : ''));
+        expect([body.join(''), lastOf(events)]).toEqual(['abcde', 'ended']);
+      }),
+      { seed: SEED, numRuns: 50 },
+    );
+  });
+
+  // Guards against an answer without a body whose missing length counts as an end by its connection.
+  it('takes the head of an answer without a body for its end', async (context) => {
+    const address = await startScript(context, (socket) =>
+      socket.write('HTTP/1.1 204 No Content\r\n\r\n'),
+    );
+    const [, head] = await run(makePool(context), address);
+    expect(head?._tag === 'head' && head.framing).toEqual('length');
+  });
+
   it('keeps a whole answer that is followed by another one', async (context) => {
     const address = await startScript(context, (socket) => socket.write(FRAMED + FRAMED));
     expect(lastOf(await run(makePool(context), address))).toEqual('ended');
--- a/src/transport/http/exchange.ts
+++ b/src/transport/http/exchange.ts
@@ -104,7 +104,14 @@
   }
 };
 
-const framingOf = ({ headers }: http.IncomingMessage): AnswerFraming => {
+/** Statuses whose answers never have a body, so that their head is their end. */
+const BODILESS_STATUSES: ReadonlySet<number | undefined> = new Set([204, 304]);
+
+const framingOf = (
+  { headers, statusCode }: http.IncomingMessage,
+  method: string,
+): AnswerFraming => {
+  if (method === 'HEAD' || BODILESS_STATUSES.has(statusCode)) return 'length';
   if (headers['transfer-encoding'] !== undefined) return 'chunked';
   return headers['content-length'] === undefined ? 'close' : 'length';
 };
@@ -140,7 +147,11 @@
   };
   const endProbe = new EndProbe();
   const onSocketEnd = (socket: Socket): void => {
-    if (incoming !== undefined && !incoming.complete && framingOf(incoming) === 'close')
+    if (
+      incoming !== undefined &&
+      !incoming.complete &&
+      framingOf(incoming, request.method) === 'close'
+    )
       endProbe.start(socket);
   };
   const breakOff = (detail: string): void => {
@@ -165,7 +176,7 @@
       status: response.statusCode ?? 0,
       headers: response.headers,
       headerLines: response.rawHeaders,
-      framing: framingOf(response),
+      framing: framingOf(response, request.method),
     });
     response.on('data', (bytes: Buffer) => {
       if (ended) return;
--- a/test/gateway/requests.test.ts
+++ b/test/gateway/requests.test.ts
@@ -73,6 +73,26 @@
     ).toEqual([]);
   });
 
+  // Guards against a truncated answer that its caller gets as a success, because its endpoint's end looks like its own.
+  it('never passes on an answer without a length whose endpoint ends with it', async (context) => {
+    const runner = await startRunner(context, (request) => {
+      request.socket.end(`${signed(request)}\r\nhel`);
+      runner.stopListening();
+    });
+    const { gateway } = await startReadyGateway(context, { 'i-1': runnerSpec('plain', runner) });
+    const got = await call(gateway.addresses.callers, { path: '/write/1', method: 'POST' });
+    expect([got.status, got.body]).toEqual([502, '']);
+  });
+
+  it('passes on an answer without a length whose endpoint goes on', async (context) => {
+    const runner = await startRunner(context, (request) => {
+      request.socket.end(`${signed(request)}\r\nhello`);
+    });
+    const { gateway } = await startReadyGateway(context, { 'i-1': runnerSpec('plain', runner) });
+    const got = await call(gateway.addresses.callers, { path: '/write/1', method: 'POST' });
+    expect([got.status, got.body]).toEqual([200, 'hello']);
+  });
+
   const REFUSALS: readonly {
     readonly name: string;
     readonly input: CallerInput;
--- a/test/gateway/streams.test.ts
+++ b/test/gateway/streams.test.ts
@@ -159,6 +159,25 @@
     expect([got.status, got.complete]).toEqual([200, false]);
   });
 
+  // Guards against the same for a resumable stream that ends at its caller although it could go on elsewhere.
+  it('resumes a stream without a length whose engine ends between events', async (context) => {
+    const gone = await startRunner(context, (request) => {
+      request.socket.end(`${unframedStreamHead(request)}${event(1)}`);
+      gone.stopListening();
+    });
+    const sound = await startRunner(
+      context,
+      write((request) => streamHead(request) + chunk(event(2)) + END),
+    );
+    const { gateway } = await startReadyGateway(context, {
+      'i-1': runnerSpec('model', gone),
+      'i-2': runnerSpec('model', sound),
+    });
+    const got = await call(gateway.addresses.callers, { path: '/resumed/', method: 'POST' });
+    expect([got.status, got.complete, got.body]).toEqual([200, true, event(1) + event(2)]);
+    expect(sound.arrived.at(-1)?.headers['last-event-id']).toEqual('1');
+  });
+
   it('passes on events whose lines end with CR and LF', async (context) => {
     const text = (event(1) + event(2)).replaceAll('\n', '\r\n');
     const runner = await startRunner(
--- a/test/support/inlineServer.ts
+++ b/test/support/inlineServer.ts
@@ -15,6 +15,8 @@
   readonly address: string;
   readonly seen: SeenRequest[];
   readonly connections: () => number;
+  /** Takes no new connections, as after the end of its process. */
+  readonly stopListening: () => void;
 }
 
 /** Starts a server on a free port; `handle` gets each request once its body is in. */
@@ -49,7 +51,14 @@
     server.close();
   });
   const { port } = server.address() as AddressInfo;
-  return { address: `http://127.0.0.1:${port}`, seen, connections: () => connections };
+  return {
+    address: `http://127.0.0.1:${port}`,
+    seen,
+    connections: () => connections,
+    stopListening: () => {
+      server.close();
+    },
+  };
 };
 
 /** Gives an address at which nothing listens. */
