Hold requests after a pause of the process until what it knows is confirmed

Cause, gateway: after its event loop was blocked, its process stopped or its machine suspended, a gateway sent requests by grants, charges, trials and a view of the store from before. Messages that peers sent during the pause counted as new. The pause counted as an outage of the store, so that endpoints which left during it stayed in use for another 2 s. A suspended machine made the view, the quota and the retry window look younger than they were. A gateway accepted grants of a scheduler that it had left. Callers whose heads arrived during the pause got 408, because Node looks for late heads before it reads. Cause, entry program: the lease was checked before the connection to the endpoint was opened, not when the request was written. A wall clock that was set back hid a later suspension.

Change: PauseDetector compares both clocks at each tick and right before a request is written (`mayWrite` of an exchange). A gap of more than 500 ms between two observations, or between the clocks in either direction, is a pause. PauseMonitor then holds requests until the store has answered a new call, 1 s at most; grants go back unused, tickets are charged anew, buckets of quotas and limits start empty, and confirmations that were sent before the end of the pause are ignored. After a time that the clock didn't count, the retry budget forgets its requests. A late head gets 50 ms more. The entry checks lease and incarnation again when it writes.

Without a pause a request costs two reads of the clocks and no message.

--- a/src/app/EndpointCalls.ts
+++ b/src/app/EndpointCalls.ts
@@ -85,7 +85,7 @@
    */
   start(
     id: string,
-    target: Pick<EndpointRequest, 'address' | 'version' | 'idempotent' | 'engine'>,
+    target: Pick<EndpointRequest, 'address' | 'version' | 'idempotent' | 'engine' | 'mayWrite'>,
   ): void {
     const exchange = this.#exchanges.get(id);
     if (exchange === undefined) throw new Error(`no request is registered under the id ${id}`);
--- a/src/app/Entry.ts
+++ b/src/app/Entry.ts
@@ -17,10 +17,10 @@
 import type { EntryAddress } from '../protocol/caller/CallerService.ts';
 import type { EndpointClient } from '../protocol/engine/EndpointClient.ts';
 import type { PeerNetwork } from '../protocol/peer/PeerNetwork.ts';
-import type { Endpoint } from '../state/Endpoint.ts';
 import type { Member } from '../state/Member.ts';
 import type { RequestOutcome, RequestStatus } from '../state/RequestOutcome.ts';
 import type { EntrySettings } from '../state/EntrySettings.ts';
+import { findDispatchTarget } from './findDispatchTarget.ts';
 import { EndpointCalls } from './EndpointCalls.ts';
 import { listEntryAddresses } from './listEntryAddresses.ts';
 import { logDecision } from './logDecision.ts';
@@ -412,15 +412,15 @@
   }
 
   #dispatch({ request, grant }: Extract<HomeAction, { _tag: 'dispatch' }>): void {
-    const endpoint = this.#findEndpoint(grant.endpoint);
-    if (endpoint === undefined) {
+    const target = findDispatchTarget(this.replica.current()?.bundle, grant.endpoint);
+    if (target === undefined) {
       this.execute(this.home.retryElsewhere(request.id, this.now()));
       return;
     }
-    const { address, version, pool } = endpoint;
-    const engine =
-      this.replica.current()?.bundle.pools.find(({ name }) => name === pool)?.kind._tag === 'model';
-    this.calls.start(request.id, { address, version, idempotent: request.idempotent, engine });
+    // The lease may end while the connection opens, and a new incarnation has a lease of its own.
+    const { incarnation } = this;
+    const mayWrite = (): boolean => this.#mayDispatch(this.now(), incarnation);
+    this.calls.start(request.id, { ...target, idempotent: request.idempotent, mayWrite });
   }
 
   #finish(id: string, outcome: RequestOutcome): void {
@@ -442,11 +442,8 @@
     }
   }
 
-  #findEndpoint(name: string): Endpoint | undefined {
-    return this.replica.current()?.bundle.endpoints.find((endpoint) => endpoint.name === name);
-  }
-
-  #mayDispatch(now: number): boolean {
+  #mayDispatch(now: number, incarnation = this.incarnation): boolean {
+    if (incarnation !== this.incarnation) return false;
     if (this.#clockJumpDetector.hasJumped(now, this.#options.wallNow())) return false;
     return this.membership.lease(now)._tag !== 'lapsed';
   }
--- a/src/app/gateway/GatewayContext.ts
+++ b/src/app/gateway/GatewayContext.ts
@@ -13,6 +13,7 @@
 import type { ExclusionMonitor } from './reach/ExclusionMonitor.ts';
 import type { GatewayMetrics } from './GatewayMetrics.ts';
 import type { PeerForwarder } from './reach/PeerForwarder.ts';
+import type { PauseMonitor } from './PauseMonitor.ts';
 import type { PlacementCoordinator } from './placement/PlacementCoordinator.ts';
 import type { ReachMonitor } from './reach/ReachMonitor.ts';
 import type { RequestHandler } from './request/RequestHandler.ts';
@@ -26,6 +27,7 @@
   readonly plainSelector: PlainEndpointSelector;
   readonly retryBudget: RetryBudget;
   readonly placements: PlacementCoordinator;
+  readonly pauses: PauseMonitor;
   readonly crashes: CrashMonitor;
   readonly crashDetector: CrashDetector;
   readonly limits: EndpointLimitMonitor;
--- a/src/app/gateway/GatewayMetrics.ts
+++ b/src/app/gateway/GatewayMetrics.ts
@@ -51,6 +51,12 @@
     registers: [this.#registry],
   });
 
+  readonly #pauses = new Counter({
+    name: 'corianderwick_gateway_pauses_total',
+    help: 'Times that the process stood still, or that its clocks disagreed.',
+    registers: [this.#registry],
+  });
+
   readonly #storeCalls = new Counter({
     name: 'corianderwick_gateway_store_calls_total',
     help: 'Calls to the store by kind of call.',
@@ -165,6 +171,11 @@
     this.#attempts.inc({ service, result });
   }
 
+  /** Counts a pause of the process. */
+  countPause(): void {
+    this.#pauses.inc();
+  }
+
   /** Counts a call to the store by its kind. */
   countStoreCall(call: string): void {
     this.#storeCalls.inc({ call });
--- a/src/app/gateway/following/StoreSubscription.test.ts
+++ b/src/app/gateway/following/StoreSubscription.test.ts
@@ -109,7 +109,8 @@
     }
   };
   await settle();
-  return { directory, answerWatches, receive, pass, settle };
+  const ageMs = (): number => subscription.viewAge(now).ageMs;
+  return { subscription, directory, answerWatches, receive, sendHeartbeat, pass, settle, ageMs };
 };
 
 const removal = (name: string, revision: number): PeerMessage => ({
@@ -135,4 +136,35 @@
     await pass(DRAIN_BOUND_MS);
     expect(directory.listReady('plain').map(({ id }) => id)).toEqual(['staying']);
   });
+
+  // Guards against a view that counts as new by what was sent before or during a pause of the process (DRAIN).
+  it('takes nothing for a confirmation that is older than the end of a pause', async (context) => {
+    const { subscription, answerWatches, sendHeartbeat, pass, settle, ageMs } = await startFollower(
+      context,
+      ['staying'],
+    );
+    await pass(TICK_MS);
+    expect(ageMs()).toBeLessThan(TICK_MS);
+    subscription.recordPause({ countedMs: 0, uncountedMs: 3_000 });
+    sendHeartbeat();
+    answerWatches({ _tag: 'changed', changes: [], revision: LIST_REVISION });
+    await settle();
+    expect(ageMs()).toBeGreaterThanOrEqual(3_000);
+    await pass(200);
+    expect(ageMs()).toBeLessThan(TICK_MS);
+  });
+
+  it('takes a pause of its own process for no outage of the store', async (context) => {
+    const { subscription, directory, answerWatches, receive, pass, settle } = await startFollower(
+      context,
+      ['leaving', 'staying'],
+    );
+    answerWatches(UNAVAILABLE);
+    await settle();
+    await pass(100);
+    subscription.recordPause({ countedMs: 0, uncountedMs: 3_000 });
+    await pass(200);
+    receive(removal('leaving', LIST_REVISION + 1));
+    expect(directory.listReady('plain').map(({ id }) => id)).toEqual(['staying']);
+  });
 });
--- a/src/app/gateway/following/StoreSubscription.ts
+++ b/src/app/gateway/following/StoreSubscription.ts
@@ -10,11 +10,13 @@
   type EndpointChange,
   type EndpointDirectory,
   type KnownRevisions,
+  type Pause,
 } from '../../../coordination/gateway/index.ts';
 import type { ObjectStore, StoreChange, WireAdapter } from '../../../protocol/gateway/index.ts';
 import type { PeerMessage } from '../../../protocol/peer/PeerMessage.ts';
 import type { WatchedKind } from '../../../protocol/peer/GatewayMessages.ts';
 import type { RouteTable } from '../../../state/gateway/index.ts';
+import { BACKLOG_MS } from '../PauseMonitor.ts';
 import type { PeerGroup } from '../PeerGroup.ts';
 import { StoreWatch, type StoreChangeSource, type StoreWatchListener } from './StoreWatch.ts';
 import { ViewLog } from './ViewLog.ts';
@@ -96,6 +98,12 @@
   /** Last moment before the changes that are being applied at which the store confirmed the endpoints, in ms. */
   #endpointsListedAt = Number.NEGATIVE_INFINITY;
 
+  /** Time since the last confirmation of the endpoints in which this process stood still, in ms. */
+  #pausedMs = 0;
+
+  /** End of the last pause of the process in ms. */
+  #resumedAt = Number.NEGATIVE_INFINITY;
+
   constructor(options: StoreSubscriptionOptions) {
     this.#options = options;
     const { store, now, random, sleep, group } = options;
@@ -144,10 +152,28 @@
    */
   outagePhase(now: number): OutagePhase {
     const { at } = this.#freshness.confirmationOf('endpoints');
-    if (Number.isFinite(at) && now - at > EXPIRY_OUTAGE_MS) return 'unavailable';
+    if (Number.isFinite(at) && now - at - this.#pausedMs > EXPIRY_OUTAGE_MS) return 'unavailable';
     return this.#options.directory.remainingGraceMs(now) > 0 ? 'grace' : 'none';
   }
 
+  /**
+   * Records that the process stood still until now. That time is no outage of the store, and what peers sent meanwhile
+   * arrives only now.
+   *
+   * @param pause - how long, by which clock
+   */
+  recordPause({ countedMs, uncountedMs }: Pause): void {
+    this.#freshness.age(uncountedMs);
+    this.#pausedMs += countedMs + uncountedMs;
+    this.#resumedAt = this.#options.now();
+    Object.values(this.#watches).forEach((watch) => watch.recordPause());
+  }
+
+  /** Asks the store for what has changed; resolves once it has answered or can't be reached. */
+  async refresh(): Promise<void> {
+    await Promise.all(Object.values(this.#watches).map((watch) => watch.refresh()));
+  }
+
   /** Starts both watches. */
   start(): void {
     Object.values(this.#watches).forEach((watch) => {
@@ -270,10 +296,12 @@
 
   /** Records a confirmation of the view, before the changes that come with it are applied. */
   #confirm(kind: WatchedKind, confirmation: Confirmation): void {
+    if (confirmation.path === 'peer' && this.#options.now() - this.#resumedAt < BACKLOG_MS) return;
     const previousAt = this.#freshness.confirm(kind, confirmation);
     if (kind !== 'endpoints') return;
     this.#endpointsListedAt = previousAt;
-    this.#options.directory.recordConfirmation(previousAt, confirmation.at);
+    this.#options.directory.recordConfirmation(previousAt + this.#pausedMs, confirmation.at);
+    if (confirmation.at > previousAt) this.#pausedMs = 0;
   }
 
   #relayChanges(
--- a/src/app/gateway/following/StoreWatch.ts
+++ b/src/app/gateway/following/StoreWatch.ts
@@ -106,6 +106,9 @@
 
   #resume: (() => void) | undefined;
 
+  /** End of the last pause of the process in ms; what the store was asked before tells nothing of the time since. */
+  #pausedAt = Number.NEGATIVE_INFINITY;
+
   constructor(options: StoreWatchOptions) {
     this.#options = options;
   }
@@ -205,6 +208,29 @@
     return true;
   }
 
+  /** Records that the process stood still until now: the answer to a call in progress is discarded. */
+  recordPause(): void {
+    this.#pausedAt = this.#options.now();
+  }
+
+  /** Asks the store at once for what has changed, also while changes are relayed or another call is in progress. */
+  async refresh(): Promise<void> {
+    const { store, kind, now } = this.#options;
+    const from = this.#revision;
+    if (this.#stopped || from === undefined) return;
+    const sentAt = now();
+    const result = await store.watch(kind, from, {
+      waitMs: CATCH_UP_WAIT_MS,
+      answerMs: this.#answerMs,
+      fresh: true,
+    });
+    if (this.#stopped || this.#isFromBeforePause(sentAt)) return;
+    if (result._tag === 'expired') await this.#list();
+    if (result._tag !== 'changed') return;
+    this.#reportAvailable(this.#confirmationOf(result.changes, sentAt, CATCH_UP_WAIT_MS));
+    this.#applyWatched(from, result.revision, result.changes);
+  }
+
   /** Stops the watch; the result of a call in progress is discarded. */
   stop(): void {
     this.#stopped = true;
@@ -230,8 +256,9 @@
 
   async #list(): Promise<void> {
     const { store, kind, now } = this.#options;
+    const sentAt = now();
     const result = await store.list(kind);
-    if (this.#stopped) return;
+    if (this.#stopped || this.#isFromBeforePause(sentAt)) return;
     if (result._tag === 'unavailable') {
       await this.#backOff(result.detail);
       return;
@@ -251,6 +278,10 @@
       fresh: isCatchUp,
     });
     if (this.#stopped) return;
+    if (this.#isFromBeforePause(sentAt)) {
+      this.#isCatchUpDue = true;
+      return;
+    }
     const beyondWaitMs = now() - sentAt - waitMs;
     switch (result._tag) {
       case 'unavailable':
@@ -267,7 +298,7 @@
         if (isCatchUp || beyondWaitMs > 0)
           this.#answerMs = Math.min(MAXIMUM_ANSWER_MS, Math.max(WATCH_ANSWER_MS, 2 * beyondWaitMs));
         this.#reportAvailable(this.#confirmationOf(result.changes, sentAt, waitMs));
-        this.#applyWatched(result.revision, result.changes);
+        this.#applyWatched(revision, result.revision, result.changes);
         return;
       default:
         result satisfies never;
@@ -299,11 +330,15 @@
     if (before !== undefined) this.#options.onWatchResult(before, revision, changes);
   }
 
-  #applyWatched(revision: number, watched: readonly StoreChange[]): void {
+  #isFromBeforePause(sentAt: number): boolean {
+    return sentAt < this.#pausedAt;
+  }
+
+  #applyWatched(from: number, revision: number, watched: readonly StoreChange[]): void {
     const before = this.#revision ?? 0;
     // Changes that were relayed during the call are newer than its result.
     if (revision <= before) return;
-    const changes = watched.map((change) => placeAfter(before, change));
+    const changes = watched.map((change) => placeAfter(from, change));
     this.#revision = revision;
     this.#log.append(changes, revision);
     this.#apply(changes, 'watch');
--- a/src/app/gateway/placement/PlacementCoordinator.test.ts
+++ b/src/app/gateway/placement/PlacementCoordinator.test.ts
@@ -147,6 +147,21 @@
     expect(refusals(sent)).toEqual([['asked', 'quota']]);
   });
 
+  // Guards against two schedulers that place one request, because a paused one goes on with what it knew before.
+  it('gives a grant back that another gateway made than its scheduler', () => {
+    const { coordinator, state, sent, answers, place } = makeCoordinator('own');
+    place('moved');
+    state.leader = 'second';
+    coordinator.tick();
+    const grant = { _tag: 'placementGrant', id: 'moved', endpoint: ENGINE.id } as const;
+    coordinator.handle('first', grant, state.now);
+    expect(answers).toEqual([]);
+    const back = { _tag: 'placementEnd', id: 'moved', result: { outcome: 'unused' } } as const;
+    expect(sent.at(-1)).toEqual({ to: 'first', message: back });
+    coordinator.handle('second', grant, state.now);
+    expect(answers.map(({ _tag }) => _tag)).toEqual(['granted']);
+  });
+
   it('charges a ticket once although it is reported repeatedly', () => {
     const { coordinator, state, sent } = makeCoordinator('first');
     coordinator.tick();
--- a/src/app/gateway/placement/PlacementCoordinator.ts
+++ b/src/app/gateway/placement/PlacementCoordinator.ts
@@ -469,8 +469,9 @@
 
   #onGrant(from: string, id: string, endpoint: string, now: number): void {
     const pending = this.#tickets.findPending(id);
-    // The ticket was withdrawn or decided, or this process now schedules it itself: the slot is unused.
-    if (pending === undefined || pending.scheduler === this.#options.group().incarnation) {
+    // The ticket was withdrawn or decided, or another process schedules it now, such as this one while the leader was
+    // silent: the slot is unused.
+    if (pending?.scheduler !== from) {
       this.#options.group().send(from, {
         _tag: 'placementEnd',
         id,
--- a/src/app/gateway/request/EndpointAttempt.ts
+++ b/src/app/gateway/request/EndpointAttempt.ts
@@ -114,6 +114,7 @@
         body: inbound.body,
         fresh: false,
         silenceMs: undefined,
+        mayWrite: () => context.pauses.check(),
       },
       (event) => this.#onExchange(event),
     );
@@ -140,7 +141,8 @@
         this.written = true;
         return;
       case 'refused':
-        this.#onUnreachable(event.detail);
+        if (event.forbidden) this.#onForbidden();
+        else this.#onUnreachable(event.detail);
         return;
       case 'head':
         this.#hear();
@@ -162,6 +164,11 @@
     }
   }
 
+  #onForbidden(): void {
+    this.#end('unused', 'the process stood still');
+    this.#emit({ _tag: 'notSent' });
+  }
+
   #hear(): void {
     const { now, reach } = this.#options.context;
     this.heardAt = now();
--- a/src/app/gateway/request/RequestAttempt.ts
+++ b/src/app/gateway/request/RequestAttempt.ts
@@ -2,8 +2,8 @@
 import type { ViewAge } from '../following/StoreSubscription.ts';
 
 /**
- * Progress of an attempt, in order; `streamEnded`, `answered`, `notRun`, `broken` or `unserved` is the last
- * event.
+ * Progress of an attempt, in order; `streamEnded`, `answered`, `notRun`, `notSent`, `broken` or `unserved`
+ * is the last event.
  */
 export type AttemptEvent =
   /** Complete events of a successful stream, or what follows the last one at its end. */
@@ -12,6 +12,8 @@
   | { readonly _tag: 'answered'; readonly body: Uint8Array }
   /** The request was certainly not executed; `arrived` tells whether the endpoint received it. */
   | { readonly _tag: 'notRun'; readonly arrived: boolean; readonly detail: string }
+  /** The process stood still before it sent the request, so that the permission to do so may have expired. */
+  | { readonly _tag: 'notSent' }
   /** The request may have been executed, and no complete answer arrived. */
   | {
       readonly _tag: 'broken';
--- a/src/app/gateway/request/RequestHandler.ts
+++ b/src/app/gateway/request/RequestHandler.ts
@@ -167,6 +167,7 @@
    * directly. A gateway that reaches no endpoint forwards the request to a peer that does.
    */
   #place(): void {
+    if (this.#done || this.#context.pauses.hold(() => this.#place())) return;
     this.#placementCount += 1;
     const peer = this.#forwarding.findPeer();
     if (peer !== undefined) {
@@ -285,6 +286,11 @@
   }
 
   #send(endpoint: EndpointRecord, ticketId: string | undefined): void {
+    if (!this.#context.pauses.check()) {
+      this.#context.placements.releaseSlot(ticketId ?? '', { outcome: 'unused' });
+      this.#placeAnew();
+      return;
+    }
     const attempt = new EndpointAttempt({
       context: this.#context,
       request: this.#request,
@@ -298,6 +304,12 @@
     attempt.start();
   }
 
+  /** After a pause of the process, in which a charge may have left the window that it was made for. */
+  #placeAnew(): void {
+    this.#isCharged = false;
+    this.#place();
+  }
+
   #onAttemptEvent(attempt: RequestAttempt, event: AttemptEvent): void {
     if (this.#done || this.#attempt !== attempt) return;
     switch (event._tag) {
@@ -316,6 +328,9 @@
         this.#avoid(attempt);
         this.#retryOrEnd(event.detail, { mayHaveRun: false, arrived: event.arrived });
         return;
+      case 'notSent':
+        this.#placeAnew();
+        return;
       case 'broken':
         this.#onBroken(attempt, event);
         return;
--- a/src/app/gateway/runGateway.ts
+++ b/src/app/gateway/runGateway.ts
@@ -32,6 +32,7 @@
 import { ExclusionMonitor } from './reach/ExclusionMonitor.ts';
 import { GatewayMetrics } from './GatewayMetrics.ts';
 import { makeIncarnation } from './makeIncarnation.ts';
+import { PauseMonitor } from './PauseMonitor.ts';
 import { PeerForwarder } from './reach/PeerForwarder.ts';
 import { PeerGroup } from './PeerGroup.ts';
 import { PlacementCoordinator } from './placement/PlacementCoordinator.ts';
@@ -199,18 +200,19 @@
       now,
     });
     const endpointLimits = new EndpointLimits();
+    const quotas = new QuotaLimiter(
+      {
+        windowMs: bounds.quotaWindowMs,
+        overshoot: bounds.quotaOvershoot,
+        slack: bounds.quotaSlack,
+      },
+      now(),
+    );
     const placements = new PlacementCoordinator({
       group: () => lateBound.group.get(),
       crashes,
       limits: endpointLimits,
-      quotas: new QuotaLimiter(
-        {
-          windowMs: bounds.quotaWindowMs,
-          overshoot: bounds.quotaOvershoot,
-          slack: bounds.quotaSlack,
-        },
-        now(),
-      ),
+      quotas,
       findAccount: (name) => lateBound.gateway.peek()?.routeIndex?.findAccount(name),
       configurationVersion: () => lateBound.gateway.peek()?.routeIndex?.table.version ?? 0,
       metrics,
@@ -235,17 +237,34 @@
       logger,
       now,
     });
+    const retryBudget = new RetryBudget({
+      ratio: bounds.retryRatio,
+      slack: bounds.retrySlack,
+      windowMs: bounds.retryWindowMs,
+    });
+    const pauses = new PauseMonitor({
+      onPaused: (pause) => {
+        // Another gateway may have charged them meanwhile.
+        quotas.reset(now());
+        endpointLimits.reset(now());
+        if (pause.uncountedMs > 0) retryBudget.forgetRequests();
+        endpointPool.closeIdle();
+        lateBound.storeSubscription.peek()?.recordPause(pause);
+      },
+      refreshView: async () => lateBound.storeSubscription.peek()?.refresh(),
+      metrics,
+      logger,
+      now,
+      wallNow: () => Date.now(),
+    });
     const gateway = new Gateway({
       wire,
       directory,
       plainEndpoints,
       plainSelector: new PlainEndpointSelector(plainEndpoints, endpointLimits),
-      retryBudget: new RetryBudget({
-        ratio: bounds.retryRatio,
-        slack: bounds.retrySlack,
-        windowMs: bounds.retryWindowMs,
-      }),
+      retryBudget,
       placements,
+      pauses,
       crashes,
       crashDetector,
       limits,
@@ -374,6 +393,7 @@
     yield* Effect.acquireRelease(
       Effect.sync(() =>
         setInterval(() => {
+          pauses.check();
           group.tick(now());
           storeSubscription.tick();
           placements.tick();
--- a/src/coordination/gateway/following/ViewFreshness.ts
+++ b/src/coordination/gateway/following/ViewFreshness.ts
@@ -32,6 +32,18 @@
     return previous.at;
   }
 
+  /**
+   * Makes all confirmations older.
+   *
+   * @param ms - time that passed since then and that the clock didn't count
+   */
+  age(ms: number): void {
+    (['configuration', 'endpoints'] as const).forEach((kind) => {
+      const { at, path } = this.#confirmations[kind];
+      this.#confirmations[kind] = { at: at - ms, path };
+    });
+  }
+
   /** Returns the last confirmation of the view of one kind. */
   confirmationOf(kind: WatchedKind): Confirmation {
     return this.#confirmations[kind];
--- a/src/coordination/gateway/index.ts
+++ b/src/coordination/gateway/index.ts
@@ -18,6 +18,8 @@
 export { CrashQuarantine } from './crashes/CrashQuarantine.ts';
 export type { QuarantineDecision } from './crashes/CrashQuarantine.ts';
 export { ObjectRevisions } from './following/ObjectRevisions.ts';
+export { PauseDetector } from './following/PauseDetector.ts';
+export type { Pause } from './following/PauseDetector.ts';
 export { PlainEndpointSelector } from './placement/PlainEndpointSelector.ts';
 export type { PlainCandidates, PlainSelection } from './placement/PlainEndpointSelector.ts';
 export { PlainServiceBalancer } from './placement/PlainServiceBalancer.ts';
--- a/src/coordination/gateway/limits/RetryBudget.ts
+++ b/src/coordination/gateway/limits/RetryBudget.ts
@@ -60,6 +60,11 @@
     return true;
   }
 
+  /** Forgets all requests, after a time that the clock didn't count; retries still count. */
+  forgetRequests(): void {
+    this.#services.forEach(({ requests }) => requests.splice(0));
+  }
+
   #history(service: string, now: number): ServiceHistory {
     const history = this.#services.get(service) ?? { requests: [], retries: [] };
     this.#services.set(service, history);
--- a/src/coordination/home/ClockJumpDetector.ts
+++ b/src/coordination/home/ClockJumpDetector.ts
@@ -17,14 +17,17 @@
   }
 
   /**
-   * Compares the clocks. The reference offset between them stays as it is until `reset`.
+   * Compares the clocks. The reference offset between them is the lowest one since `reset`, so that a wall clock that was
+   * set back doesn't hide a later suspension.
    *
    * @param now - present monotonic time, ms
    * @param wallNow - present Unix time, ms
    * @returns whether the wall clock has moved ahead by more than an ordinary adjustment
    */
   hasJumped(now: number, wallNow: number): boolean {
-    return wallNow - now - this.#offsetMs > MAXIMUM_ADJUSTMENT_MS;
+    const offsetMs = wallNow - now;
+    this.#offsetMs = Math.min(this.#offsetMs, offsetMs);
+    return offsetMs - this.#offsetMs > MAXIMUM_ADJUSTMENT_MS;
   }
 
   /**
--- a/src/protocol/engine/EndpointClient.ts
+++ b/src/protocol/engine/EndpointClient.ts
@@ -21,6 +21,8 @@
   readonly idempotent: boolean;
   /** Whether the endpoint is a model engine, which echoes the request id, marks the end of a stream and can resume it. */
   readonly engine: boolean;
+  /** Whether the request may still be sent; asked right before it is written. If not, it is `refused`. */
+  readonly mayWrite?: (() => boolean) | undefined;
 }
 
 /** An event of a request at an endpoint. The last event is exactly one of `ended`, `failed` and `refused`. */
--- a/src/transport/endpoint/EngineCall.ts
+++ b/src/transport/endpoint/EngineCall.ts
@@ -102,12 +102,21 @@
   }
 
   #dispatch(): void {
-    const { address, method, path, body } = this.#request;
+    const { address, method, path, body, mayWrite } = this.#request;
     // A compressed answer couldn't be read on its way through.
     const headers = { ...endpointHeaders(this.#request), 'accept-encoding': 'identity' };
     this.#exchange = exchange(
       this.#pool,
-      { address, method, path, headers, body, fresh: false, silenceMs: this.#silenceMs },
+      {
+        address,
+        method,
+        path,
+        headers,
+        body,
+        fresh: false,
+        silenceMs: this.#silenceMs,
+        mayWrite,
+      },
       (event) => this.#onExchange(event),
     );
   }
--- a/src/transport/endpoint/ServiceCall.ts
+++ b/src/transport/endpoint/ServiceCall.ts
@@ -46,6 +46,7 @@
         body: request.body.length > 0 ? request.body : undefined,
         fresh: false,
         silenceMs: undefined,
+        mayWrite: request.mayWrite,
       },
       (event) => this.#onExchange(event),
     );
--- a/src/transport/gateway/InboundConnections.ts
+++ b/src/transport/gateway/InboundConnections.ts
@@ -83,6 +83,8 @@
 
   readonly #sockets = new Set<Socket>();
 
+  readonly #requestCounts = new WeakMap<Socket, number>();
+
   /** Whether each connection closes with its next answer. */
   draining = false;
 
@@ -105,6 +107,11 @@
     });
   }
 
+  /** Returns the number of requests whose heads have been read from a connection. */
+  requestCount(socket: Socket): number {
+    return this.#requestCounts.get(socket) ?? 0;
+  }
+
   /** Closes connections on which nothing is asked. */
   closeIdle(): void {
     this.#sockets.forEach((socket) => {
@@ -118,6 +125,7 @@
     const arrivedAt = now();
     const { socket } = incoming;
     if (!this.#sockets.has(socket)) this.add(socket);
+    this.#requestCounts.set(socket, this.requestCount(socket) + 1);
     this.#busy.set(socket, (this.#busy.get(socket) ?? 0) + 1);
     response.once('close', () => this.#busy.set(socket, (this.#busy.get(socket) ?? 1) - 1));
     const { maximumHeaderBytes, maximumBodyBytes } = limits();
--- a/src/transport/gateway/makeGatewayServer.ts
+++ b/src/transport/gateway/makeGatewayServer.ts
@@ -34,13 +34,21 @@
 
 const STATUS = { badRequest: 400, requestTimeout: 408, headerTooLarge: 431 } as const;
 
+/** Node's error for a head that isn't complete in time. */
+const LATE_HEAD = 'ERR_HTTP_REQUEST_TIMEOUT';
+
 const STATUS_BY_ERROR: Readonly<Record<string, number>> = {
   HPE_HEADER_OVERFLOW: STATUS.headerTooLarge,
-  ERR_HTTP_REQUEST_TIMEOUT: STATUS.requestTimeout,
+  [LATE_HEAD]: STATUS.requestTimeout,
 };
 
 /** How often Node looks for clients that are too slow with a head. */
 const SLOW_CLIENT_CHECK_MS = 500;
+/**
+ * Time in which a head that is late is still read. After a pause of this process, Node looks for late heads before it
+ * reads those that arrived meanwhile.
+ */
+const LATE_HEAD_MS = 50;
 const answerBroken = (error: NodeJS.ErrnoException, socket: Socket): number => {
   const status = STATUS_BY_ERROR[error.code ?? ''] ?? STATUS.badRequest;
   if (!socket.writable || error.code === 'ECONNRESET') {
@@ -82,8 +90,19 @@
       connections.add(socket);
     });
     server.on('request', (incoming, response) => connections.onRequest(incoming, response));
-    server.on('clientError', (error, socket) => {
-      options.onRejected(answerBroken(error, socket as Socket), error.message);
+    const reject = (error: NodeJS.ErrnoException, socket: Socket): void => {
+      options.onRejected(answerBroken(error, socket), error.message);
+    };
+    server.on('clientError', (error: NodeJS.ErrnoException, stream) => {
+      const socket = stream as Socket;
+      if (error.code !== LATE_HEAD) {
+        reject(error, socket);
+        return;
+      }
+      const requests = connections.requestCount(socket);
+      setTimeout(() => {
+        if (connections.requestCount(socket) === requests) reject(error, socket);
+      }, LATE_HEAD_MS);
     });
     const address = yield* listenAt(server, options.address, options.onUnavailable);
     return {
--- a/src/transport/http/ConnectionPool.ts
+++ b/src/transport/http/ConnectionPool.ts
@@ -105,6 +105,12 @@
     });
   }
 
+  /** Closes all idle connections, after a time in which their servers may have closed them unnoticed. */
+  closeIdle(): void {
+    this.#idle.forEach((connections) => connections.forEach(({ socket }) => socket.destroy()));
+    this.#idle.clear();
+  }
+
   /** Closes every connection. */
   close(): void {
     this.#sockets.forEach((socket) => socket.destroy());
--- a/src/transport/http/exchange.ts
+++ b/src/transport/http/exchange.ts
@@ -29,6 +29,11 @@
    * request without a body.
    */
   readonly continueWithinMs?: number;
+  /**
+   * Whether the request may still be sent; asked right before it is written, since connecting takes time. If not, the
+   * exchange is `refused`. Undefined for a request that may always be sent.
+   */
+  readonly mayWrite?: (() => boolean) | undefined;
 }
 
 /** How the end of an answer is marked; `close` means by the end of its connection alone. */
@@ -37,7 +42,12 @@
 /** What happens to an exchange, in order; `refused`, `ended` or `broken` comes last and once. */
 export type ExchangeEvent =
   /** The request was not written, or not as a whole, so the server can't have run it. */
-  | { readonly _tag: 'refused'; readonly detail: string }
+  | {
+      readonly _tag: 'refused';
+      readonly detail: string;
+      /** Whether `mayWrite` forbade it, so that the server has no part in it. */
+      readonly forbidden?: true;
+    }
   /** The request is being written: from here on it may reach the server. */
   | { readonly _tag: 'written' }
   | {
@@ -202,6 +212,10 @@
   const write = (body: Uint8Array | undefined): void => {
     clearTimeout(patience);
     if (ended) return;
+    if (request.mayWrite?.() === false) {
+      finish({ _tag: 'refused', detail: 'it may not be sent any more', forbidden: true });
+      return;
+    }
     if (request.silenceMs !== undefined) silence = setTimeout(onSilence, request.silenceMs);
     onEvent({ _tag: 'written' });
     if (ended) return;
