--- a/src/app/gateway/request/EndpointAttempt.ts
+++ b/src/app/gateway/request/EndpointAttempt.ts
@@ -2,6 +2,7 @@
 import { limitPromptParts, type PlacementResult } from '../../../protocol/peer/GatewayMessages.ts';
 import { endpointStartOf, type EndpointRecord } from '../../../state/gateway/index.ts';
 import {
+  confirmServerRuns,
   exchange,
   type AnswerFraming,
   type Exchange,
@@ -113,6 +114,7 @@
         body: inbound.body,
         fresh: false,
         silenceMs: undefined,
+        mayWrite: () => context.pauses.check(),
       },
       (event) => this.#onExchange(event),
     );
@@ -139,7 +141,8 @@
         this.written = true;
         return;
       case 'refused':
-        this.#onUnreachable(event.detail);
+        if (event.forbidden) this.#onForbidden();
+        else this.#onUnreachable(event.detail);
         return;
       case 'head':
         this.#hear();
@@ -161,6 +164,11 @@
     }
   }
 
+  #onForbidden(): void {
+    this.#end('unused', 'the process stood still');
+    this.#emit({ _tag: 'notSent' });
+  }
+
   #hear(): void {
     const { now, reach } = this.#options.context;
     this.heardAt = now();
@@ -243,10 +251,11 @@
       this.#onStreamEnded();
       return;
     }
-    const failed = status >= FIRST_SERVER_ERROR;
-    this.#recordAnswer();
-    this.#end(failed ? 'failed' : 'served', `status ${status}`);
-    this.#emit({ _tag: 'answered', body: this.#reader.body() });
+    this.#confirmEnd(() => {
+      this.#recordAnswer();
+      this.#end(status >= FIRST_SERVER_ERROR ? 'failed' : 'served', `status ${status}`);
+      this.#emit({ _tag: 'answered', body: this.#reader.body() });
+    });
   }
 
   #onStreamEnded(): void {
@@ -256,9 +265,28 @@
       return;
     }
     this.#apply(outcome);
-    this.#recordAnswer();
-    this.#end('served', '');
-    this.#emit({ _tag: 'streamEnded' });
+    this.#confirmEnd(() => {
+      this.#recordAnswer();
+      this.#end('served', '');
+      this.#emit({ _tag: 'streamEnded' });
+    });
+  }
+
+  /**
+   * Completes an answer. The end of its connection alone is also what the end of the endpoint's process looks like, so
+   * an answer without another mark is complete only if the endpoint still accepts connections.
+   */
+  #confirmEnd(onComplete: () => void): void {
+    if (this.framing !== 'close') {
+      onComplete();
+      return;
+    }
+    const { context, endpoint } = this.#options;
+    confirmServerRuns(context.endpointPool, `http://${endpoint.address}`, (runs) => {
+      if (this.#ended) return;
+      if (runs) onComplete();
+      else this.#onConnectionLost('the endpoint is gone, and its answer has no end mark');
+    });
   }
 
   /**
