Queue requests briefly for their account's quota instead of refusing them

Cause: a ticket was refused as soon as its account's bucket held fewer units than it needs. Change: QuotaQueue holds the requests of each account in order of arrival while the ones ahead delay them by at most 300 ms; TicketQuotas and PlacementCoordinator use it.

--- a/src/app/gateway/placement/CapGuard.ts
+++ b/src/app/gateway/placement/CapGuard.ts
@@ -10,7 +10,7 @@
   readonly from: string;
   readonly endpoint: string;
   /** Time for which the ticket waited at the scheduler, in ms; undefined from an older build. */
-  readonly waitedMs: number | undefined;
+  readonly waitedMs?: number | undefined;
 }
 
 /**
--- a/src/app/gateway/placement/PlacementCoordinator.ts
+++ b/src/app/gateway/placement/PlacementCoordinator.ts
@@ -21,6 +21,7 @@
 import type { GatewayMetrics } from '../GatewayMetrics.ts';
 import { logPlacementDecision } from './logPlacementDecision.ts';
 import { refuseOverQuota } from './refuseOverQuota.ts';
+import { QuarantineGate } from '../crashes/QuarantineGate.ts';
 import { partsOf, quarantineAnswer, refuseQuarantined } from '../crashes/refuseQuarantined.ts';
 import type { PeerGroup } from '../PeerGroup.ts';
 import { SchedulerHeartbeat } from './SchedulerHeartbeat.ts';
@@ -63,8 +64,7 @@
 
   readonly #tickets = new LocalTickets();
 
-  /** Tickets that were admitted as trials of quarantined prompt parts. */
-  readonly #trials = new Set<string>();
+  readonly #quarantine: QuarantineGate;
 
   readonly #charges = new ChargeConfirmations();
 
@@ -93,6 +93,7 @@
   constructor(options: PlacementCoordinatorOptions) {
     this.#options = options;
     this.scheduler = new PlacementScheduler(options.limits);
+    this.#quarantine = new QuarantineGate(options.crashes);
     this.#caps = new CapGuard(options.limits, this.scheduler);
     this.#decisions = new DecisionTimer((now) => this.#decide(now), options.now);
     this.#quotas = new TicketQuotas(options.quotas, options.findAccount);
@@ -110,9 +111,9 @@
     const group = this.#options.group();
     this.#updateLeader(now);
     const leader = this.#leader;
-    const quarantine = this.#options.crashes.findQuarantine(ticket.service, partsOf(ticket));
-    if (quarantine !== undefined) {
-      onAnswer(quarantineAnswer(quarantine.retryAfterMs, group.incarnation));
+    const retryAfterMs = this.#quarantine.findQuarantine(ticket);
+    if (retryAfterMs !== undefined) {
+      onAnswer(quarantineAnswer(retryAfterMs, group.incarnation));
       return;
     }
     this.#tickets.addPending({ ticket, requestedAt: now, onAnswer, scheduler: leader });
@@ -134,7 +135,7 @@
   /** Withdraws a pending ticket; no effect if it was already answered. */
   withdraw(id: string): void {
     if (!this.#tickets.withdraw(id)) return;
-    this.scheduler.withdraw(id);
+    this.#withdraw(id);
     this.#sendToLeader({ _tag: 'placementWithdraw', ids: [id] });
   }
 
@@ -180,11 +181,10 @@
     if (this.#isLeader()) this.#tickLeader(now);
     else this.#tickFollower(now);
     this.#decisions.runWhenDue(now);
+    const group = this.#options.group();
     this.#charges
       .take((id) => this.scheduler.isWaiting(id))
-      .forEach(({ owner, ids }) =>
-        this.#options.group().send(owner, { _tag: 'placementQueued', ids }),
-      );
+      .forEach(({ owner, ids }) => group.send(owner, { _tag: 'placementQueued', ids }));
   }
 
   /**
@@ -206,11 +206,7 @@
         this.#enqueueAll(from, message.tickets, now);
         return;
       case 'placementGrant':
-        this.#onGrant(
-          message.id,
-          { from, endpoint: message.endpoint, waitedMs: message.waitedMs },
-          now,
-        );
+        this.#onGrant(message.id, { ...message, from }, now);
         return;
       case 'placementRefusal':
         this.#tickets.answer(message.id, {
@@ -224,7 +220,7 @@
         this.#tickets.markQuotaCharged(message.ids);
         return;
       case 'placementWithdraw':
-        message.ids.forEach((id) => this.scheduler.withdraw(id));
+        message.ids.forEach((id) => this.#withdraw(id));
         return;
       case 'placementStarted':
         this.scheduler.recordFirstToken(message.id, message.firstTokenMs, now);
@@ -249,10 +245,16 @@
   removeMember(incarnation: string): void {
     if (incarnation === this.#options.group().incarnation) return;
     this.scheduler.removeOwner(incarnation);
+    this.#quotas.retainOwners((owner) => owner !== incarnation);
     this.#heartbeat.removeRequester(incarnation);
     this.#decisions.runWhenDue(this.#options.now());
   }
 
+  #withdraw(id: string): void {
+    this.#quotas.withdraw(id);
+    this.scheduler.withdraw(id);
+  }
+
   #isLeader(): boolean {
     return this.#leader === this.#options.group().incarnation;
   }
@@ -283,6 +285,7 @@
       return;
     }
     this.scheduler.removeOtherOwners(group.incarnation);
+    this.#quotas.retainOwners(() => false);
     this.#tickets.listPending().forEach((entry) => {
       entry.scheduler = leader;
       entry.sentAt = now;
@@ -375,27 +378,29 @@
   }
 
   #enqueue(owner: string, ticket: PlacementTicket, share: number, now: number): void {
-    if (this.scheduler.hasTicket(ticket.id)) return;
-    const { service, avoid } = ticket;
-    const isFirst = avoid.length === 0;
-    const admission = this.#options.crashes.decideRequest(service, partsOf(ticket), isFirst);
-    if (admission._tag === 'refused') {
-      this.#deliverDecision(refuseQuarantined({ owner, ticket }, admission.retryAfterMs));
+    if (this.scheduler.hasTicket(ticket.id) || this.#quotas.has(ticket.id)) return;
+    const retryAfterMs = this.#quarantine.admit(ticket);
+    if (retryAfterMs !== undefined) {
+      this.#deliverDecision(refuseQuarantined({ owner, ticket }, retryAfterMs));
       return;
     }
-    if (admission._tag === 'trial') this.#trials.add(ticket.id);
-    const waitMs = this.#quotas.take(ticket, share, now);
-    if (waitMs > 0) {
-      this.#deliverDecision(refuseOverQuota(owner, ticket, waitMs));
-      return;
-    }
-    this.scheduler.enqueue(owner, ticket, now);
+    const charge = this.#quotas.offer(owner, ticket, share, now);
+    if (charge._tag === 'refused')
+      this.#deliverDecision(refuseOverQuota(owner, ticket, charge.waitMs));
+    else if (charge._tag === 'charged') this.#queue(owner, ticket, now);
+  }
+
+  #queue(owner: string, ticket: PlacementTicket, now: number, arrivedAt = now): void {
+    this.scheduler.enqueue(owner, ticket, now, arrivedAt);
     if (owner !== this.#options.group().incarnation && ticket.quotaUnits > 0)
       this.#charges.add(owner, ticket.id);
   }
 
   #decide(now: number): void {
     this.#caps.resetAfterPause(now);
+    this.#quotas
+      .release(now)
+      .forEach(({ owner, ticket, arrivedAt }) => this.#queue(owner, ticket, now, arrivedAt));
     this.scheduler
       .schedule(now)
       .forEach((decision) => this.#deliverDecision(this.#withQuarantine(decision, now)));
@@ -404,22 +409,22 @@
   /** Refuses a grant whose prompt has come under quarantine while it waited. */
   #withQuarantine(decision: PlacementDecision, now: number): PlacementDecision {
     const { ticket } = decision;
-    if (decision._tag === 'refuse' || this.#trials.has(ticket.id)) return decision;
-    const quarantine = this.#options.crashes.findQuarantine(ticket.service, partsOf(ticket));
-    if (quarantine === undefined) return decision;
+    if (decision._tag === 'refuse') return decision;
+    const retryAfterMs = this.#quarantine.findQuarantine(ticket);
+    if (retryAfterMs === undefined) return decision;
     this.scheduler.recordEnd(ticket.id, { outcome: 'unused' }, now);
-    return refuseQuarantined(decision, quarantine.retryAfterMs);
+    return refuseQuarantined(decision, retryAfterMs);
   }
 
   #recordEnd(id: string, result: PlacementResult, now: number): void {
+    const { logger, crashes } = this.#options;
     const running = this.scheduler.findRunning(id);
     const backoff = this.scheduler.recordEnd(id, result, now);
-    if (backoff !== undefined)
-      this.#options.logger.info({ ...backoff, outcome: result.outcome }, 'engine backed off');
-    this.#trials.delete(id);
+    if (backoff) logger.info({ ...backoff, outcome: result.outcome }, 'engine backed off');
+    this.#quarantine.end(id);
     if (running === undefined || result.outcome !== 'served') return;
     const { ticket, record } = running;
-    this.#options.crashes.recordServed(ticket.service, endpointStartOf(record), partsOf(ticket));
+    crashes.recordServed(ticket.service, endpointStartOf(record), partsOf(ticket));
   }
 
   #noteRequester(incarnation: string, now: number): void {
@@ -442,13 +447,11 @@
       return;
     }
     const { reason, retryAfterMs } = decision;
-    this.#trials.delete(ticket.id);
+    this.#quarantine.end(ticket.id);
     this.#quotas.refund(ticket, reason, this.#options.now());
-    if (isOwn) {
+    if (isOwn)
       this.#tickets.answer(ticket.id, { _tag: 'refused', reason, retryAfterMs, decidedBy: owner });
-    } else {
-      group.send(owner, { _tag: 'placementRefusal', id: ticket.id, reason, retryAfterMs });
-    }
+    else group.send(owner, { _tag: 'placementRefusal', id: ticket.id, reason, retryAfterMs });
   }
 
   #onGrant(id: string, grant: ReceivedGrant, now: number): void {
--- a/src/coordination/gateway/index.ts
+++ b/src/coordination/gateway/index.ts
@@ -29,6 +29,8 @@
 export { PlacementScheduler } from './placement/PlacementScheduler.ts';
 export type { PlacementDecision } from './placement/PlacementScheduler.ts';
 export { QuotaLimiter } from './limits/QuotaLimiter.ts';
+export { QuotaQueue } from './limits/QuotaQueue.ts';
+export type { QuotaRequest } from './limits/QuotaQueue.ts';
 export { RelianceMonitor, isBehind } from './following/RelianceMonitor.ts';
 export type { KnownRevisions } from './following/RelianceMonitor.ts';
 export { ViewFreshness } from './following/ViewFreshness.ts';
--- a/src/coordination/gateway/limits/QuotaLimiter.ts
+++ b/src/coordination/gateway/limits/QuotaLimiter.ts
@@ -70,6 +70,20 @@
     return waitMs;
   }
 
+  /**
+   * Returns the time until an account's bucket will have received units, if nothing else is taken.
+   *
+   * @param account - the client account with its quota
+   * @param units - units in addition to what was taken; may exceed the burst
+   * @param share - fraction of the quota that this process may grant, from 0 to 1
+   * @param now - current time, in ms
+   * @returns the time in ms; 0 if the bucket holds them
+   */
+  msUntilAvailable(account: Account, units: number, share: number, now: number): number {
+    if (account.quota.ratePerSecond <= 0) return 0;
+    return this.#accountBucket(account, share, now).bucket.msUntilLevel(units, now);
+  }
+
   /** Returns units that were taken but not used to the account's bucket. */
   refund(account: string, units: number, now: number): void {
     this.#buckets.get(account)?.bucket.refund(units, now);
--- a/src/coordination/gateway/placement/PlacementScheduler.ts
+++ b/src/coordination/gateway/placement/PlacementScheduler.ts
@@ -131,15 +131,16 @@
    * @param owner - incarnation of the gateway that received the request
    * @param ticket - the request
    * @param now - current time, in ms
+   * @param arrivedAt - when this process received it, if it waited for its quota since; in ms
    */
-  enqueue(owner: string, ticket: PlacementTicket, now: number): void {
+  enqueue(owner: string, ticket: PlacementTicket, now: number, arrivedAt = now): void {
     if (this.hasTicket(ticket.id)) return;
     // A ticket with endpoints to avoid is a further attempt of a request that was counted before.
     if (ticket.avoid.length === 0) {
       this.#routeSizes.record(ticket);
       this.#grantRatios.recordRequest(fairnessGroup(ticket, this.#routeSizes), now);
     }
-    this.#waiting.set(ticket.id, { owner, ticket, arrivedAt: now });
+    this.#waiting.set(ticket.id, { owner, ticket, arrivedAt });
   }
 
   /** Whether a ticket waits in the queue or its request runs at an engine. */
