Drain failure domains on the operator's order

Cause: an operator had no means to keep requests from the endpoints of a failure domain; they reached them until each endpoint had left the store.

`EndpointDirectory` and the scheduler ask `DomainDrains` at each sending, and the attempt asks again when it has a connection. The scheduler keeps running requests and estimates of drained engines. When a drain ends, its endpoints are taken as cold until a record with a higher revision says otherwise.

--- a/src/app/gateway/Gateway.ts
+++ b/src/app/gateway/Gateway.ts
@@ -108,7 +108,7 @@
    */
   scheduledEndpoints(isLimited: (endpoint: EndpointRecord) => boolean): EndpointRecord[] {
     return this.#context.directory
-      .listAllReady()
+      .listAccepting()
       .filter(
         (record) =>
           this.#routeIndex?.findService(record.service)?.engine !== undefined || isLimited(record),
--- a/src/app/gateway/GatewayContext.ts
+++ b/src/app/gateway/GatewayContext.ts
@@ -6,6 +6,7 @@
   RetryBudget,
 } from '../../coordination/gateway/index.ts';
 import type { WireAdapter } from '../../protocol/gateway/index.ts';
+import type { EndpointRecord } from '../../state/gateway/index.ts';
 import type { ConnectionPool } from '../../transport/http/index.ts';
 import type { CrashDetector } from './crashes/CrashDetector.ts';
 import type { CrashMonitor } from './crashes/CrashMonitor.ts';
@@ -39,6 +40,11 @@
   readonly now: () => number;
   /** A random number in [0, 1). */
   readonly random: () => number;
+  /**
+   * Whether a request that was decided at a moment, in ms, may still be sent to its endpoint: the failure domain isn't
+   * drained, and it isn't one of a capped endpoint that was held back for long.
+   */
+  readonly maySend: (endpoint: EndpointRecord, decidedAt: number) => boolean;
   /** Returns how old the view of the store is by which requests are sent. */
   readonly viewAge: (now: number) => ViewAge;
   /** Number of gateways among which the slack of the retry budget is divided. */
--- a/src/app/gateway/GatewayMetrics.ts
+++ b/src/app/gateway/GatewayMetrics.ts
@@ -27,6 +27,8 @@
   readonly quarantinedRequests: number;
   /** Endpoints that state a limit to the rate of their requests. */
   readonly limitedEndpoints: number;
+  /** Failure domains that are drained; 0 if absent. */
+  readonly domainDrains?: number;
   /** Capped endpoints that are taken as cold; 0 if absent. */
   readonly coldEndpoints?: number;
   /** Endpoints that want no requests of this process for now. */
@@ -145,6 +147,10 @@
       'limited_endpoints',
       'Endpoints that state a limit to the rate of their requests.',
     ),
+    domainDrains: this.#makeGauge(
+      'domain_drains',
+      'Failure domains to whose endpoints nothing is sent.',
+    ),
     coldEndpoints: this.#makeGauge(
       'cold_endpoints',
       'Endpoints that are taken as cold and get fewer requests.',
@@ -248,6 +254,7 @@
     this.#gauges.quarantinedParts.set(gauges.quarantinedParts);
     this.#gauges.quarantinedRequests.set(gauges.quarantinedRequests);
     this.#gauges.limitedEndpoints.set(gauges.limitedEndpoints);
+    this.#gauges.domainDrains.set(gauges.domainDrains ?? 0);
     this.#gauges.coldEndpoints.set(gauges.coldEndpoints ?? 0);
     this.#gauges.excludedEndpoints.set(gauges.excludedEndpoints);
     this.#gauges.isolated.set(gauges.isolated);
--- a/src/app/gateway/following/StoreSubscription.ts
+++ b/src/app/gateway/following/StoreSubscription.ts
@@ -10,10 +10,10 @@
   type EndpointChange,
   type EndpointDirectory,
   type KnownRevisions,
+  type ViewKind,
 } from '../../../coordination/gateway/index.ts';
 import type { ObjectStore, StoreChange, WireAdapter } from '../../../protocol/gateway/index.ts';
 import type { PeerMessage } from '../../../protocol/peer/PeerMessage.ts';
-import type { WatchedKind } from '../../../protocol/peer/GatewayMessages.ts';
 import type { EndpointRecord, RouteTable } from '../../../state/gateway/index.ts';
 import type { PeerGroup } from '../PeerGroup.ts';
 import { StoreWatch, type StoreChangeSource, type StoreWatchListener } from './StoreWatch.ts';
@@ -24,7 +24,9 @@
 export type RelayResult = 'applied' | 'gap';
 
 type ViewReportMessage = Extract<PeerMessage, { readonly _tag: 'storeWatcherAlive' }>;
-type StoreChangesMessage = Extract<PeerMessage, { readonly _tag: 'storeChanges' }>;
+type StoreChangesMessage = Extract<PeerMessage, { readonly _tag: 'storeChanges' }> & {
+  readonly kind: ViewKind;
+};
 
 /** How old the view of the store is, and what its age depends on. */
 export interface ViewAge {
@@ -66,7 +68,7 @@
   /** Called after changes in the directory of endpoints. */
   readonly onEndpointsChanged: () => void;
   /** Called for each message of relayed changes, with what became of it. */
-  readonly onRelayReceived: (kind: WatchedKind, result: RelayResult) => void;
+  readonly onRelayReceived: (kind: ViewKind, result: RelayResult) => void;
 }
 
 /** Rank of the first member after the watcher, which reports to its failure domain while it calls the store itself. */
@@ -80,7 +82,7 @@
 export class StoreSubscription {
   readonly #options: StoreSubscriptionOptions;
 
-  readonly #watches: Readonly<Record<WatchedKind, StoreWatch>>;
+  readonly #watches: Readonly<Record<ViewKind, StoreWatch>>;
 
   readonly #relianceMonitor = new RelianceMonitor();
 
@@ -90,7 +92,7 @@
   #isRelying = false;
 
   /** Store revisions up to which this process has relayed changes. */
-  readonly #relayedRevisions: Readonly<Record<WatchedKind, RelayedRevisions>> = {
+  readonly #relayedRevisions: Readonly<Record<ViewKind, RelayedRevisions>> = {
     configuration: new RelayedRevisions(),
     endpoints: new RelayedRevisions(),
   };
@@ -109,7 +111,7 @@
     const { store, now, random, sleep, group } = options;
     const isReliedOn = (): boolean => group.storeWatcher() === group.incarnation;
     const common = { store, now, random, sleep, isReliedOn };
-    const watch = (kind: WatchedKind, listener: StoreWatchListener): StoreWatch =>
+    const watch = (kind: ViewKind, listener: StoreWatchListener): StoreWatch =>
       new StoreWatch({
         ...common,
         kind,
@@ -211,8 +213,9 @@
    */
   handle(from: string, message: PeerMessage): void {
     if (message._tag === 'storeWatcherAlive') this.#receiveReport(from, message);
-    else if (message._tag === 'storeChanges') this.#receiveChanges(from, message);
-    else if (message._tag === 'storeChangesRequest')
+    else if (message._tag === 'storeChanges' && message.kind !== 'domainDrains')
+      this.#receiveChanges(from, { ...message, kind: message.kind });
+    else if (message._tag === 'storeChangesRequest' && message.kind !== 'domainDrains')
       this.#sendChangesSince(from, message.kind, message.sinceRevision);
   }
 
@@ -264,7 +267,7 @@
       );
   }
 
-  #sendChangesSince(to: string, kind: WatchedKind, revision: number): void {
+  #sendChangesSince(to: string, kind: ViewKind, revision: number): void {
     const { group, now, logger } = this.#options;
     const span = this.#watches[kind].changesSince(revision);
     if (span === undefined) return;
@@ -277,7 +280,7 @@
   }
 
   /** Records a confirmation of the view, before the changes that come with it are applied. */
-  #confirm(kind: WatchedKind, confirmation: Confirmation): void {
+  #confirm(kind: ViewKind, confirmation: Confirmation): void {
     const previousAt = this.#freshness.confirm(kind, confirmation);
     if (kind !== 'endpoints') return;
     this.#endpointsListedAt = previousAt;
@@ -285,7 +288,7 @@
   }
 
   #relayChanges(
-    kind: WatchedKind,
+    kind: ViewKind,
     fromRevision: number,
     toRevision: number,
     changes: readonly StoreChange[],
--- a/src/app/gateway/following/StoreWatch.ts
+++ b/src/app/gateway/following/StoreWatch.ts
@@ -37,6 +37,8 @@
   readonly store: ObjectStore;
   readonly kind: StoreObjectKind;
   readonly listener: StoreWatchListener;
+  /** Longest wait of a watch in ms, and a factor for the pauses after failed calls, where they differ from the usual. */
+  readonly timing?: { readonly waitMs: number; readonly retryFactor: number };
   /** Returns whether other processes rely on this watch now, so that it retries sooner. */
   readonly isReliedOn: () => boolean;
   /** Present time in ms, monotonic. */
@@ -54,6 +56,8 @@
     toRevision: number,
     changes: readonly StoreChange[],
   ) => void;
+  /** Called after each failed call, with the moment at which it was sent, in ms. */
+  readonly onFailed?: (sentAt: number) => void;
   /** Called when the store has confirmed the view, with the moment at which it did, in ms. */
   readonly onConfirmed: (at: number) => void;
 }
@@ -230,10 +234,11 @@
 
   async #list(): Promise<void> {
     const { store, kind, now } = this.#options;
+    const sentAt = now();
     const result = await store.list(kind);
     if (this.#stopped) return;
     if (result._tag === 'unavailable') {
-      await this.#backOff(result.detail);
+      await this.#backOff(result.detail, sentAt);
       return;
     }
     this.#reportAvailable(now());
@@ -241,10 +246,10 @@
   }
 
   async #watchFrom(revision: number): Promise<void> {
-    const { store, kind, now } = this.#options;
+    const { store, kind, now, timing } = this.#options;
     const sentAt = now();
     const isCatchUp = this.#isCatchUpDue;
-    const waitMs = isCatchUp ? CATCH_UP_WAIT_MS : WATCH_WAIT_MS;
+    const waitMs = isCatchUp ? CATCH_UP_WAIT_MS : (timing?.waitMs ?? WATCH_WAIT_MS);
     const result = await store.watch(kind, revision, {
       waitMs,
       answerMs: this.#answerMs,
@@ -257,18 +262,21 @@
         this.#isCatchUpDue = true;
         if (beyondWaitMs >= this.#answerMs)
           this.#answerMs = Math.min(MAXIMUM_ANSWER_MS, 2 * this.#answerMs);
-        await this.#backOff(result.detail);
+        await this.#backOff(result.detail, sentAt);
         return;
       case 'expired':
         this.#isListDue = true;
         return;
-      case 'changed':
-        this.#isCatchUpDue = false;
+      case 'changed': {
+        const confirmedAt = this.#confirmationOf(result.changes, sentAt, waitMs);
+        // After a pause of this process an answer may be so old that the next one is wanted soon, not after a long wait.
+        this.#isCatchUpDue = timing !== undefined && now() - confirmedAt > WATCH_WAIT_MS;
         if (isCatchUp || beyondWaitMs > 0)
           this.#answerMs = Math.min(MAXIMUM_ANSWER_MS, Math.max(WATCH_ANSWER_MS, 2 * beyondWaitMs));
-        this.#reportAvailable(this.#confirmationOf(result.changes, sentAt, waitMs));
+        this.#reportAvailable(confirmedAt);
         this.#applyWatched(result.revision, result.changes);
         return;
+      }
       default:
         result satisfies never;
     }
@@ -332,9 +340,12 @@
     this.#options.listener.onAvailable();
   }
 
-  async #backOff(detail: string): Promise<void> {
-    const { random, sleep, isReliedOn } = this.#options;
-    const pauseMs = storeRetryDelay(this.#failures, isReliedOn(), random());
+  async #backOff(detail: string, sentAt: number): Promise<void> {
+    const { random, sleep, isReliedOn, timing } = this.#options;
+    // The first call after a failure comes at once, since it may follow from one lost connection.
+    this.#options.onFailed?.(sentAt);
+    const factor = this.#failures === 0 ? 1 : (timing?.retryFactor ?? 1);
+    const pauseMs = factor * storeRetryDelay(this.#failures, isReliedOn(), random());
     this.#failures += 1;
     if (this.#failures === 1) this.#options.listener.onUnavailable(detail);
     this.#phase = 'backingOff';
--- a/src/app/gateway/following/ViewLog.ts
+++ b/src/app/gateway/following/ViewLog.ts
@@ -1,6 +1,5 @@
 import type { Logger } from 'pino';
-import type { EndpointChange } from '../../../coordination/gateway/index.ts';
-import type { WatchedKind } from '../../../protocol/peer/GatewayMessages.ts';
+import type { EndpointChange, ViewKind } from '../../../coordination/gateway/index.ts';
 import type { StoreChangeSource, StoreWatch } from './StoreWatch.ts';
 import type { OutagePhase, ViewAge } from './StoreSubscription.ts';
 
@@ -11,13 +10,13 @@
 export class ViewLog {
   readonly #logger: Logger;
 
-  readonly #watches: Readonly<Record<WatchedKind, StoreWatch>>;
+  readonly #watches: Readonly<Record<ViewKind, StoreWatch>>;
 
   #isOldReported = false;
 
   #reportedPhase: OutagePhase = 'none';
 
-  constructor(logger: Logger, watches: Readonly<Record<WatchedKind, StoreWatch>>) {
+  constructor(logger: Logger, watches: Readonly<Record<ViewKind, StoreWatch>>) {
     this.#logger = logger;
     this.#watches = watches;
   }
@@ -41,7 +40,7 @@
   }
 
   /** Logs that the objects of a kind were listed. */
-  recordList(kind: WatchedKind, objects: number): void {
+  recordList(kind: ViewKind, objects: number): void {
     this.#logger.info({ kind, revision: this.#watches[kind].revision, objects }, 'store listed');
   }
 
--- a/src/app/gateway/following/ViewReporter.ts
+++ b/src/app/gateway/following/ViewReporter.ts
@@ -1,5 +1,4 @@
-import type { ViewFreshness } from '../../../coordination/gateway/index.ts';
-import type { WatchedKind } from '../../../protocol/peer/GatewayMessages.ts';
+import type { ViewFreshness, ViewKind } from '../../../coordination/gateway/index.ts';
 import type { PeerMessage } from '../../../protocol/peer/PeerMessage.ts';
 import type { PeerGroup } from '../PeerGroup.ts';
 import type { StoreWatch } from './StoreWatch.ts';
@@ -7,7 +6,7 @@
 /** What is reported, and to whom. */
 export interface ViewReporterOptions {
   readonly group: Pick<PeerGroup, 'sameDomainPeers' | 'send' | 'broadcast'>;
-  readonly watches: Readonly<Record<WatchedKind, StoreWatch>>;
+  readonly watches: Readonly<Record<ViewKind, StoreWatch>>;
   readonly freshness: ViewFreshness;
 }
 
--- a/src/app/gateway/placement/CapGuard.ts
+++ b/src/app/gateway/placement/CapGuard.ts
@@ -17,7 +17,7 @@
  * Age up to which a grant of a capped endpoint is used. Older ones, which a process or a link held back, would reach the
  * endpoint together with those that count now.
  */
-const MAXIMUM_GRANT_AGE_MS = 350;
+export const MAXIMUM_GRANT_AGE_MS = 350;
 /** Time without a tick after which another process may have begun to schedule. */
 const PAUSE_MS = 350;
 
--- a/src/app/gateway/request/EndpointAttempt.ts
+++ b/src/app/gateway/request/EndpointAttempt.ts
@@ -55,6 +55,9 @@
 
   #ended = false;
 
+  /** Whether the permission to send had expired when there was a connection. */
+  #isWithheld = false;
+
   /** How old the view of the store was by which the request was sent. */
   readonly viewAge: ViewAge;
 
@@ -113,6 +116,7 @@
         body: inbound.body,
         fresh: false,
         silenceMs: undefined,
+        mayWrite: () => this.#mayWrite(),
       },
       (event) => this.#onExchange(event),
     );
@@ -161,6 +165,12 @@
     }
   }
 
+  /** Checks again what permitted the request, because the process may have been paused while it connected. */
+  #mayWrite(): boolean {
+    this.#isWithheld = !this.#options.context.maySend(this.endpoint, this.#sentAt);
+    return !this.#isWithheld;
+  }
+
   #hear(): void {
     const { now, reach } = this.#options.context;
     this.heardAt = now();
@@ -169,6 +179,11 @@
 
   /** The endpoint isn't blamed if this gateway reaches no other one either. */
   #onUnreachable(detail: string): void {
+    if (this.#isWithheld) {
+      this.#end('unused', detail);
+      this.#emit({ _tag: 'notRun', arrived: false, detail });
+      return;
+    }
     this.#options.context.reach.check(this.endpoint.id, (verdict) => {
       if (this.#ended) return;
       this.#end(verdict === 'isolated' ? 'unused' : 'unreachable', detail);
--- a/src/app/gateway/runGateway.ts
+++ b/src/app/gateway/runGateway.ts
@@ -7,6 +7,7 @@
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
 import {
   CONNECT_TIMEOUT_MS,
+  DomainDrains,
   EndpointDirectory,
   EndpointLimits,
   PlainEndpointSelector,
@@ -16,14 +17,19 @@
   TICK_INTERVAL_MS,
 } from '../../coordination/gateway/index.ts';
 import type { ObjectStore, WireAdapter } from '../../protocol/gateway/index.ts';
-import type { ClientLimits, GatewaySettings } from '../../state/gateway/index.ts';
-import { endpointStartOf } from '../../state/gateway/index.ts';
+import {
+  endpointStartOf,
+  type ClientLimits,
+  type EndpointRecord,
+  type GatewaySettings,
+} from '../../state/gateway/index.ts';
 import { EntryTiming } from '../../state/EntrySettings.ts';
 import { makeGatewayServer } from '../../transport/gateway/index.ts';
 import { makeConnectionPool, type ConnectionPool } from '../../transport/http/index.ts';
 import { makePeerNetwork } from '../../transport/peer/index.ts';
 import { startStatusServers } from './startStatusServers.ts';
 import { drainGateway } from './drainGateway.ts';
+import { MAXIMUM_GRANT_AGE_MS } from './placement/CapGuard.ts';
 import { EndpointLimitMonitor } from './placement/EndpointLimitMonitor.ts';
 import { CrashDetector } from './crashes/CrashDetector.ts';
 import { CrashMonitor } from './crashes/CrashMonitor.ts';
@@ -31,12 +37,15 @@
 import type { GatewayLog } from './GatewayLog.ts';
 import { ExclusionMonitor } from './reach/ExclusionMonitor.ts';
 import { GatewayMetrics } from './GatewayMetrics.ts';
+import { LateBound } from './LateBound.ts';
 import { makeIncarnation } from './makeIncarnation.ts';
 import { PeerForwarder } from './reach/PeerForwarder.ts';
 import { PeerGroup } from './PeerGroup.ts';
 import { PlacementCoordinator } from './placement/PlacementCoordinator.ts';
 import { ReachMonitor } from './reach/ReachMonitor.ts';
 import { receiveForwarded } from './reach/receiveForwarded.ts';
+import type { DomainDrainSubscription } from './following/DomainDrainSubscription.ts';
+import { startDomainDrains } from './following/startDomainDrains.ts';
 import { StoreSubscription } from './following/StoreSubscription.ts';
 
 /** Settings, platform adapters and log of a gateway process. */
@@ -96,27 +105,6 @@
 const addressOf = ({ host, port }: { readonly host: string; readonly port: number }): string =>
   `${host}:${port}`;
 
-/** A component that is set after the components that refer to it were created. */
-class LateBound<T> {
-  #value: T | undefined;
-
-  set(value: T): void {
-    this.#value = value;
-  }
-
-  /** Returns the component; throws if it was not set. */
-  get(): T {
-    if (this.#value === undefined)
-      throw new Error('late-bound component was used before it was set');
-    return this.#value;
-  }
-
-  /** Returns the component, or undefined if it was not set. */
-  peek(): T | undefined {
-    return this.#value;
-  }
-}
-
 const makeConnectionPools = (now: () => number) =>
   Effect.all({
     endpointPool: makeConnectionPool({
@@ -151,7 +139,10 @@
     const { bounds } = settings;
     const now = (): number => performance.now();
     const metrics = new GatewayMetrics();
-    const directory = new EndpointDirectory();
+    const drains = new DomainDrains(bounds.domainDrainMs, now());
+    const isUsable = ({ failureDomain }: EndpointRecord): boolean =>
+      drains.isUsable(failureDomain, now());
+    const directory = new EndpointDirectory(isUsable);
     const plainEndpoints = new PlainServiceBalancer();
     const timing = yield* Schema.decodeEffect(EntryTiming)(PEER_TIMING).pipe(Effect.orDie);
     const { endpointPool, peerPool, storePool } = yield* makeConnectionPools(now);
@@ -159,6 +150,7 @@
       group: new LateBound<PeerGroup>(),
       gateway: new LateBound<Gateway>(),
       storeSubscription: new LateBound<StoreSubscription>(),
+      drainSubscription: new LateBound<DomainDrainSubscription>(),
     };
 
     const crashes = new CrashMonitor({ group: () => lateBound.group.get(), logger, now });
@@ -192,13 +184,14 @@
       },
       checkReach: (endpointId, onVerdict) => reach.check(endpointId, onVerdict),
       isIsolatedAlone: () => reach.isIsolated && forwarder.choose([]) !== undefined,
-      isExpectedToRun: (id) => directory.findReady(id) !== undefined,
+      isExpectedToRun: (id) => directory.isExpectedToRun(id),
       onCrash: (runs, at) => crashes.recordCrash(runs, at),
       metrics,
       logger,
       now,
     });
     const endpointLimits = new EndpointLimits();
+    const { coldCaps } = endpointLimits;
     const placements = new PlacementCoordinator({
       group: () => lateBound.group.get(),
       crashes,
@@ -217,6 +210,7 @@
       logger,
       now,
     });
+    placements.scheduler.isUsable = isUsable;
     const updateScheduledEndpoints = (): void => {
       const records = lateBound.gateway
         .peek()
@@ -257,6 +251,10 @@
       logger,
       now,
       random: Math.random,
+      maySend: (record, decidedAt) => {
+        const isLate = now() - decidedAt > MAXIMUM_GRANT_AGE_MS;
+        return isUsable(record) && !(isLate && coldCaps.isCapped(endpointStartOf(record)));
+      },
       viewAge: (at) => lateBound.storeSubscription.get().viewAge(at),
       memberCount: () =>
         lateBound.group.get().liveMembers().length +
@@ -311,6 +309,7 @@
         limits.handle(message);
         exclusions.handle(message);
         lateBound.storeSubscription.peek()?.handle(from, message);
+        lateBound.drainSubscription.peek()?.handle(message);
       },
       onMemberEnded: (incarnation) => placements.removeMember(incarnation),
     });
@@ -318,19 +317,30 @@
     peers.network.onDelivery(({ from, message }) => group.handle(from, message, now()));
     group.join(settings.seeds, now());
 
-    const { coldCaps } = endpointLimits;
     const updateEngines = (): void => {
       coldCaps.retain(new Set(directory.listAll().map(endpointStartOf)));
       updateScheduledEndpoints();
       directory
         .listReadyVersions()
         .forEach((versions, service) => crashes.followVersions(service, versions));
-      plainEndpoints.retain(new Set(directory.listAllReady().map(({ id }) => id)));
+      plainEndpoints.retain(new Set(directory.listAccepting().map(({ id }) => id)));
     };
+    const store = options.makeStore(storePool, (call) => metrics.countStoreCall(call));
+    const drainSubscription = yield* startDomainDrains({
+      store,
+      drains,
+      directory,
+      coldCaps,
+      group,
+      logger,
+      now,
+      onChanged: updateEngines,
+    });
+    lateBound.drainSubscription.set(drainSubscription);
     const storeSubscription = yield* Effect.acquireRelease(
       Effect.sync(() => {
         const subscription = new StoreSubscription({
-          store: options.makeStore(storePool, (call) => metrics.countStoreCall(call)),
+          store,
           wire,
           directory,
           group,
@@ -362,6 +372,7 @@
       ...options,
       gateway,
       directory,
+      drains,
       storeSubscription,
       group,
       placements,
@@ -385,6 +396,7 @@
         setInterval(() => {
           group.tick(now());
           storeSubscription.tick();
+          drainSubscription.tick();
           placements.tick();
           crashes.tick();
           limits.tick();
--- a/src/app/gateway/startStatusServers.ts
+++ b/src/app/gateway/startStatusServers.ts
@@ -1,6 +1,10 @@
 import * as Effect from 'effect/Effect';
 import type * as Scope from 'effect/Scope';
-import type { EndpointDirectory, EndpointLimits } from '../../coordination/gateway/index.ts';
+import type {
+  DomainDrains,
+  EndpointDirectory,
+  EndpointLimits,
+} from '../../coordination/gateway/index.ts';
 import { makePlainServer, type PlainAnswer } from '../../transport/gateway/index.ts';
 import { listAddressesForCallers } from './listAddressesForCallers.ts';
 import type { CrashMonitor } from './crashes/CrashMonitor.ts';
@@ -20,6 +24,7 @@
 > {
   readonly gateway: Gateway;
   readonly directory: EndpointDirectory;
+  readonly drains: DomainDrains;
   readonly storeSubscription: StoreSubscription;
   readonly group: PeerGroup;
   readonly placements: PlacementCoordinator;
@@ -61,6 +66,7 @@
   log,
   gateway,
   directory,
+  drains,
   storeSubscription,
   group,
   placements,
@@ -74,7 +80,8 @@
   const isReady = (): boolean =>
     gateway.phase._tag === 'serving' &&
     gateway.routeIndex !== undefined &&
-    storeSubscription.endpointsListed;
+    storeSubscription.endpointsListed &&
+    drains.findObstacle(now()) === undefined;
   const cacheMs = Math.min(MAXIMUM_ADDRESS_CACHE_MS, settings.bounds.addressesKeepMs);
   const listAddresses = (): PlainAnswer => {
     const addresses = listAddressesForCallers(
@@ -94,6 +101,7 @@
       quarantinedParts: crashes.quarantined.parts,
       quarantinedRequests: crashes.quarantined.requests,
       limitedEndpoints: endpointLimits.limitedCount,
+      domainDrains: drains.drained.length,
       coldEndpoints: endpointLimits.coldCaps.countCold(now()),
       excludedEndpoints: exclusions.count,
       isolated: Number(reach.isIsolated),
--- a/src/coordination/gateway/following/EndpointDirectory.ts
+++ b/src/coordination/gateway/following/EndpointDirectory.ts
@@ -48,11 +48,21 @@
 export class EndpointDirectory {
   readonly #entries = new Map<string, DirectoryEntry>();
 
+  readonly #isUsable: (record: EndpointRecord) => boolean;
+
   #lastOutage: Outage = {
     startedAt: Number.NEGATIVE_INFINITY,
     endedAt: Number.NEGATIVE_INFINITY,
   };
 
+  /**
+   * @param isUsable - whether requests may be sent to an endpoint now, as far as its failure domain is concerned; asked
+   *   at each sending
+   */
+  constructor(isUsable: (record: EndpointRecord) => boolean = () => true) {
+    this.#isUsable = isUsable;
+  }
+
   /**
    * Records that the store has confirmed the view, before the changes that come with that are applied. After a
    * long time without a confirmation, the grace time starts.
@@ -151,9 +161,7 @@
 
   /** Lists the endpoints of a service that accept new requests. */
   listReady(service: string): EndpointRecord[] {
-    return [...this.#entries.values()]
-      .filter(({ record }) => record.service === service && record.state === 'ready')
-      .map(({ record }) => record);
+    return this.listAllReady().filter((record) => record.service === service);
   }
 
   /** Lists all endpoints, also those that don't accept new requests. */
@@ -161,26 +169,34 @@
     return [...this.#entries.values()].map(({ record }) => record);
   }
 
-  /** Lists the endpoints of all services that accept new requests. */
+  /** Lists the endpoints of all services that accept new requests and to which they may be sent. */
   listAllReady(): EndpointRecord[] {
-    return [...this.#entries.values()]
-      .filter(({ record }) => record.state === 'ready')
-      .map(({ record }) => record);
+    return this.listAccepting().filter(this.#isUsable);
+  }
+
+  /** Lists the endpoints of all services that accept new requests, also those of drained failure domains. */
+  listAccepting(): EndpointRecord[] {
+    return this.listAll().filter(({ state }) => state === 'ready');
   }
 
   /** Returns the versions of the software of the endpoints that accept new requests, by service. */
   listReadyVersions(): ReadonlyMap<string, ReadonlySet<string>> {
     const versions = new Map<string, Set<string>>();
-    this.listAllReady().forEach(({ service, version }) => {
+    this.listAccepting().forEach(({ service, version }) => {
       const known = versions.get(service) ?? new Set();
       versions.set(service, known.add(version));
     });
     return versions;
   }
 
-  /** Returns the endpoint with an id, or undefined if it is unknown or draining. */
+  /** Returns the endpoint with an id, or undefined if it is unknown or draining, or its failure domain is drained. */
   findReady(id: string): EndpointRecord | undefined {
     const record = this.#entries.get(id)?.record;
-    return record?.state === 'ready' ? record : undefined;
+    return record?.state === 'ready' && this.#isUsable(record) ? record : undefined;
+  }
+
+  /** Whether an endpoint is listed and hasn't said that it leaves, so that it should run. */
+  isExpectedToRun(id: string): boolean {
+    return this.#entries.get(id)?.record.state === 'ready';
   }
 }
--- a/src/coordination/gateway/following/ViewFreshness.ts
+++ b/src/coordination/gateway/following/ViewFreshness.ts
@@ -1,5 +1,8 @@
 import type { WatchedKind } from '../../../protocol/peer/GatewayMessages.ts';
 
+/** Kinds of objects that one view holds; drains of failure domains are followed with their own timing. */
+export type ViewKind = Exclude<WatchedKind, 'domainDrains'>;
+
 /** How the store's word reached this process: in an answer to a call of its own, or through a peer. */
 export type ConfirmationPath = 'call' | 'peer';
 
@@ -14,7 +17,7 @@
 
 /** When the store last confirmed the view that this process has of each kind of object, by any path. */
 export class ViewFreshness {
-  readonly #confirmations: Record<WatchedKind, Confirmation> = {
+  readonly #confirmations: Record<ViewKind, Confirmation> = {
     configuration: NEVER,
     endpoints: NEVER,
   };
@@ -26,14 +29,14 @@
    * @param confirmation - when, and by which path
    * @returns when the view was confirmed before; `-Infinity` if never
    */
-  confirm(kind: WatchedKind, confirmation: Confirmation): number {
+  confirm(kind: ViewKind, confirmation: Confirmation): number {
     const previous = this.#confirmations[kind];
     if (confirmation.at > previous.at) this.#confirmations[kind] = confirmation;
     return previous.at;
   }
 
   /** Returns the last confirmation of the view of one kind. */
-  confirmationOf(kind: WatchedKind): Confirmation {
+  confirmationOf(kind: ViewKind): Confirmation {
     return this.#confirmations[kind];
   }
 
--- a/src/coordination/gateway/placement/PlacementScheduler.ts
+++ b/src/coordination/gateway/placement/PlacementScheduler.ts
@@ -96,6 +96,12 @@
 
   #allocation: SlotAllocation = { share: 1 };
 
+  /**
+   * Whether an engine may get requests now, asked at each decision; undefined if all may. The running requests and the
+   * estimates of those that may not are kept.
+   */
+  isUsable: ((record: EndpointRecord) => boolean) | undefined;
+
   /** @param limits - rates of requests that endpoints accept, of which each grant uses one request */
   constructor(limits: EndpointLimits = new EndpointLimits()) {
     this.#limits = limits;
@@ -182,7 +188,7 @@
     const running = this.#findRunning(id);
     if (running === undefined) return;
     const { engine, placement } = running;
-    if (!placement.started) this.#recordPrefill(engine, placement, firstTokenMs, now);
+    if (!placement.started) this.#recordPrefill(engine, placement.prefillTokens, firstTokenMs, now);
     engine.recordFirstToken(id, now);
   }
 
@@ -304,7 +310,9 @@
   }
 
   #scheduleService(service: string, now: number): PlacementDecision[] {
-    const engines = [...this.#engines.values()].filter(({ record }) => record.service === service);
+    const engines = [...this.#engines.values()].filter(
+      ({ record }) => record.service === service && (this.isUsable?.(record) ?? true),
+    );
     const group = new EngineGroup(preferHealthy(engines, ({ availability }) => availability, now));
     const waiting = [...this.#waiting.values()].filter(({ ticket }) => ticket.service === service);
     const ordered = orderQueue(waiting, {
@@ -453,7 +461,7 @@
   /** The speed of an engine is estimated from what it does while it is warm. */
   #recordPrefill(
     { speed, record }: EngineLoad,
-    { prefillTokens }: RunningPlacement,
+    prefillTokens: number,
     firstTokenMs: number,
     now: number,
   ): void {
--- a/src/protocol/gateway/ObjectStore.ts
+++ b/src/protocol/gateway/ObjectStore.ts
@@ -1,5 +1,5 @@
 /** Kinds of store objects that a gateway watches. */
-export type StoreObjectKind = 'configuration' | 'endpoints';
+export type StoreObjectKind = 'configuration' | 'endpoints' | 'domainDrains';
 
 /** An object in the platform's store. */
 export interface StoreObject {
--- a/src/protocol/peer/GatewayMessages.ts
+++ b/src/protocol/peer/GatewayMessages.ts
@@ -156,7 +156,7 @@
 export type QuarantinedPart = typeof QuarantinedPart.Type;
 
 /** Kinds of store objects whose changes gateways relay to each other. */
-export const WatchedKind = Schema.Literals(['configuration', 'endpoints']);
+export const WatchedKind = Schema.Literals(['configuration', 'endpoints', 'domainDrains']);
 export type WatchedKind = typeof WatchedKind.Type;
 
 /** Messages between gateways: placement at the scheduling gateway, and relayed changes of the store. */
--- a/src/state/gateway/GatewaySettings.ts
+++ b/src/state/gateway/GatewaySettings.ts
@@ -24,6 +24,11 @@
   quotaOvershoot: NonNegative,
   /** Permitted use above a quota in units, in addition to `quotaOvershoot`. */
   quotaSlack: NonNegative,
+  /**
+   * Time after its acknowledgement by which a drain of a failure domain must be in force at every gateway. Drains are
+   * followed only if it is present.
+   */
+  domainDrainMs: Schema.optionalKey(NonNegative),
   /**
    * Factor by which the requests to a cold endpoint in any second may exceed those that it bears. Cold endpoints are
    * bounded only if this or `coldSlack` is present.
--- a/src/transport/http/exchange.test.ts
+++ b/src/transport/http/exchange.test.ts
@@ -5,7 +5,7 @@
 import { setTimeout as wait } from 'node:timers/promises';
 import { expect } from 'earl';
 import { ConnectionPool } from './ConnectionPool.ts';
-import { exchange, type ExchangeEvent } from './exchange.ts';
+import { exchange, type ExchangeEvent, type HttpRequest } from './exchange.ts';
 
 const UNFRAMED = 'HTTP/1.1 200 OK\r\n\r\nabc';
 const FRAMED = 'HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabc';
@@ -36,7 +36,11 @@
   return pool;
 };
 
-const run = (pool: ConnectionPool, address: string): Promise<ExchangeEvent[]> =>
+const run = (
+  pool: ConnectionPool,
+  address: string,
+  more: Partial<HttpRequest> = {},
+): Promise<ExchangeEvent[]> =>
   new Promise((resolve) => {
     const events: ExchangeEvent[] = [];
     exchange(
@@ -50,6 +54,7 @@
         body: undefined,
         fresh: false,
         silenceMs: undefined,
+        ...more,
       },
       (event) => {
         events.push(event);
@@ -64,6 +69,20 @@
 const lastOf = (events: readonly ExchangeEvent[]): string | undefined => events.at(-1)?._tag;
 
 describe('exchange', () => {
+  // Guards against requests that are written after the permission to send them has expired while they connected.
+  it('writes nothing that may no longer be written once there is a connection', async (context) => {
+    let requests = 0;
+    const address = await startScript(context, (socket) => {
+      requests += 1;
+      socket.write(FRAMED);
+    });
+    const pool = makePool(context);
+    const events = await run(pool, address, { mayWrite: () => false });
+    expect(events.map(({ _tag }) => _tag)).toEqual(['refused']);
+    const served = await run(pool, address, { mayWrite: () => true });
+    expect([served.at(-1)?._tag, requests]).toEqual(['ended', 1]);
+  });
+
   it('ends an answer without a length at the end of its connection', async (context) => {
     const address = await startScript(context, (socket) => socket.end(UNFRAMED));
     expect(lastOf(await run(makePool(context), address))).toEqual('ended');
--- a/src/transport/http/exchange.ts
+++ b/src/transport/http/exchange.ts
@@ -29,6 +29,8 @@
    * request without a body.
    */
   readonly continueWithinMs?: number;
+  /** Asked once there is a connection: whether the request may still be written. If not, it is `refused`. */
+  readonly mayWrite?: () => boolean;
 }
 
 /** How the end of an answer is marked; `close` means by the end of its connection alone. */
@@ -211,6 +213,11 @@
       return;
     }
     const { socket } = outcome;
+    if (request.mayWrite?.() === false) {
+      pool.release(request.address, socket);
+      finish({ _tag: 'refused', detail: 'no longer permitted' });
+      return;
+    }
     const { body, continueWithinMs } = request;
     // Without a body the head is the whole request, which can't be held back.
     const asksFirst = body !== undefined && body.length > 0 && continueWithinMs !== undefined;
--- a/test/gateway/startGateway.ts
+++ b/test/gateway/startGateway.ts
@@ -9,6 +9,7 @@
 import { makeObjectStore } from '../../platform/makeObjectStore.ts';
 import { makeWireAdapter } from '../../platform/makeWireAdapter.ts';
 import { PATHS } from '../../platform/names.ts';
+import type { GatewayBounds } from '../../src/state/gateway/index.ts';
 import { startObjectStore, type ObjectStoreStandIn } from './startObjectStore.ts';
 import type { RunnerStandIn } from './startRunner.ts';
 
@@ -128,6 +129,8 @@
   readonly failureDomain?: string;
   readonly seeds?: readonly string[];
   readonly store?: ObjectStoreStandIn;
+  /** Bounds in addition to the usual ones. */
+  readonly bounds?: Partial<GatewayBounds>;
 }
 
 /** Starts a gateway, with a store of its own and nothing in it where none is given. */
@@ -138,6 +141,7 @@
     failureDomain = 'a',
     seeds = [],
     store: given,
+    bounds = {},
   }: GatewayDifferences = {},
 ): Promise<GatewayStandIns> => {
   const store = given ?? (await startObjectStore(context));
@@ -170,6 +174,7 @@
             quotaOvershoot: 0.1,
             quotaSlack: 1_000,
             addressesKeepMs: 5_000,
+            ...bounds,
           },
         },
         wire: makeWireAdapter(),
--- a/test/replication/SimulatedStore.ts
+++ b/test/replication/SimulatedStore.ts
@@ -37,6 +37,7 @@
   readonly #objects = {
     configuration: new Map<string, StoreObject>(),
     endpoints: new Map<string, StoreObject>(),
+    domainDrains: new Map<string, StoreObject>(),
   };
 
   readonly #history: LoggedChange[] = [];
