--- /dev/null
+++ b/src/app/gateway/makeConnectionPools.ts
@@ -0,0 +1,32 @@
+import * as Effect from 'effect/Effect';
+import { CONNECT_TIMEOUT_MS } from '../../coordination/gateway/index.ts';
+import { makeConnectionPool } from '../../transport/http/index.ts';
+
+/** Connections idle for longer are not reused, because endpoints close idle ones after some seconds. */
+const ENDPOINT_MAXIMUM_IDLE_MS = 1_500;
+const PEER_MAXIMUM_IDLE_MS = 3_000;
+const STORE_MAXIMUM_IDLE_MS = 10_000;
+
+/**
+ * Makes the pools of connections to endpoints, peers and the store; they close with the scope.
+ *
+ * @param now - returns the present time in ms, monotonic
+ */
+export const makeConnectionPools = (now: () => number) =>
+  Effect.all({
+    endpointPool: makeConnectionPool({
+      connectTimeoutMs: CONNECT_TIMEOUT_MS,
+      connectionTrustMs: ENDPOINT_MAXIMUM_IDLE_MS,
+      now,
+    }),
+    peerPool: makeConnectionPool({
+      connectTimeoutMs: CONNECT_TIMEOUT_MS,
+      connectionTrustMs: PEER_MAXIMUM_IDLE_MS,
+      now,
+    }),
+    storePool: makeConnectionPool({
+      connectTimeoutMs: CONNECT_TIMEOUT_MS,
+      connectionTrustMs: STORE_MAXIMUM_IDLE_MS,
+      now,
+    }),
+  });
--- a/src/app/gateway/request/EndpointAttempt.ts
+++ b/src/app/gateway/request/EndpointAttempt.ts
@@ -56,6 +56,9 @@
 
   #ended = false;
 
+  /** Whether the permission to send had expired when there was a connection. */
+  #isWithheld = false;
+
   /** How old the view of the store was by which the request was sent. */
   readonly viewAge: ViewAge;
 
@@ -114,7 +117,7 @@
         body: inbound.body,
         fresh: false,
         silenceMs: undefined,
-        mayWrite: () => context.pauses.check(),
+        mayWrite: () => this.#mayWrite(),
       },
       (event) => this.#onExchange(event),
     );
@@ -141,7 +144,7 @@
         this.written = true;
         return;
       case 'refused':
-        if (event.forbidden) this.#onForbidden();
+        if (event.forbidden) this.#onForbidden(event.detail);
         else this.#onUnreachable(event.detail);
         return;
       case 'head':
@@ -164,11 +167,24 @@
     }
   }
 
-  #onForbidden(): void {
+  /** What was decided before a pause holds no longer, so that the request is placed anew. */
+  #onForbidden(detail: string): void {
+    if (this.#isWithheld) {
+      this.#onUnreachable(detail);
+      return;
+    }
     this.#end('unused', 'the process stood still');
     this.#emit({ _tag: 'notSent' });
   }
 
+  /** Checks again what permitted the request, because the process may have been paused while it connected. */
+  #mayWrite(): boolean {
+    const { context } = this.#options;
+    if (!context.pauses.check()) return false;
+    this.#isWithheld = !context.maySend(this.endpoint, this.#sentAt);
+    return !this.#isWithheld;
+  }
+
   #hear(): void {
     const { now, reach } = this.#options.context;
     this.heardAt = now();
@@ -177,6 +193,11 @@
 
   /** The endpoint isn't blamed if this gateway reaches no other one either. */
   #onUnreachable(detail: string): void {
+    if (this.#isWithheld) {
+      this.#end('unused', detail);
+      this.#emit({ _tag: 'notRun', arrived: false, detail });
+      return;
+    }
     this.#options.context.reach.check(this.endpoint.id, (verdict) => {
       if (this.#ended) return;
       this.#end(verdict === 'isolated' ? 'unused' : 'unreachable', detail);
--- a/src/app/gateway/runGateway.ts
+++ b/src/app/gateway/runGateway.ts
@@ -6,7 +6,7 @@
 import type * as Scope from 'effect/Scope';
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
 import {
-  CONNECT_TIMEOUT_MS,
+  DomainDrains,
   EndpointDirectory,
   EndpointLimits,
   PlainEndpointSelector,
@@ -16,14 +16,19 @@
   TICK_INTERVAL_MS,
 } from '../../coordination/gateway/index.ts';
 import type { ObjectStore, WireAdapter } from '../../protocol/gateway/index.ts';
-import type { ClientLimits, GatewaySettings } from '../../state/gateway/index.ts';
-import { endpointStartOf } from '../../state/gateway/index.ts';
+import {
+  endpointStartOf,
+  type ClientLimits,
+  type EndpointRecord,
+  type GatewaySettings,
+} from '../../state/gateway/index.ts';
 import { EntryTiming } from '../../state/EntrySettings.ts';
 import { makeGatewayServer } from '../../transport/gateway/index.ts';
-import { makeConnectionPool, type ConnectionPool } from '../../transport/http/index.ts';
+import type { ConnectionPool } from '../../transport/http/index.ts';
 import { makePeerNetwork } from '../../transport/peer/index.ts';
 import { startStatusServers } from './startStatusServers.ts';
 import { drainGateway } from './drainGateway.ts';
+import { MAXIMUM_GRANT_AGE_MS } from './placement/CapGuard.ts';
 import { EndpointLimitMonitor } from './placement/EndpointLimitMonitor.ts';
 import { CrashDetector } from './crashes/CrashDetector.ts';
 import { CrashMonitor } from './crashes/CrashMonitor.ts';
@@ -31,6 +36,8 @@
 import type { GatewayLog } from './GatewayLog.ts';
 import { ExclusionMonitor } from './reach/ExclusionMonitor.ts';
 import { GatewayMetrics } from './GatewayMetrics.ts';
+import { LateBound } from './LateBound.ts';
+import { makeConnectionPools } from './makeConnectionPools.ts';
 import { makeIncarnation } from './makeIncarnation.ts';
 import { PauseMonitor } from './PauseMonitor.ts';
 import { PeerForwarder } from './reach/PeerForwarder.ts';
@@ -38,6 +45,8 @@
 import { PlacementCoordinator } from './placement/PlacementCoordinator.ts';
 import { ReachMonitor } from './reach/ReachMonitor.ts';
 import { receiveForwarded } from './reach/receiveForwarded.ts';
+import type { DomainDrainSubscription } from './following/DomainDrainSubscription.ts';
+import { startDomainDrains } from './following/startDomainDrains.ts';
 import { StoreSubscription } from './following/StoreSubscription.ts';
 
 /** Settings, platform adapters and log of a gateway process. */
@@ -69,10 +78,6 @@
   readonly reload: (settings: GatewaySettings) => void;
 }
 
-/** Connections idle for longer are not reused, because endpoints close idle ones after some seconds. */
-const ENDPOINT_MAXIMUM_IDLE_MS = 1_500;
-const PEER_MAXIMUM_IDLE_MS = 3_000;
-const STORE_MAXIMUM_IDLE_MS = 10_000;
 /** Interval at which requests in flight are looked at while some are, or should be, at peers. */
 const REVIEW_INTERVAL_MS = 250;
 /** Fixed, because the platform provides no secret: every process on the internal network may join. */
@@ -97,46 +102,6 @@
 const addressOf = ({ host, port }: { readonly host: string; readonly port: number }): string =>
   `${host}:${port}`;
 
-/** A component that is set after the components that refer to it were created. */
-class LateBound<T> {
-  #value: T | undefined;
-
-  set(value: T): void {
-    this.#value = value;
-  }
-
-  /** Returns the component; throws if it was not set. */
-  get(): T {
-    if (this.#value === undefined)
-      throw new Error('late-bound component was used before it was set');
-    return this.#value;
-  }
-
-  /** Returns the component, or undefined if it was not set. */
-  peek(): T | undefined {
-    return this.#value;
-  }
-}
-
-const makeConnectionPools = (now: () => number) =>
-  Effect.all({
-    endpointPool: makeConnectionPool({
-      connectTimeoutMs: CONNECT_TIMEOUT_MS,
-      connectionTrustMs: ENDPOINT_MAXIMUM_IDLE_MS,
-      now,
-    }),
-    peerPool: makeConnectionPool({
-      connectTimeoutMs: CONNECT_TIMEOUT_MS,
-      connectionTrustMs: PEER_MAXIMUM_IDLE_MS,
-      now,
-    }),
-    storePool: makeConnectionPool({
-      connectTimeoutMs: CONNECT_TIMEOUT_MS,
-      connectionTrustMs: STORE_MAXIMUM_IDLE_MS,
-      now,
-    }),
-  });
-
 /**
  * Starts a gateway process; its servers, timers and connections close with the scope.
  *
@@ -152,7 +117,10 @@
     const { bounds } = settings;
     const now = (): number => performance.now();
     const metrics = new GatewayMetrics();
-    const directory = new EndpointDirectory();
+    const drains = new DomainDrains(bounds.domainDrainMs, now());
+    const isUsable = ({ failureDomain }: EndpointRecord): boolean =>
+      drains.isUsable(failureDomain, now());
+    const directory = new EndpointDirectory(isUsable);
     const plainEndpoints = new PlainServiceBalancer();
     const timing = yield* Schema.decodeEffect(EntryTiming)(PEER_TIMING).pipe(Effect.orDie);
     const { endpointPool, peerPool, storePool } = yield* makeConnectionPools(now);
@@ -160,6 +128,7 @@
       group: new LateBound<PeerGroup>(),
       gateway: new LateBound<Gateway>(),
       storeSubscription: new LateBound<StoreSubscription>(),
+      drainSubscription: new LateBound<DomainDrainSubscription>(),
     };
 
     const crashes = new CrashMonitor({ group: () => lateBound.group.get(), logger, now });
@@ -193,7 +162,7 @@
       },
       checkReach: (endpointId, onVerdict) => reach.check(endpointId, onVerdict),
       isIsolatedAlone: () => reach.isIsolated && forwarder.choose([]) !== undefined,
-      isExpectedToRun: (id) => directory.findReady(id) !== undefined,
+      isExpectedToRun: (id) => directory.isExpectedToRun(id),
       onCrash: (runs, at) => crashes.recordCrash(runs, at),
       metrics,
       logger,
@@ -208,6 +177,7 @@
       },
       now(),
     );
+    const { coldCaps } = endpointLimits;
     const placements = new PlacementCoordinator({
       group: () => lateBound.group.get(),
       crashes,
@@ -219,6 +189,7 @@
       logger,
       now,
     });
+    placements.scheduler.isUsable = isUsable;
     const updateScheduledEndpoints = (): void => {
       const records = lateBound.gateway
         .peek()
@@ -276,6 +247,10 @@
       logger,
       now,
       random: Math.random,
+      maySend: (record, decidedAt) => {
+        const isLate = now() - decidedAt > MAXIMUM_GRANT_AGE_MS;
+        return isUsable(record) && !(isLate && coldCaps.isCapped(endpointStartOf(record)));
+      },
       viewAge: (at) => lateBound.storeSubscription.get().viewAge(at),
       memberCount: () =>
         lateBound.group.get().liveMembers().length +
@@ -330,6 +305,7 @@
         limits.handle(message);
         exclusions.handle(message);
         lateBound.storeSubscription.peek()?.handle(from, message);
+        lateBound.drainSubscription.peek()?.handle(message);
       },
       onMemberEnded: (incarnation) => placements.removeMember(incarnation),
     });
@@ -337,19 +313,30 @@
     peers.network.onDelivery(({ from, message }) => group.handle(from, message, now()));
     group.join(settings.seeds, now());
 
-    const { coldCaps } = endpointLimits;
     const updateEngines = (): void => {
       coldCaps.retain(new Set(directory.listAll().map(endpointStartOf)));
       updateScheduledEndpoints();
       directory
         .listReadyVersions()
         .forEach((versions, service) => crashes.followVersions(service, versions));
-      plainEndpoints.retain(new Set(directory.listAllReady().map(({ id }) => id)));
+      plainEndpoints.retain(new Set(directory.listAccepting().map(({ id }) => id)));
     };
+    const store = options.makeStore(storePool, (call) => metrics.countStoreCall(call));
+    const drainSubscription = yield* startDomainDrains({
+      store,
+      drains,
+      directory,
+      coldCaps,
+      group,
+      logger,
+      now,
+      onChanged: updateEngines,
+    });
+    lateBound.drainSubscription.set(drainSubscription);
     const storeSubscription = yield* Effect.acquireRelease(
       Effect.sync(() => {
         const subscription = new StoreSubscription({
-          store: options.makeStore(storePool, (call) => metrics.countStoreCall(call)),
+          store,
           wire,
           directory,
           group,
@@ -381,6 +368,7 @@
       ...options,
       gateway,
       directory,
+      drains,
       storeSubscription,
       group,
       placements,
@@ -405,6 +393,7 @@
           pauses.check();
           group.tick(now());
           storeSubscription.tick();
+          drainSubscription.tick();
           placements.tick();
           crashes.tick();
           limits.tick();
--- a/src/transport/http/exchange.ts
+++ b/src/transport/http/exchange.ts
@@ -236,6 +236,11 @@
       return;
     }
     const { socket } = outcome;
+    if (request.mayWrite?.() === false) {
+      pool.release(request.address, socket);
+      finish({ _tag: 'refused', detail: 'no longer permitted', forbidden: true });
+      return;
+    }
     const { body, continueWithinMs } = request;
     // Without a body the head is the whole request, which can't be held back.
     const asksFirst = body !== undefined && body.length > 0 && continueWithinMs !== undefined;
