Answer or refuse every request that a planned shutdown meets half read

Cause: in a drain the gateway closed connections on which no request was known, also those whose head it had read in part or whose caller was about to send the next request. At the end of the grace period, requests whose body hadn't arrived were cut. Connections that waited to be accepted were reset when the port was closed; libuv accepts one in each turn of the event loop.

Change: a connection counts as idle only if all bytes that were read from it belong to answered requests and it has been quiet for 500 ms. At the end of the grace period, what was read in part gets 503, which is true, and answers have up to 250 ms of the margin to leave. The port is closed after a turn that accepted nothing.

The stand-in server of drainGateway.test.ts has the two new methods, its checks are unchanged.

--- a/src/app/gateway/drainGateway.test.ts
+++ b/src/app/gateway/drainGateway.test.ts
@@ -17,6 +17,8 @@
       address: '',
       startDraining: () => {},
       closeIdle: () => {},
+      refuseUnread: () => {},
+      isSending: () => false,
       stopAccepting: () => {
         accepting = false;
       },
--- a/src/app/gateway/drainGateway.ts
+++ b/src/app/gateway/drainGateway.ts
@@ -18,8 +18,10 @@
 const CHECK_INTERVAL_MS = 25;
 /** Time after the start of a drain from which idle connections are closed. */
 const CLOSE_IDLE_AFTER_MS = 2_000;
-/** Margin by which the process ends itself before the platform kills it. */
+/** Margin by which requests are ended before the platform kills the process. */
 const GRACE_MARGIN_MS = 350;
+/** Time of that margin for the answers to reach callers that read slowly. */
+const SENDING_MS = 250;
 
 /**
  * Stops a gateway gracefully: the instance withdraws from the list of addresses, requests in flight
@@ -57,6 +59,8 @@
         return;
       }
       clearInterval(timer);
+      const endedAt = now();
+      server.refuseUnread();
       if (gateway.inFlight > 0) {
         logger.warn(
           { inFlight: gateway.inFlight },
@@ -66,6 +70,10 @@
       }
       group.leave(now());
       logger.info({ afterMs: Math.round(elapsedMs) }, 'gateway stopped');
-      setTimeout(resolve, CHECK_INTERVAL_MS);
+      const sending = setInterval(() => {
+        if (server.isSending() && now() - endedAt < SENDING_MS) return;
+        clearInterval(sending);
+        resolve();
+      }, CHECK_INTERVAL_MS);
     }, CHECK_INTERVAL_MS);
   });
--- a/src/transport/gateway/InboundConnections.ts
+++ b/src/transport/gateway/InboundConnections.ts
@@ -13,7 +13,16 @@
   readonly onRejected: (status: number, reason: string) => void;
 }
 
-const STATUS = { contentTooLarge: 413, headerTooLarge: 431 } as const;
+const STATUS = { contentTooLarge: 413, headerTooLarge: 431, unavailable: 503 } as const;
+const ENDING = 'the gateway is stopping';
+/** Sent where a head has been read in part, so that there is no request to answer. */
+const UNREAD_ANSWER =
+  'HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nContent-Length: 0\r\n\r\n';
+/**
+ * Time without a request after which a connection may be closed in a drain. On one in constant use the next request may
+ * be on its way; its answer says that the connection closes.
+ */
+const MINIMUM_QUIET_MS = 500;
 /** Above what any configuration asks for: the configured limit is checked once the head is read. */
 export const PARSER_HEADER_BYTES = 65_536;
 /** Most header lines of a request. */
@@ -75,59 +84,120 @@
   response.end();
 };
 
+/** What happens on a connection. */
+interface ConnectionState {
+  /** Requests that have no complete answer yet. */
+  readonly unanswered: Set<http.ServerResponse>;
+  /** Requests whose heads have been read. */
+  requestCount: number;
+  /** Bytes that had been read when the last request was answered. */
+  answeredBytes: number;
+  /** When that was, or when the connection was accepted; in ms, monotonic. */
+  quietSince: number;
+}
+
 /** Reads the requests on the connections of a server. */
 export class InboundConnections {
   readonly #options: InboundOptions;
 
-  readonly #busy = new Map<Socket, number>();
-
-  readonly #sockets = new Set<Socket>();
+  readonly #states = new Map<Socket, ConnectionState>();
 
-  readonly #requestCounts = new WeakMap<Socket, number>();
+  /** Answers to requests whose bodies haven't been read completely. */
+  readonly #unread = new Set<http.ServerResponse>();
 
   /** Whether each connection closes with its next answer. */
   draining = false;
 
+  /** Whether requests are refused, because the process is about to end. */
+  #isEnding = false;
+
   constructor(options: InboundOptions) {
     this.#options = options;
   }
 
   /** Number of open connections. */
   get size(): number {
-    return this.#sockets.size;
+    return this.#states.size;
+  }
+
+  /** Whether answers wait to be sent to callers. */
+  get isSending(): boolean {
+    return [...this.#states.keys()].some(({ writableLength }) => writableLength > 0);
   }
 
   /** Follows a connection until it closes. */
   add(socket: Socket): void {
-    this.#sockets.add(socket);
+    this.#stateOf(socket);
     socket.setNoDelay(true);
-    socket.once('close', () => {
-      this.#sockets.delete(socket);
-      this.#busy.delete(socket);
-    });
+    socket.once('close', () => this.#states.delete(socket));
   }
 
   /** Returns the number of requests whose heads have been read from a connection. */
   requestCount(socket: Socket): number {
-    return this.#requestCounts.get(socket) ?? 0;
+    return this.#states.get(socket)?.requestCount ?? 0;
   }
 
-  /** Closes connections on which nothing is asked. */
+  /** Closes connections that have been quiet for a while: no request is being read or answered. */
   closeIdle(): void {
-    this.#sockets.forEach((socket) => {
-      if ((this.#busy.get(socket) ?? 0) === 0) socket.destroy();
+    const quietBefore = this.#options.now() - MINIMUM_QUIET_MS;
+    this.#states.forEach((state, socket) => {
+      if (!this.#isReading(socket, state) && state.quietSince < quietBefore) socket.destroy();
+    });
+  }
+
+  /** Refuses requests that have been read in part, and those that are still to come. */
+  refuseUnread(): void {
+    this.#isEnding = true;
+    this.#unread.forEach((response) => this.#refuse(response));
+    this.#states.forEach((state, socket) => {
+      if (state.unanswered.size === 0 && this.#isReading(socket, state)) {
+        this.#options.onRejected(STATUS.unavailable, ENDING);
+        socket.end(UNREAD_ANSWER);
+      }
     });
   }
 
+  #stateOf(socket: Socket): ConnectionState {
+    const known = this.#states.get(socket);
+    if (known !== undefined) return known;
+    const quietSince = this.#options.now();
+    const state = { unanswered: new Set(), requestCount: 0, answeredBytes: 0, quietSince };
+    this.#states.set(socket, state as ConnectionState);
+    return state as ConnectionState;
+  }
+
+  /** Whether a request is being read or answered on a connection. */
+  // eslint-disable-next-line class-methods-use-this
+  #isReading(socket: Socket, { unanswered, answeredBytes }: ConnectionState): boolean {
+    return unanswered.size > 0 || socket.bytesRead > answeredBytes;
+  }
+
+  #refuse(response: http.ServerResponse): void {
+    this.#unread.delete(response);
+    if (response.headersSent) return;
+    this.#options.onRejected(STATUS.unavailable, ENDING);
+    reject(response, STATUS.unavailable);
+  }
+
   /** Reads a request to its end and passes it on, or refuses it. */
   onRequest(incoming: http.IncomingMessage, response: http.ServerResponse): void {
     const { now, limits, onRejected } = this.#options;
     const arrivedAt = now();
     const { socket } = incoming;
-    if (!this.#sockets.has(socket)) this.add(socket);
-    this.#requestCounts.set(socket, this.requestCount(socket) + 1);
-    this.#busy.set(socket, (this.#busy.get(socket) ?? 0) + 1);
-    response.once('close', () => this.#busy.set(socket, (this.#busy.get(socket) ?? 1) - 1));
+    if (!this.#states.has(socket)) this.add(socket);
+    const state = this.#stateOf(socket);
+    state.requestCount += 1;
+    state.unanswered.add(response);
+    response.once('close', () => {
+      state.unanswered.delete(response);
+      this.#unread.delete(response);
+      state.answeredBytes = socket.bytesRead;
+      state.quietSince = now();
+    });
+    if (this.#isEnding) {
+      this.#refuse(response);
+      return;
+    }
     const { maximumHeaderBytes, maximumBodyBytes } = limits();
     if (headerBytes(incoming.rawHeaders) > maximumHeaderBytes) {
       onRejected(STATUS.headerTooLarge, 'head is over the limit');
@@ -147,6 +217,7 @@
     const hasBody =
       headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined;
     const chunks: Buffer[] = [];
+    this.#unread.add(response);
     let size = 0;
     let overflown = false;
     incoming.on('data', (chunk: Buffer) => {
@@ -163,7 +234,7 @@
     // A caller that leaves midway has no request to answer.
     incoming.on('error', () => {});
     incoming.on('end', () => {
-      if (overflown || !incoming.complete) return;
+      if (overflown || !incoming.complete || !this.#unread.delete(response)) return;
       const body = size === 0 ? SMALL_BODY : Buffer.concat(chunks, size);
       this.#options.onRequest(
         {
--- a/src/transport/gateway/makeGatewayServer.ts
+++ b/src/transport/gateway/makeGatewayServer.ts
@@ -27,8 +27,12 @@
   readonly startDraining: () => void;
   /** Closes connections on which nothing is asked. */
   readonly closeIdle: () => void;
-  /** Takes no new connections; open ones stay. */
+  /** Takes no new connections; open ones stay, and those that wait to be accepted are. */
   readonly stopAccepting: () => void;
+  /** Refuses requests that have been read in part, and those that are still to come. */
+  readonly refuseUnread: () => void;
+  /** Whether answers wait to be sent to callers. */
+  readonly isSending: () => boolean;
   readonly connections: () => number;
 }
 
@@ -61,6 +65,28 @@
   return status;
 };
 
+/**
+ * Closes the port of a server once a turn of the event loop has accepted no connection. Those that wait to be accepted
+ * when it closes are reset, and each turn accepts one.
+ */
+const closeOnceAccepted = (server: http.Server): void => {
+  let accepted = false;
+  const onConnection = (): void => {
+    accepted = true;
+  };
+  server.on('connection', onConnection);
+  // From a timer to the immediate after it the event loop polls once.
+  setTimeout(
+    () =>
+      setImmediate(() => {
+        server.removeListener('connection', onConnection);
+        if (accepted) closeOnceAccepted(server);
+        else server.close();
+      }),
+    0,
+  );
+};
+
 /**
  * Starts the HTTP server for callers. It closes with the scope.
  *
@@ -111,9 +137,9 @@
         connections.draining = true;
       },
       closeIdle: () => connections.closeIdle(),
-      stopAccepting: () => {
-        server.close();
-      },
+      stopAccepting: () => closeOnceAccepted(server),
+      refuseUnread: () => connections.refuseUnread(),
+      isSending: () => connections.isSending,
       connections: () => connections.size,
     };
   });
