Close the connection of an answer that doesn't name its request

Cause: a rejection without a request id counts as the statement that the request has not run. Its second copy, late and on a connection in use again, counted as the same statement for the next request, which was then sent elsewhere although it ran, or refused with 503. In the entry program the same held for an engine's 404 without an id. Answers with an id can't be mixed up: the head's id is compared, and what an idle connection brings closes it.

Change: an exchange can be told not to use its connection again, which is done for every answer without an id. An answer that comes through a peer must bear the id as well.

Endpoints that name the request in each answer are served as before.

--- a/src/app/gateway/reach/PeerAttempt.ts
+++ b/src/app/gateway/reach/PeerAttempt.ts
@@ -107,6 +107,8 @@
           event.status,
           event.headerLines,
         );
+        if (this.#isOfEndpoint && this.#answerFields.id !== this.#options.request.id)
+          this.#fail('answer does not belong to this request');
         return;
       case 'data':
         this.#onData(event.bytes);
--- a/src/app/gateway/request/EndpointAttempt.ts
+++ b/src/app/gateway/request/EndpointAttempt.ts
@@ -192,6 +192,8 @@
     this.#answerFields = answer;
     const isForThisRequest =
       answer.id === request.id || (answer.id === undefined && answer.isNotRun);
+    // A second copy of an answer without an id would be taken for the answer to the next request.
+    if (answer.id === undefined) this.#exchange?.discardConnection();
     if (isForThisRequest && (answer.isSigned || answer.isNotRun) && !answer.isEncoded) {
       this.#recordStatements(answer);
       return;
--- a/src/transport/endpoint/EngineCall.ts
+++ b/src/transport/endpoint/EngineCall.ts
@@ -186,6 +186,8 @@
     const echoed = headers[REQUEST_ID_HEADER];
     this.#errorStatus = status !== HTTP_OK;
     const unmarkedError = this.#errorStatus && echoed === undefined;
+    // A second copy of it would be taken for the answer to the next request.
+    if (unmarkedError) this.#exchange?.discardConnection();
     if (echoed !== this.#request.id && !unmarkedError) {
       this.#fail('answer_crossed', `answer is for request ${String(echoed)}`);
       return;
--- a/src/transport/http/exchange.ts
+++ b/src/transport/http/exchange.ts
@@ -70,6 +70,8 @@
   /** Stops reading the answer, for a reader that can't keep up. */
   readonly pause: () => void;
   readonly resume: () => void;
+  /** Closes the connection after the answer, in place of using it again. */
+  readonly discardConnection: () => void;
 }
 
 type Opened =
@@ -146,6 +148,7 @@
   let patience: NodeJS.Timeout | undefined;
   /** Bytes since the last that were a part of the body, or since the start. */
   let idleBytes = 0;
+  let isDiscarded = false;
 
   const finish = (event: ExchangeEvent): void => {
     if (ended) return;
@@ -254,7 +257,8 @@
     socket.once('free', () => {
       socket.removeListener('end', probeEnd);
       socket.removeListener('data', onBytes);
-      pool.release(request.address, socket);
+      if (isDiscarded) socket.destroy();
+      else pool.release(request.address, socket);
     });
     outgoing.on('response', onResponse);
     outgoing.on('error', (error) => breakOff(error.message));
@@ -274,5 +278,8 @@
     },
     pause: () => incoming?.pause(),
     resume: () => incoming?.resume(),
+    discardConnection: () => {
+      isDiscarded = true;
+    },
   };
 };
--- /dev/null
+++ b/test/gateway/copies.test.ts
@@ -0,0 +1,56 @@
+import { describe, it } from 'node:test';
+import { setTimeout as wait } from 'node:timers/promises';
+import { expect } from 'earl';
+import { call, runnerSpec, startReadyGateway } from './startGateway.ts';
+import { answer, notRun, startRunner } from './startRunner.ts';
+
+const read = (address: string, path: string) => call(address, { path });
+
+describe('a gateway whose endpoint answers twice', () => {
+  // Guards against an answer that reaches the next caller on the connection, wherever the second copy is cut.
+  it('never passes the second copy on to the next caller', async (context) => {
+    let copy = '';
+    let cut = 0;
+    const runner = await startRunner(context, (request) => {
+      const own = answer(request, request.line.includes('first') ? 'first' : 'second');
+      if (request.line.includes('first')) {
+        copy = own;
+        request.socket.write(own + copy.slice(0, cut));
+      } else {
+        request.socket.write(copy.slice(cut) + own);
+        copy = '';
+      }
+    });
+    const { gateway } = await startReadyGateway(context, { 'i-1': runnerSpec('plain', runner) });
+    const { callers } = gateway.addresses;
+    await read(callers, '/write/first');
+    const { length } = copy;
+    for (cut = 0; cut <= length; cut += 1) {
+      // eslint-disable-next-line no-await-in-loop
+      const first = await read(callers, '/write/first');
+      expect([first.status, first.body]).toEqual([200, 'first']);
+      // eslint-disable-next-line no-await-in-loop
+      const { status, body } = await read(callers, '/write/second');
+      expect([cut, status === 200 ? body : status === 502 && 'second']).toEqual([cut, 'second']);
+    }
+  });
+
+  // Guards against a request that is called not run, or run again, because of the rejection of another one.
+  it('never takes the second copy of a rejection for one of the next request', async (context) => {
+    const runner = await startRunner(context, (request) => {
+      if (request.line.includes('first')) {
+        request.socket.write(notRun());
+        return;
+      }
+      // On the connection of the rejection its second copy comes before the answer.
+      const isReused = runner.arrived[0]?.socket === request.socket;
+      request.socket.write((isReused ? notRun() : '') + answer(request, 'ran'));
+    });
+    const { gateway } = await startReadyGateway(context, { 'i-1': runnerSpec('plain', runner) });
+    expect((await read(gateway.addresses.callers, '/write/first')).status).toEqual(503);
+    // After a rejection the endpoint gets no requests for a moment.
+    await wait(700);
+    const second = await read(gateway.addresses.callers, '/write/second');
+    expect([second.status, second.body]).toEqual([200, 'ran']);
+  });
+});
