Never pass on an endpoint's 429 or 503 that doesn't say that the request has not run

Cause: callers treat 429 and 503 as "has not run and never will". The gateway passed on signed answers of endpoints with these statuses, also after another endpoint had run the request and its answer was lost.

Change: CallerAnswer sends 502 in their place.

--- a/src/app/gateway/request/CallerAnswer.ts
+++ b/src/app/gateway/request/CallerAnswer.ts
@@ -3,6 +3,9 @@
 import type { RequestAttempt } from './RequestAttempt.ts';
 
 const EMPTY_BODY = Buffer.alloc(0);
+/** Statuses by which callers know that a request has not run. */
+const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([429, 503]);
+const STATUS_BAD_GATEWAY = 502;
 
 /** The answer to a caller: what an endpoint answered, or the gateway's own word. */
 export class CallerAnswer {
@@ -44,9 +47,13 @@
     this.#answer.end();
   }
 
-  /** Sends a whole answer of an endpoint. */
+  /**
+   * Sends a whole answer of an endpoint that ran the request. To callers, some statuses say that it has not run; such an
+   * answer is replaced by one that doesn't.
+   */
   sendWhole({ status, headerLines }: RequestAttempt, body: Uint8Array): void {
-    this.#answer.send(status, this.#wire.filterResponseHeaders(headerLines), body);
+    if (NOT_RUN_STATUSES.has(status)) this.sendOwn(STATUS_BAD_GATEWAY, undefined);
+    else this.#answer.send(status, this.#wire.filterResponseHeaders(headerLines), body);
   }
 
   /**
