End streams that bring no event and bodies that cease to arrive, and no slow ones

Cause: a stream that sent comments or single bytes and no event ran until its deadline, and a request whose body ceased to arrive held its connection forever. A caller that read slowly stopped the reading of its endpoint after 16 KB, and endpoints cut answers that aren't read for some seconds.

Change: while a stream should bring an event, a timer runs for the time for which callers wait: 2 s, four times the target or eight times the pause that the route declares, whichever is longest. Only complete events restart it, and it stops while the caller reads too slowly. Then the stream counts as broken, and goes on elsewhere if it may. A body gets 408 after idle_timeout_ms without a byte. 64 KB are held for a slow caller before the endpoint waits.

--- a/src/app/gateway/reach/receiveForwarded.ts
+++ b/src/app/gateway/reach/receiveForwarded.ts
@@ -57,8 +57,9 @@
   const connections = new InboundConnections({
     now,
     limits: () => {
-      const { maximumHeaderBytes, maximumBodyBytes } = limits();
-      return { maximumHeaderBytes: maximumHeaderBytes + ENVELOPE_BYTES, maximumBodyBytes };
+      const callerLimits = limits();
+      const maximumHeaderBytes = callerLimits.maximumHeaderBytes + ENVELOPE_BYTES;
+      return { ...callerLimits, maximumHeaderBytes };
     },
     onRequest: (inbound, answer) => {
       const envelope = openEnvelope(inbound, secret);
--- a/src/app/gateway/request/EndpointAttempt.ts
+++ b/src/app/gateway/request/EndpointAttempt.ts
@@ -13,6 +13,7 @@
 import type { GatewayContext } from '../GatewayContext.ts';
 import type { AttemptEvent, RequestAttempt } from './RequestAttempt.ts';
 import type { RoutedRequest } from './RoutedRequest.ts';
+import { stallLimitMs, StallTimer } from './StallTimer.ts';
 import type { ViewAge } from '../following/StoreSubscription.ts';
 
 /** Request, endpoint and time limit of an attempt. */
@@ -48,6 +49,8 @@
 
   readonly #reader = new AnswerReader();
 
+  readonly #stallTimer: StallTimer;
+
   #exchange: Exchange | undefined;
 
   #answerFields: DecodedResponseHeaders | undefined;
@@ -73,6 +76,8 @@
     this.#options = options;
     this.#sentAt = options.context.now();
     this.heardAt = this.#sentAt;
+    const limitMs = stallLimitMs(options.request.route);
+    this.#stallTimer = new StallTimer(limitMs, () => this.#fail(`no event for ${limitMs} ms`));
     this.viewAge = options.context.viewAge(this.#sentAt);
     options.context.metrics.recordViewAge(this.viewAge.ageMs);
   }
@@ -127,10 +132,12 @@
   }
 
   pause(): void {
+    this.#stallTimer.stop();
     this.#exchange?.pause();
   }
 
   resume(): void {
+    if (!this.#ended && this.#isStream()) this.#stallTimer.restart();
     this.#exchange?.resume();
   }
 
@@ -196,6 +203,7 @@
     if (answer.id === undefined) this.#exchange?.discardConnection();
     if (isForThisRequest && (answer.isSigned || answer.isNotRun) && !answer.isEncoded) {
       this.#recordStatements(answer);
+      if (this.#isStream()) this.#stallTimer.restart();
       return;
     }
     // The answer belongs to another request, was not written by an endpoint, or has a content encoding
@@ -213,7 +221,12 @@
 
   #onData(bytes: Buffer): void {
     if (this.#firstByteAt === undefined) this.#onFirstByte();
-    this.#apply(this.#isStream() ? this.#reader.readStream(bytes) : this.#reader.readBody(bytes));
+    const { eventCount } = this.#reader;
+    const outcome = this.#isStream()
+      ? this.#reader.readStream(bytes)
+      : this.#reader.readBody(bytes);
+    if (this.#reader.eventCount > eventCount) this.#stallTimer.restart();
+    this.#apply(outcome);
   }
 
   #apply(outcome: ReadOutcome): void {
@@ -240,6 +253,7 @@
 
   #onEnded(): void {
     const { status } = this;
+    this.#stallTimer.stop();
     if (this.#answerFields?.isNotRun && !this.#answerFields.isSigned) {
       this.#end('turnedAway', `status ${status}`);
       this.#emit({
@@ -348,6 +362,7 @@
   /** Marks the attempt as ended, for metrics and the log. */
   #logEnd(outcome: PlacementResult['outcome'], detail: string): void {
     this.#ended = true;
+    this.#stallTimer.stop();
     const { context, request, endpoint, ticketId } = this.#options;
     const totalMs = context.now() - this.#sentAt;
     context.metrics.countAttempt(request.service.name, outcome);
--- a/src/transport/gateway/InboundConnections.ts
+++ b/src/transport/gateway/InboundConnections.ts
@@ -7,13 +7,21 @@
 export interface InboundOptions {
   /** Present time in ms, monotonic. */
   readonly now: () => number;
-  readonly limits: () => Pick<ClientLimits, 'maximumHeaderBytes' | 'maximumBodyBytes'>;
+  readonly limits: () => Pick<
+    ClientLimits,
+    'maximumHeaderBytes' | 'maximumBodyBytes' | 'idleTimeoutMs'
+  >;
   readonly onRequest: (request: InboundRequest, answer: InboundAnswer) => void;
   /** Told of requests that are refused before they reach `onRequest`. */
   readonly onRejected: (status: number, reason: string) => void;
 }
 
-const STATUS = { contentTooLarge: 413, headerTooLarge: 431, unavailable: 503 } as const;
+const STATUS = {
+  requestTimeout: 408,
+  contentTooLarge: 413,
+  headerTooLarge: 431,
+  unavailable: 503,
+} as const;
 const ENDING = 'the gateway is stopping';
 /** Sent where a head has been read in part, so that there is no request to answer. */
 const UNREAD_ANSWER =
@@ -27,6 +35,11 @@
 export const PARSER_HEADER_BYTES = 65_536;
 /** Most header lines of a request. */
 export const PARSER_HEADER_COUNT = 1_000;
+/**
+ * Most bytes of an answer that are held for a caller who reads slowly, before the endpoint has to wait. An endpoint cuts
+ * an answer that isn't read for some seconds, and most streams are smaller than this.
+ */
+const MAXIMUM_HELD_BYTES = 65_536;
 const SMALL_BODY = Buffer.alloc(0);
 
 const headerBytes = (lines: readonly string[]): number =>
@@ -58,7 +71,10 @@
         takesChunks ? ['Transfer-Encoding', 'chunked'] : ['Connection', 'close'],
       );
     },
-    write: (bytes) => response.write(bytes),
+    write: (bytes) => {
+      response.write(bytes);
+      return response.writableLength < MAXIMUM_HELD_BYTES;
+    },
     end: () => {
       response.end();
     },
@@ -198,13 +214,30 @@
       this.#refuse(response);
       return;
     }
-    const { maximumHeaderBytes, maximumBodyBytes } = limits();
+    const { maximumHeaderBytes, maximumBodyBytes, idleTimeoutMs } = limits();
     if (headerBytes(incoming.rawHeaders) > maximumHeaderBytes) {
       onRejected(STATUS.headerTooLarge, 'head is over the limit');
       reject(response, STATUS.headerTooLarge);
       return;
     }
     this.#readBody(incoming, response, maximumBodyBytes, arrivedAt);
+    if (!incoming.complete) this.#limitPauses(incoming, response, idleTimeoutMs);
+  }
+
+  /** Refuses a request whose body ceases to arrive. One that arrives slowly may take as long as it needs. */
+  #limitPauses(
+    incoming: http.IncomingMessage,
+    response: http.ServerResponse,
+    idleTimeoutMs: number,
+  ): void {
+    const timer = setTimeout(() => {
+      if (!this.#unread.delete(response) || response.headersSent) return;
+      this.#options.onRejected(STATUS.requestTimeout, 'body ceased to arrive');
+      reject(response, STATUS.requestTimeout);
+    }, idleTimeoutMs);
+    incoming.on('data', () => timer.refresh());
+    incoming.once('close', () => clearTimeout(timer));
+    incoming.once('end', () => clearTimeout(timer));
   }
 
   #readBody(
--- a/src/transport/gateway/makeGatewayServer.test.ts
+++ b/src/transport/gateway/makeGatewayServer.test.ts
@@ -2,13 +2,16 @@
 import { describe, it, type TestContext } from 'node:test';
 import { setTimeout as wait } from 'node:timers/promises';
 import { expect } from 'earl';
+import fc from 'fast-check';
 import { runScoped, until } from '../../../test/support/scoped.ts';
+import type { InboundRequest } from './InboundRequest.ts';
 import { makeGatewayServer } from './makeGatewayServer.ts';
 
 const REQUEST = 'GET / HTTP/1.1\r\nHost: example\r\n\r\n';
 const HEADER_TIMEOUT_MS = 300;
+const SEED = 3;
 
-const start = (context: TestContext) =>
+const start = (context: TestContext, onRequest: (request: InboundRequest) => void = () => {}) =>
   runScoped(
     context,
     makeGatewayServer({
@@ -20,7 +23,10 @@
         headerTimeoutMs: HEADER_TIMEOUT_MS,
         idleTimeoutMs: 5_000,
       }),
-      onRequest: (_request, answer) => answer.send(200, [], Buffer.from('served')),
+      onRequest: (request, answer) => {
+        onRequest(request);
+        answer.send(200, [], Buffer.from('served'));
+      },
       onRejected: () => {},
       onUnavailable: () => {},
     }),
@@ -52,6 +58,38 @@
     expect(callers.filter(({ seen }) => seen.text.includes('served')).length).toEqual(20);
   });
 
+  // Guards against requests that are read differently when their bytes arrive in other parts.
+  it('reads the same requests whichever parts their bytes come in', async (context) => {
+    const bodies: string[] = [];
+    const server = await start(context, ({ method, target, body }) => {
+      bodies.push(`${method} ${target} ${body?.toString()}`);
+    });
+    const text =
+      'POST /a HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n' +
+      'PUT /b HTTP/1.1\r\nHost: x\r\nConnection: close\r\nContent-Length: 4\r\n\r\nfghi';
+    const cuts = fc.subarray(
+      Array.from({ length: text.length }, (_, at) => at),
+      { maxLength: 5 },
+    );
+    const read = async (borders: readonly number[]): Promise<void> => {
+      bodies.length = 0;
+      const { socket, seen } = connect(context, server.address);
+      const ends = [...borders, text.length];
+      for (const [index, end] of ends.entries()) {
+        socket.write(text.slice(ends[index - 1] ?? 0, end));
+        // eslint-disable-next-line no-await-in-loop
+        await wait(1);
+      }
+      await until(() => seen.closed);
+      expect(bodies).toEqual(['POST /a abcde', 'PUT /b fghi']);
+    };
+    for (let at = 1; at < text.length; at += 1) {
+      // eslint-disable-next-line no-await-in-loop
+      await read([at]);
+    }
+    await fc.assert(fc.asyncProperty(cuts, read), { seed: SEED, numRuns: 40 });
+  });
+
   // Guards against callers that get 408 though their heads had arrived in time, while this process was paused.
   it('reads a head that arrived while the process stood still', async (context) => {
     const server = await start(context);
