Let an entry that stops answer requests whose bodies are arriving

Cause: a drain of an entry ends when no request waits or runs. Requests whose bodies were still arriving weren't among them, and their connections were closed without an answer.

--- a/src/transport/caller/makeCallerServer.ts
+++ b/src/transport/caller/makeCallerServer.ts
@@ -59,12 +59,15 @@
 interface TrackedServer {
   readonly server: http.Server;
   readonly sockets: ReadonlySet<Socket>;
+  /** Requests that aren't over yet. */
+  readonly requests: ReadonlySet<http.IncomingMessage>;
 }
 
 const createServer = (options: CallerServerOptions): TrackedServer => {
   const { limits } = options;
   const handler = new CallerHandler(options);
   const sockets = new Set<Socket>();
+  const requests = new Set<http.IncomingMessage>();
   const server = http.createServer({
     maxHeaderSize: limits.maximumHeaderBytes,
     requestTimeout: limits.receiveTimeoutMs,
@@ -82,11 +85,13 @@
     sockets.add(socket);
     socket.once('close', () => sockets.delete(socket));
   });
-  server.on('request', (request, response) =>
-    handler.handle(request, response, sockets.size > limits.maximumConnections),
-  );
+  server.on('request', (request, response) => {
+    requests.add(request);
+    response.once('close', () => requests.delete(request));
+    handler.handle(request, response, sockets.size > limits.maximumConnections);
+  });
   server.on('clientError', answerClientError);
-  return { server, sockets };
+  return { server, sockets, requests };
 };
 
 const listen = (server: http.Server, address: string): Effect.Effect<string> =>
@@ -105,11 +110,16 @@
     server.closeAllConnections();
   });
 
-/** Waits until what was answered has left, as Node closes connections whose answers were ended but not sent. */
-const flush = (sockets: ReadonlySet<Socket>): Effect.Effect<void> =>
+/**
+ * Waits until bodies that are arriving have come, so that the service can refuse their requests, and until what was
+ * answered has left, as Node closes connections whose answers were ended but not sent.
+ */
+const flush = ({ sockets, requests }: TrackedServer): Effect.Effect<void> =>
   Effect.sleep(FLUSH_CHECK_MS).pipe(
     Effect.repeat({
-      while: () => Array.from(sockets).some(({ writableLength }) => writableLength > 0),
+      while: () =>
+        [...requests].some(({ complete, destroyed }) => !complete && !destroyed) ||
+        [...sockets].some(({ writableLength }) => writableLength > 0),
     }),
     Effect.timeoutOption(FLUSH_LIMIT_MS),
     Effect.asVoid,
@@ -127,5 +137,5 @@
 ): Effect.Effect<string, never, Scope.Scope> =>
   Effect.acquireRelease(
     Effect.sync(() => createServer(options)),
-    ({ server, sockets }) => flush(sockets).pipe(Effect.andThen(close(server))),
+    (tracked) => flush(tracked).pipe(Effect.andThen(close(tracked.server))),
   ).pipe(Effect.flatMap(({ server }) => listen(server, options.address)));
