Drive canary roll-outs on the users' platform

Change: while a service has ready endpoints of two versions, every gateway keeps requests from the new one except for what the leader permits (RolloutGate). The leader reads the order, and drives it (RolloutDriver): a trial with 6 in 100 requests of each route, then all new requests to the target while those at the old endpoints end, then 'completed'; 'rolled_back' as soon as a likelihood-ratio test of failures or response times finds the version bad. States are written conditionally on the object's revision. Takes effect only where the settings state bounds.expose_share.

--- a/src/app/gateway/GatewayContext.ts
+++ b/src/app/gateway/GatewayContext.ts
@@ -16,6 +16,7 @@
 import type { PlacementCoordinator } from './placement/PlacementCoordinator.ts';
 import type { ReachMonitor } from './reach/ReachMonitor.ts';
 import type { RequestHandler } from './request/RequestHandler.ts';
+import type { RolloutMonitor } from './rollouts/RolloutMonitor.ts';
 import type { ViewAge } from './following/StoreSubscription.ts';
 
 /** Components of the process that all requests share. */
@@ -31,6 +32,7 @@
   readonly limits: EndpointLimitMonitor;
   readonly exclusions: ExclusionMonitor;
   readonly reach: ReachMonitor;
+  readonly rollouts: RolloutMonitor;
   readonly forwarder: PeerForwarder;
   readonly endpointPool: ConnectionPool;
   readonly metrics: GatewayMetrics;
--- a/src/app/gateway/GatewayMetrics.ts
+++ b/src/app/gateway/GatewayMetrics.ts
@@ -6,6 +6,8 @@
 /** Higher latencies are recorded as this value. */
 const HIGHEST_LATENCY_MS = 600_000;
 
+const ROLLOUT_STEPS = ['unread', 'unordered', 'trial', 'cutover', 'completed', 'rolledBack'];
+
 /** Values that are sampled when the metrics are rendered. */
 export interface GatewayGauges {
   /** 0 until the first configuration is in force. */
@@ -51,6 +53,20 @@
     registers: [this.#registry],
   });
 
+  readonly #versionRequests = new Counter({
+    name: 'corianderwick_gateway_version_requests_total',
+    help: 'Requests sent to endpoints of services with two versions, by version and outcome.',
+    labelNames: ['service', 'version', 'outcome'],
+    registers: [this.#registry],
+  });
+
+  readonly #rolloutSteps = new Gauge({
+    name: 'corianderwick_gateway_rollout_step',
+    help: 'Whether a step of a roll-out is in force at this process.',
+    labelNames: ['service', 'step'],
+    registers: [this.#registry],
+  });
+
   readonly #storeCalls = new Counter({
     name: 'corianderwick_gateway_store_calls_total',
     help: 'Calls to the store by kind of call.',
@@ -165,6 +181,18 @@
     this.#attempts.inc({ service, result });
   }
 
+  /** Counts the end of a request to a version of a service that has two. */
+  countVersionRequest(service: string, version: string, outcome: string): void {
+    this.#versionRequests.inc({ service, version, outcome });
+  }
+
+  /** Records the step of a roll-out that is in force for a service. */
+  setRolloutStep(service: string, step: string): void {
+    ROLLOUT_STEPS.forEach((name) =>
+      this.#rolloutSteps.set({ service, step: name }, name === step ? 1 : 0),
+    );
+  }
+
   /** Counts a call to the store by its kind. */
   countStoreCall(call: string): void {
     this.#storeCalls.inc({ call });
--- a/src/app/gateway/placement/PlacementCoordinator.ts
+++ b/src/app/gateway/placement/PlacementCoordinator.ts
@@ -2,6 +2,7 @@
 import {
   PlacementScheduler,
   QuotaLimiter,
+  type CandidateFilter,
   type EndpointLimits,
   type PlacementDecision,
 } from '../../../coordination/gateway/index.ts';
@@ -29,6 +30,8 @@
   readonly group: () => PeerGroup;
   readonly quotas: QuotaLimiter;
   readonly limits: EndpointLimits;
+  /** Selects the engines that a request may use by their versions. */
+  readonly candidates?: CandidateFilter;
   readonly crashes: CrashMonitor;
   readonly findAccount: (name: string) => Account | undefined;
   /** Returns the version of the configuration in force; 0 before the first one. */
@@ -97,7 +100,7 @@
 
   constructor(options: PlacementCoordinatorOptions) {
     this.#options = options;
-    this.scheduler = new PlacementScheduler(options.limits);
+    this.scheduler = new PlacementScheduler(options.limits, options.candidates);
   }
 
   /**
--- a/src/app/gateway/request/EndpointAttempt.ts
+++ b/src/app/gateway/request/EndpointAttempt.ts
@@ -8,6 +8,7 @@
   type ExchangeEvent,
 } from '../../../transport/http/index.ts';
 import { AnswerReader, type ReadOutcome } from './AnswerReader.ts';
+import type { AttemptEnd } from '../rollouts/RolloutMonitor.ts';
 import type { CrashFinding } from '../crashes/CrashDetector.ts';
 import type { GatewayContext } from '../GatewayContext.ts';
 import type { AttemptEvent, RequestAttempt } from './RequestAttempt.ts';
@@ -28,6 +29,7 @@
   readonly onEvent: (event: AttemptEvent) => void;
 }
 
+const FIRST_CLIENT_ERROR = 400;
 const FIRST_SERVER_ERROR = 500;
 /** A prompt that crashes its engine does so within this time after the first byte of the answer. */
 const CRASH_ONSET_MS = 600;
@@ -55,6 +57,8 @@
 
   #ended = false;
 
+  #isConnectionLost = false;
+
   /** How old the view of the store was by which the request was sent. */
   readonly viewAge: ViewAge;
 
@@ -96,6 +100,7 @@
   start(): void {
     const { context, request, endpoint, remainingMs, lastEventId } = this.#options;
     if (request.service.engine === undefined) context.plainEndpoints.recordStart(endpoint);
+    context.rollouts.recordStart(endpoint);
     const { inbound, account } = request;
     this.#exchange = exchange(
       context.endpointPool,
@@ -269,6 +274,7 @@
     const { context, request, endpoint, ticketId } = this.#options;
     const answeringMs = context.now() - (this.#firstByteAt ?? context.now());
     const hasJustBegun = answeringMs <= CRASH_ONSET_MS;
+    this.#isConnectionLost = true;
     this.#exchange?.abort();
     this.#logEnd('failed', detail);
     this.#emit({ _tag: 'broken', detail, connectionLost: true });
@@ -347,10 +353,25 @@
     const now = context.now();
     if (request.service.engine === undefined)
       context.plainEndpoints.recordEnd(endpoint, outcome, now - this.#sentAt, now);
+    context.rollouts.recordEnd({
+      record: endpoint,
+      route: request.route.name,
+      outcome: this.#evidenceOf(outcome),
+      totalMs: now - this.#sentAt,
+      promptTokens: request.fields.promptTokens,
+      outputTokens: this.#reader.eventCount * (request.service.engine?.tokensPerEvent ?? 1),
+    });
     if (ticketId !== undefined)
       context.placements.releaseSlot(ticketId, { outcome, ...this.#measureDecoding(outcome, now) });
   }
 
+  /** Returns what the outcome tells of the endpoint's version. */
+  #evidenceOf(outcome: PlacementResult['outcome']): AttemptEnd['outcome'] {
+    if (outcome === 'served') return this.status < FIRST_CLIENT_ERROR ? 'served' : 'other';
+    if (outcome === 'failed') return this.#isConnectionLost ? 'broken' : 'failed';
+    return outcome === 'cancelled' && !this.#isConnectionLost ? 'cancelled' : 'other';
+  }
+
   #measureDecoding(
     outcome: PlacementResult['outcome'],
     now: number,
--- a/src/app/gateway/request/RequestEndpoints.ts
+++ b/src/app/gateway/request/RequestEndpoints.ts
@@ -61,9 +61,18 @@
   }
 
   #listPlainCandidates(): PlainCandidates {
+    const { exclusions, rollouts, random, now } = this.#context;
+    const included = exclusions.selectIncluded(this.#listReady());
+    const untried = included.filter(({ id }) => !this.avoided.includes(id));
+    const { service, route } = this.#request;
     return {
-      service: this.#request.service.name,
-      records: this.#context.exclusions.selectIncluded(this.#listReady()),
+      service: service.name,
+      records: rollouts.gate.select(
+        { service: service.name, route: route.name, draw: random() },
+        untried,
+        (record) => record,
+        now(),
+      ),
       avoid: this.avoided,
       fraction: this.#context.random(),
     };
--- a/src/app/gateway/request/RequestHandler.ts
+++ b/src/app/gateway/request/RequestHandler.ts
@@ -268,7 +268,10 @@
       );
       return;
     }
-    const endpoint = this.#context.directory.findReady(answer.endpoint);
+    const { directory, rollouts } = this.#context;
+    const ready = directory.findReady(answer.endpoint);
+    // A grant may arrive after the permission to use the endpoint's version has expired.
+    const endpoint = ready !== undefined && rollouts.maySend(ready) ? ready : undefined;
     const isExcluded = endpoint && this.#context.exclusions.find(endpoint) !== undefined;
     if (endpoint !== undefined && !isExcluded) {
       this.#send(endpoint, ticketId);
--- a/src/app/gateway/runGateway.ts
+++ b/src/app/gateway/runGateway.ts
@@ -13,9 +13,10 @@
   PlainServiceBalancer,
   QuotaLimiter,
   RetryBudget,
+  RolloutGate,
   TICK_INTERVAL_MS,
 } from '../../coordination/gateway/index.ts';
-import type { ObjectStore, WireAdapter } from '../../protocol/gateway/index.ts';
+import type { ObjectStore, StatusStore, WireAdapter } from '../../protocol/gateway/index.ts';
 import type { ClientLimits, GatewaySettings } from '../../state/gateway/index.ts';
 import { endpointStartOf } from '../../state/gateway/index.ts';
 import { EntryTiming } from '../../state/EntrySettings.ts';
@@ -37,6 +38,8 @@
 import { PlacementCoordinator } from './placement/PlacementCoordinator.ts';
 import { ReachMonitor } from './reach/ReachMonitor.ts';
 import { receiveForwarded } from './reach/receiveForwarded.ts';
+import { RolloutMonitor } from './rollouts/RolloutMonitor.ts';
+import { predictRequestMs } from './rollouts/predictRequestMs.ts';
 import { StoreSubscription } from './following/StoreSubscription.ts';
 
 /** Settings, platform adapters and log of a gateway process. */
@@ -45,7 +48,10 @@
   readonly wire: WireAdapter;
   readonly log: GatewayLog;
   /** Creates the store client on a connection pool; `onCall` is called with the kind of each call. */
-  readonly makeStore: (pool: ConnectionPool, onCall: (call: string) => void) => ObjectStore;
+  readonly makeStore: (
+    pool: ConnectionPool,
+    onCall: (call: string) => void,
+  ) => ObjectStore & StatusStore;
   /** Paths of the readiness probe and of the list of caller addresses. */
   readonly paths: { readonly readiness: string; readonly addresses: string };
   /** Formats the list of addresses, which callers may cache for `cacheMs`. */
@@ -198,11 +204,14 @@
       logger,
       now,
     });
+    const store = options.makeStore(storePool, (call) => metrics.countStoreCall(call));
     const endpointLimits = new EndpointLimits();
+    const gate = new RolloutGate(bounds.rollouts !== undefined);
     const placements = new PlacementCoordinator({
       group: () => lateBound.group.get(),
       crashes,
       limits: endpointLimits,
+      candidates: gate,
       quotas: new QuotaLimiter(
         {
           windowMs: bounds.quotaWindowMs,
@@ -217,6 +226,21 @@
       logger,
       now,
     });
+    const rollouts = new RolloutMonitor({
+      group: () => lateBound.group.get(),
+      gate,
+      bounds: bounds.rollouts,
+      store,
+      wire,
+      listEndpoints: () => directory.listAllReady(),
+      isEngineService: (name) =>
+        lateBound.gateway.peek()?.routeIndex?.findService(name)?.engine !== undefined,
+      makePrediction: (service) => predictRequestMs(service, placements.scheduler.engines()),
+      metrics,
+      logger,
+      now,
+      sleep: (ms) => sleep(ms),
+    });
     const updateScheduledEndpoints = (): void => {
       const records = lateBound.gateway
         .peek()
@@ -251,6 +275,7 @@
       limits,
       exclusions,
       reach,
+      rollouts,
       forwarder,
       endpointPool,
       metrics,
@@ -310,6 +335,7 @@
         crashes.handle(message);
         limits.handle(message);
         exclusions.handle(message);
+        rollouts.handle(from, message);
         lateBound.storeSubscription.peek()?.handle(from, message);
       },
       onMemberEnded: (incarnation) => placements.removeMember(incarnation),
@@ -319,6 +345,7 @@
     group.join(settings.seeds, now());
 
     const updateEngines = (): void => {
+      rollouts.updateEndpoints();
       updateScheduledEndpoints();
       directory
         .listReadyVersions()
@@ -328,7 +355,7 @@
     const storeSubscription = yield* Effect.acquireRelease(
       Effect.sync(() => {
         const subscription = new StoreSubscription({
-          store: options.makeStore(storePool, (call) => metrics.countStoreCall(call)),
+          store,
           wire,
           directory,
           group,
@@ -380,11 +407,13 @@
           crashes.tick();
           limits.tick();
           reach.tick();
+          rollouts.tick();
           reviewWhenDue();
         }, TICK_INTERVAL_MS),
       ),
       (timer) => Effect.sync(() => clearInterval(timer)),
     );
+    yield* Effect.addFinalizer(() => Effect.sync(() => rollouts.stop()));
     const addresses = {
       callers: server.address,
       peers: peers.address,
--- a/src/app/routePeerMessage.ts
+++ b/src/app/routePeerMessage.ts
@@ -136,6 +136,8 @@
     case 'storeChanges':
     case 'storeChangesRequest':
     case 'endpointsLeaving':
+    case 'rolloutReports':
+    case 'rolloutSteps':
     case 'storeWatcherAlive':
       return [];
     default:
--- a/src/coordination/gateway/index.ts
+++ b/src/coordination/gateway/index.ts
@@ -23,6 +23,11 @@
 export { PlainServiceBalancer } from './placement/PlainServiceBalancer.ts';
 export { PlacementScheduler } from './placement/PlacementScheduler.ts';
 export type { PlacementDecision } from './placement/PlacementScheduler.ts';
+export { EVERY_CANDIDATE } from './rollouts/CandidateFilter.ts';
+export type { CandidateFilter } from './rollouts/CandidateFilter.ts';
+export { RolloutDriver } from './rollouts/RolloutDriver.ts';
+export type { RolloutOutcome } from './rollouts/RolloutDriver.ts';
+export { RolloutGate } from './rollouts/RolloutGate.ts';
 export { QuotaLimiter } from './limits/QuotaLimiter.ts';
 export { RelianceMonitor, isBehind } from './following/RelianceMonitor.ts';
 export type { KnownRevisions } from './following/RelianceMonitor.ts';
--- a/src/coordination/gateway/placement/PlacementScheduler.ts
+++ b/src/coordination/gateway/placement/PlacementScheduler.ts
@@ -14,6 +14,8 @@
 import { msUntilIncluded } from './msUntilIncluded.ts';
 import { MeanEngineTimes } from './MeanEngineTimes.ts';
 import { preferHealthy } from './preferHealthy.ts';
+import { EVERY_CANDIDATE, type CandidateFilter } from '../rollouts/CandidateFilter.ts';
+import { drawOf } from '../rollouts/drawOf.ts';
 import { RouteMeanSizes } from './RouteMeanSizes.ts';
 import { GrantRatios } from './GrantRatios.ts';
 
@@ -102,9 +104,18 @@
 
   #allocation: SlotAllocation = { share: 1 };
 
-  /** @param limits - rates of requests that endpoints accept, of which each grant uses one request */
-  constructor(limits: EndpointLimits = new EndpointLimits()) {
+  readonly #candidates: CandidateFilter;
+
+  /**
+   * @param limits - rates of requests that endpoints accept, of which each grant uses one request
+   * @param candidates - selects the engines that a request may use by their versions
+   */
+  constructor(
+    limits: EndpointLimits = new EndpointLimits(),
+    candidates: CandidateFilter = EVERY_CANDIDATE,
+  ) {
     this.#limits = limits;
+    this.#candidates = candidates;
   }
 
   /** Sets the fraction of each endpoint's slots and limits that this scheduler may use. */
@@ -304,7 +315,10 @@
 
   #scheduleService(service: string, now: number): PlacementDecision[] {
     const engines = [...this.#engines.values()].filter(({ record }) => record.service === service);
-    const group = new EngineGroup(preferHealthy(engines, ({ availability }) => availability, now));
+    const parts = this.#candidates.partition(service, engines, ({ record }) => record);
+    const group = new EngineGroup(
+      parts.flatMap((part) => preferHealthy(part, ({ availability }) => availability, now)),
+    );
     const waiting = [...this.#waiting.values()].filter(({ ticket }) => ticket.service === service);
     const ordered = orderQueue(waiting, {
       group,
@@ -348,9 +362,14 @@
   ): PlacementDecision | undefined {
     const { ticket, owner, arrivedAt } = queued;
     const waitedMs = now - arrivedAt;
-    const reachable = group.engines.filter(
-      ({ record, availability }) =>
-        !ticket.avoid.includes(record.id) && availability.isReachableFrom(owner, now),
+    const reachable = this.#candidates.select(
+      { service: ticket.service, route: ticket.route, draw: drawOf(ticket.id) },
+      group.engines.filter(
+        ({ record, availability }) =>
+          !ticket.avoid.includes(record.id) && availability.isReachableFrom(owner, now),
+      ),
+      ({ record }) => record,
+      now,
     );
     const restMs = ({ record }: EngineLoad): number => msUntilIncluded(ticket, record.id, waitedMs);
     const usable =
--- a/src/protocol/gateway/ObjectStore.ts
+++ b/src/protocol/gateway/ObjectStore.ts
@@ -1,6 +1,9 @@
-/** Kinds of store objects that a gateway watches. */
+/** Kinds of store objects that every gateway follows. */
 export type StoreObjectKind = 'configuration' | 'endpoints';
 
+/** Kinds of store objects whose status the system writes. */
+export type StatusObjectKind = 'rollouts';
+
 /** An object in the platform's store. */
 export interface StoreObject {
   readonly name: string;
@@ -54,14 +57,36 @@
   readonly fresh: boolean;
 }
 
-/** Read-only client of the platform's store. Calls are rate-limited and have a cost, so they should be few. */
-export interface ObjectStore {
+/** Result of a conditional write. */
+export type StatusWriteResult =
+  | { readonly _tag: 'written'; readonly object: StoreObject }
+  /** The object has another revision than the write named; `object` is the present one where the store says it. */
+  | { readonly _tag: 'conflict'; readonly object: StoreObject | undefined }
+  /** The object does not exist. */
+  | { readonly _tag: 'missing' }
+  /** The store may have applied the write, or may still apply it. */
+  | StoreFailure;
+
+/** A write of an object's status that takes effect only at one revision of the object. */
+export interface StatusWrite {
+  readonly name: string;
+  readonly revision: number;
+  readonly status: unknown;
+}
+
+/** Reads some kinds of the platform's store. Calls are rate-limited and have a cost, so they should be few. */
+export interface StoreReader<Kind> {
   /** Lists all objects of a kind. */
-  readonly list: (kind: StoreObjectKind) => Promise<ListResult>;
+  readonly list: (kind: Kind) => Promise<ListResult>;
   /** Waits for changes after a revision. */
-  readonly watch: (
-    kind: StoreObjectKind,
-    revision: number,
-    call: WatchCall,
-  ) => Promise<WatchResult>;
+  readonly watch: (kind: Kind, revision: number, call: WatchCall) => Promise<WatchResult>;
+}
+
+/** Read-only client of the kinds that every gateway follows. */
+export type ObjectStore = StoreReader<StoreObjectKind>;
+
+/** Client of the kinds whose status the system writes. */
+export interface StatusStore extends StoreReader<StatusObjectKind> {
+  /** Writes the status of an object if the object still has the named revision. */
+  readonly writeStatus: (kind: StatusObjectKind, write: StatusWrite) => Promise<StatusWriteResult>;
 }
--- a/src/protocol/gateway/WireAdapter.ts
+++ b/src/protocol/gateway/WireAdapter.ts
@@ -1,5 +1,11 @@
 import type { EndpointStatement } from './EndpointStatement.ts';
-import type { EndpointRecord, RouteTable } from '../../state/gateway/index.ts';
+import type {
+  EndpointRecord,
+  RolloutOrder,
+  RolloutState,
+  RouteTable,
+} from '../../state/gateway/index.ts';
+import type { StoreObject } from './ObjectStore.ts';
 
 /** Values decoded from the header lines of a caller's request. */
 export interface DecodedRequestHeaders {
@@ -68,4 +74,8 @@
   readonly readRouteTable: (spec: unknown) => RouteTable | undefined;
   /** Decodes an endpoint object; undefined if it is invalid. */
   readonly readEndpoint: (name: string, spec: unknown) => EndpointRecord | undefined;
+  /** Decodes a roll-out object; undefined if it is invalid. */
+  readonly readRollout: (object: StoreObject) => RolloutOrder | undefined;
+  /** Builds the status of a roll-out object. */
+  readonly buildRolloutStatus: (state: RolloutState, target: string) => unknown;
 }
--- a/src/protocol/gateway/index.ts
+++ b/src/protocol/gateway/index.ts
@@ -13,6 +13,11 @@
   StoreObjectKind,
   StoreObject,
   StoreFailure,
+  StatusObjectKind,
+  StatusStore,
+  StatusWrite,
+  StoreReader,
+  StatusWriteResult,
   WatchCall,
   WatchResult,
 } from './ObjectStore.ts';
--- a/src/protocol/peer/GatewayMessages.ts
+++ b/src/protocol/peer/GatewayMessages.ts
@@ -1,4 +1,5 @@
 import * as Schema from 'effect/Schema';
+import { RolloutReport, RolloutStep } from './RolloutMessages.ts';
 
 const Milliseconds = Schema.Finite;
 
@@ -205,6 +206,10 @@
   Schema.TaggedStruct('servedReports', { reports: Schema.Array(ServedReport) }),
   /** Prompt parts and requests in quarantine; the receiver keeps the newest state of each. */
   Schema.TaggedStruct('quarantinedParts', { parts: Schema.Array(QuarantinedPart) }),
+  /** What the sender sent to the versions of services that have two, and how it ended; goes to the scheduler. */
+  Schema.TaggedStruct('rolloutReports', { reports: Schema.Array(RolloutReport) }),
+  /** What each gateway may send to the versions of such services, from the scheduler. */
+  Schema.TaggedStruct('rolloutSteps', { steps: Schema.Array(RolloutStep) }),
   /** Starts of endpoints that have said to the sender, in answers, that they leave. */
   Schema.TaggedStruct('endpointsLeaving', { endpoints: Schema.Array(Schema.String) }),
   /** Asks for the changes of the store that the sender lacks. */
--- a/src/state/gateway/GatewaySettings.ts
+++ b/src/state/gateway/GatewaySettings.ts
@@ -26,6 +26,17 @@
   quotaSlack: NonNegative,
   /** Longest time for which callers cache the list of addresses. */
   addressesKeepMs: NonNegative,
+  /** Bounds of canary roll-outs; roll-outs are driven only where this is present. */
+  rollouts: Schema.optionalKey(
+    Schema.Struct({
+      /** Part of a service's requests that a bad version may get in the time of its roll-out. */
+      exposeShare: NonNegative,
+      /** Requests that a bad version may get in addition. */
+      exposeSlack: NonNegative,
+      /** Time after the 50th bad response from which a bad version may get no requests. */
+      rollbackMs: NonNegative,
+    }),
+  ),
 });
 export type GatewayBounds = typeof GatewayBounds.Type;
 
--- a/src/state/gateway/index.ts
+++ b/src/state/gateway/index.ts
@@ -1,5 +1,6 @@
 export { EndpointRecord, endpointStartOf } from './EndpointRecord.ts';
 export { GatewayBounds, GatewaySettings, ListenAddress } from './GatewaySettings.ts';
+export { RolloutOrder, RolloutState } from './RolloutOrder.ts';
 export {
   Account,
   AccountQuota,
--- a/test/gateway/startGateway.ts
+++ b/test/gateway/startGateway.ts
@@ -9,6 +9,7 @@
 import { makeObjectStore } from '../../platform/makeObjectStore.ts';
 import { makeWireAdapter } from '../../platform/makeWireAdapter.ts';
 import { PATHS } from '../../platform/names.ts';
+import type { GatewayBounds } from '../../src/state/gateway/index.ts';
 import { startObjectStore, type ObjectStoreStandIn } from './startObjectStore.ts';
 import type { RunnerStandIn } from './startRunner.ts';
 
@@ -128,6 +129,7 @@
   readonly failureDomain?: string;
   readonly seeds?: readonly string[];
   readonly store?: ObjectStoreStandIn;
+  readonly rollouts?: GatewayBounds['rollouts'];
 }
 
 /** Starts a gateway, with a store of its own and nothing in it where none is given. */
@@ -138,6 +140,7 @@
     failureDomain = 'a',
     seeds = [],
     store: given,
+    rollouts,
   }: GatewayDifferences = {},
 ): Promise<GatewayStandIns> => {
   const store = given ?? (await startObjectStore(context));
@@ -170,6 +173,7 @@
             quotaOvershoot: 0.1,
             quotaSlack: 1_000,
             addressesKeepMs: 5_000,
+            ...(rollouts && { rollouts }),
           },
         },
         wire: makeWireAdapter(),
