--- a/src/app/gateway/rollouts/RolloutMonitor.ts
+++ b/src/app/gateway/rollouts/RolloutMonitor.ts
@@ -36,6 +36,8 @@
   readonly logger: Logger;
   /** Present time in ms, monotonic. */
   readonly now: () => number;
+  /** Time of day in Unix ms. */
+  readonly timeOfDay: () => number;
   readonly sleep: (ms: number) => Promise<unknown>;
 }
 
@@ -53,8 +55,12 @@
 /** Reports that are kept for a service that this process may come to drive, and for how long. */
 const MAXIMUM_EARLY_REPORTS = 512;
 const EARLY_REPORT_MS = 5_000;
-/** Interval of the reports to the driver, and of its decisions. */
+/**
+ * Interval of the reports to the driver, and of its decisions. It is shorter while a target gets all requests, since a
+ * version that is bad only then uses up the permitted exposure within about a second.
+ */
 const REPORT_INTERVAL_MS = 250;
+const CUTOVER_REPORT_INTERVAL_MS = 100;
 
 /**
  * Carries out canary roll-outs. Each gateway reports what it sent to the versions of a service that has two, and how
@@ -158,7 +164,11 @@
     const isDriver = leader === group().incarnation && services.length > 0;
     this.#store.setFollowing(isDriver);
     this.#keepDrivers(isDriver ? services : [], bounds);
-    if (at - this.#reportedAt < REPORT_INTERVAL_MS) return;
+    const isCutover = services.some(
+      (service) => this.gate.stepOf(service, at)?.step._tag === 'cutover',
+    );
+    const intervalMs = isCutover ? CUTOVER_REPORT_INTERVAL_MS : REPORT_INTERVAL_MS;
+    if (at - this.#reportedAt < intervalMs) return;
     this.#reportedAt = at;
     this.#traffic.retain(new Set(services));
     if (services.length === 0) return;
@@ -193,6 +203,7 @@
           isEngine: isEngineService(service),
           bounds,
           mixedSince,
+          startedMsAgo: (version) => this.#startedMsAgo(service, version),
           predictMs: makePrediction(service),
         });
         this.#drivers.set(service, driver);
@@ -310,6 +321,9 @@
     const at = now();
     const before = this.gate.stepOf(step.service, at)?.step._tag;
     if (!this.gate.apply(step, at)) return;
+    // What was sent without an order doesn't count. Another driver's first step comes after one of its predecessor.
+    if (step._tag === 'trial' && (before === undefined || before === 'unordered'))
+      this.#traffic.restartCounts(step.service);
     metrics.setRolloutStep(step.service, step._tag);
     logger.info(
       {
@@ -324,6 +338,15 @@
     );
   }
 
+  #startedMsAgo(service: string, version: string): number | undefined {
+    const starts = this.#options
+      .listEndpoints()
+      .filter((record) => record.service === service && record.version === version)
+      .map(({ bornAt }) => bornAt)
+      .filter((bornAt) => bornAt > 0);
+    return starts.length === 0 ? undefined : this.#options.timeOfDay() - Math.min(...starts);
+  }
+
   #slotsByVersion(service: string): ReadonlyMap<string, number> {
     const slots = new Map<string, number>();
     this.#options
--- a/src/app/gateway/rollouts/RolloutStore.ts
+++ b/src/app/gateway/rollouts/RolloutStore.ts
@@ -168,8 +168,9 @@
   async #write({ service, state, target, revision }: RolloutWrite): Promise<void> {
     const { store, wire, logger, sleep } = this.#options;
     const isCurrent = (): boolean => this.#isFollowing;
-    // A process that was paused decided by what it had read before, and another one may drive by now.
-    if (!this.isReached) {
+    // A process that was paused decided by what it had read before, and another one may drive by now. That a version
+    // is bad holds whoever drives, and is written even to a store whose answers are lost.
+    if (state === 'completed' && !this.isReached) {
       if ((await this.#list(isCurrent)) === undefined) await sleep(RETRY_MS);
       return;
     }
--- a/src/app/gateway/rollouts/VersionTraffic.ts
+++ b/src/app/gateway/rollouts/VersionTraffic.ts
@@ -10,6 +10,9 @@
 /** Most observations of one service in one report; the rest follows with the next one. */
 const MAXIMUM_REPORTED = 256;
 
+/** Unreported observations from which only the newest are kept, which bounds memory and messages. */
+const MAXIMUM_UNSENT = 4_096;
+
 interface Observed {
   readonly service: string;
   readonly observation: Omit<VersionObservation, 'ageMs'>;
@@ -44,6 +47,14 @@
     state.running = Math.max(0, state.running - 1);
   }
 
+  /** Counts the requests to a service from now on, because an order has begun. */
+  restartCounts(service: string): void {
+    this.#versions.get(service)?.forEach((entry) => {
+      const state = entry;
+      state.sent = 0;
+    });
+  }
+
   /** Adds an observation that is to be reported. */
   observe(
     service: string,
@@ -53,6 +64,7 @@
     this.#number += 1;
     const observed = { service, observation: { ...observation, number: this.#number }, at };
     this.#unsent.push(observed);
+    if (this.#unsent.length > MAXIMUM_UNSENT) this.#unsent = this.#unsent.slice(-MAXIMUM_REPORTED);
     this.#retained.push(observed);
     if (this.#retained.length > 2 * RETAINED_OBSERVATIONS)
       this.#retained = this.#retained.slice(-RETAINED_OBSERVATIONS);
--- a/src/app/gateway/runGateway.ts
+++ b/src/app/gateway/runGateway.ts
@@ -206,7 +206,7 @@
     });
     const store = options.makeStore(storePool, (call) => metrics.countStoreCall(call));
     const endpointLimits = new EndpointLimits();
-    const gate = new RolloutGate(bounds.rollouts !== undefined);
+    const gate = new RolloutGate(bounds.rollouts?.rollbackMs);
     const placements = new PlacementCoordinator({
       group: () => lateBound.group.get(),
       crashes,
@@ -239,6 +239,7 @@
       metrics,
       logger,
       now,
+      timeOfDay: () => Date.now(),
       sleep: (ms) => sleep(ms),
     });
     const updateScheduledEndpoints = (): void => {
--- a/src/coordination/gateway/rollouts/RolloutDriver.ts
+++ b/src/coordination/gateway/rollouts/RolloutDriver.ts
@@ -15,6 +15,8 @@
   readonly bounds: NonNullable<GatewayBounds['rollouts']>;
   /** When the second version appeared, in ms, monotonic. */
   readonly mixedSince: number;
+  /** Returns the time since the first start of an endpoint of a version, by the time of day; undefined if unknown. */
+  readonly startedMsAgo: (version: string) => number | undefined;
   /** Predicts the time of a request at an endpoint of mean speed, in any unit that stays the same. */
   readonly predictMs: (promptTokens: number, outputTokens: number) => number;
 }
@@ -46,15 +48,20 @@
 }
 
 /** Part of the permitted exposure that the trial uses; the rest is for the first moments under full load. */
-const TRIAL_PART = 0.6;
+const TRIAL_PART = 0.5;
 /** Part of the permitted exposure, and of the slack, from which the target gets nothing until others catch up. */
 const EXPOSURE_GUARD_PART = 0.8;
 const SLACK_GUARD_PART = 0.4;
 /** Bounds of a route's share, in units of the mean one, and responses from which shares differ by route. */
 const ROUTE_SHARE_FACTORS = { minimum: 0.3, maximum: 5 } as const;
 const MINIMUM_RESPONSES_FOR_ROUTE_SHARES = 200;
-/** Longest time from an order to the first sight of the endpoints that are started for it. */
-const ASSUMED_START_MS = 1_500;
+/**
+ * Time from an order to the first sight of the endpoints that are started for it: by the time of day of their start
+ * and so much more, within bounds that a clock which was set can't leave; otherwise an assumed time.
+ */
+const START_MS = { beforeStart: 500, minimum: 500, maximum: 4_000, assumed: 1_500 } as const;
+/** Differences of the times of day beyond which they tell nothing. */
+const MAXIMUM_START_MS = 10_000;
 /** Age of an order that a waiting call of the store reports. */
 const WATCH_LATENCY_MS = 300;
 /** Part of the old endpoints' slots that the target's must have to get all requests. */
@@ -138,7 +145,7 @@
     if (before._tag === 'read' && before.order.revision > order.revision) return;
     this.#view = { _tag: 'read', order };
     if (before._tag === 'read' && before.order.target === order.target) return;
-    this.#begin(order, now - this.#estimateAgeMs(before, isWatched, now));
+    this.#begin(now - this.#estimateAgeMs(order, before, isWatched, now));
   }
 
   /**
@@ -219,10 +226,9 @@
     return TRIAL_PART * this.#options.bounds.exposeShare;
   }
 
-  #begin({ target }: RolloutOrder, orderedAt: number): void {
+  #begin(orderedAt: number): void {
     this.#orderedAt = orderedAt;
     this.#cutoverAt = undefined;
-    this.#exposure.begin(target);
     this.#evidence = new RolloutEvidence(this.#options.isEngine);
     const early = this.#early;
     this.#early = [];
@@ -230,12 +236,26 @@
   }
 
   /** An order that a list shows may be as old as the endpoints that were started for it, or a little older. */
-  #estimateAgeMs(before: OrderView, isWatched: boolean, now: number): number {
+  #estimateAgeMs(
+    { target }: RolloutOrder,
+    before: OrderView,
+    isWatched: boolean,
+    now: number,
+  ): number {
     if (isWatched) return WATCH_LATENCY_MS;
-    const sinceMixedMs = now - this.#options.mixedSince + ASSUMED_START_MS;
+    const sinceMixedMs = now - this.#options.mixedSince + this.#startMs(target, now);
     return before._tag === 'none' ? Math.min(sinceMixedMs, now - before.at) : sinceMixedMs;
   }
 
+  #startMs(target: string, now: number): number {
+    const startedMsAgo = this.#options.startedMsAgo(target);
+    if (startedMsAgo === undefined) return START_MS.assumed;
+    const beforeSight = startedMsAgo - (now - this.#options.mixedSince);
+    if (beforeSight < 0 || beforeSight > MAXIMUM_START_MS) return START_MS.assumed;
+    const { beforeStart, minimum, maximum } = START_MS;
+    return Math.min(maximum, Math.max(minimum, beforeSight + beforeStart));
+  }
+
   /** Observations that arrive before the order is read are kept, as a new driver gets those of its predecessor. */
   #record(
     items: readonly { readonly observation: VersionObservation; readonly at: number }[],
--- a/src/coordination/gateway/rollouts/RolloutEvidence.ts
+++ b/src/coordination/gateway/rollouts/RolloutEvidence.ts
@@ -1,4 +1,4 @@
-import { FailureDetector } from '../../moves/detectors/FailureDetector.ts';
+import { FailureTest } from './FailureTest.ts';
 import { ResponseTimeModel } from './ResponseTimeModel.ts';
 import { SharedFaults } from './SharedFaults.ts';
 import { SlownessTest } from './SlownessTest.ts';
@@ -23,8 +23,8 @@
   readonly kind: 'failures' | 'slowness';
   /** `all requests`, or a route. */
   readonly scope: string;
-  /** Log-likelihood ratio of a bad version to a sound one. */
-  readonly logRatio: number;
+  /** Log-likelihood ratio of a bad version to a sound one, in units of the threshold. */
+  readonly suspicion: number;
   /** Responses of the new version, and how many of them failed, when it was found. */
   readonly responses: number;
   readonly failures: number;
@@ -41,7 +41,7 @@
  * Samples are held back for so long, so that those of different gateways are taken in the order of their ends, and a
  * fault that both versions share is seen at the old one first.
  */
-const SETTLING_MS = 400;
+const SETTLING_MS = 300;
 const MAXIMUM_HELD_SAMPLES = 20_000;
 /** Log-likelihood ratio at which a version counts as slow; docs/design/roll-outs.md has the error rates. */
 const SLOW_LOG_RATIO = 11;
@@ -58,7 +58,7 @@
 const ALL = 'all requests';
 
 interface Scope {
-  readonly failures: FailureDetector;
+  readonly failures: FailureTest;
   readonly slowness: SlownessTest;
   slowLogRatio: number;
   changed: boolean;
@@ -140,7 +140,7 @@
       return `${unseen[1].new} of ${MINIMUM_ROUTE_RESPONSES} responses of route "${unseen[0]}"`;
     const suspect = [...this.#scopes].find(
       ([, { failures, slowLogRatio }]) =>
-        Math.max(failures.suspicion(), slowLogRatio / SLOW_LOG_RATIO) >= CALM_SUSPICION,
+        Math.max(failures.suspicion, slowLogRatio / SLOW_LOG_RATIO) >= CALM_SUSPICION,
     );
     return suspect === undefined ? undefined : `suspicion in ${suspect[0]}`;
   }
@@ -200,7 +200,7 @@
 
   #testFailures(): void {
     this.#scopes.forEach(({ failures }, name) => {
-      if (failures.suspicion() >= 1) this.#find('failures', name, failures.suspicion());
+      if (failures.suspicion >= 1) this.#find('failures', name, failures.suspicion);
     });
   }
 
@@ -211,20 +211,21 @@
       if (!scope.changed) return;
       scope.changed = false;
       scope.slowLogRatio = scope.slowness.logRatio(offsets);
-      if (scope.slowLogRatio >= SLOW_LOG_RATIO) this.#find('slowness', name, scope.slowLogRatio);
+      if (scope.slowLogRatio >= SLOW_LOG_RATIO)
+        this.#find('slowness', name, scope.slowLogRatio / SLOW_LOG_RATIO);
     });
   }
 
-  #find(kind: VersionFinding['kind'], scope: string, logRatio: number): void {
+  #find(kind: VersionFinding['kind'], scope: string, suspicion: number): void {
     const { new: responses, newFailed: failures } = this.counts;
-    this.#finding ??= { kind, scope, logRatio, responses, failures };
+    this.#finding ??= { kind, scope, suspicion, responses, failures };
   }
 
   #scopeOf(name: string): Scope | undefined {
     const known = this.#scopes.get(name);
     if (known !== undefined || this.#scopes.size > MAXIMUM_ROUTES) return known;
     const scope: Scope = {
-      failures: new FailureDetector(),
+      failures: new FailureTest(),
       slowness: new SlownessTest(this.#isEngine),
       slowLogRatio: 0,
       changed: false,
--- a/src/coordination/gateway/rollouts/RolloutGate.ts
+++ b/src/coordination/gateway/rollouts/RolloutGate.ts
@@ -2,8 +2,12 @@
 import type { EndpointRecord } from '../../../state/gateway/index.ts';
 import type { CandidateFilter, FilteredRequest, VersionedEndpoint } from './CandidateFilter.ts';
 
-/** Time after its receipt for which a step permits requests to the new version. */
+/**
+ * Time after its receipt for which a step permits requests to the new version, and its largest part of the time in
+ * which a bad version must have got its last request: a gateway that is cut off from the driver learns of nothing.
+ */
 const STEP_VALIDITY_MS = 1_500;
+const STEP_VALIDITY_PART = 0.3;
 /**
  * Time without any step after which a second version is used as if there were no order. A scheduler that
  * drives roll-outs sends a step within a second; one of an older build never does.
@@ -35,6 +39,33 @@
   readonly condemned: Set<string>;
 }
 
+/** Part of an old endpoint's load that each endpoint of a trial gets. */
+const TRIAL_LOAD = 1;
+const MINIMUM_TRIAL_ENDPOINTS = 2;
+/** Time after which other endpoints take their turn in a trial. */
+const TURN_MS = 2_000;
+
+/**
+ * Selects the few new endpoints that a trial uses now, so that each has about the load of an old one: some versions
+ * are bad only under load. All take their turns.
+ */
+const selectTrialEndpoints = <T>(
+  fresh: readonly T[],
+  oldCount: number,
+  share: number,
+  now: number,
+): readonly T[] => {
+  const count = Math.max(
+    MINIMUM_TRIAL_ENDPOINTS,
+    Math.ceil((oldCount * share) / (1 - share) / TRIAL_LOAD),
+  );
+  if (share >= 1 || count >= fresh.length) return fresh;
+  const start = Math.floor(now / TURN_MS) * count;
+  return Array.from({ length: count }, (_, index) => fresh[(start + index) % fresh.length]).filter(
+    (endpoint) => endpoint !== undefined,
+  );
+};
+
 const NOTHING = { _tag: 'share', share: 0 } as const;
 
 /** Returns the version of the endpoint that started first; of equals, the given one. */
@@ -57,13 +88,13 @@
 const permissionOf = (
   { mixedSince, step, heardAt }: ServiceState,
   route: string | undefined,
-  now: number,
+  { now, validityMs }: { readonly now: number; readonly validityMs: number },
 ): Permission => {
   if (mixedSince === undefined) return { _tag: 'every' };
   if (step === undefined) return now - mixedSince > NO_DRIVER_MS ? { _tag: 'every' } : NOTHING;
   // Final states don't expire, because nothing reverses them.
   if (step._tag === 'completed') return { _tag: 'newOnly' };
-  if (step._tag === 'rolledBack' || now - heardAt > STEP_VALIDITY_MS) return NOTHING;
+  if (step._tag === 'rolledBack' || now - heardAt > validityMs) return NOTHING;
   switch (step._tag) {
     case 'unread':
       return { _tag: 'share', share: step.share };
@@ -92,11 +123,17 @@
 export class RolloutGate implements CandidateFilter {
   readonly #isEnabled: boolean;
 
+  readonly #validityMs: number;
+
   readonly #services = new Map<string, ServiceState>();
 
-  /** @param isEnabled - whether the deployment has roll-outs; otherwise every endpoint is used */
-  constructor(isEnabled: boolean) {
-    this.#isEnabled = isEnabled;
+  /**
+   * @param rollbackMs - time after its 50th bad response from which a bad version may get no requests; undefined where
+   *   the deployment has no roll-outs, so that every endpoint is used
+   */
+  constructor(rollbackMs: number | undefined) {
+    this.#isEnabled = rollbackMs !== undefined;
+    this.#validityMs = Math.min(STEP_VALIDITY_MS, STEP_VALIDITY_PART * (rollbackMs ?? 0));
   }
 
   /**
@@ -181,13 +218,15 @@
       state.condemned.size === 0
         ? candidates
         : candidates.filter((candidate) => !state.condemned.has(recordOf(candidate).version));
-    const permission = permissionOf(state, route, now);
+    const permission = permissionOf(state, route, { now, validityMs: this.#validityMs });
     if (permission._tag === 'every') return allowed;
     const isNew = newcomerTest(state);
     const fresh = allowed.filter((candidate) => isNew(recordOf(candidate).version));
     const old = allowed.filter((candidate) => !isNew(recordOf(candidate).version));
     if (permission._tag === 'newOnly') return fresh.length > 0 ? fresh : old;
-    return draw < permission.share && fresh.length > 0 ? fresh : old;
+    return draw < permission.share && fresh.length > 0
+      ? selectTrialEndpoints(fresh, old.length, permission.share, now)
+      : old;
   }
 
   partition<T>(
@@ -213,7 +252,7 @@
     const state = this.#services.get(service);
     if (state === undefined) return true;
     if (state.condemned.has(version)) return false;
-    const permission = permissionOf(state, undefined, now);
+    const permission = permissionOf(state, undefined, { now, validityMs: this.#validityMs });
     return permission._tag !== 'share' || permission.share > 0 || !newcomerTest(state)(version);
   }
 
--- a/src/coordination/gateway/rollouts/SharedFaults.ts
+++ b/src/coordination/gateway/rollouts/SharedFaults.ts
@@ -5,8 +5,13 @@
 const SHARED_ENDPOINTS = 2;
 /** An endpoint counts among the old ones for so long after its last response. */
 const SEEN_MS = 10_000;
-/** Connections that one endpoint loses within this time count once, since a crash ends many requests at once. */
+/**
+ * Connections that one old endpoint, or all new ones, lose within this time count once, since a crash ends many
+ * requests at once, and commonly several endpoints crash together.
+ */
 const BURST_MS = 150;
+/** Stands for all endpoints of the new version. */
+const NEW_ENDPOINTS = '';
 
 /**
  * Tells lost connections that come from a fault of endpoints, such as a crash of many at once, from those that the
@@ -34,10 +39,11 @@
    * @param isNew - whether the endpoint has the new version
    */
   countsAsFailure(endpoint: string, at: number, isNew: boolean): boolean {
-    const countedAt = this.#countedAt.get(endpoint) ?? Number.NEGATIVE_INFINITY;
+    const source = isNew ? NEW_ENDPOINTS : endpoint;
+    const countedAt = this.#countedAt.get(source) ?? Number.NEGATIVE_INFINITY;
     if (at - countedAt < BURST_MS) return false;
     if (isNew && this.#isShared(at)) return false;
-    this.#countedAt.set(endpoint, at);
+    this.#countedAt.set(source, at);
     return true;
   }
 
--- a/src/coordination/gateway/rollouts/VersionExposure.ts
+++ b/src/coordination/gateway/rollouts/VersionExposure.ts
@@ -23,26 +23,18 @@
   /** The newest counts of each gateway, also of those that are gone. */
   readonly #gateways = new Map<string, GatewayCounts>();
 
-  #baseline: SentCounts = { old: 0, new: 0 };
-
   /** Replaces the counts of a gateway. */
   observe(from: string, { counts, step }: RolloutReport, now: number): void {
     this.#gateways.set(from, { counts, step, at: now });
   }
 
-  /** Counts from now on only, because an order has begun. */
-  begin(target: string): void {
-    this.#baseline = { old: 0, new: 0 };
-    this.#baseline = this.sent(target);
-  }
-
   /** Returns what was sent since the order, to the target and to other versions. */
   sent(target: string): SentCounts {
     const counts = [...this.#gateways.values()].flatMap((gateway) => gateway.counts);
     const fresh = counts.filter(({ version }) => version === target);
     return {
-      old: sum(counts) - sum(fresh) - this.#baseline.old,
-      new: sum(fresh) - this.#baseline.new,
+      old: sum(counts) - sum(fresh),
+      new: sum(fresh),
     };
   }
 
--- a/src/coordination/gateway/rollouts/decideRolloutStep.ts
+++ b/src/coordination/gateway/rollouts/decideRolloutStep.ts
@@ -43,8 +43,8 @@
 const cutoverMsOf = (durationMs: number): number =>
   Math.min(CUTOVER_MS.maximum, Math.max(CUTOVER_MS.minimum, CUTOVER_PART * durationMs));
 
-const describe = ({ kind, scope, logRatio, responses, failures }: VersionFinding): string =>
-  `${kind} in ${scope}: log-likelihood ratio ${logRatio.toFixed(1)} after ${responses} responses, ${failures} of them failed`;
+const describe = ({ kind, scope, suspicion, responses, failures }: VersionFinding): string =>
+  `${kind} in ${scope}: suspicion ${suspicion.toFixed(2)} after ${responses} responses, ${failures} of them failed`;
 
 const decideTrial = (situation: RolloutSituation): RolloutDecision => {
   const { durationMs, ageMs, missing, isStoreReached } = situation;
--- a/src/protocol/peer/RolloutMessages.ts
+++ b/src/protocol/peer/RolloutMessages.ts
@@ -31,7 +31,7 @@
 /** Requests of one gateway to one version of a service. */
 export const VersionCount = Schema.Struct({
   version: Schema.String,
-  /** Requests sent since the gateway saw two versions. */
+  /** Requests sent since the order, or since the gateway saw two versions. */
   sent: Schema.Finite,
   /** Requests sent that have not ended. */
   running: Schema.Finite,
--- a/test/gateway/rollouts.test.ts
+++ b/test/gateway/rollouts.test.ts
@@ -10,13 +10,24 @@
   untilReady,
   type GatewayStandIns,
 } from './startGateway.ts';
-import { answer, startRunner, type ArrivedRequest, type RunnerStandIn } from './startRunner.ts';
+import {
+  answer,
+  chunk,
+  END,
+  event,
+  startRunner,
+  streamHead,
+  type ArrivedRequest,
+  type RunnerStandIn,
+} from './startRunner.ts';
 import { startObjectStore, type ObjectStoreStandIn } from './startObjectStore.ts';
 
 const BOUNDS = { exposeShare: 0.4, exposeSlack: 50, rollbackMs: 5_000 };
 const DURATION_S = 6;
 const CALL_INTERVAL_MS = 6;
 const SERVICE_MS = 10;
+/** Longest time of a play, so that one without a final state shows its log. */
+const LONGEST_MS = 25_000;
 
 type Behaviour = (request: ArrivedRequest, count: number) => void;
 
@@ -26,6 +37,14 @@
     setTimeout(() => request.socket.write(answer(request, 'done')), ms);
   };
 
+const streamAfter =
+  (ms: number): Behaviour =>
+  ({ ...request }) => {
+    setTimeout(() => request.socket.write(streamHead(request) + chunk(event(1)) + END), ms);
+  };
+
+const PATHS = { plain: ['/read/', '/write/'], model: ['/stream/', '/resumed/'] } as const;
+
 const BEHAVIOURS = {
   good: answerAfter(SERVICE_MS),
   failing: (request: ArrivedRequest) => {
@@ -47,17 +66,24 @@
   readonly drop: (index: number) => void;
 }
 
-const stateIn = (store: ObjectStoreStandIn): string | undefined =>
-  (store.get('rollouts', 'plain')?.status as { state?: string } | null | undefined)?.state;
+const stateIn = (store: ObjectStoreStandIn, service: string): string | undefined =>
+  (store.get('rollouts', service)?.status as { state?: string } | null | undefined)?.state;
 
 /** Three gateways and callers, with one endpoint of the old version; the new one is started with the order. */
-const startPlay = async (context: TestContext, behaviour: Behaviour): Promise<Play> => {
+const startPlay = async (
+  context: TestContext,
+  behaviour: Behaviour,
+  service: 'plain' | 'model' = 'plain',
+): Promise<Play> => {
   const store = await startObjectStore(context);
   const runners = {
-    old: await startRunner(context, BEHAVIOURS.good),
+    old: await startRunner(
+      context,
+      service === 'plain' ? BEHAVIOURS.good : streamAfter(SERVICE_MS),
+    ),
     new: await startRunner(context, () => {}),
   };
-  store.put('servers', 'i-old', runnerSpec('plain', runners.old));
+  store.put('servers', 'i-old', runnerSpec(service, runners.old));
   store.put('config', 'main', makeConfiguration(7));
   const gateways: GatewayStandIns[] = [];
   for (const instance of ['first', 'second', 'third']) {
@@ -79,8 +105,8 @@
     turn += 1;
     const gateway = live[turn % live.length];
     if (gateway !== undefined)
-      call(gateway.gateway.addresses.callers, { path: turn % 2 === 0 ? '/read/' : '/write/' });
-    const state = stateIn(store);
+      call(gateway.gateway.addresses.callers, { path: PATHS[service][turn % 2] ?? '' });
+    const state = stateIn(store, service);
     if (state !== undefined && state !== states.at(-1)) states.push(state);
   }, CALL_INTERVAL_MS);
   context.after(() => clearInterval(callers));
@@ -92,10 +118,10 @@
     arrivals,
     order: (durationS = DURATION_S) => {
       orderedAt = performance.now();
-      store.put('rollouts', 'plain', { service: 'plain', target: 'v2', duration_s: durationS });
+      store.put('rollouts', service, { service, target: 'v2', duration_s: durationS });
     },
     startNewVersion: () =>
-      store.put('servers', 'i-new', runnerSpec('plain', runners.new, { version: 'v2' })),
+      store.put('servers', 'i-new', runnerSpec(service, runners.new, { version: 'v2' })),
     drop: (index) => live.splice(index, 1),
   };
 };
@@ -105,15 +131,19 @@
     setTimeout(resolve, ms);
   });
 
-const untilFinal = (play: Play): Promise<void> =>
-  until(() => ['completed', 'rolled_back'].includes(play.states.at(-1) ?? ''));
+const rolloutLines = ({ gateways }: Play): unknown[] =>
+  gateways.flatMap(({ log }) => log.filter(({ msg }) => /roll-out/.test(`${msg}`)));
+
+const untilFinal = async (play: Play): Promise<void> => {
+  const startedAt = performance.now();
+  const isFinal = (): boolean => ['completed', 'rolled_back'].includes(play.states.at(-1) ?? '');
+  await until(() => isFinal() || performance.now() - startedAt > LONGEST_MS);
+  if (!isFinal()) throw new Error(`no final state: ${JSON.stringify(rolloutLines(play))}`);
+};
 
 const statusWrites = ({ store }: Play): number =>
   store.calls.filter((line) => line === 'PUT /api/objects/rollouts/plain/status').length;
 
-const rolloutLines = ({ gateways }: Play): unknown[] =>
-  gateways.flatMap(({ log }) => log.filter(({ msg }) => /roll-out/.test(`${msg}`)));
-
 const expectStates = (play: Play, expected: readonly string[]): void => {
   if (play.states.join() !== expected.join()) console.log(JSON.stringify(rolloutLines(play)));
   expect(play.states).toEqual([...expected]);
@@ -153,6 +183,26 @@
       }),
   );
 
+  it('complete a good version of model engines, whose requests one member schedules', async (context) => {
+    const play = await startPlay(context, streamAfter(SERVICE_MS), 'model');
+    play.order();
+    play.startNewVersion();
+    await untilFinal(play);
+    expectStates(play, ['running', 'completed']);
+  });
+
+  it('roll back a version of model engines that fails', async (context) => {
+    const play = await startPlay(context, BEHAVIOURS.failing, 'model');
+    play.order();
+    play.startNewVersion();
+    await untilFinal(play);
+    expectStates(play, ['running', 'rolled_back']);
+    await pause(300);
+    const { length } = play.arrivals;
+    await pause(1_000);
+    expect(play.arrivals.length).toEqual(length);
+  });
+
   it('go on with another driver, which writes one final state', async (context) => {
     const play = await startPlay(context, BEHAVIOURS.good);
     play.order(9);
@@ -192,7 +242,7 @@
     play.startNewVersion();
     await until(() => play.states.includes('running'));
     play.store.setCondition({ _tag: 'losesAnswers' });
-    await until(() => play.states.includes('rolled_back'));
+    await untilFinal(play);
     play.store.setCondition({ _tag: 'sound' });
     await pause(1_500);
     expectStates(play, ['running', 'rolled_back']);
--- a/test/rollouts/simulateEvidence.ts
+++ b/test/rollouts/simulateEvidence.ts
@@ -22,7 +22,11 @@
 export interface SimulatedService {
   readonly isEngine: boolean;
   readonly endpoints: number;
-  readonly routes: readonly { readonly name: string; readonly perSecond: number; readonly ms: number }[];
+  readonly routes: readonly {
+    readonly name: string;
+    readonly perSecond: number;
+    readonly ms: number;
+  }[];
 }
 
 /** What the evidence showed. */
@@ -53,7 +57,7 @@
 };
 
 const TRIAL_MS = 11_750;
-const SHARE = 0.06;
+const SHARE = 0.05;
 const STEP_MS = 250;
 const SPEEDS = { fast: 0.68, slow: 3 };
 
