--- a/src/app/gateway/GatewayContext.ts
+++ b/src/app/gateway/GatewayContext.ts
@@ -18,6 +18,7 @@
 import type { PlacementCoordinator } from './placement/PlacementCoordinator.ts';
 import type { ReachMonitor } from './reach/ReachMonitor.ts';
 import type { RequestHandler } from './request/RequestHandler.ts';
+import type { RolloutMonitor } from './rollouts/RolloutMonitor.ts';
 import type { ViewAge } from './following/StoreSubscription.ts';
 
 /** Components of the process that all requests share. */
@@ -34,6 +35,7 @@
   readonly limits: EndpointLimitMonitor;
   readonly exclusions: ExclusionMonitor;
   readonly reach: ReachMonitor;
+  readonly rollouts: RolloutMonitor;
   readonly forwarder: PeerForwarder;
   readonly endpointPool: ConnectionPool;
   readonly metrics: GatewayMetrics;
--- a/src/app/gateway/placement/PlacementCoordinator.ts
+++ b/src/app/gateway/placement/PlacementCoordinator.ts
@@ -2,6 +2,7 @@
 import {
   PlacementScheduler,
   QuotaLimiter,
+  type CandidateFilter,
   type EndpointLimits,
   type PlacementDecision,
 } from '../../../coordination/gateway/index.ts';
@@ -34,6 +35,8 @@
   readonly group: () => PeerGroup;
   readonly quotas: QuotaLimiter;
   readonly limits: EndpointLimits;
+  /** Selects the engines that a request may use by their versions. */
+  readonly candidates?: CandidateFilter;
   readonly crashes: CrashMonitor;
   readonly findAccount: (name: string) => Account | undefined;
   /** Returns the version of the configuration in force; 0 before the first one. */
@@ -92,7 +95,7 @@
 
   constructor(options: PlacementCoordinatorOptions) {
     this.#options = options;
-    this.scheduler = new PlacementScheduler(options.limits);
+    this.scheduler = new PlacementScheduler(options.limits, options.candidates);
     this.#quarantine = new QuarantineGate(options.crashes);
     this.#caps = new CapGuard(options.limits, this.scheduler);
     this.#decisions = new DecisionTimer((now) => this.#decide(now), options.now);
@@ -209,12 +212,7 @@
         this.#onGrant(message.id, { ...message, from }, now);
         return;
       case 'placementRefusal':
-        this.#tickets.answer(message.id, {
-          _tag: 'refused',
-          reason: message.reason,
-          retryAfterMs: message.retryAfterMs,
-          decidedBy: from,
-        });
+        this.#tickets.answer(message.id, { ...message, _tag: 'refused', decidedBy: from });
         return;
       case 'placementQueued':
         this.#tickets.markQuotaCharged(message.ids);
--- a/src/app/gateway/request/RequestHandler.ts
+++ b/src/app/gateway/request/RequestHandler.ts
@@ -269,7 +269,7 @@
       );
       return;
     }
-    const endpoint = this.#context.directory.findReady(answer.endpoint);
+    const endpoint = this.#endpoints.findGranted(answer.endpoint);
     const isExcluded = endpoint && this.#context.exclusions.find(endpoint) !== undefined;
     if (endpoint !== undefined && !isExcluded) {
       this.#send(endpoint, ticketId);
--- a/src/app/gateway/runGateway.ts
+++ b/src/app/gateway/runGateway.ts
@@ -8,17 +8,15 @@
 import {
   DomainDrains,
   EndpointDirectory,
-  EndpointLimits,
   PlainEndpointSelector,
   PlainServiceBalancer,
-  QuotaLimiter,
-  RetryBudget,
+  RolloutGate,
   TICK_INTERVAL_MS,
 } from '../../coordination/gateway/index.ts';
-import type { ObjectStore, WireAdapter } from '../../protocol/gateway/index.ts';
+import type { ObjectStore, StatusStore, WireAdapter } from '../../protocol/gateway/index.ts';
 import {
   endpointStartOf,
-  type ClientLimits,
+  DEFAULT_CLIENT_LIMITS,
   type EndpointRecord,
   type GatewaySettings,
 } from '../../state/gateway/index.ts';
@@ -38,6 +36,7 @@
 import { GatewayMetrics } from './GatewayMetrics.ts';
 import { LateBound } from './LateBound.ts';
 import { makeConnectionPools } from './makeConnectionPools.ts';
+import { makeGroupBounds } from './makeGroupBounds.ts';
 import { makeIncarnation } from './makeIncarnation.ts';
 import { PauseMonitor } from './PauseMonitor.ts';
 import { PeerForwarder } from './reach/PeerForwarder.ts';
@@ -47,6 +46,8 @@
 import { receiveForwarded } from './reach/receiveForwarded.ts';
 import type { DomainDrainSubscription } from './following/DomainDrainSubscription.ts';
 import { startDomainDrains } from './following/startDomainDrains.ts';
+import { RolloutMonitor } from './rollouts/RolloutMonitor.ts';
+import { predictRequestMs } from './rollouts/predictRequestMs.ts';
 import { StoreSubscription } from './following/StoreSubscription.ts';
 
 /** Settings, platform adapters and log of a gateway process. */
@@ -55,7 +56,10 @@
   readonly wire: WireAdapter;
   readonly log: GatewayLog;
   /** Creates the store client on a connection pool; `onCall` is called with the kind of each call. */
-  readonly makeStore: (pool: ConnectionPool, onCall: (call: string) => void) => ObjectStore;
+  readonly makeStore: (
+    pool: ConnectionPool,
+    onCall: (call: string) => void,
+  ) => ObjectStore & StatusStore;
   /** Paths of the readiness probe and of the list of caller addresses. */
   readonly paths: { readonly readiness: string; readonly addresses: string };
   /** Formats the list of addresses, which callers may cache for `cacheMs`. */
@@ -91,14 +95,6 @@
   incarnationLeaseMs: 3_000,
 };
 
-/** Limits of the server for callers until the first configuration is in force. */
-const INITIAL_LIMITS: ClientLimits = {
-  maximumHeaderBytes: 16_384,
-  maximumBodyBytes: 4_194_304,
-  headerTimeoutMs: 3_000,
-  idleTimeoutMs: 15_000,
-};
-
 const addressOf = ({ host, port }: { readonly host: string; readonly port: number }): string =>
   `${host}:${port}`;
 
@@ -168,21 +164,16 @@
       logger,
       now,
     });
-    const endpointLimits = new EndpointLimits();
-    const quotas = new QuotaLimiter(
-      {
-        windowMs: bounds.quotaWindowMs,
-        overshoot: bounds.quotaOvershoot,
-        slack: bounds.quotaSlack,
-      },
-      now(),
-    );
+    const store = options.makeStore(storePool, (call) => metrics.countStoreCall(call));
+    const { endpointLimits, quotas, retryBudget } = makeGroupBounds(bounds, now());
     const { coldCaps } = endpointLimits;
+    const gate = new RolloutGate(bounds.rollouts?.rollbackMs);
     const placements = new PlacementCoordinator({
       group: () => lateBound.group.get(),
       crashes,
       limits: endpointLimits,
       quotas,
+      candidates: gate,
       findAccount: (name) => lateBound.gateway.peek()?.routeIndex?.findAccount(name),
       configurationVersion: () => lateBound.gateway.peek()?.routeIndex?.table.version ?? 0,
       metrics,
@@ -190,6 +181,22 @@
       now,
     });
     placements.scheduler.isUsable = isUsable;
+    const rollouts = new RolloutMonitor({
+      group: () => lateBound.group.get(),
+      gate,
+      bounds: bounds.rollouts,
+      store,
+      wire,
+      listEndpoints: () => directory.listAllReady(),
+      isEngineService: (name) =>
+        lateBound.gateway.peek()?.routeIndex?.findService(name)?.engine !== undefined,
+      makePrediction: (service) => predictRequestMs(service, placements.scheduler.engines()),
+      metrics,
+      logger,
+      now,
+      timeOfDay: () => Date.now(),
+      sleep: (ms) => sleep(ms),
+    });
     const updateScheduledEndpoints = (): void => {
       const records = lateBound.gateway
         .peek()
@@ -208,11 +215,6 @@
       logger,
       now,
     });
-    const retryBudget = new RetryBudget({
-      ratio: bounds.retryRatio,
-      slack: bounds.retrySlack,
-      windowMs: bounds.retryWindowMs,
-    });
     const pauses = new PauseMonitor({
       onPaused: (pause) => {
         // Another gateway may have charged them meanwhile.
@@ -241,6 +243,7 @@
       limits,
       exclusions,
       reach,
+      rollouts,
       forwarder,
       endpointPool,
       metrics,
@@ -261,7 +264,7 @@
     const server = yield* makeGatewayServer({
       address: settings.callers,
       now,
-      limits: () => gateway.routeIndex?.table.limits ?? INITIAL_LIMITS,
+      limits: () => gateway.routeIndex?.table.limits ?? DEFAULT_CLIENT_LIMITS,
       onRequest: (request, answer) => gateway.serve(request, answer),
       onRejected: (status, reason) => {
         metrics.countRequest('', 'rejected', status);
@@ -276,7 +279,7 @@
       now,
       onRequest: receiveForwarded({
         secret: PEER_SECRET,
-        limits: () => gateway.routeIndex?.table.limits ?? INITIAL_LIMITS,
+        limits: () => gateway.routeIndex?.table.limits ?? DEFAULT_CLIENT_LIMITS,
         onRequest: (request, answer, envelope) => gateway.serveForwarded(request, answer, envelope),
         logger,
         now,
@@ -304,6 +307,7 @@
         crashes.handle(message);
         limits.handle(message);
         exclusions.handle(message);
+        rollouts.handle(from, message);
         lateBound.storeSubscription.peek()?.handle(from, message);
         lateBound.drainSubscription.peek()?.handle(message);
       },
@@ -315,13 +319,13 @@
 
     const updateEngines = (): void => {
       coldCaps.retain(new Set(directory.listAll().map(endpointStartOf)));
+      rollouts.updateEndpoints();
       updateScheduledEndpoints();
       directory
         .listReadyVersions()
         .forEach((versions, service) => crashes.followVersions(service, versions));
       plainEndpoints.retain(new Set(directory.listAccepting().map(({ id }) => id)));
     };
-    const store = options.makeStore(storePool, (call) => metrics.countStoreCall(call));
     const drainSubscription = yield* startDomainDrains({
       store,
       drains,
@@ -398,11 +402,13 @@
           crashes.tick();
           limits.tick();
           reach.tick();
+          rollouts.tick();
           reviewWhenDue();
         }, TICK_INTERVAL_MS),
       ),
       (timer) => Effect.sync(() => clearInterval(timer)),
     );
+    yield* Effect.addFinalizer(() => Effect.sync(() => rollouts.stop()));
     const addresses = {
       callers: server.address,
       peers: peers.address,
--- a/src/coordination/gateway/placement/PlacementScheduler.ts
+++ b/src/coordination/gateway/placement/PlacementScheduler.ts
@@ -10,6 +10,7 @@
 import { ColdSlowdown } from './ColdSlowdown.ts';
 import { EngineGroup } from './EngineGroup.ts';
 import { EngineLoad, type RunningPlacement } from './EngineLoad.ts';
+import { EVERY_CANDIDATE, type CandidateFilter } from '../rollouts/CandidateFilter.ts';
 import { GrantRatios } from './GrantRatios.ts';
 import { MeanEngineTimes } from './MeanEngineTimes.ts';
 import { orderQueue, fairnessGroup, type WaitingPlacement } from './orderQueue.ts';
@@ -65,8 +66,16 @@
 
   readonly #admission: TicketAdmission;
 
-  /** @param limits - rates of requests that endpoints accept, of which each grant uses one request */
-  constructor(limits: EndpointLimits = new EndpointLimits()) {
+  readonly #candidates: CandidateFilter;
+
+  /**
+   * @param limits - rates of requests that endpoints accept, of which each grant uses one request
+   * @param candidates - selects the engines that a request may use by their versions
+   */
+  constructor(
+    limits: EndpointLimits = new EndpointLimits(),
+    candidates: CandidateFilter = EVERY_CANDIDATE,
+  ) {
     this.#limits = limits;
     this.#slots = new SlotCounter(limits);
     this.#admission = new TicketAdmission({
@@ -77,7 +86,9 @@
       meanEngineTimes: this.#meanEngineTimes,
       reservations: new RetryReservations(),
       coldSlowdown: this.#coldSlowdown,
+      candidates,
     });
+    this.#candidates = candidates;
   }
 
   /** Sets the fraction of each endpoint's slots and limits that this scheduler may use. */
@@ -288,7 +299,10 @@
     const engines = [...this.#engines.values()].filter(
       ({ record }) => record.service === service && (this.isUsable?.(record) ?? true),
     );
-    const group = new EngineGroup(preferHealthy(engines, ({ availability }) => availability, now));
+    const parts = this.#candidates.partition(service, engines, ({ record }) => record);
+    const group = new EngineGroup(
+      parts.flatMap((part) => preferHealthy(part, ({ availability }) => availability, now)),
+    );
     const waiting = [...this.#waiting.values()].filter(({ ticket }) => ticket.service === service);
     const ordered = orderQueue(waiting, {
       group,
--- a/src/coordination/gateway/placement/TicketAdmission.ts
+++ b/src/coordination/gateway/placement/TicketAdmission.ts
@@ -4,6 +4,8 @@
 } from '../../../protocol/peer/GatewayMessages.ts';
 import { endpointStartOf } from '../../../state/gateway/index.ts';
 import type { EndpointLimits } from '../limits/EndpointLimits.ts';
+import type { CandidateFilter } from '../rollouts/CandidateFilter.ts';
+import { drawOf } from '../rollouts/drawOf.ts';
 import { adviseRetryAfter } from './adviseRetryAfter.ts';
 import { chooseEngine, type EngineCandidate, type PlacementLimits } from './chooseEngine.ts';
 import type { ColdSlowdown } from './ColdSlowdown.ts';
@@ -67,6 +69,8 @@
   readonly meanEngineTimes: MeanEngineTimes;
   readonly reservations: RetryReservations;
   readonly coldSlowdown: ColdSlowdown;
+  /** Selects the engines that a request may use by their versions. */
+  readonly candidates: CandidateFilter;
 }
 
 /** Refuses a request that isn't queued; its gateway sends it to another endpoint. */
@@ -97,6 +101,8 @@
 
   readonly #coldSlowdown: ColdSlowdown;
 
+  readonly #candidates: CandidateFilter;
+
   constructor(options: TicketAdmissionOptions) {
     this.#limits = options.limits;
     this.#slots = options.slots;
@@ -105,6 +111,7 @@
     this.#meanEngineTimes = options.meanEngineTimes;
     this.#reservations = options.reservations;
     this.#coldSlowdown = options.coldSlowdown;
+    this.#candidates = options.candidates;
   }
 
   /**
@@ -122,9 +129,14 @@
   ): Admission {
     const { ticket, owner, arrivedAt } = queued;
     const waitedMs = now - arrivedAt;
-    const reachable = group.engines.filter(
-      ({ record, availability }) =>
-        !ticket.avoid.includes(record.id) && availability.isReachableFrom(owner, now),
+    const reachable = this.#candidates.select(
+      { service: ticket.service, route: ticket.route, draw: drawOf(ticket.id) },
+      group.engines.filter(
+        ({ record, availability }) =>
+          !ticket.avoid.includes(record.id) && availability.isReachableFrom(owner, now),
+      ),
+      ({ record }) => record,
+      now,
     );
     const restMs = ({ record }: EngineLoad): number => msUntilIncluded(ticket, record.id, waitedMs);
     const usable =
--- a/src/state/gateway/RouteTable.ts
+++ b/src/state/gateway/RouteTable.ts
@@ -99,6 +99,14 @@
 });
 export type ClientLimits = typeof ClientLimits.Type;
 
+/** Limits until the first configuration, and where one states none. */
+export const DEFAULT_CLIENT_LIMITS: ClientLimits = {
+  maximumHeaderBytes: 16_384,
+  maximumBodyBytes: 4_194_304,
+  headerTimeoutMs: 3_000,
+  idleTimeoutMs: 15_000,
+};
+
 /** A gateway's complete configuration as the operator wrote it: routes, services, accounts and limits. Versions increase, but not always by one. */
 export const RouteTable = Schema.Struct({
   version: Schema.Finite,
--- a/src/state/gateway/index.ts
+++ b/src/state/gateway/index.ts
@@ -1,9 +1,11 @@
 export { EndpointRecord, endpointStartOf } from './EndpointRecord.ts';
 export { GatewayBounds, GatewaySettings, ListenAddress } from './GatewaySettings.ts';
+export { RolloutOrder, RolloutState } from './RolloutOrder.ts';
 export {
   Account,
   AccountQuota,
   ClientLimits,
+  DEFAULT_CLIENT_LIMITS,
   ColdStart,
   EngineLimits,
   Route,
