--- a/src/app/gateway/GatewayContext.ts
+++ b/src/app/gateway/GatewayContext.ts
@@ -6,6 +6,7 @@
   RetryBudget,
 } from '../../coordination/gateway/index.ts';
 import type { WireAdapter } from '../../protocol/gateway/index.ts';
+import type { EndpointRecord } from '../../state/gateway/index.ts';
 import type { ConnectionPool } from '../../transport/http/index.ts';
 import type { CrashDetector } from './crashes/CrashDetector.ts';
 import type { CrashMonitor } from './crashes/CrashMonitor.ts';
@@ -13,9 +14,11 @@
 import type { ExclusionMonitor } from './reach/ExclusionMonitor.ts';
 import type { GatewayMetrics } from './GatewayMetrics.ts';
 import type { PeerForwarder } from './reach/PeerForwarder.ts';
+import type { PauseMonitor } from './PauseMonitor.ts';
 import type { PlacementCoordinator } from './placement/PlacementCoordinator.ts';
 import type { ReachMonitor } from './reach/ReachMonitor.ts';
 import type { RequestHandler } from './request/RequestHandler.ts';
+import type { RolloutMonitor } from './rollouts/RolloutMonitor.ts';
 import type { ViewAge } from './following/StoreSubscription.ts';
 
 /** Components of the process that all requests share. */
@@ -26,11 +29,13 @@
   readonly plainSelector: PlainEndpointSelector;
   readonly retryBudget: RetryBudget;
   readonly placements: PlacementCoordinator;
+  readonly pauses: PauseMonitor;
   readonly crashes: CrashMonitor;
   readonly crashDetector: CrashDetector;
   readonly limits: EndpointLimitMonitor;
   readonly exclusions: ExclusionMonitor;
   readonly reach: ReachMonitor;
+  readonly rollouts: RolloutMonitor;
   readonly forwarder: PeerForwarder;
   readonly endpointPool: ConnectionPool;
   readonly metrics: GatewayMetrics;
@@ -39,6 +44,11 @@
   readonly now: () => number;
   /** A random number in [0, 1). */
   readonly random: () => number;
+  /**
+   * Whether a request that was decided at a moment, in ms, may still be sent to its endpoint: the failure domain isn't
+   * drained, and it isn't one of a capped endpoint that was held back for long.
+   */
+  readonly maySend: (endpoint: EndpointRecord, decidedAt: number) => boolean;
   /** Returns how old the view of the store is by which requests are sent. */
   readonly viewAge: (now: number) => ViewAge;
   /** Number of gateways among which the slack of the retry budget is divided. */
--- a/src/app/gateway/GatewayMetrics.ts
+++ b/src/app/gateway/GatewayMetrics.ts
@@ -7,6 +7,8 @@
 /** Higher latencies are recorded as this value. */
 const HIGHEST_LATENCY_MS = 600_000;
 
+const ROLLOUT_STEPS = ['unread', 'unordered', 'trial', 'cutover', 'completed', 'rolledBack'];
+
 /** Values that are sampled when the metrics are rendered. */
 export interface GatewayGauges {
   /** 0 until the first configuration is in force. */
@@ -28,6 +30,10 @@
   readonly quarantinedRequests: number;
   /** Endpoints that state a limit to the rate of their requests. */
   readonly limitedEndpoints: number;
+  /** Failure domains that are drained; 0 if absent. */
+  readonly domainDrains?: number;
+  /** Capped endpoints that are taken as cold; 0 if absent. */
+  readonly coldEndpoints?: number;
   /** Endpoints that want no requests of this process for now. */
   readonly excludedEndpoints: number;
   /** 1 while this process reaches no endpoint, else 0. */
@@ -52,6 +58,26 @@
     registers: [this.#registry],
   });
 
+  readonly #pauses = new Counter({
+    name: 'corianderwick_gateway_pauses_total',
+    help: 'Times that the process stood still, or that its clocks disagreed.',
+    registers: [this.#registry],
+  });
+
+  readonly #versionRequests = new Counter({
+    name: 'corianderwick_gateway_version_requests_total',
+    help: 'Requests sent to endpoints of services with two versions, by version and outcome.',
+    labelNames: ['service', 'version', 'outcome'],
+    registers: [this.#registry],
+  });
+
+  readonly #rolloutSteps = new Gauge({
+    name: 'corianderwick_gateway_rollout_step',
+    help: 'Whether a step of a roll-out is in force at this process.',
+    labelNames: ['service', 'step'],
+    registers: [this.#registry],
+  });
+
   readonly #storeCalls = new Counter({
     name: 'corianderwick_gateway_store_calls_total',
     help: 'Calls to the store by kind of call.',
@@ -76,6 +102,13 @@
   /** Decisions by account, priority and engine group. */
   readonly placements = new PlacementMetrics(this.#registry);
 
+  readonly #capDelays = new Counter({
+    name: 'corianderwick_gateway_cap_delays_total',
+    help: 'Requests that this process delayed as the scheduler because endpoints were at their caps, by service.',
+    labelNames: ['service'],
+    registers: [this.#registry],
+  });
+
   readonly #endpointCrashes = new Counter({
     name: 'corianderwick_gateway_endpoint_crashes_total',
     help: 'Crashes of endpoints that runs of this process met, by service.',
@@ -140,6 +173,14 @@
       'limited_endpoints',
       'Endpoints that state a limit to the rate of their requests.',
     ),
+    domainDrains: this.#makeGauge(
+      'domain_drains',
+      'Failure domains to whose endpoints nothing is sent.',
+    ),
+    coldEndpoints: this.#makeGauge(
+      'cold_endpoints',
+      'Endpoints that are taken as cold and get fewer requests.',
+    ),
     excludedEndpoints: this.#makeGauge(
       'excluded_endpoints',
       'Endpoints that want no requests of this process for now.',
@@ -169,6 +210,23 @@
     this.#attempts.inc({ service, result });
   }
 
+  /** Counts a pause of the process. */
+  countPause(): void {
+    this.#pauses.inc();
+  }
+
+  /** Counts the end of a request to a version of a service that has two. */
+  countVersionRequest(service: string, version: string, outcome: string): void {
+    this.#versionRequests.inc({ service, version, outcome });
+  }
+
+  /** Records the step of a roll-out that is in force for a service. */
+  setRolloutStep(service: string, step: string): void {
+    ROLLOUT_STEPS.forEach((name) =>
+      this.#rolloutSteps.set({ service, step: name }, name === step ? 1 : 0),
+    );
+  }
+
   /** Counts a call to the store by its kind. */
   countStoreCall(call: string): void {
     this.#storeCalls.inc({ call });
@@ -184,6 +242,11 @@
     this.#placements.inc({ route, decision });
   }
 
+  /** Counts a request that the local scheduler delayed because endpoints were at their caps. */
+  countCapDelay(service: string): void {
+    this.#capDelays.inc({ service });
+  }
+
   /** Counts a crash of an endpoint that runs of this process met. */
   countEndpointCrash(service: string): void {
     this.#endpointCrashes.inc({ service });
@@ -234,6 +297,8 @@
     this.#gauges.quarantinedParts.set(gauges.quarantinedParts);
     this.#gauges.quarantinedRequests.set(gauges.quarantinedRequests);
     this.#gauges.limitedEndpoints.set(gauges.limitedEndpoints);
+    this.#gauges.domainDrains.set(gauges.domainDrains ?? 0);
+    this.#gauges.coldEndpoints.set(gauges.coldEndpoints ?? 0);
     this.#gauges.excludedEndpoints.set(gauges.excludedEndpoints);
     this.#gauges.isolated.set(gauges.isolated);
     this.#latencyHistograms.forEach((histogram, route) => {
--- a/src/app/gateway/following/StoreSubscription.ts
+++ b/src/app/gateway/following/StoreSubscription.ts
@@ -10,11 +10,13 @@
   type EndpointChange,
   type EndpointDirectory,
   type KnownRevisions,
+  type Pause,
+  type ViewKind,
 } from '../../../coordination/gateway/index.ts';
 import type { ObjectStore, StoreChange, WireAdapter } from '../../../protocol/gateway/index.ts';
 import type { PeerMessage } from '../../../protocol/peer/PeerMessage.ts';
-import type { WatchedKind } from '../../../protocol/peer/GatewayMessages.ts';
-import type { RouteTable } from '../../../state/gateway/index.ts';
+import type { EndpointRecord, RouteTable } from '../../../state/gateway/index.ts';
+import { BACKLOG_MS } from '../PauseMonitor.ts';
 import type { PeerGroup } from '../PeerGroup.ts';
 import { StoreWatch, type StoreChangeSource, type StoreWatchListener } from './StoreWatch.ts';
 import { ViewLog } from './ViewLog.ts';
@@ -24,7 +26,9 @@
 export type RelayResult = 'applied' | 'gap';
 
 type ViewReportMessage = Extract<PeerMessage, { readonly _tag: 'storeWatcherAlive' }>;
-type StoreChangesMessage = Extract<PeerMessage, { readonly _tag: 'storeChanges' }>;
+type StoreChangesMessage = Extract<PeerMessage, { readonly _tag: 'storeChanges' }> & {
+  readonly kind: ViewKind;
+};
 
 /** How old the view of the store is, and what its age depends on. */
 export interface ViewAge {
@@ -55,10 +59,18 @@
   readonly sleep: (ms: number) => Promise<void>;
   /** Called for each readable configuration, also for one that is not newer than the last. */
   readonly onConfiguration: (table: RouteTable, source: StoreChangeSource) => void;
+  /**
+   * Called with each record of an endpoint, its store revision, and whether the endpoint has registered since the
+   * first list.
+   */
+  readonly onEndpointRecord?: (
+    record: EndpointRecord,
+    seen: { readonly revision: number; readonly isNew: boolean },
+  ) => void;
   /** Called after changes in the directory of endpoints. */
   readonly onEndpointsChanged: () => void;
   /** Called for each message of relayed changes, with what became of it. */
-  readonly onRelayReceived: (kind: WatchedKind, result: RelayResult) => void;
+  readonly onRelayReceived: (kind: ViewKind, result: RelayResult) => void;
 }
 
 /** Rank of the first member after the watcher, which reports to its failure domain while it calls the store itself. */
@@ -72,7 +84,7 @@
 export class StoreSubscription {
   readonly #options: StoreSubscriptionOptions;
 
-  readonly #watches: Readonly<Record<WatchedKind, StoreWatch>>;
+  readonly #watches: Readonly<Record<ViewKind, StoreWatch>>;
 
   readonly #relianceMonitor = new RelianceMonitor();
 
@@ -82,7 +94,7 @@
   #isRelying = false;
 
   /** Store revisions up to which this process has relayed changes. */
-  readonly #relayedRevisions: Readonly<Record<WatchedKind, RelayedRevisions>> = {
+  readonly #relayedRevisions: Readonly<Record<ViewKind, RelayedRevisions>> = {
     configuration: new RelayedRevisions(),
     endpoints: new RelayedRevisions(),
   };
@@ -96,12 +108,18 @@
   /** Last moment before the changes that are being applied at which the store confirmed the endpoints, in ms. */
   #endpointsListedAt = Number.NEGATIVE_INFINITY;
 
+  /** Time since the last confirmation of the endpoints in which this process stood still, in ms. */
+  #pausedMs = 0;
+
+  /** End of the last pause of the process in ms. */
+  #resumedAt = Number.NEGATIVE_INFINITY;
+
   constructor(options: StoreSubscriptionOptions) {
     this.#options = options;
     const { store, now, random, sleep, group } = options;
     const isReliedOn = (): boolean => group.storeWatcher() === group.incarnation;
     const common = { store, now, random, sleep, isReliedOn };
-    const watch = (kind: WatchedKind, listener: StoreWatchListener): StoreWatch =>
+    const watch = (kind: ViewKind, listener: StoreWatchListener): StoreWatch =>
       new StoreWatch({
         ...common,
         kind,
@@ -144,10 +162,28 @@
    */
   outagePhase(now: number): OutagePhase {
     const { at } = this.#freshness.confirmationOf('endpoints');
-    if (Number.isFinite(at) && now - at > EXPIRY_OUTAGE_MS) return 'unavailable';
+    if (Number.isFinite(at) && now - at - this.#pausedMs > EXPIRY_OUTAGE_MS) return 'unavailable';
     return this.#options.directory.remainingGraceMs(now) > 0 ? 'grace' : 'none';
   }
 
+  /**
+   * Records that the process stood still until now. That time is no outage of the store, and what peers sent meanwhile
+   * arrives only now.
+   *
+   * @param pause - how long, by which clock
+   */
+  recordPause({ countedMs, uncountedMs }: Pause): void {
+    this.#freshness.age(uncountedMs);
+    this.#pausedMs += countedMs + uncountedMs;
+    this.#resumedAt = this.#options.now();
+    Object.values(this.#watches).forEach((watch) => watch.recordPause());
+  }
+
+  /** Asks the store for what has changed; resolves once it has answered or can't be reached. */
+  async refresh(): Promise<void> {
+    await Promise.all(Object.values(this.#watches).map((watch) => watch.refresh()));
+  }
+
   /** Starts both watches. */
   start(): void {
     Object.values(this.#watches).forEach((watch) => {
@@ -203,8 +239,9 @@
    */
   handle(from: string, message: PeerMessage): void {
     if (message._tag === 'storeWatcherAlive') this.#receiveReport(from, message);
-    else if (message._tag === 'storeChanges') this.#receiveChanges(from, message);
-    else if (message._tag === 'storeChangesRequest')
+    else if (message._tag === 'storeChanges' && message.kind !== 'domainDrains')
+      this.#receiveChanges(from, { ...message, kind: message.kind });
+    else if (message._tag === 'storeChangesRequest' && message.kind !== 'domainDrains')
       this.#sendChangesSince(from, message.kind, message.sinceRevision);
   }
 
@@ -256,7 +293,7 @@
       );
   }
 
-  #sendChangesSince(to: string, kind: WatchedKind, revision: number): void {
+  #sendChangesSince(to: string, kind: ViewKind, revision: number): void {
     const { group, now, logger } = this.#options;
     const span = this.#watches[kind].changesSince(revision);
     if (span === undefined) return;
@@ -269,15 +306,17 @@
   }
 
   /** Records a confirmation of the view, before the changes that come with it are applied. */
-  #confirm(kind: WatchedKind, confirmation: Confirmation): void {
+  #confirm(kind: ViewKind, confirmation: Confirmation): void {
+    if (confirmation.path === 'peer' && this.#options.now() - this.#resumedAt < BACKLOG_MS) return;
     const previousAt = this.#freshness.confirm(kind, confirmation);
     if (kind !== 'endpoints') return;
     this.#endpointsListedAt = previousAt;
-    this.#options.directory.recordConfirmation(previousAt, confirmation.at);
+    this.#options.directory.recordConfirmation(previousAt + this.#pausedMs, confirmation.at);
+    if (confirmation.at > previousAt) this.#pausedMs = 0;
   }
 
   #relayChanges(
-    kind: WatchedKind,
+    kind: ViewKind,
     fromRevision: number,
     toRevision: number,
     changes: readonly StoreChange[],
@@ -327,7 +366,7 @@
   }
 
   #makeEndpointsListener(): StoreWatchListener {
-    const { wire, directory, now } = this.#options;
+    const { wire, directory, now, onEndpointRecord } = this.#options;
     return {
       ...this.#makeHealthListener('store: endpoints'),
       onList: (count) => {
@@ -337,9 +376,13 @@
       onChanges: (changes, source) => {
         const directoryChanges = changes.flatMap(({ removed, object }) => {
           const record = removed ? undefined : wire.readEndpoint(object.name, object.spec);
-          return record === undefined
-            ? directory.remove(object.name, this.#endpointsListedAt, now())
-            : directory.put(record);
+          if (record === undefined)
+            return directory.remove(object.name, this.#endpointsListedAt, now());
+          const changed = directory.put(record);
+          const isAdded = changed.some(({ _tag }) => _tag === 'added');
+          const isNew = isAdded && this.#endpointsListed;
+          onEndpointRecord?.(record, { revision: object.revision, isNew });
+          return changed;
         });
         this.#reportChanges(directoryChanges, source);
       },
--- a/src/app/gateway/following/StoreWatch.ts
+++ b/src/app/gateway/following/StoreWatch.ts
@@ -37,6 +37,8 @@
   readonly store: ObjectStore;
   readonly kind: StoreObjectKind;
   readonly listener: StoreWatchListener;
+  /** Longest wait of a watch in ms, and a factor for the pauses after failed calls, where they differ from the usual. */
+  readonly timing?: { readonly waitMs: number; readonly retryFactor: number };
   /** Returns whether other processes rely on this watch now, so that it retries sooner. */
   readonly isReliedOn: () => boolean;
   /** Present time in ms, monotonic. */
@@ -54,6 +56,8 @@
     toRevision: number,
     changes: readonly StoreChange[],
   ) => void;
+  /** Called after each failed call, with the moment at which it was sent, in ms. */
+  readonly onFailed?: (sentAt: number) => void;
   /** Called when the store has confirmed the view, with the moment at which it did, in ms. */
   readonly onConfirmed: (at: number) => void;
 }
@@ -106,6 +110,9 @@
 
   #resume: (() => void) | undefined;
 
+  /** End of the last pause of the process in ms; what the store was asked before tells nothing of the time since. */
+  #pausedAt = Number.NEGATIVE_INFINITY;
+
   constructor(options: StoreWatchOptions) {
     this.#options = options;
   }
@@ -205,6 +212,29 @@
     return true;
   }
 
+  /** Records that the process stood still until now: the answer to a call in progress is discarded. */
+  recordPause(): void {
+    this.#pausedAt = this.#options.now();
+  }
+
+  /** Asks the store at once for what has changed, also while changes are relayed or another call is in progress. */
+  async refresh(): Promise<void> {
+    const { store, kind, now } = this.#options;
+    const from = this.#revision;
+    if (this.#stopped || from === undefined) return;
+    const sentAt = now();
+    const result = await store.watch(kind, from, {
+      waitMs: CATCH_UP_WAIT_MS,
+      answerMs: this.#answerMs,
+      fresh: true,
+    });
+    if (this.#stopped || this.#isFromBeforePause(sentAt)) return;
+    if (result._tag === 'expired') await this.#list();
+    if (result._tag !== 'changed') return;
+    this.#reportAvailable(this.#confirmationOf(result.changes, sentAt, CATCH_UP_WAIT_MS));
+    this.#applyWatched(from, result.revision, result.changes);
+  }
+
   /** Stops the watch; the result of a call in progress is discarded. */
   stop(): void {
     this.#stopped = true;
@@ -230,10 +260,11 @@
 
   async #list(): Promise<void> {
     const { store, kind, now } = this.#options;
+    const sentAt = now();
     const result = await store.list(kind);
-    if (this.#stopped) return;
+    if (this.#stopped || this.#isFromBeforePause(sentAt)) return;
     if (result._tag === 'unavailable') {
-      await this.#backOff(result.detail);
+      await this.#backOff(result.detail, sentAt);
       return;
     }
     this.#reportAvailable(now());
@@ -241,34 +272,41 @@
   }
 
   async #watchFrom(revision: number): Promise<void> {
-    const { store, kind, now } = this.#options;
+    const { store, kind, now, timing } = this.#options;
     const sentAt = now();
     const isCatchUp = this.#isCatchUpDue;
-    const waitMs = isCatchUp ? CATCH_UP_WAIT_MS : WATCH_WAIT_MS;
+    const waitMs = isCatchUp ? CATCH_UP_WAIT_MS : (timing?.waitMs ?? WATCH_WAIT_MS);
     const result = await store.watch(kind, revision, {
       waitMs,
       answerMs: this.#answerMs,
       fresh: isCatchUp,
     });
     if (this.#stopped) return;
+    if (this.#isFromBeforePause(sentAt)) {
+      this.#isCatchUpDue = true;
+      return;
+    }
     const beyondWaitMs = now() - sentAt - waitMs;
     switch (result._tag) {
       case 'unavailable':
         this.#isCatchUpDue = true;
         if (beyondWaitMs >= this.#answerMs)
           this.#answerMs = Math.min(MAXIMUM_ANSWER_MS, 2 * this.#answerMs);
-        await this.#backOff(result.detail);
+        await this.#backOff(result.detail, sentAt);
         return;
       case 'expired':
         this.#isListDue = true;
         return;
-      case 'changed':
-        this.#isCatchUpDue = false;
+      case 'changed': {
+        const confirmedAt = this.#confirmationOf(result.changes, sentAt, waitMs);
+        // After a pause of this process an answer may be so old that the next one is wanted soon, not after a long wait.
+        this.#isCatchUpDue = timing !== undefined && now() - confirmedAt > WATCH_WAIT_MS;
         if (isCatchUp || beyondWaitMs > 0)
           this.#answerMs = Math.min(MAXIMUM_ANSWER_MS, Math.max(WATCH_ANSWER_MS, 2 * beyondWaitMs));
-        this.#reportAvailable(this.#confirmationOf(result.changes, sentAt, waitMs));
-        this.#applyWatched(result.revision, result.changes);
+        this.#reportAvailable(confirmedAt);
+        this.#applyWatched(revision, result.revision, result.changes);
         return;
+      }
       default:
         result satisfies never;
     }
@@ -299,11 +337,15 @@
     if (before !== undefined) this.#options.onWatchResult(before, revision, changes);
   }
 
-  #applyWatched(revision: number, watched: readonly StoreChange[]): void {
+  #isFromBeforePause(sentAt: number): boolean {
+    return sentAt < this.#pausedAt;
+  }
+
+  #applyWatched(from: number, revision: number, watched: readonly StoreChange[]): void {
     const before = this.#revision ?? 0;
     // Changes that were relayed during the call are newer than its result.
     if (revision <= before) return;
-    const changes = watched.map((change) => placeAfter(before, change));
+    const changes = watched.map((change) => placeAfter(from, change));
     this.#revision = revision;
     this.#log.append(changes, revision);
     this.#apply(changes, 'watch');
@@ -332,9 +374,12 @@
     this.#options.listener.onAvailable();
   }
 
-  async #backOff(detail: string): Promise<void> {
-    const { random, sleep, isReliedOn } = this.#options;
-    const pauseMs = storeRetryDelay(this.#failures, isReliedOn(), random());
+  async #backOff(detail: string, sentAt: number): Promise<void> {
+    const { random, sleep, isReliedOn, timing } = this.#options;
+    // The first call after a failure comes at once, since it may follow from one lost connection.
+    this.#options.onFailed?.(sentAt);
+    const factor = this.#failures === 0 ? 1 : (timing?.retryFactor ?? 1);
+    const pauseMs = factor * storeRetryDelay(this.#failures, isReliedOn(), random());
     this.#failures += 1;
     if (this.#failures === 1) this.#options.listener.onUnavailable(detail);
     this.#phase = 'backingOff';
--- a/src/app/gateway/placement/PlacementCoordinator.ts
+++ b/src/app/gateway/placement/PlacementCoordinator.ts
@@ -2,25 +2,31 @@
 import {
   PlacementScheduler,
   QuotaLimiter,
+  type CandidateFilter,
   type EndpointLimits,
   type PlacementDecision,
 } from '../../../coordination/gateway/index.ts';
-import type {
-  PlacementRefusalReason,
-  PlacementResult,
-  PlacementTicket,
-} from '../../../protocol/peer/GatewayMessages.ts';
+import type { PlacementResult, PlacementTicket } from '../../../protocol/peer/GatewayMessages.ts';
 import type { PeerMessage } from '../../../protocol/peer/PeerMessage.ts';
 import { endpointStartOf, type Account } from '../../../state/gateway/index.ts';
 import { ChargeConfirmations } from './ChargeConfirmations.ts';
+import { DecisionTimer } from './DecisionTimer.ts';
 import type { CrashMonitor } from '../crashes/CrashMonitor.ts';
-import { listEngineSpeeds } from './listEngineSpeeds.ts';
-import { LocalTickets, withRemainingTimes, type PlacementAnswer } from './LocalTickets.ts';
+import { CapGuard, grantTransitMs, type ReceivedGrant } from './CapGuard.ts';
+import {
+  LocalTickets,
+  withRemainingTimes,
+  type PendingTicket,
+  type PlacementAnswer,
+} from './LocalTickets.ts';
 import type { GatewayMetrics } from '../GatewayMetrics.ts';
 import { logPlacementDecision } from './logPlacementDecision.ts';
 import { refuseOverQuota } from './refuseOverQuota.ts';
+import { QuarantineGate } from '../crashes/QuarantineGate.ts';
 import { partsOf, quarantineAnswer, refuseQuarantined } from '../crashes/refuseQuarantined.ts';
 import type { PeerGroup } from '../PeerGroup.ts';
+import { SchedulerHeartbeat } from './SchedulerHeartbeat.ts';
+import { TicketQuotas } from './TicketQuotas.ts';
 import { ownShare, schedulerShare } from './slotShares.ts';
 
 /** Collaborators of a placement coordinator. */
@@ -29,6 +35,8 @@
   readonly group: () => PeerGroup;
   readonly quotas: QuotaLimiter;
   readonly limits: EndpointLimits;
+  /** Selects the engines that a request may use by their versions. */
+  readonly candidates?: CandidateFilter;
   readonly crashes: CrashMonitor;
   readonly findAccount: (name: string) => Account | undefined;
   /** Returns the version of the configuration in force; 0 before the first one. */
@@ -41,16 +49,10 @@
 
 /** Silence of the leader after which a gateway schedules its pending tickets itself. */
 const LEADER_SILENCE_MS = 350;
-/** Interval of the heartbeats from the leader to gateways that sent it tickets. */
-const HEARTBEAT_INTERVAL_MS = 100;
-/** Minimum interval between two runs of the scheduler. */
-const MINIMUM_DECISION_INTERVAL_MS = 2;
 /** Interval at which a gateway reports all its tickets, which repairs the effects of lost messages. */
 const STATE_REPORT_INTERVAL_MS = 2_000;
-/** Interval at which the leader sends the engine speed estimates that a successor would need. */
-const ESTIMATES_INTERVAL_MS = 4_000;
-/** Time for which a gateway receives heartbeats after its last request or state report. */
-const REQUESTER_RETENTION_MS = 1_000;
+/** Late grants of a ticket after which its gateway decides alone, because the way to the scheduler is slow. */
+const MAXIMUM_LATE_GRANTS = 2;
 
 /**
  * Obtains slots at model engines for the requests of this process. One gateway, the leader, schedules
@@ -65,13 +67,13 @@
 
   readonly #tickets = new LocalTickets();
 
-  /** Tickets that were admitted as trials of quarantined prompt parts. */
-  readonly #trials = new Set<string>();
+  readonly #quarantine: QuarantineGate;
 
   readonly #charges = new ChargeConfirmations();
 
-  /** Time of the last request or state report of each gateway, with its incarnation as the key. */
-  readonly #requesters = new Map<string, number>();
+  readonly #caps: CapGuard;
+
+  readonly #heartbeat = new SchedulerHeartbeat();
 
   /** Incarnation of the gateway that schedules for all. */
   #leader = '';
@@ -85,19 +87,19 @@
   /** Time of the last message of the leader, or of the change of leader if that is later. */
   #leaderHeardAt = Number.NEGATIVE_INFINITY;
 
-  #heartbeatSentAt = 0;
-
   #stateReportedAt = 0;
 
-  #estimatesSentAt = 0;
+  readonly #decisions: DecisionTimer;
 
-  #decidedAt = Number.NEGATIVE_INFINITY;
-
-  #decisionTimer: NodeJS.Timeout | undefined;
+  readonly #quotas: TicketQuotas;
 
   constructor(options: PlacementCoordinatorOptions) {
     this.#options = options;
-    this.scheduler = new PlacementScheduler(options.limits);
+    this.scheduler = new PlacementScheduler(options.limits, options.candidates);
+    this.#quarantine = new QuarantineGate(options.crashes);
+    this.#caps = new CapGuard(options.limits, this.scheduler);
+    this.#decisions = new DecisionTimer((now) => this.#decide(now), options.now);
+    this.#quotas = new TicketQuotas(options.quotas, options.findAccount);
   }
 
   /**
@@ -112,15 +114,15 @@
     const group = this.#options.group();
     this.#updateLeader(now);
     const leader = this.#leader;
-    const quarantine = this.#options.crashes.findQuarantine(ticket.service, partsOf(ticket));
-    if (quarantine !== undefined) {
-      onAnswer(quarantineAnswer(quarantine.retryAfterMs, group.incarnation));
+    const retryAfterMs = this.#quarantine.findQuarantine(ticket);
+    if (retryAfterMs !== undefined) {
+      onAnswer(quarantineAnswer(retryAfterMs, group.incarnation));
       return;
     }
     this.#tickets.addPending({ ticket, requestedAt: now, onAnswer, scheduler: leader });
     if (leader === group.incarnation) {
       this.#enqueue(leader, ticket, 1, now);
-      this.#decideWhenDue(now);
+      this.#decisions.runWhenDue(now);
       return;
     }
     // The leader sends heartbeats only to gateways that sent it tickets recently, so that its silence
@@ -136,7 +138,7 @@
   /** Withdraws a pending ticket; no effect if it was already answered. */
   withdraw(id: string): void {
     if (!this.#tickets.withdraw(id)) return;
-    this.scheduler.withdraw(id);
+    this.#withdraw(id);
     this.#sendToLeader({ _tag: 'placementWithdraw', ids: [id] });
   }
 
@@ -163,7 +165,7 @@
     const now = this.#options.now();
     this.#recordEnd(id, result, now);
     this.#sendToLeader({ _tag: 'placementEnd', id, result });
-    this.#decideWhenDue(now);
+    this.#decisions.runWhenDue(now);
   }
 
   /** Returns the numbers of pending tickets and of held slots of this process. */
@@ -177,15 +179,15 @@
    */
   tick(): void {
     const now = this.#options.now();
+    this.#caps.tick(now);
     this.#updateLeader(now);
     if (this.#isLeader()) this.#tickLeader(now);
     else this.#tickFollower(now);
-    this.#decideWhenDue(now);
+    this.#decisions.runWhenDue(now);
+    const group = this.#options.group();
     this.#charges
       .take((id) => this.scheduler.isWaiting(id))
-      .forEach(({ owner, ids }) =>
-        this.#options.group().send(owner, { _tag: 'placementQueued', ids }),
-      );
+      .forEach(({ owner, ids }) => group.send(owner, { _tag: 'placementQueued', ids }));
   }
 
   /**
@@ -204,42 +206,31 @@
       case 'placementRequest':
         this.#noteRequester(from, now);
         this.#startChargingQuotas(now);
-        message.tickets.forEach((ticket) =>
-          this.#enqueue(from, ticket, schedulerShare(this.#options.group(), now), now),
-        );
-        this.#decideWhenDue(now);
+        this.#enqueueAll(from, message.tickets, now);
         return;
       case 'placementGrant':
-        this.#onGrant(from, message.id, message.endpoint, now);
+        this.#onGrant(message.id, { ...message, from }, now);
         return;
       case 'placementRefusal':
-        this.#tickets.answer(message.id, {
-          _tag: 'refused',
-          reason: message.reason,
-          retryAfterMs: message.retryAfterMs,
-          decidedBy: from,
-        });
+        this.#tickets.answer(message.id, { ...message, _tag: 'refused', decidedBy: from });
         return;
       case 'placementQueued':
         this.#tickets.markQuotaCharged(message.ids);
         return;
       case 'placementWithdraw':
-        message.ids.forEach((id) => this.scheduler.withdraw(id));
+        message.ids.forEach((id) => this.#withdraw(id));
         return;
       case 'placementStarted':
         this.scheduler.recordFirstToken(message.id, message.firstTokenMs, now);
         return;
       case 'placementEnd':
         this.#recordEnd(message.id, message.result, now);
-        this.#decideWhenDue(now);
+        this.#decisions.runWhenDue(now);
         return;
       case 'placementState':
         this.#noteRequester(from, now);
         this.scheduler.reconcile(from, message.running, now);
-        message.waiting.forEach((ticket) =>
-          this.#enqueue(from, ticket, schedulerShare(this.#options.group(), now), now),
-        );
-        this.#decideWhenDue(now);
+        this.#enqueueAll(from, message.waiting, now);
         return;
       case 'schedulerNotes':
         this.scheduler.seedSpeeds(message.engines);
@@ -252,8 +243,14 @@
   removeMember(incarnation: string): void {
     if (incarnation === this.#options.group().incarnation) return;
     this.scheduler.removeOwner(incarnation);
-    this.#requesters.delete(incarnation);
-    this.#decideWhenDue(this.#options.now());
+    this.#quotas.retainOwners((owner) => owner !== incarnation);
+    this.#heartbeat.removeRequester(incarnation);
+    this.#decisions.runWhenDue(this.#options.now());
+  }
+
+  #withdraw(id: string): void {
+    this.#quotas.withdraw(id);
+    this.scheduler.withdraw(id);
   }
 
   #isLeader(): boolean {
@@ -276,6 +273,7 @@
       'scheduler changed',
     );
     this.#isChargingQuotas = false;
+    this.#caps.allocate(group, this.#isLeader(), now);
     if (leader === group.incarnation) {
       this.#startChargingQuotas(now);
       this.#tickets.listPending().forEach((entry) => {
@@ -285,35 +283,23 @@
       return;
     }
     this.scheduler.removeOtherOwners(group.incarnation);
+    this.#quotas.retainOwners(() => false);
     this.#tickets.listPending().forEach((entry) => {
       entry.scheduler = leader;
+      entry.sentAt = now;
       this.scheduler.withdraw(entry.ticket.id);
     });
     this.#reportState(now);
   }
 
   #tickLeader(now: number): void {
-    const group = this.#options.group();
-    this.scheduler.setSlotAllocation({ share: schedulerShare(this.#options.group(), now) });
-    if (now - this.#heartbeatSentAt >= HEARTBEAT_INTERVAL_MS) {
-      this.#heartbeatSentAt = now;
-      const message: PeerMessage = {
-        _tag: 'schedulerAlive',
-        configurationVersion: this.#options.configurationVersion(),
-      };
-      this.#requesters.forEach((at, incarnation) => {
-        if (now - at > REQUESTER_RETENTION_MS) this.#requesters.delete(incarnation);
-        else group.send(incarnation, message);
-      });
-    }
-    if (now - this.#estimatesSentAt < ESTIMATES_INTERVAL_MS) return;
-    this.#estimatesSentAt = now;
-    const engines = listEngineSpeeds(this.scheduler.engines());
-    if (engines.length > 0) group.broadcast({ _tag: 'schedulerNotes', engines });
+    this.#allocate(now);
+    const { group, configurationVersion } = this.#options;
+    this.#heartbeat.send(group(), this.scheduler, configurationVersion(), now);
   }
 
   #tickFollower(now: number): void {
-    this.scheduler.setSlotAllocation({ share: ownShare(this.#options.group(), now) });
+    this.#allocate(now);
     if (
       now - this.#stateReportedAt >= STATE_REPORT_INTERVAL_MS &&
       this.#tickets.heldCount + this.#tickets.waitingCount > 0
@@ -330,6 +316,15 @@
       .forEach(({ ticket }) => this.#decideLocally(ticket.id, now));
   }
 
+  /** Sets the shares of slots, limits and caps that the scheduler of this process may use. */
+  #allocate(now: number): void {
+    const group = this.#options.group();
+    const isLeader = this.#isLeader();
+    const share = isLeader ? schedulerShare(group, now) : ownShare(group, now);
+    this.scheduler.setSlotAllocation({ share });
+    this.#caps.allocate(group, isLeader, now);
+  }
+
   #isLeaderSilent(now: number): boolean {
     return now - this.#leaderHeardAt > LEADER_SILENCE_MS;
   }
@@ -342,20 +337,25 @@
   }
 
   #decideLocally(id: string, now: number): void {
+    if (this.#tickets.findPending(id) === undefined) return;
+    this.#options.logger.warn(
+      { ticket: id, scheduler: this.#leader, silentMs: Math.round(now - this.#leaderHeardAt) },
+      'scheduler is silent; deciding alone',
+    );
+    this.#decideAlone(id, now);
+  }
+
+  #decideAlone(id: string, now: number): void {
     const pending = this.#tickets.findPending(id);
     if (pending === undefined) return;
     const own = this.#options.group().incarnation;
     this.#startChargingQuotas(now);
     this.#options.crashes.decideQuarantine();
     pending.scheduler = own;
+    this.#allocate(now);
     const share = ownShare(this.#options.group(), now);
-    this.scheduler.setSlotAllocation({ share });
-    this.#options.logger.warn(
-      { ticket: id, scheduler: this.#leader, silentMs: Math.round(now - this.#leaderHeardAt) },
-      'scheduler is silent; deciding alone',
-    );
     this.#enqueue(own, withRemainingTimes(pending, now), share, now);
-    this.#decideWhenDue(now);
+    this.#decisions.runWhenDue(now);
   }
 
   /**
@@ -369,45 +369,36 @@
     this.#options.limits.reset(now);
   }
 
+  #enqueueAll(owner: string, tickets: readonly PlacementTicket[], now: number): void {
+    const share = schedulerShare(this.#options.group(), now);
+    tickets.forEach((ticket) => this.#enqueue(owner, ticket, share, now));
+    this.#decisions.runWhenDue(now);
+  }
+
   #enqueue(owner: string, ticket: PlacementTicket, share: number, now: number): void {
-    if (this.scheduler.hasTicket(ticket.id)) return;
-    const { service, avoid } = ticket;
-    const isFirst = avoid.length === 0;
-    const admission = this.#options.crashes.decideRequest(service, partsOf(ticket), isFirst);
-    if (admission._tag === 'refused') {
-      this.#deliverDecision(refuseQuarantined({ owner, ticket }, admission.retryAfterMs));
+    if (this.scheduler.hasTicket(ticket.id) || this.#quotas.has(ticket.id)) return;
+    const retryAfterMs = this.#quarantine.admit(ticket);
+    if (retryAfterMs !== undefined) {
+      this.#deliverDecision(refuseQuarantined({ owner, ticket }, retryAfterMs));
       return;
     }
-    if (admission._tag === 'trial') this.#trials.add(ticket.id);
-    const account =
-      ticket.account === undefined ? undefined : this.#options.findAccount(ticket.account);
-    if (account !== undefined && ticket.quotaUnits > 0) {
-      const waitMs = this.#options.quotas.take(account, ticket.quotaUnits, share, now);
-      if (waitMs > 0) {
-        this.#deliverDecision(refuseOverQuota(owner, ticket, waitMs));
-        return;
-      }
-    }
-    this.scheduler.enqueue(owner, ticket, now);
-    if (owner !== this.#options.group().incarnation && ticket.quotaUnits > 0)
-      this.#charges.add(owner, ticket.id);
+    const charge = this.#quotas.offer(owner, ticket, share, now);
+    if (charge._tag === 'refused')
+      this.#deliverDecision(refuseOverQuota(owner, ticket, charge.waitMs));
+    else if (charge._tag === 'charged') this.#queue(owner, ticket, now);
   }
 
-  /** Runs the scheduler now, or after the minimum interval: under load one run serves many messages. */
-  #decideWhenDue(now: number): void {
-    if (this.#decisionTimer !== undefined) return;
-    if (now - this.#decidedAt < MINIMUM_DECISION_INTERVAL_MS) {
-      this.#decisionTimer = setTimeout(() => {
-        this.#decisionTimer = undefined;
-        this.#decideNow(this.#options.now());
-      }, MINIMUM_DECISION_INTERVAL_MS);
-      return;
-    }
-    this.#decideNow(now);
+  #queue(owner: string, ticket: PlacementTicket, now: number, arrivedAt = now): void {
+    this.scheduler.enqueue(owner, ticket, now, arrivedAt);
+    if (owner !== this.#options.group().incarnation && ticket.quotaUnits > 0)
+      this.#charges.add(owner, ticket.id);
   }
 
-  #decideNow(now: number): void {
-    this.#decidedAt = now;
+  #decide(now: number): void {
+    this.#caps.resetAfterPause(now);
+    this.#quotas
+      .release(now)
+      .forEach(({ owner, ticket, arrivedAt }) => this.#queue(owner, ticket, now, arrivedAt));
     this.scheduler
       .schedule(now)
       .forEach((decision) => this.#deliverDecision(this.#withQuarantine(decision, now)));
@@ -416,27 +407,27 @@
   /** Refuses a grant whose prompt has come under quarantine while it waited. */
   #withQuarantine(decision: PlacementDecision, now: number): PlacementDecision {
     const { ticket } = decision;
-    if (decision._tag === 'refuse' || this.#trials.has(ticket.id)) return decision;
-    const quarantine = this.#options.crashes.findQuarantine(ticket.service, partsOf(ticket));
-    if (quarantine === undefined) return decision;
+    if (decision._tag === 'refuse') return decision;
+    const retryAfterMs = this.#quarantine.findQuarantine(ticket);
+    if (retryAfterMs === undefined) return decision;
     this.scheduler.recordEnd(ticket.id, { outcome: 'unused' }, now);
-    return refuseQuarantined(decision, quarantine.retryAfterMs);
+    return refuseQuarantined(decision, retryAfterMs);
   }
 
   #recordEnd(id: string, result: PlacementResult, now: number): void {
+    const { logger, crashes } = this.#options;
     const running = this.scheduler.findRunning(id);
     const backoff = this.scheduler.recordEnd(id, result, now);
-    if (backoff !== undefined)
-      this.#options.logger.info({ ...backoff, outcome: result.outcome }, 'engine backed off');
-    this.#trials.delete(id);
+    if (backoff) logger.info({ ...backoff, outcome: result.outcome }, 'engine backed off');
+    this.#quarantine.end(id);
     if (running === undefined || result.outcome !== 'served') return;
     const { ticket, record } = running;
-    this.#options.crashes.recordServed(ticket.service, endpointStartOf(record), partsOf(ticket));
+    crashes.recordServed(ticket.service, endpointStartOf(record), partsOf(ticket));
   }
 
   #noteRequester(incarnation: string, now: number): void {
-    if (!this.#requesters.has(incarnation)) this.#options.crashes.welcome(incarnation);
-    this.#requesters.set(incarnation, now);
+    if (this.#heartbeat.recordRequester(incarnation, now))
+      this.#options.crashes.welcome(incarnation);
   }
 
   #deliverDecision(decision: PlacementDecision): void {
@@ -446,32 +437,28 @@
     const isOwn = owner === group.incarnation;
     metrics.countPlacement(ticket.route, decision._tag === 'grant' ? 'grant' : decision.reason);
     metrics.placements.countDecision(decision);
+    if (decision.isDelayedByCap) metrics.countCapDelay(ticket.service);
     logPlacementDecision(logger, decision, this.scheduler.waitingCount);
     if (decision._tag === 'grant') {
-      const { endpoint } = decision;
+      const { endpoint, waitedMs } = decision;
       if (isOwn) this.#occupySlot(ticket.id, endpoint, owner);
-      else group.send(owner, { _tag: 'placementGrant', id: ticket.id, endpoint });
+      else group.send(owner, { _tag: 'placementGrant', id: ticket.id, endpoint, waitedMs });
       return;
     }
     const { reason, retryAfterMs } = decision;
-    this.#trials.delete(ticket.id);
-    this.#refundQuota(ticket, reason);
-    if (isOwn) {
+    this.#quarantine.end(ticket.id);
+    this.#quotas.refund(ticket, reason, this.#options.now());
+    if (isOwn)
       this.#tickets.answer(ticket.id, { _tag: 'refused', reason, retryAfterMs, decidedBy: owner });
-    } else {
-      group.send(owner, { _tag: 'placementRefusal', id: ticket.id, reason, retryAfterMs });
-    }
+    else group.send(owner, { _tag: 'placementRefusal', id: ticket.id, reason, retryAfterMs });
   }
 
-  #refundQuota(ticket: PlacementTicket, reason: PlacementRefusalReason): void {
-    if (reason === 'quota' || ticket.quotaUnits === 0 || ticket.account === undefined) return;
-    this.#options.quotas.refund(ticket.account, ticket.quotaUnits, this.#options.now());
-  }
-
-  #onGrant(from: string, id: string, endpoint: string, now: number): void {
+  #onGrant(id: string, grant: ReceivedGrant, now: number): void {
+    const { from, endpoint } = grant;
     const pending = this.#tickets.findPending(id);
-    // The ticket was withdrawn or decided, or this process now schedules it itself: the slot is unused.
-    if (pending === undefined || pending.scheduler === this.#options.group().incarnation) {
+    // The ticket was withdrawn or decided, or another process schedules it now, such as this one while the leader was
+    // silent: the slot is unused.
+    if (pending?.scheduler !== from) {
       this.#options.group().send(from, {
         _tag: 'placementEnd',
         id,
@@ -479,6 +466,10 @@
       });
       return;
     }
+    if (this.#caps.isUnusable(pending, grant, now)) {
+      this.#replaceGrant(pending, grant, now);
+      return;
+    }
     this.scheduler.reconcile(
       this.#options.group().incarnation,
       [
@@ -490,6 +481,24 @@
     this.#occupySlot(id, endpoint, from);
   }
 
+  /** Gives the slot of an unusable grant back, and asks again or decides alone. */
+  #replaceGrant(pending: PendingTicket, grant: ReceivedGrant, now: number): void {
+    const group = this.#options.group();
+    const { id } = pending.ticket;
+    const transitMs = Math.round(grantTransitMs(pending, grant, now));
+    this.#options.logger.warn({ ticket: id, ...grant, transitMs }, 'grant is not used');
+    group.send(grant.from, { _tag: 'placementEnd', id, result: { outcome: 'unused' } });
+    // The present scheduler has the ticket.
+    if (grant.from !== pending.scheduler) return;
+    // The scheduler that granted the slot has charged the ticket.
+    this.#tickets.markQuotaCharged([id]);
+    const lateGrants = this.#tickets.recordLateGrant(id, now);
+    const asksAgain = grant.waitedMs !== undefined && lateGrants <= MAXIMUM_LATE_GRANTS;
+    const tickets = [withRemainingTimes(pending, now)];
+    if (!asksAgain || !group.send(this.#leader, { _tag: 'placementRequest', tickets }))
+      this.#decideAlone(id, now);
+  }
+
   #occupySlot(id: string, endpoint: string, grantedBy: string): void {
     const now = this.#options.now();
     if (this.#tickets.grant(id, endpoint, grantedBy, now)) return;
@@ -499,14 +508,7 @@
   #reportState(now: number): void {
     this.#stateReportedAt = now;
     const own = this.#options.group().incarnation;
-    this.#sendToLeader({
-      _tag: 'placementState',
-      running: this.#tickets.listHeld(now),
-      waiting: this.#tickets
-        .listPending()
-        .filter(({ scheduler }) => scheduler !== own)
-        .map((pending) => withRemainingTimes(pending, now)),
-    });
+    this.#sendToLeader({ _tag: 'placementState', ...this.#tickets.report(own, now) });
   }
 
   #sendToLeader(message: PeerMessage): void {
--- a/src/app/gateway/placement/logPlacementDecision.ts
+++ b/src/app/gateway/placement/logPlacementDecision.ts
@@ -27,6 +27,7 @@
     }),
     waitedMs: Math.round(decision.waitedMs),
     waiting,
+    ...(decision.isDelayedByCap && { isDelayedByCap: true }),
   };
   switch (decision._tag) {
     case 'grant': {
--- a/src/app/gateway/request/EndpointAttempt.ts
+++ b/src/app/gateway/request/EndpointAttempt.ts
@@ -2,16 +2,19 @@
 import { limitPromptParts, type PlacementResult } from '../../../protocol/peer/GatewayMessages.ts';
 import { endpointStartOf, type EndpointRecord } from '../../../state/gateway/index.ts';
 import {
+  confirmServerRuns,
   exchange,
   type AnswerFraming,
   type Exchange,
   type ExchangeEvent,
 } from '../../../transport/http/index.ts';
 import { AnswerReader, type ReadOutcome } from './AnswerReader.ts';
+import type { AttemptEnd } from '../rollouts/RolloutMonitor.ts';
 import type { CrashFinding } from '../crashes/CrashDetector.ts';
 import type { GatewayContext } from '../GatewayContext.ts';
 import type { AttemptEvent, RequestAttempt } from './RequestAttempt.ts';
 import type { RoutedRequest } from './RoutedRequest.ts';
+import { stallLimitMs, StallTimer } from './StallTimer.ts';
 import type { ViewAge } from '../following/StoreSubscription.ts';
 
 /** Request, endpoint and time limit of an attempt. */
@@ -28,6 +31,7 @@
   readonly onEvent: (event: AttemptEvent) => void;
 }
 
+const FIRST_CLIENT_ERROR = 400;
 const FIRST_SERVER_ERROR = 500;
 /** A prompt that crashes its engine does so within this time after the first byte of the answer. */
 const CRASH_ONSET_MS = 600;
@@ -47,6 +51,8 @@
 
   readonly #reader = new AnswerReader();
 
+  readonly #stallTimer: StallTimer;
+
   #exchange: Exchange | undefined;
 
   #answerFields: DecodedResponseHeaders | undefined;
@@ -55,6 +61,11 @@
 
   #ended = false;
 
+  /** Whether the permission to send had expired when there was a connection. */
+  #isWithheld = false;
+
+  #isConnectionLost = false;
+
   /** How old the view of the store was by which the request was sent. */
   readonly viewAge: ViewAge;
 
@@ -72,6 +83,8 @@
     this.#options = options;
     this.#sentAt = options.context.now();
     this.heardAt = this.#sentAt;
+    const limitMs = stallLimitMs(options.request.route);
+    this.#stallTimer = new StallTimer(limitMs, () => this.#fail(`no event for ${limitMs} ms`));
     this.viewAge = options.context.viewAge(this.#sentAt);
     options.context.metrics.recordViewAge(this.viewAge.ageMs);
   }
@@ -96,6 +109,7 @@
   start(): void {
     const { context, request, endpoint, remainingMs, lastEventId } = this.#options;
     if (request.service.engine === undefined) context.plainEndpoints.recordStart(endpoint);
+    context.rollouts.recordStart(endpoint);
     const { inbound, account } = request;
     this.#exchange = exchange(
       context.endpointPool,
@@ -113,6 +127,7 @@
         body: inbound.body,
         fresh: false,
         silenceMs: undefined,
+        mayWrite: () => this.#mayWrite(),
       },
       (event) => this.#onExchange(event),
     );
@@ -125,10 +140,12 @@
   }
 
   pause(): void {
+    this.#stallTimer.stop();
     this.#exchange?.pause();
   }
 
   resume(): void {
+    if (!this.#ended && this.#isStream()) this.#stallTimer.restart();
     this.#exchange?.resume();
   }
 
@@ -139,7 +156,8 @@
         this.written = true;
         return;
       case 'refused':
-        this.#onUnreachable(event.detail);
+        if (event.forbidden) this.#onForbidden(event.detail);
+        else this.#onUnreachable(event.detail);
         return;
       case 'head':
         this.#hear();
@@ -161,6 +179,24 @@
     }
   }
 
+  /** What was decided before a pause holds no longer, so that the request is placed anew. */
+  #onForbidden(detail: string): void {
+    if (this.#isWithheld) {
+      this.#onUnreachable(detail);
+      return;
+    }
+    this.#end('unused', 'the process stood still');
+    this.#emit({ _tag: 'notSent' });
+  }
+
+  /** Checks again what permitted the request, because the process may have been paused while it connected. */
+  #mayWrite(): boolean {
+    const { context } = this.#options;
+    if (!context.pauses.check()) return false;
+    this.#isWithheld = !context.maySend(this.endpoint, this.#sentAt);
+    return !this.#isWithheld;
+  }
+
   #hear(): void {
     const { now, reach } = this.#options.context;
     this.heardAt = now();
@@ -169,6 +205,11 @@
 
   /** The endpoint isn't blamed if this gateway reaches no other one either. */
   #onUnreachable(detail: string): void {
+    if (this.#isWithheld) {
+      this.#end('unused', detail);
+      this.#emit({ _tag: 'notRun', arrived: false, detail });
+      return;
+    }
     this.#options.context.reach.check(this.endpoint.id, (verdict) => {
       if (this.#ended) return;
       this.#end(verdict === 'isolated' ? 'unused' : 'unreachable', detail);
@@ -184,8 +225,11 @@
     this.#answerFields = answer;
     const isForThisRequest =
       answer.id === request.id || (answer.id === undefined && answer.isNotRun);
+    // A second copy of an answer without an id would be taken for the answer to the next request.
+    if (answer.id === undefined) this.#exchange?.discardConnection();
     if (isForThisRequest && (answer.isSigned || answer.isNotRun) && !answer.isEncoded) {
       this.#recordStatements(answer);
+      if (this.#isStream()) this.#stallTimer.restart();
       return;
     }
     // The answer belongs to another request, was not written by an endpoint, or has a content encoding
@@ -203,7 +247,12 @@
 
   #onData(bytes: Buffer): void {
     if (this.#firstByteAt === undefined) this.#onFirstByte();
-    this.#apply(this.#isStream() ? this.#reader.readStream(bytes) : this.#reader.readBody(bytes));
+    const { eventCount } = this.#reader;
+    const outcome = this.#isStream()
+      ? this.#reader.readStream(bytes)
+      : this.#reader.readBody(bytes);
+    if (this.#reader.eventCount > eventCount) this.#stallTimer.restart();
+    this.#apply(outcome);
   }
 
   #apply(outcome: ReadOutcome): void {
@@ -230,6 +279,7 @@
 
   #onEnded(): void {
     const { status } = this;
+    this.#stallTimer.stop();
     if (this.#answerFields?.isNotRun && !this.#answerFields.isSigned) {
       this.#end('turnedAway', `status ${status}`);
       this.#emit({
@@ -243,10 +293,11 @@
       this.#onStreamEnded();
       return;
     }
-    const failed = status >= FIRST_SERVER_ERROR;
-    this.#recordAnswer();
-    this.#end(failed ? 'failed' : 'served', `status ${status}`);
-    this.#emit({ _tag: 'answered', body: this.#reader.body() });
+    this.#confirmEnd(() => {
+      this.#recordAnswer();
+      this.#end(status >= FIRST_SERVER_ERROR ? 'failed' : 'served', `status ${status}`);
+      this.#emit({ _tag: 'answered', body: this.#reader.body() });
+    });
   }
 
   #onStreamEnded(): void {
@@ -256,9 +307,28 @@
       return;
     }
     this.#apply(outcome);
-    this.#recordAnswer();
-    this.#end('served', '');
-    this.#emit({ _tag: 'streamEnded' });
+    this.#confirmEnd(() => {
+      this.#recordAnswer();
+      this.#end('served', '');
+      this.#emit({ _tag: 'streamEnded' });
+    });
+  }
+
+  /**
+   * Completes an answer. The end of its connection alone is also what the end of the endpoint's process looks like, so
+   * an answer without another mark is complete only if the endpoint still accepts connections.
+   */
+  #confirmEnd(onComplete: () => void): void {
+    if (this.framing !== 'close') {
+      onComplete();
+      return;
+    }
+    const { context, endpoint } = this.#options;
+    confirmServerRuns(context.endpointPool, `http://${endpoint.address}`, (runs) => {
+      if (this.#ended) return;
+      if (runs) onComplete();
+      else this.#onConnectionLost('the endpoint is gone, and its answer has no end mark');
+    });
   }
 
   /**
@@ -269,6 +339,7 @@
     const { context, request, endpoint, ticketId } = this.#options;
     const answeringMs = context.now() - (this.#firstByteAt ?? context.now());
     const hasJustBegun = answeringMs <= CRASH_ONSET_MS;
+    this.#isConnectionLost = true;
     this.#exchange?.abort();
     this.#logEnd('failed', detail);
     this.#emit({ _tag: 'broken', detail, connectionLost: true });
@@ -318,6 +389,7 @@
   /** Marks the attempt as ended, for metrics and the log. */
   #logEnd(outcome: PlacementResult['outcome'], detail: string): void {
     this.#ended = true;
+    this.#stallTimer.stop();
     const { context, request, endpoint, ticketId } = this.#options;
     const totalMs = context.now() - this.#sentAt;
     context.metrics.countAttempt(request.service.name, outcome);
@@ -347,10 +419,25 @@
     const now = context.now();
     if (request.service.engine === undefined)
       context.plainEndpoints.recordEnd(endpoint, outcome, now - this.#sentAt, now);
+    context.rollouts.recordEnd({
+      record: endpoint,
+      route: request.route.name,
+      outcome: this.#evidenceOf(outcome),
+      totalMs: now - this.#sentAt,
+      promptTokens: request.fields.promptTokens,
+      outputTokens: this.#reader.eventCount * (request.service.engine?.tokensPerEvent ?? 1),
+    });
     if (ticketId !== undefined)
       context.placements.releaseSlot(ticketId, { outcome, ...this.#measureDecoding(outcome, now) });
   }
 
+  /** Returns what the outcome tells of the endpoint's version. */
+  #evidenceOf(outcome: PlacementResult['outcome']): AttemptEnd['outcome'] {
+    if (outcome === 'served') return this.status < FIRST_CLIENT_ERROR ? 'served' : 'other';
+    if (outcome === 'failed') return this.#isConnectionLost ? 'broken' : 'failed';
+    return outcome === 'cancelled' && !this.#isConnectionLost ? 'cancelled' : 'other';
+  }
+
   #measureDecoding(
     outcome: PlacementResult['outcome'],
     now: number,
--- a/src/app/gateway/request/RequestEndpoints.ts
+++ b/src/app/gateway/request/RequestEndpoints.ts
@@ -26,6 +26,16 @@
     return plainSelector.select(this.#listPlainCandidates(), now());
   }
 
+  /**
+   * Returns a granted endpoint that may still be used; undefined if it leaves, or if the permission to use its version
+   * has expired since the grant.
+   */
+  findGranted(id: string): EndpointRecord | undefined {
+    const { directory, rollouts } = this.#context;
+    const ready = directory.findReady(id);
+    return ready !== undefined && rollouts.maySend(ready) ? ready : undefined;
+  }
+
   /**
    * Selects another endpoint of a plain service after the scheduler refused one that states a limit.
    *
@@ -61,9 +71,18 @@
   }
 
   #listPlainCandidates(): PlainCandidates {
+    const { exclusions, rollouts, random, now } = this.#context;
+    const included = exclusions.selectIncluded(this.#listReady());
+    const untried = included.filter(({ id }) => !this.avoided.includes(id));
+    const { service, route } = this.#request;
     return {
-      service: this.#request.service.name,
-      records: this.#context.exclusions.selectIncluded(this.#listReady()),
+      service: service.name,
+      records: rollouts.gate.select(
+        { service: service.name, route: route.name, draw: random() },
+        untried,
+        (record) => record,
+        now(),
+      ),
       avoid: this.avoided,
       fraction: this.#context.random(),
     };
--- a/src/app/gateway/runGateway.ts
+++ b/src/app/gateway/runGateway.ts
@@ -6,24 +6,27 @@
 import type * as Scope from 'effect/Scope';
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
 import {
-  CONNECT_TIMEOUT_MS,
+  DomainDrains,
   EndpointDirectory,
-  EndpointLimits,
   PlainEndpointSelector,
   PlainServiceBalancer,
-  QuotaLimiter,
-  RetryBudget,
+  RolloutGate,
   TICK_INTERVAL_MS,
 } from '../../coordination/gateway/index.ts';
-import type { ObjectStore, WireAdapter } from '../../protocol/gateway/index.ts';
-import type { ClientLimits, GatewaySettings } from '../../state/gateway/index.ts';
-import { endpointStartOf } from '../../state/gateway/index.ts';
+import type { ObjectStore, StatusStore, WireAdapter } from '../../protocol/gateway/index.ts';
+import {
+  endpointStartOf,
+  DEFAULT_CLIENT_LIMITS,
+  type EndpointRecord,
+  type GatewaySettings,
+} from '../../state/gateway/index.ts';
 import { EntryTiming } from '../../state/EntrySettings.ts';
 import { makeGatewayServer } from '../../transport/gateway/index.ts';
-import { makeConnectionPool, type ConnectionPool } from '../../transport/http/index.ts';
+import type { ConnectionPool } from '../../transport/http/index.ts';
 import { makePeerNetwork } from '../../transport/peer/index.ts';
 import { startStatusServers } from './startStatusServers.ts';
 import { drainGateway } from './drainGateway.ts';
+import { MAXIMUM_GRANT_AGE_MS } from './placement/CapGuard.ts';
 import { EndpointLimitMonitor } from './placement/EndpointLimitMonitor.ts';
 import { CrashDetector } from './crashes/CrashDetector.ts';
 import { CrashMonitor } from './crashes/CrashMonitor.ts';
@@ -31,12 +34,20 @@
 import type { GatewayLog } from './GatewayLog.ts';
 import { ExclusionMonitor } from './reach/ExclusionMonitor.ts';
 import { GatewayMetrics } from './GatewayMetrics.ts';
+import { LateBound } from './LateBound.ts';
+import { makeConnectionPools } from './makeConnectionPools.ts';
+import { makeGroupBounds } from './makeGroupBounds.ts';
 import { makeIncarnation } from './makeIncarnation.ts';
+import { PauseMonitor } from './PauseMonitor.ts';
 import { PeerForwarder } from './reach/PeerForwarder.ts';
 import { PeerGroup } from './PeerGroup.ts';
 import { PlacementCoordinator } from './placement/PlacementCoordinator.ts';
 import { ReachMonitor } from './reach/ReachMonitor.ts';
 import { receiveForwarded } from './reach/receiveForwarded.ts';
+import type { DomainDrainSubscription } from './following/DomainDrainSubscription.ts';
+import { startDomainDrains } from './following/startDomainDrains.ts';
+import { RolloutMonitor } from './rollouts/RolloutMonitor.ts';
+import { predictRequestMs } from './rollouts/predictRequestMs.ts';
 import { StoreSubscription } from './following/StoreSubscription.ts';
 
 /** Settings, platform adapters and log of a gateway process. */
@@ -45,7 +56,10 @@
   readonly wire: WireAdapter;
   readonly log: GatewayLog;
   /** Creates the store client on a connection pool; `onCall` is called with the kind of each call. */
-  readonly makeStore: (pool: ConnectionPool, onCall: (call: string) => void) => ObjectStore;
+  readonly makeStore: (
+    pool: ConnectionPool,
+    onCall: (call: string) => void,
+  ) => ObjectStore & StatusStore;
   /** Paths of the readiness probe and of the list of caller addresses. */
   readonly paths: { readonly readiness: string; readonly addresses: string };
   /** Formats the list of addresses, which callers may cache for `cacheMs`. */
@@ -68,10 +82,6 @@
   readonly reload: (settings: GatewaySettings) => void;
 }
 
-/** Connections idle for longer are not reused, because endpoints close idle ones after some seconds. */
-const ENDPOINT_MAXIMUM_IDLE_MS = 1_500;
-const PEER_MAXIMUM_IDLE_MS = 3_000;
-const STORE_MAXIMUM_IDLE_MS = 10_000;
 /** Interval at which requests in flight are looked at while some are, or should be, at peers. */
 const REVIEW_INTERVAL_MS = 250;
 /** Fixed, because the platform provides no secret: every process on the internal network may join. */
@@ -85,57 +95,9 @@
   incarnationLeaseMs: 3_000,
 };
 
-/** Limits of the server for callers until the first configuration is in force. */
-const INITIAL_LIMITS: ClientLimits = {
-  maximumHeaderBytes: 16_384,
-  maximumBodyBytes: 4_194_304,
-  headerTimeoutMs: 3_000,
-  idleTimeoutMs: 15_000,
-};
-
 const addressOf = ({ host, port }: { readonly host: string; readonly port: number }): string =>
   `${host}:${port}`;
 
-/** A component that is set after the components that refer to it were created. */
-class LateBound<T> {
-  #value: T | undefined;
-
-  set(value: T): void {
-    this.#value = value;
-  }
-
-  /** Returns the component; throws if it was not set. */
-  get(): T {
-    if (this.#value === undefined)
-      throw new Error('late-bound component was used before it was set');
-    return this.#value;
-  }
-
-  /** Returns the component, or undefined if it was not set. */
-  peek(): T | undefined {
-    return this.#value;
-  }
-}
-
-const makeConnectionPools = (now: () => number) =>
-  Effect.all({
-    endpointPool: makeConnectionPool({
-      connectTimeoutMs: CONNECT_TIMEOUT_MS,
-      connectionTrustMs: ENDPOINT_MAXIMUM_IDLE_MS,
-      now,
-    }),
-    peerPool: makeConnectionPool({
-      connectTimeoutMs: CONNECT_TIMEOUT_MS,
-      connectionTrustMs: PEER_MAXIMUM_IDLE_MS,
-      now,
-    }),
-    storePool: makeConnectionPool({
-      connectTimeoutMs: CONNECT_TIMEOUT_MS,
-      connectionTrustMs: STORE_MAXIMUM_IDLE_MS,
-      now,
-    }),
-  });
-
 /**
  * Starts a gateway process; its servers, timers and connections close with the scope.
  *
@@ -151,7 +113,10 @@
     const { bounds } = settings;
     const now = (): number => performance.now();
     const metrics = new GatewayMetrics();
-    const directory = new EndpointDirectory();
+    const drains = new DomainDrains(bounds.domainDrainMs, now());
+    const isUsable = ({ failureDomain }: EndpointRecord): boolean =>
+      drains.isUsable(failureDomain, now());
+    const directory = new EndpointDirectory(isUsable);
     const plainEndpoints = new PlainServiceBalancer();
     const timing = yield* Schema.decodeEffect(EntryTiming)(PEER_TIMING).pipe(Effect.orDie);
     const { endpointPool, peerPool, storePool } = yield* makeConnectionPools(now);
@@ -159,6 +124,7 @@
       group: new LateBound<PeerGroup>(),
       gateway: new LateBound<Gateway>(),
       storeSubscription: new LateBound<StoreSubscription>(),
+      drainSubscription: new LateBound<DomainDrainSubscription>(),
     };
 
     const crashes = new CrashMonitor({ group: () => lateBound.group.get(), logger, now });
@@ -192,31 +158,45 @@
       },
       checkReach: (endpointId, onVerdict) => reach.check(endpointId, onVerdict),
       isIsolatedAlone: () => reach.isIsolated && forwarder.choose([]) !== undefined,
-      isExpectedToRun: (id) => directory.findReady(id) !== undefined,
+      isExpectedToRun: (id) => directory.isExpectedToRun(id),
       onCrash: (runs, at) => crashes.recordCrash(runs, at),
       metrics,
       logger,
       now,
     });
-    const endpointLimits = new EndpointLimits();
+    const store = options.makeStore(storePool, (call) => metrics.countStoreCall(call));
+    const { endpointLimits, quotas, retryBudget } = makeGroupBounds(bounds, now());
+    const { coldCaps } = endpointLimits;
+    const gate = new RolloutGate(bounds.rollouts?.rollbackMs);
     const placements = new PlacementCoordinator({
       group: () => lateBound.group.get(),
       crashes,
       limits: endpointLimits,
-      quotas: new QuotaLimiter(
-        {
-          windowMs: bounds.quotaWindowMs,
-          overshoot: bounds.quotaOvershoot,
-          slack: bounds.quotaSlack,
-        },
-        now(),
-      ),
+      quotas,
+      candidates: gate,
       findAccount: (name) => lateBound.gateway.peek()?.routeIndex?.findAccount(name),
       configurationVersion: () => lateBound.gateway.peek()?.routeIndex?.table.version ?? 0,
       metrics,
       logger,
       now,
     });
+    placements.scheduler.isUsable = isUsable;
+    const rollouts = new RolloutMonitor({
+      group: () => lateBound.group.get(),
+      gate,
+      bounds: bounds.rollouts,
+      store,
+      wire,
+      listEndpoints: () => directory.listAllReady(),
+      isEngineService: (name) =>
+        lateBound.gateway.peek()?.routeIndex?.findService(name)?.engine !== undefined,
+      makePrediction: (service) => predictRequestMs(service, placements.scheduler.engines()),
+      metrics,
+      logger,
+      now,
+      timeOfDay: () => Date.now(),
+      sleep: (ms) => sleep(ms),
+    });
     const updateScheduledEndpoints = (): void => {
       const records = lateBound.gateway
         .peek()
@@ -235,28 +215,45 @@
       logger,
       now,
     });
+    const pauses = new PauseMonitor({
+      onPaused: (pause) => {
+        // Another gateway may have charged them meanwhile.
+        quotas.reset(now());
+        endpointLimits.reset(now());
+        if (pause.uncountedMs > 0) retryBudget.forgetRequests();
+        endpointPool.closeIdle();
+        lateBound.storeSubscription.peek()?.recordPause(pause);
+      },
+      refreshView: async () => lateBound.storeSubscription.peek()?.refresh(),
+      metrics,
+      logger,
+      now,
+      wallNow: () => Date.now(),
+    });
     const gateway = new Gateway({
       wire,
       directory,
       plainEndpoints,
       plainSelector: new PlainEndpointSelector(plainEndpoints, endpointLimits),
-      retryBudget: new RetryBudget({
-        ratio: bounds.retryRatio,
-        slack: bounds.retrySlack,
-        windowMs: bounds.retryWindowMs,
-      }),
+      retryBudget,
       placements,
+      pauses,
       crashes,
       crashDetector,
       limits,
       exclusions,
       reach,
+      rollouts,
       forwarder,
       endpointPool,
       metrics,
       logger,
       now,
       random: Math.random,
+      maySend: (record, decidedAt) => {
+        const isLate = now() - decidedAt > MAXIMUM_GRANT_AGE_MS;
+        return isUsable(record) && !(isLate && coldCaps.isCapped(endpointStartOf(record)));
+      },
       viewAge: (at) => lateBound.storeSubscription.get().viewAge(at),
       memberCount: () =>
         lateBound.group.get().liveMembers().length +
@@ -267,7 +264,7 @@
     const server = yield* makeGatewayServer({
       address: settings.callers,
       now,
-      limits: () => gateway.routeIndex?.table.limits ?? INITIAL_LIMITS,
+      limits: () => gateway.routeIndex?.table.limits ?? DEFAULT_CLIENT_LIMITS,
       onRequest: (request, answer) => gateway.serve(request, answer),
       onRejected: (status, reason) => {
         metrics.countRequest('', 'rejected', status);
@@ -282,7 +279,7 @@
       now,
       onRequest: receiveForwarded({
         secret: PEER_SECRET,
-        limits: () => gateway.routeIndex?.table.limits ?? INITIAL_LIMITS,
+        limits: () => gateway.routeIndex?.table.limits ?? DEFAULT_CLIENT_LIMITS,
         onRequest: (request, answer, envelope) => gateway.serveForwarded(request, answer, envelope),
         logger,
         now,
@@ -310,7 +307,9 @@
         crashes.handle(message);
         limits.handle(message);
         exclusions.handle(message);
+        rollouts.handle(from, message);
         lateBound.storeSubscription.peek()?.handle(from, message);
+        lateBound.drainSubscription.peek()?.handle(message);
       },
       onMemberEnded: (incarnation) => placements.removeMember(incarnation),
     });
@@ -319,16 +318,29 @@
     group.join(settings.seeds, now());
 
     const updateEngines = (): void => {
+      coldCaps.retain(new Set(directory.listAll().map(endpointStartOf)));
+      rollouts.updateEndpoints();
       updateScheduledEndpoints();
       directory
         .listReadyVersions()
         .forEach((versions, service) => crashes.followVersions(service, versions));
-      plainEndpoints.retain(new Set(directory.listAllReady().map(({ id }) => id)));
+      plainEndpoints.retain(new Set(directory.listAccepting().map(({ id }) => id)));
     };
+    const drainSubscription = yield* startDomainDrains({
+      store,
+      drains,
+      directory,
+      coldCaps,
+      group,
+      logger,
+      now,
+      onChanged: updateEngines,
+    });
+    lateBound.drainSubscription.set(drainSubscription);
     const storeSubscription = yield* Effect.acquireRelease(
       Effect.sync(() => {
         const subscription = new StoreSubscription({
-          store: options.makeStore(storePool, (call) => metrics.countStoreCall(call)),
+          store,
           wire,
           directory,
           group,
@@ -337,7 +349,14 @@
           random: Math.random,
           sleep: (ms) => sleep(ms),
           onConfiguration: (table, source) => {
-            if (gateway.configure(table, source)) updateEngines();
+            if (!gateway.configure(table, source)) return;
+            coldCaps.setServices(table.services, bounds, now());
+            updateEngines();
+          },
+          onEndpointRecord: (record, seen) => {
+            if (!coldCaps.observe(record, seen, now())) return;
+            const { id, service, coldMs } = record;
+            logger.info({ endpoint: id, service, coldMs, ...seen }, 'endpoint taken as cold');
           },
           onEndpointsChanged: updateEngines,
           onRelayReceived: (kind, result) => metrics.countRelay(kind, result),
@@ -353,6 +372,7 @@
       ...options,
       gateway,
       directory,
+      drains,
       storeSubscription,
       group,
       placements,
@@ -374,17 +394,21 @@
     yield* Effect.acquireRelease(
       Effect.sync(() =>
         setInterval(() => {
+          pauses.check();
           group.tick(now());
           storeSubscription.tick();
+          drainSubscription.tick();
           placements.tick();
           crashes.tick();
           limits.tick();
           reach.tick();
+          rollouts.tick();
           reviewWhenDue();
         }, TICK_INTERVAL_MS),
       ),
       (timer) => Effect.sync(() => clearInterval(timer)),
     );
+    yield* Effect.addFinalizer(() => Effect.sync(() => rollouts.stop()));
     const addresses = {
       callers: server.address,
       peers: peers.address,
--- a/src/coordination/gateway/placement/PlacementDecision.ts
+++ b/src/coordination/gateway/placement/PlacementDecision.ts
@@ -21,6 +21,8 @@
       readonly engineGroup: EngineSpeedGroup;
       /** Whether its account was above its share, so that it yielded to others. */
       readonly aboveShare: boolean;
+      /** Whether the ticket waited because all endpoints that it could use were at their caps. */
+      readonly isDelayedByCap?: boolean;
     }
   | {
       readonly _tag: 'refuse';
@@ -36,4 +38,6 @@
       readonly aboveShare?: boolean;
       /** Engines of the service, and those of them that this request could use; absent if it wasn't queued. */
       readonly engines?: { readonly listed: number; readonly usable: number };
+      /** Whether the ticket waited because all endpoints that it could use were at their caps. */
+      readonly isDelayedByCap?: boolean;
     };
--- a/src/coordination/gateway/placement/PlacementScheduler.ts
+++ b/src/coordination/gateway/placement/PlacementScheduler.ts
@@ -7,8 +7,10 @@
 import { EndpointLimits } from '../limits/EndpointLimits.ts';
 import { AccountShares } from './AccountShares.ts';
 import type { EngineCandidate } from './chooseEngine.ts';
+import { ColdSlowdown } from './ColdSlowdown.ts';
 import { EngineGroup } from './EngineGroup.ts';
 import { EngineLoad, type RunningPlacement } from './EngineLoad.ts';
+import { EVERY_CANDIDATE, type CandidateFilter } from '../rollouts/CandidateFilter.ts';
 import { GrantRatios } from './GrantRatios.ts';
 import { MeanEngineTimes } from './MeanEngineTimes.ts';
 import { orderQueue, fairnessGroup, type WaitingPlacement } from './orderQueue.ts';
@@ -52,12 +54,31 @@
 
   readonly #meanEngineTimes = new MeanEngineTimes();
 
+  readonly #coldSlowdown = new ColdSlowdown();
+
+  /** Ids of waiting tickets that were delayed by the caps of endpoints. */
+  readonly #delayedByCap = new Set<string>();
+
+  /**
+   * Whether an engine may get requests now, asked at each decision; undefined if all may. The running requests and the
+   * estimates of those that may not are kept.
+   */
+  isUsable: ((record: EndpointRecord) => boolean) | undefined;
+
   readonly #slots: SlotCounter;
 
   readonly #admission: TicketAdmission;
 
-  /** @param limits - rates of requests that endpoints accept, of which each grant uses one request */
-  constructor(limits: EndpointLimits = new EndpointLimits()) {
+  readonly #candidates: CandidateFilter;
+
+  /**
+   * @param limits - rates of requests that endpoints accept, of which each grant uses one request
+   * @param candidates - selects the engines that a request may use by their versions
+   */
+  constructor(
+    limits: EndpointLimits = new EndpointLimits(),
+    candidates: CandidateFilter = EVERY_CANDIDATE,
+  ) {
     this.#limits = limits;
     this.#slots = new SlotCounter(limits);
     this.#admission = new TicketAdmission({
@@ -67,7 +88,10 @@
       routeSizes: this.#routeSizes,
       meanEngineTimes: this.#meanEngineTimes,
       reservations: new RetryReservations(),
+      coldSlowdown: this.#coldSlowdown,
+      candidates,
     });
+    this.#candidates = candidates;
   }
 
   /** Sets the fraction of each endpoint's slots and limits that this scheduler may use. */
@@ -100,8 +124,9 @@
    * @param owner - incarnation of the gateway that received the request
    * @param ticket - the request
    * @param now - current time, in ms
+   * @param arrivedAt - when this process received it, if it waited for its quota since; in ms
    */
-  enqueue(owner: string, ticket: PlacementTicket, now: number): void {
+  enqueue(owner: string, ticket: PlacementTicket, now: number, arrivedAt = now): void {
     if (this.hasTicket(ticket.id)) return;
     // A ticket with endpoints to avoid is a further attempt of a request that was counted before.
     if (ticket.avoid.length === 0) {
@@ -110,7 +135,7 @@
       this.#sizeShares.recordRequest(ticket, now);
       this.#grantRatios.recordRequest(fairnessGroup(ticket, this.#routeSizes), now);
     }
-    this.#waiting.set(ticket.id, { owner, ticket, arrivedAt: now });
+    this.#waiting.set(ticket.id, { owner, ticket, arrivedAt });
   }
 
   /** Whether a ticket waits in the queue or its request runs at an engine. */
@@ -131,9 +156,15 @@
     return running && { ticket: running.placement.ticket, record: running.engine.record };
   }
 
+  /** Returns the record of an engine; undefined if it isn't known here. */
+  findRecord(endpoint: string): EndpointRecord | undefined {
+    return this.#engines.get(endpoint)?.record;
+  }
+
   /** Removes a ticket from the queue; one that doesn't wait is ignored. */
   withdraw(id: string): void {
     this.#waiting.delete(id);
+    this.#delayedByCap.delete(id);
   }
 
   /**
@@ -147,7 +178,7 @@
     const running = this.#findRunning(id);
     if (running === undefined) return;
     const { engine, placement } = running;
-    if (!placement.started) engine.speed.recordPrefill(placement.prefillTokens, firstTokenMs);
+    if (!placement.started) this.#recordPrefill(engine, placement.prefillTokens, firstTokenMs, now);
     engine.recordFirstToken(id, now);
   }
 
@@ -170,7 +201,8 @@
       this.#limits.recordRejection(start, engine.running.size, now);
     const backoffMs = engine.availability.recordOutcome(result.outcome, now, placement.owner);
     const { decodeMs, outputTokens } = result;
-    if (decodeMs !== undefined && outputTokens !== undefined)
+    const isCold = this.#limits.coldCaps.isCold(start, now);
+    if (decodeMs !== undefined && outputTokens !== undefined && !isCold)
       engine.speed.recordDecode(outputTokens, decodeMs);
     const isBackoff = result.outcome === 'unreachable' || result.outcome === 'turnedAway';
     return isBackoff && backoffMs > 0
@@ -201,7 +233,7 @@
   /** Removes the waiting and running requests of a gateway that is gone. */
   removeOwner(owner: string): void {
     this.#waiting.forEach((queued, id) => {
-      if (queued.owner === owner) this.#waiting.delete(id);
+      if (queued.owner === owner) this.withdraw(id);
     });
     this.#engines.forEach(({ running }) =>
       running.forEach((placement, id) => {
@@ -268,8 +300,13 @@
   }
 
   #scheduleService(service: string, now: number): PlacementDecision[] {
-    const engines = [...this.#engines.values()].filter(({ record }) => record.service === service);
-    const group = new EngineGroup(preferHealthy(engines, ({ availability }) => availability, now));
+    const engines = [...this.#engines.values()].filter(
+      ({ record }) => record.service === service && (this.isUsable?.(record) ?? true),
+    );
+    const parts = this.#candidates.partition(service, engines, ({ record }) => record);
+    const group = new EngineGroup(
+      parts.flatMap((part) => preferHealthy(part, ({ availability }) => availability, now)),
+    );
     const waiting = [...this.#waiting.values()].filter(({ ticket }) => ticket.service === service);
     const isAboveShare = this.#accountShares.findAboveShare(now);
     const ordered = orderQueue(waiting, {
@@ -291,6 +328,7 @@
         now,
       );
       if (admission._tag === 'wait') {
+        if (admission.isCapped) this.#delayedByCap.add(queued.ticket.id);
         slotMsQueuedAhead += group.forecast(queued.ticket).slotHoldMs;
         return;
       }
@@ -302,11 +340,25 @@
       }
       this.#waiting.delete(queued.ticket.id);
       const aboveShare = isAboveShare(queued.ticket);
-      decisions.push(this.#carryOut(queued, admission, { group, aboveShare }, now));
+      const decision = this.#carryOut(queued, admission, { group, aboveShare }, now);
+      const isDelayedByCap = this.#delayedByCap.delete(queued.ticket.id);
+      decisions.push(isDelayedByCap ? { ...decision, isDelayedByCap } : decision);
     });
     return decisions;
   }
 
+  /** The speed of an engine is estimated from what it does while it is warm. */
+  #recordPrefill(
+    { speed, record }: EngineLoad,
+    prefillTokens: number,
+    firstTokenMs: number,
+    now: number,
+  ): void {
+    if (this.#limits.coldCaps.isCold(endpointStartOf(record), now))
+      this.#coldSlowdown.recordFirstToken(firstTokenMs, speed.estimateFirstTokenMs(prefillTokens));
+    else speed.recordPrefill(prefillTokens, firstTokenMs);
+  }
+
   #carryOut(
     queued: WaitingPlacement,
     admission: Exclude<Admission, { readonly _tag: 'wait' }>,
--- a/src/coordination/gateway/placement/TicketAdmission.ts
+++ b/src/coordination/gateway/placement/TicketAdmission.ts
@@ -4,8 +4,11 @@
 } from '../../../protocol/peer/GatewayMessages.ts';
 import { endpointStartOf } from '../../../state/gateway/index.ts';
 import type { EndpointLimits } from '../limits/EndpointLimits.ts';
+import type { CandidateFilter } from '../rollouts/CandidateFilter.ts';
+import { drawOf } from '../rollouts/drawOf.ts';
 import { adviseRetryAfter } from './adviseRetryAfter.ts';
 import { chooseEngine, type EngineCandidate, type PlacementLimits } from './chooseEngine.ts';
+import type { ColdSlowdown } from './ColdSlowdown.ts';
 import type { EngineGroup } from './EngineGroup.ts';
 import type { EngineLoad } from './EngineLoad.ts';
 import type { GrantRatios } from './GrantRatios.ts';
@@ -45,7 +48,8 @@
 /** What becomes of a waiting ticket now. */
 export type Admission =
   | { readonly _tag: 'grant'; readonly candidate: EngineCandidate }
-  | { readonly _tag: 'wait' }
+  /** `isCapped`: all endpoints that it could use are at their caps. */
+  | { readonly _tag: 'wait'; readonly isCapped?: boolean }
   | Refusal;
 
 /** State of a service's engines and queue at the turn of a ticket. */
@@ -66,6 +70,9 @@
   readonly routeSizes: RouteMeanSizes;
   readonly meanEngineTimes: MeanEngineTimes;
   readonly reservations: RetryReservations;
+  readonly coldSlowdown: ColdSlowdown;
+  /** Selects the engines that a request may use by their versions. */
+  readonly candidates: CandidateFilter;
 }
 
 /** Refuses a request that isn't queued; its gateway sends it to another endpoint. */
@@ -94,6 +101,10 @@
 
   readonly #reservations: RetryReservations;
 
+  readonly #coldSlowdown: ColdSlowdown;
+
+  readonly #candidates: CandidateFilter;
+
   constructor(options: TicketAdmissionOptions) {
     this.#limits = options.limits;
     this.#slots = options.slots;
@@ -101,6 +112,8 @@
     this.#routeSizes = options.routeSizes;
     this.#meanEngineTimes = options.meanEngineTimes;
     this.#reservations = options.reservations;
+    this.#coldSlowdown = options.coldSlowdown;
+    this.#candidates = options.candidates;
   }
 
   /**
@@ -118,9 +131,14 @@
   ): Admission {
     const { ticket, owner, arrivedAt } = queued;
     const waitedMs = now - arrivedAt;
-    const reachable = group.engines.filter(
-      ({ record, availability }) =>
-        !ticket.avoid.includes(record.id) && availability.isReachableFrom(owner, now),
+    const reachable = this.#candidates.select(
+      { service: ticket.service, route: ticket.route, draw: drawOf(ticket.id) },
+      group.engines.filter(
+        ({ record, availability }) =>
+          !ticket.avoid.includes(record.id) && availability.isReachableFrom(owner, now),
+      ),
+      ({ record }) => record,
+      now,
     );
     const restMs = ({ record }: EngineLoad): number => msUntilIncluded(ticket, record.id, waitedMs);
     const usable =
@@ -157,6 +175,8 @@
       remainingMs,
       now,
       slotLimitOf: (engine) => group.slotLimit(engine, this.#slots.ofEngine(engine, now)),
+      slowdownOf: ({ record }) =>
+        this.#limits.coldCaps.isCold(endpointStartOf(record), now) ? this.#coldSlowdown.factor : 1,
     };
     const candidate =
       this.#chooseUnlimited(ticket, open, group, limits) ?? chooseEngine(ticket, open, limits);
@@ -168,7 +188,7 @@
       const limitedWaitMs = expectedWaitMs + untilAllowedMs;
       return limitedWaitMs + group.forecast(ticket).firstTokenMs > remainingMs
         ? refuse('overload', limitedWaitMs)
-        : { _tag: 'wait' };
+        : { _tag: 'wait', isCapped: this.#isCapped(usable, now) };
     }
     if (ticket.immediate) return refuseImmediately(0, engines);
     const willMissTarget = expectedWaitMs + group.forecast(ticket).firstTokenMs > targetMs;
@@ -195,15 +215,20 @@
     group: EngineGroup,
     limits: PlacementLimits,
   ): EngineCandidate | undefined {
-    if (this.#limits.isEmpty) return undefined;
+    if (!this.#limits.hasStatedLimits) return undefined;
     const { engineTimeMs } = group.forecast(ticket);
     if (this.#meanEngineTimes.isLong(ticket.service, engineTimeMs)) return undefined;
     const unlimited = engines.filter(
-      ({ record }) => !this.#limits.isLimited(endpointStartOf(record), limits.now),
+      ({ record }) => !this.#limits.statesLimit(endpointStartOf(record), limits.now),
     );
     return chooseEngine(ticket, unlimited, limits);
   }
 
+  #isCapped(engines: readonly EngineLoad[], now: number): boolean {
+    const { coldCaps } = this.#limits;
+    return engines.some(({ record }) => coldCaps.msUntilAllowed(endpointStartOf(record), now) > 0);
+  }
+
   #adviseRetry(ticket: PlacementTicket, expectedMs: number, now: number): number {
     const group = fairnessGroup(ticket, this.#routeSizes);
     return adviseRetryAfter(ticket.id, expectedMs, this.#grantRatios.grantRatio(group, now));
--- a/src/protocol/peer/GatewayMessages.ts
+++ b/src/protocol/peer/GatewayMessages.ts
@@ -1,4 +1,5 @@
 import * as Schema from 'effect/Schema';
+import { RolloutReport, RolloutStep } from './RolloutMessages.ts';
 
 const Milliseconds = Schema.Finite;
 
@@ -160,7 +161,7 @@
 export type QuarantinedPart = typeof QuarantinedPart.Type;
 
 /** Kinds of store objects whose changes gateways relay to each other. */
-export const WatchedKind = Schema.Literals(['configuration', 'endpoints']);
+export const WatchedKind = Schema.Literals(['configuration', 'endpoints', 'domainDrains']);
 export type WatchedKind = typeof WatchedKind.Type;
 
 /** Messages between gateways: placement at the scheduling gateway, and relayed changes of the store. */
@@ -169,6 +170,11 @@
   Schema.TaggedStruct('placementGrant', {
     id: Schema.NonEmptyString,
     endpoint: Schema.NonEmptyString,
+    /**
+     * Time for which the ticket waited at the scheduler; the rest of the time since it was sent went by on the way. A
+     * scheduler that doesn't state it doesn't count the requests of capped endpoints.
+     */
+    waitedMs: Schema.optionalKey(Milliseconds),
   }),
   Schema.TaggedStruct('placementRefusal', {
     id: Schema.NonEmptyString,
@@ -209,6 +215,10 @@
   Schema.TaggedStruct('servedReports', { reports: Schema.Array(ServedReport) }),
   /** Prompt parts and requests in quarantine; the receiver keeps the newest state of each. */
   Schema.TaggedStruct('quarantinedParts', { parts: Schema.Array(QuarantinedPart) }),
+  /** What the sender sent to the versions of services that have two, and how it ended; goes to the scheduler. */
+  Schema.TaggedStruct('rolloutReports', { reports: Schema.Array(RolloutReport) }),
+  /** What each gateway may send to the versions of such services, from the scheduler. */
+  Schema.TaggedStruct('rolloutSteps', { steps: Schema.Array(RolloutStep) }),
   /** Starts of endpoints that have said to the sender, in answers, that they leave. */
   Schema.TaggedStruct('endpointsLeaving', { endpoints: Schema.Array(Schema.String) }),
   /** Asks for the changes of the store that the sender lacks. */
--- a/src/state/gateway/GatewaySettings.ts
+++ b/src/state/gateway/GatewaySettings.ts
@@ -24,8 +24,31 @@
   quotaOvershoot: NonNegative,
   /** Permitted use above a quota in units, in addition to `quotaOvershoot`. */
   quotaSlack: NonNegative,
+  /**
+   * Time after its acknowledgement by which a drain of a failure domain must be in force at every gateway. Drains are
+   * followed only if it is present.
+   */
+  domainDrainMs: Schema.optionalKey(NonNegative),
+  /**
+   * Factor by which the requests to a cold endpoint in any second may exceed those that it bears. Cold endpoints are
+   * bounded only if this or `coldSlack` is present.
+   */
+  coldOvershoot: Schema.optionalKey(NonNegative),
+  /** Requests to a cold endpoint in any second, in addition to `coldOvershoot`. */
+  coldSlack: Schema.optionalKey(NonNegative),
   /** Longest time for which callers cache the list of addresses. */
   addressesKeepMs: NonNegative,
+  /** Bounds of canary roll-outs; roll-outs are driven only where this is present. */
+  rollouts: Schema.optionalKey(
+    Schema.Struct({
+      /** Part of a service's requests that a bad version may get in the time of its roll-out. */
+      exposeShare: NonNegative,
+      /** Requests that a bad version may get in addition. */
+      exposeSlack: NonNegative,
+      /** Time after the 50th bad response from which a bad version may get no requests. */
+      rollbackMs: NonNegative,
+    }),
+  ),
 });
 export type GatewayBounds = typeof GatewayBounds.Type;
 
--- a/src/transport/endpoint/EngineCall.ts
+++ b/src/transport/endpoint/EngineCall.ts
@@ -102,12 +102,21 @@
   }
 
   #dispatch(): void {
-    const { address, method, path, body } = this.#request;
+    const { address, method, path, body, mayWrite } = this.#request;
     // A compressed answer couldn't be read on its way through.
     const headers = { ...endpointHeaders(this.#request), 'accept-encoding': 'identity' };
     this.#exchange = exchange(
       this.#pool,
-      { address, method, path, headers, body, fresh: false, silenceMs: this.#silenceMs },
+      {
+        address,
+        method,
+        path,
+        headers,
+        body,
+        fresh: false,
+        silenceMs: this.#silenceMs,
+        mayWrite,
+      },
       (event) => this.#onExchange(event),
     );
   }
@@ -177,6 +186,8 @@
     const echoed = headers[REQUEST_ID_HEADER];
     this.#errorStatus = status !== HTTP_OK;
     const unmarkedError = this.#errorStatus && echoed === undefined;
+    // A second copy of it would be taken for the answer to the next request.
+    if (unmarkedError) this.#exchange?.discardConnection();
     if (echoed !== this.#request.id && !unmarkedError) {
       this.#fail('answer_crossed', `answer is for request ${String(echoed)}`);
       return;
--- a/src/transport/http/exchange.ts
+++ b/src/transport/http/exchange.ts
@@ -29,6 +29,11 @@
    * request without a body.
    */
   readonly continueWithinMs?: number;
+  /**
+   * Whether the request may still be sent; asked right before it is written, since connecting takes time. If not, the
+   * exchange is `refused`. Undefined for a request that may always be sent.
+   */
+  readonly mayWrite?: (() => boolean) | undefined;
 }
 
 /** How the end of an answer is marked; `close` means by the end of its connection alone. */
@@ -37,7 +42,12 @@
 /** What happens to an exchange, in order; `refused`, `ended` or `broken` comes last and once. */
 export type ExchangeEvent =
   /** The request was not written, or not as a whole, so the server can't have run it. */
-  | { readonly _tag: 'refused'; readonly detail: string }
+  | {
+      readonly _tag: 'refused';
+      readonly detail: string;
+      /** Whether `mayWrite` forbade it, so that the server has no part in it. */
+      readonly forbidden?: true;
+    }
   /** The request is being written: from here on it may reach the server. */
   | { readonly _tag: 'written' }
   | {
@@ -60,6 +70,8 @@
   /** Stops reading the answer, for a reader that can't keep up. */
   readonly pause: () => void;
   readonly resume: () => void;
+  /** Closes the connection after the answer, in place of using it again. */
+  readonly discardConnection: () => void;
 }
 
 type Opened =
@@ -104,7 +116,14 @@
   }
 };
 
-const framingOf = ({ headers }: http.IncomingMessage): AnswerFraming => {
+/** Statuses whose answers never have a body, so that their head is their end. */
+const BODILESS_STATUSES: ReadonlySet<number | undefined> = new Set([204, 304]);
+
+const framingOf = (
+  { headers, statusCode }: http.IncomingMessage,
+  method: string,
+): AnswerFraming => {
+  if (method === 'HEAD' || BODILESS_STATUSES.has(statusCode)) return 'length';
   if (headers['transfer-encoding'] !== undefined) return 'chunked';
   return headers['content-length'] === undefined ? 'close' : 'length';
 };
@@ -129,6 +148,7 @@
   let patience: NodeJS.Timeout | undefined;
   /** Bytes since the last that were a part of the body, or since the start. */
   let idleBytes = 0;
+  let isDiscarded = false;
 
   const finish = (event: ExchangeEvent): void => {
     if (ended) return;
@@ -140,7 +160,11 @@
   };
   const endProbe = new EndProbe();
   const onSocketEnd = (socket: Socket): void => {
-    if (incoming !== undefined && !incoming.complete && framingOf(incoming) === 'close')
+    if (
+      incoming !== undefined &&
+      !incoming.complete &&
+      framingOf(incoming, request.method) === 'close'
+    )
       endProbe.start(socket);
   };
   const breakOff = (detail: string): void => {
@@ -165,7 +189,7 @@
       status: response.statusCode ?? 0,
       headers: response.headers,
       headerLines: response.rawHeaders,
-      framing: framingOf(response),
+      framing: framingOf(response, request.method),
     });
     response.on('data', (bytes: Buffer) => {
       if (ended) return;
@@ -191,6 +215,10 @@
   const write = (body: Uint8Array | undefined): void => {
     clearTimeout(patience);
     if (ended) return;
+    if (request.mayWrite?.() === false) {
+      finish({ _tag: 'refused', detail: 'it may not be sent any more', forbidden: true });
+      return;
+    }
     if (request.silenceMs !== undefined) silence = setTimeout(onSilence, request.silenceMs);
     onEvent({ _tag: 'written' });
     if (ended) return;
@@ -211,6 +239,11 @@
       return;
     }
     const { socket } = outcome;
+    if (request.mayWrite?.() === false) {
+      pool.release(request.address, socket);
+      finish({ _tag: 'refused', detail: 'no longer permitted', forbidden: true });
+      return;
+    }
     const { body, continueWithinMs } = request;
     // Without a body the head is the whole request, which can't be held back.
     const asksFirst = body !== undefined && body.length > 0 && continueWithinMs !== undefined;
@@ -229,7 +262,8 @@
     socket.once('free', () => {
       socket.removeListener('end', probeEnd);
       socket.removeListener('data', onBytes);
-      pool.release(request.address, socket);
+      if (isDiscarded) socket.destroy();
+      else pool.release(request.address, socket);
     });
     outgoing.on('response', onResponse);
     outgoing.on('error', (error) => breakOff(error.message));
@@ -249,5 +283,8 @@
     },
     pause: () => incoming?.pause(),
     resume: () => incoming?.resume(),
+    discardConnection: () => {
+      isDiscarded = true;
+    },
   };
 };
