--- a/src/app/gateway/rollouts/RolloutMonitor.ts
+++ b/src/app/gateway/rollouts/RolloutMonitor.ts
@@ -15,6 +15,7 @@
 import type { GatewayMetrics } from '../GatewayMetrics.ts';
 import type { PeerGroup } from '../PeerGroup.ts';
 import { RolloutStore, type OrdersRead } from './RolloutStore.ts';
+import { firstStartOf, slotsByVersion } from './versionFacts.ts';
 import { VersionTraffic } from './VersionTraffic.ts';
 
 /** Collaborators of a roll-out monitor. */
@@ -196,14 +197,17 @@
     services
       .filter((service) => !this.#drivers.has(service))
       .forEach((service) => {
-        const { now, isEngineService, makePrediction } = this.#options;
+        const { now, isEngineService, makePrediction, listEndpoints, timeOfDay } = this.#options;
         const mixedSince = this.gate.mixedSince(service) ?? now();
         const driver = new RolloutDriver({
           service,
           isEngine: isEngineService(service),
           bounds,
           mixedSince,
-          startedMsAgo: (version) => this.#startedMsAgo(service, version),
+          startedMsAgo: (version) => {
+            const startedAt = firstStartOf(listEndpoints(), service, version);
+            return startedAt === undefined ? undefined : timeOfDay() - startedAt;
+          },
           predictMs: makePrediction(service),
         });
         this.#drivers.set(service, driver);
@@ -214,7 +218,7 @@
         this.#options.logger.info(
           {
             service,
-            versions: Object.fromEntries(this.#slotsByVersion(service)),
+            versions: Object.fromEntries(slotsByVersion(this.#options.listEndpoints(), service)),
             before: this.gate.baseVersion(service),
             sinceMs: Math.round(now() - mixedSince),
           },
@@ -277,7 +281,7 @@
       const outcome = driver.decide(
         {
           members,
-          slotsByVersion: this.#slotsByVersion(service),
+          slotsByVersion: slotsByVersion(this.#options.listEndpoints(), service),
           baseVersion: this.gate.baseVersion(service),
           isStoreReached: this.#store.isReached,
         },
@@ -337,24 +341,4 @@
       'roll-out step in force',
     );
   }
-
-  #startedMsAgo(service: string, version: string): number | undefined {
-    const starts = this.#options
-      .listEndpoints()
-      .filter((record) => record.service === service && record.version === version)
-      .map(({ bornAt }) => bornAt)
-      .filter((bornAt) => bornAt > 0);
-    return starts.length === 0 ? undefined : this.#options.timeOfDay() - Math.min(...starts);
-  }
-
-  #slotsByVersion(service: string): ReadonlyMap<string, number> {
-    const slots = new Map<string, number>();
-    this.#options
-      .listEndpoints()
-      .filter((record) => record.service === service)
-      .forEach((record) =>
-        slots.set(record.version, (slots.get(record.version) ?? 0) + Math.max(1, record.slots)),
-      );
-    return slots;
-  }
 }
--- a/src/coordination/gateway/rollouts/RolloutDriver.ts
+++ b/src/coordination/gateway/rollouts/RolloutDriver.ts
@@ -200,6 +200,7 @@
     this.#evidence.advance(now);
     const ageMs = now - this.#orderedAt;
     const decision = decideRolloutStep({
+      isEngine: this.#options.isEngine,
       durationMs: order.durationMs,
       ageMs,
       cutoverForMs: this.#cutoverAt === undefined ? undefined : now - this.#cutoverAt,
--- a/src/coordination/gateway/rollouts/RolloutGate.test.ts
+++ b/src/coordination/gateway/rollouts/RolloutGate.test.ts
@@ -66,6 +66,12 @@
     expect(gate.maySend(NEW, 12_000)).toEqual(false);
   });
 
+  it('uses every version without an order, also while the scheduler changes', () => {
+    const gate = makeGate();
+    gate.apply({ _tag: 'unordered', service: 'plain' }, 10_100);
+    expect(versions(gate, 0, 20_000)).toEqual(['v1', 'v2']);
+  });
+
   it('sends everything to the target in the cutover, and to the old one where the target has no endpoint', () => {
     const gate = makeGate();
     gate.apply({ _tag: 'cutover', service: 'plain', target: 'v2', orderAgeMs: 0 }, 10_100);
--- a/src/coordination/gateway/rollouts/RolloutGate.ts
+++ b/src/coordination/gateway/rollouts/RolloutGate.ts
@@ -92,14 +92,14 @@
 ): Permission => {
   if (mixedSince === undefined) return { _tag: 'every' };
   if (step === undefined) return now - mixedSince > NO_DRIVER_MS ? { _tag: 'every' } : NOTHING;
-  // Final states don't expire, because nothing reverses them.
+  // Final states don't expire, because nothing reverses them. What holds without an order doesn't either: a release
+  // that replaces endpoints goes on while the scheduler changes.
   if (step._tag === 'completed') return { _tag: 'newOnly' };
+  if (step._tag === 'unordered') return { _tag: 'every' };
   if (step._tag === 'rolledBack' || now - heardAt > validityMs) return NOTHING;
   switch (step._tag) {
     case 'unread':
       return { _tag: 'share', share: step.share };
-    case 'unordered':
-      return { _tag: 'every' };
     case 'cutover':
       return { _tag: 'newOnly' };
     case 'trial': {
--- a/src/coordination/gateway/rollouts/decideRolloutStep.ts
+++ b/src/coordination/gateway/rollouts/decideRolloutStep.ts
@@ -2,14 +2,19 @@
 
 /** Time before the deadline at which the final state is written, so that a slow or repeated write is in time. */
 const COMPLETION_MARGIN_MS = 1_000;
-/** Part of a roll-out's duration in which the target gets all requests while those at the old endpoints end. */
+/**
+ * Part of a roll-out's duration in which the target gets all requests while those at the old endpoints end, and its
+ * bounds. Requests of plain services end in a fraction of a second, so that the trial can last longer.
+ */
 const CUTOVER_PART = 0.15;
-const CUTOVER_MS = { minimum: 700, maximum: 4_000 } as const;
+const CUTOVER_MS = { minimum: 900, maximum: 4_000 } as const;
 /** Time for evidence under full load to arrive before a roll-out is completed. */
 const MINIMUM_CUTOVER_MS = 700;
 
 /** What the driver of a roll-out knows when it decides. */
 export interface RolloutSituation {
+  /** Whether requests are long ones of model engines. */
+  readonly isEngine: boolean;
   readonly durationMs: number;
   /** Time since the order. */
   readonly ageMs: number;
@@ -40,8 +45,10 @@
 const stay = (detail: string): RolloutDecision => ({ _tag: 'stay', detail });
 
 /** Returns for how long the target gets all requests before a roll-out is completed, in ms. */
-const cutoverMsOf = (durationMs: number): number =>
-  Math.min(CUTOVER_MS.maximum, Math.max(CUTOVER_MS.minimum, CUTOVER_PART * durationMs));
+const cutoverMsOf = ({ durationMs, isEngine }: RolloutSituation): number =>
+  isEngine
+    ? Math.min(CUTOVER_MS.maximum, Math.max(CUTOVER_MS.minimum, CUTOVER_PART * durationMs))
+    : CUTOVER_MS.minimum;
 
 const describe = ({ kind, scope, suspicion, responses, failures }: VersionFinding): string =>
   `${kind} in ${scope}: suspicion ${suspicion.toFixed(2)} after ${responses} responses, ${failures} of them failed`;
@@ -55,7 +62,7 @@
       ? { _tag: 'finish', state: 'rolledBack', detail: `deadline: ${missing}` }
       : stay(missing);
   }
-  return remainingMs <= COMPLETION_MARGIN_MS + cutoverMsOf(durationMs)
+  return remainingMs <= COMPLETION_MARGIN_MS + cutoverMsOf(situation)
     ? { _tag: 'cutOver', detail: 'sound in the trial' }
     : stay('the trial goes on, as a version may turn bad late');
 };
@@ -69,7 +76,7 @@
   const beganInTime = ageMs - cutoverForMs < durationMs - COMPLETION_MARGIN_MS;
   const isDue = beganInTime
     ? durationMs - ageMs <= COMPLETION_MARGIN_MS
-    : cutoverForMs >= cutoverMsOf(durationMs);
+    : cutoverForMs >= cutoverMsOf(situation);
   return isDue
     ? { _tag: 'finish', state: 'completed', detail: 'little time is left' }
     : stay(missing ?? 'requests run at old endpoints');
