--- a/src/coordination/gateway/rollouts/RolloutDriver.ts
+++ b/src/coordination/gateway/rollouts/RolloutDriver.ts
@@ -224,7 +224,7 @@
   }
 
   get #trialShare(): number {
-    return TRIAL_PART * this.#options.bounds.exposeShare;
+    return Math.min(1, TRIAL_PART * this.#options.bounds.exposeShare);
   }
 
   #begin(orderedAt: number): void {
