Send a second copy of slow requests where the operator allows it

Cause: a single endpoint that stands still for a moment decides the tail of the latency, though another endpoint could have answered a repeatable request meanwhile.

Change: with a hedge share (GatewaySettings.hedging, CORIANDERWICK_HEDGE_SHARE), a request that has waited longer than a quantile of its group's times to first byte gets a second copy at another endpoint; the first answer wins and the other copy is cancelled. HedgePolicy decides; HedgedAttempt is the attempt with two copies; FirstByteTimes and HedgeMonitor merge the times of all gateways in optional fields of placementState and schedulerNotes. Copies are limited by the share, the retry budget, max_attempts, three quarters of the service's slots and the account's share. At engines the scheduler grants them last, and never for a gateway that decides alone. Without a share nothing is measured or sent.

Existing tests: PlacementCoordinator.test.ts can vary a ticket's fields, for a new test; startGateway takes a hedge share.

--- a/src/app/gateway/GatewayContext.ts
+++ b/src/app/gateway/GatewayContext.ts
@@ -12,6 +12,7 @@
 import type { CrashMonitor } from './crashes/CrashMonitor.ts';
 import type { EndpointLimitMonitor } from './placement/EndpointLimitMonitor.ts';
 import type { ExclusionMonitor } from './reach/ExclusionMonitor.ts';
+import type { HedgeMonitor } from './placement/HedgeMonitor.ts';
 import type { GatewayMetrics } from './GatewayMetrics.ts';
 import type { PeerForwarder } from './reach/PeerForwarder.ts';
 import type { PauseMonitor } from './PauseMonitor.ts';
@@ -27,6 +28,8 @@
   readonly plainEndpoints: PlainServiceBalancer;
   readonly plainSelector: PlainEndpointSelector;
   readonly retryBudget: RetryBudget;
+  /** Undefined where no second copies of slow requests are allowed. */
+  readonly hedging: HedgeMonitor | undefined;
   readonly placements: PlacementCoordinator;
   readonly pauses: PauseMonitor;
   readonly crashes: CrashMonitor;
--- a/src/app/gateway/GatewayMetrics.ts
+++ b/src/app/gateway/GatewayMetrics.ts
@@ -109,6 +109,13 @@
     registers: [this.#registry],
   });
 
+  readonly #hedges = new Counter({
+    name: 'corianderwick_gateway_hedges_total',
+    help: 'Second copies of slow requests by route and what came of them, or which limit rejected them.',
+    labelNames: ['route', 'result', 'limit'],
+    registers: [this.#registry],
+  });
+
   readonly #latencyHistograms = new Map<string, Histogram>();
 
   readonly #latencyGauge = new Gauge({
@@ -230,6 +237,22 @@
     this.#forwardings.inc({ direction, result });
   }
 
+  /**
+   * Counts what came of a second copy of a slow request.
+   *
+   * @param route - name of the route
+   * @param result - `sent`; of those `won` or `wasted`; `cancelled` for each copy that was cancelled because the other
+   *   one answered first; `rejected` if a limit forbade it
+   * @param limit - the limit that forbade it
+   */
+  countHedge(
+    route: string,
+    result: 'sent' | 'won' | 'wasted' | 'cancelled' | 'rejected',
+    limit = '',
+  ): void {
+    this.#hedges.inc({ route, result, limit });
+  }
+
   /** Records the time in ms from the arrival of a request to the first byte of its answer. */
   recordFirstByteLatency(route: string, latencyMs: number): void {
     const histogram =
--- a/src/app/gateway/placement/LocalTickets.ts
+++ b/src/app/gateway/placement/LocalTickets.ts
@@ -84,6 +84,11 @@
     return [...this.#pending.values()];
   }
 
+  /** Whether a ticket has been pending for longer than a time in ms. */
+  hasPendingFor(ms: number, now: number): boolean {
+    return [...this.#pending.values()].some(({ requestedAt }) => now - requestedAt > ms);
+  }
+
   /**
    * Removes a pending ticket without an answer.
    *
@@ -117,6 +122,20 @@
     pending.onAnswer(answer);
   }
 
+  /**
+   * Refuses the pending ticket of a second copy: a gateway that decides alone doesn't know the load of the service.
+   *
+   * @param pending - the ticket
+   * @param own - incarnation of this process
+   * @returns whether the ticket is one of a second copy
+   */
+  refuseHedge({ ticket }: PendingTicket, own: string): boolean {
+    if (ticket.hedge === undefined) return false;
+    const refusal = { reason: 'overload', retryAfterMs: 0, decidedBy: own } as const;
+    this.answer(ticket.id, { _tag: 'refused', ...refusal });
+    return true;
+  }
+
   /**
    * Records the slot that a pending ticket was granted, and answers the ticket.
    *
--- a/src/app/gateway/placement/PlacementCoordinator.test.ts
+++ b/src/app/gateway/placement/PlacementCoordinator.test.ts
@@ -78,8 +78,8 @@
     ...shared,
   });
   const answers: PlacementAnswer[] = [];
-  const place = (id: string): void =>
-    coordinator.requestSlot(ticket(id), (answer) => answers.push(answer));
+  const place = (id: string, more: Partial<PlacementTicket> = {}): void =>
+    coordinator.requestSlot({ ...ticket(id), ...more }, (answer) => answers.push(answer));
   return { coordinator, state, sent, answers, place };
 };
 
@@ -111,6 +111,16 @@
     ]);
   });
 
+  // Guards against second copies of a gateway that doesn't know the load of the service.
+  it('refuses the ticket of a second copy if the scheduler is silent', () => {
+    const { coordinator, state, answers, place } = makeCoordinator('own');
+    coordinator.scheduler.setEngines([{ ...ENGINE, slots: 8 }]);
+    place('copy', { quotaUnits: 0, immediate: true, hedge: { failureDomain: 'b' } });
+    state.now += 400;
+    coordinator.tick();
+    expect(answers.map(({ _tag }) => _tag)).toEqual(['refused']);
+  });
+
   it('confirms charges of tickets that wait, and of no others', () => {
     const { coordinator, state, sent } = makeCoordinator('first');
     coordinator.tick();
--- a/src/app/gateway/placement/PlacementCoordinator.ts
+++ b/src/app/gateway/placement/PlacementCoordinator.ts
@@ -19,6 +19,7 @@
   type PlacementAnswer,
 } from './LocalTickets.ts';
 import type { GatewayMetrics } from '../GatewayMetrics.ts';
+import type { HedgeMonitor } from './HedgeMonitor.ts';
 import { logPlacementDecision } from './logPlacementDecision.ts';
 import { refuseOverQuota } from './refuseOverQuota.ts';
 import { QuarantineGate } from '../crashes/QuarantineGate.ts';
@@ -35,6 +36,8 @@
   readonly quotas: QuotaLimiter;
   readonly limits: EndpointLimits;
   readonly crashes: CrashMonitor;
+  /** Present where second copies of slow requests are allowed. */
+  readonly hedging?: HedgeMonitor | undefined;
   readonly findAccount: (name: string) => Account | undefined;
   /** Returns the version of the configuration in force; 0 before the first one. */
   readonly configurationVersion: () => number;
@@ -124,7 +127,7 @@
     }
     // The leader sends heartbeats only to gateways that sent it tickets recently, so that its silence
     // counts only while a ticket is unanswered.
-    if (this.#isLeaderSilent(now) && this.#hasUnansweredTicket(now)) {
+    if (this.#isLeaderSilent(now) && this.#tickets.hasPendingFor(LEADER_SILENCE_MS, now)) {
       this.#decideLocally(ticket.id, now);
       return;
     }
@@ -296,18 +299,16 @@
 
   #tickLeader(now: number): void {
     this.#allocate(now);
-    const { group, configurationVersion } = this.#options;
-    this.#heartbeat.send(group(), this.scheduler, configurationVersion(), now);
+    const { group, configurationVersion, hedging } = this.#options;
+    this.#heartbeat.send(group(), this.scheduler, configurationVersion(), now, hedging);
   }
 
   #tickFollower(now: number): void {
     this.#allocate(now);
-    if (
-      now - this.#stateReportedAt >= STATE_REPORT_INTERVAL_MS &&
-      this.#tickets.heldCount + this.#tickets.waitingCount > 0
-    ) {
+    const { heldCount, waitingCount } = this.#tickets;
+    const hasReport = heldCount + waitingCount > 0 || this.#options.hedging?.hasReport === true;
+    if (hasReport && now - this.#stateReportedAt >= STATE_REPORT_INTERVAL_MS)
       this.#reportState(now);
-    }
     if (!this.#isLeaderSilent(now)) return;
     this.#tickets
       .listPending()
@@ -331,13 +332,6 @@
     return now - this.#leaderHeardAt > LEADER_SILENCE_MS;
   }
 
-  /** Whether a ticket has been pending for longer than `LEADER_SILENCE_MS`. */
-  #hasUnansweredTicket(now: number): boolean {
-    return this.#tickets
-      .listPending()
-      .some(({ requestedAt }) => now - requestedAt > LEADER_SILENCE_MS);
-  }
-
   #decideLocally(id: string, now: number): void {
     if (this.#tickets.findPending(id) === undefined) return;
     this.#options.logger.warn(
@@ -351,6 +345,7 @@
     const pending = this.#tickets.findPending(id);
     if (pending === undefined) return;
     const own = this.#options.group().incarnation;
+    if (this.#tickets.refuseHedge(pending, own)) return;
     this.#startChargingQuotas(now);
     this.#options.crashes.decideQuarantine();
     pending.scheduler = own;
@@ -509,7 +504,9 @@
   #reportState(now: number): void {
     this.#stateReportedAt = now;
     const own = this.#options.group().incarnation;
-    this.#sendToLeader({ _tag: 'placementState', ...this.#tickets.report(own, now) });
+    const tickets = this.#tickets.report(own, now);
+    const times = this.#options.hedging?.takeReport();
+    this.#sendToLeader({ _tag: 'placementState', ...tickets, ...times });
   }
 
   #sendToLeader(message: PeerMessage): void {
--- a/src/app/gateway/placement/SchedulerHeartbeat.ts
+++ b/src/app/gateway/placement/SchedulerHeartbeat.ts
@@ -1,6 +1,7 @@
 import type { PlacementScheduler } from '../../../coordination/gateway/index.ts';
 import type { PeerMessage } from '../../../protocol/peer/PeerMessage.ts';
 import type { PeerGroup } from '../PeerGroup.ts';
+import type { HedgeMonitor } from './HedgeMonitor.ts';
 import { listEngineSpeeds } from './listEngineSpeeds.ts';
 
 /** Interval of the heartbeats from the leader to gateways that sent it tickets. */
@@ -44,12 +45,14 @@
    * @param scheduler - the leader's scheduler
    * @param configurationVersion - version of the configuration in force
    * @param now - present time in ms, monotonic
+   * @param hedging - estimates when requests are slow; undefined if that isn't needed
    */
   send(
     group: PeerGroup,
     scheduler: PlacementScheduler,
     configurationVersion: number,
     now: number,
+    hedging?: HedgeMonitor,
   ): void {
     if (now - this.#heartbeatSentAt >= HEARTBEAT_INTERVAL_MS) {
       this.#heartbeatSentAt = now;
@@ -62,6 +65,12 @@
     if (now - this.#estimatesSentAt < ESTIMATES_INTERVAL_MS) return;
     this.#estimatesSentAt = now;
     const engines = listEngineSpeeds(scheduler.engines());
-    if (engines.length > 0) group.broadcast({ _tag: 'schedulerNotes', engines });
+    const estimates = hedging?.updateEstimates(scheduler) ?? [];
+    if (engines.length > 0 || estimates.length > 0)
+      group.broadcast({
+        _tag: 'schedulerNotes',
+        engines,
+        ...(estimates.length > 0 && { hedging: estimates }),
+      });
   }
 }
--- a/src/app/gateway/request/RequestEndpoints.ts
+++ b/src/app/gateway/request/RequestEndpoints.ts
@@ -3,6 +3,8 @@
 import type { EndpointRecord } from '../../../state/gateway/index.ts';
 import type { GatewayContext } from '../GatewayContext.ts';
 import type { PlacementAnswer } from '../placement/LocalTickets.ts';
+import { makePlacementTicket, type RequestProgress } from '../placement/makePlacementTicket.ts';
+import { deadlineOf } from './deadlineOf.ts';
 import type { RoutedRequest } from './RoutedRequest.ts';
 
 /** The endpoints that one request may be sent to. */
@@ -45,6 +47,37 @@
     return plainSelector.selectUnlimited(candidates, now());
   }
 
+  /**
+   * Selects how a second copy of the request gets its endpoint.
+   *
+   * @param first - the endpoint that has the first copy
+   */
+  selectHedge(first: EndpointRecord): PlainSelection {
+    if (this.#request.service.engine !== undefined) return { _tag: 'scheduled', immediate: true };
+    const { plainSelector, now } = this.#context;
+    return plainSelector.selectHedge(this.#listPlainCandidates(), first, now());
+  }
+
+  /**
+   * Makes the ticket with which the request, or a second copy of it, asks for a slot.
+   *
+   * @param progress - how far the request has progressed
+   * @param alsoAvoided - endpoints to avoid besides those that did not serve it
+   */
+  makeTicket(
+    progress: Omit<RequestProgress, 'waitedMs' | 'remainingMs' | 'avoid' | 'excluded'>,
+    alsoAvoided: readonly EndpointRecord[] = [],
+  ): PlacementTicket {
+    const now = this.#context.now();
+    return makePlacementTicket(this.#request, {
+      ...progress,
+      waitedMs: now - this.#request.inbound.arrivedAt,
+      remainingMs: deadlineOf(this.#request) - now,
+      avoid: [...this.avoided, ...alsoAvoided.map(({ id }) => id)],
+      excluded: this.#listExcluded(),
+    });
+  }
+
   /**
    * Returns the time until the next endpoint has had the rest that it asked for.
    *
@@ -56,7 +89,7 @@
   }
 
   /** Lists the endpoints that want no requests of this gateway, for a ticket. */
-  listExcluded(): NonNullable<PlacementTicket['excluded']> {
+  #listExcluded(): NonNullable<PlacementTicket['excluded']> {
     return this.#context.exclusions.listExcluded(this.#listReady());
   }
 
--- a/src/app/gateway/request/RequestHandler.ts
+++ b/src/app/gateway/request/RequestHandler.ts
@@ -3,10 +3,10 @@
 import type { Member } from '../../../state/Member.ts';
 import type { InboundAnswer } from '../../../transport/gateway/index.ts';
 import { CallerAnswer } from './CallerAnswer.ts';
-import { EndpointAttempt } from './EndpointAttempt.ts';
 import type { GatewayContext } from '../GatewayContext.ts';
 import { logRequestEnd, type RequestOutcome } from './logRequestEnd.ts';
-import { makePlacementTicket } from '../placement/makePlacementTicket.ts';
+import { deadlineOf } from './deadlineOf.ts';
+import { makeEndpointAttempt } from './makeEndpointAttempt.ts';
 import type { PlacementTicket } from '../../../protocol/peer/GatewayMessages.ts';
 import type { PlacementAnswer } from '../placement/LocalTickets.ts';
 import { STATUS_DECLINED } from '../reach/PeerAttempt.ts';
@@ -25,8 +25,6 @@
 const NO_ENDPOINT_RETRY_AFTER_MS = 400;
 /** Time over which requests are spread that waited for the same rest. */
 const AFTER_REST_SPREAD_MS = 300;
-/** Time reserved before the caller's deadline for the transfer of the answer. */
-const ANSWER_MARGIN_MS = 15;
 
 /** Handles one routed request: selects endpoints, retries where that is safe, and sends the final answer. */
 export class RequestHandler {
@@ -72,13 +70,11 @@
     answer.onDrain(() => this.#attempt?.resume());
     this.#forwarding = new RequestForwarding(context, request);
     this.#quarantine = new RequestQuarantine(context.crashes, request);
-    const { route, inbound, fields, forwarded } = request;
+    const { fields, forwarded } = request;
     this.#endpoints = new RequestEndpoints(context, request);
     this.#isCharged = forwarded?.isCharged ?? false;
     this.#lastEventId = forwarded === undefined ? fields.lastEventId : forwarded.lastEventId;
-    const waitMs = forwarded?.remainingMs ?? fields.deadlineMs ?? route.timeoutMs;
-    const limitMs = Math.min(route.timeoutMs, Math.max(1, waitMs - ANSWER_MARGIN_MS));
-    this.#deadlineAt = inbound.arrivedAt + limitMs;
+    this.#deadlineAt = deadlineOf(request);
     this.#retries = new RequestRetries(context, request, this.#deadlineAt);
   }
 
@@ -219,23 +215,27 @@
   }
 
   #requestSlot(immediate: boolean): void {
-    const now = this.#context.now();
-    const ticket = makePlacementTicket(this.#request, {
+    const ticket = this.#makeTicket(immediate);
+    this.#isCharged = true;
+    this.#ticketId = ticket.id;
+    const { placements } = this.#context;
+    placements.requestSlot(ticket, (answer) => this.#onPlacementAnswer(ticket, answer));
+  }
+
+  #makeTicket(immediate: boolean, alsoAvoided: readonly EndpointRecord[] = []): PlacementTicket {
+    const progress = {
       placementNumber: this.#placementCount,
-      waitedMs: this.#sinceArrivalMs(),
-      remainingMs: this.#deadlineAt - now,
-      answerBegun: this.#answer.begun || this.#request.forwarded?.answerBegun === true,
-      avoid: this.#endpoints.avoided,
-      excluded: this.#endpoints.listExcluded(),
+      answerBegun: this.#hasBegun(),
       immediate,
       quarantined: this.#quarantine.fingerprint,
       isCharged: this.#isCharged,
-    });
-    this.#isCharged = true;
-    this.#ticketId = ticket.id;
-    this.#context.placements.requestSlot(ticket, (answer) =>
-      this.#onPlacementAnswer(ticket, answer),
-    );
+    };
+    return this.#endpoints.makeTicket(progress, alsoAvoided);
+  }
+
+  /** Whether the caller has a part of the answer. */
+  #hasBegun(): boolean {
+    return this.#answer.begun || this.#request.forwarded?.answerBegun === true;
   }
 
   #onPlacementAnswer(ticket: PlacementTicket, answer: PlacementAnswer): void {
@@ -263,10 +263,8 @@
     }
     if (this.#quarantine.isNewSince(ticket)) {
       this.#context.placements.releaseSlot(ticketId, { outcome: 'unused' });
-      this.#endUnserved(
-        'quarantined',
-        this.#quarantine.remainingMs() ?? NO_ENDPOINT_RETRY_AFTER_MS,
-      );
+      const waitMs = this.#quarantine.remainingMs() ?? NO_ENDPOINT_RETRY_AFTER_MS;
+      this.#endUnserved('quarantined', waitMs);
       return;
     }
     const endpoint = this.#context.directory.findReady(answer.endpoint);
@@ -291,7 +289,7 @@
       this.#placeAnew();
       return;
     }
-    const attempt = new EndpointAttempt({
+    const attempt = makeEndpointAttempt({
       context: this.#context,
       request: this.#request,
       endpoint,
@@ -299,6 +297,10 @@
       remainingMs: this.#deadlineAt - this.#context.now(),
       lastEventId: this.#lastEventId,
       onEvent: (event) => this.#onAttemptEvent(attempt, event),
+      retries: this.#retries,
+      endpoints: this.#endpoints,
+      isReplaceable: () => !this.#hasBegun() && !this.#quarantine.isSuspect,
+      makeTicket: (avoided) => this.#makeTicket(true, [avoided]),
     });
     this.#attempt = attempt;
     attempt.start();
--- a/src/app/gateway/request/RequestRetries.ts
+++ b/src/app/gateway/request/RequestRetries.ts
@@ -1,6 +1,13 @@
 import type { GatewayContext } from '../GatewayContext.ts';
+import type { HedgeAccount } from '../../../coordination/gateway/index.ts';
 import type { RoutedRequest } from './RoutedRequest.ts';
 
+/** Returns a client account in the form in which accounts' shares are compared. */
+export const toHedgeAccount = (account: RoutedRequest['account']): HedgeAccount => ({
+  name: account?.name ?? '',
+  quota: account?.quota.ratePerSecond ?? 0,
+});
+
 /** Counts the executions of one request, and decides whether another one is allowed. */
 export class RequestRetries {
   readonly #context: GatewayContext;
@@ -32,8 +39,10 @@
   countRequest(): void {
     if (this.isCounted) return;
     this.isCounted = true;
-    const { retryBudget, now } = this.#context;
-    retryBudget.recordRequest(this.#request.service.name, now());
+    const { retryBudget, hedging, now } = this.#context;
+    const { service, account } = this.#request;
+    retryBudget.recordRequest(service.name, now());
+    hedging?.policy.recordRequest(service.name, toHedgeAccount(account), now());
   }
 
   /**
--- a/src/app/gateway/runGateway.ts
+++ b/src/app/gateway/runGateway.ts
@@ -11,8 +11,6 @@
   EndpointLimits,
   PlainEndpointSelector,
   PlainServiceBalancer,
-  QuotaLimiter,
-  RetryBudget,
   TICK_INTERVAL_MS,
 } from '../../coordination/gateway/index.ts';
 import type { ObjectStore, WireAdapter } from '../../protocol/gateway/index.ts';
@@ -37,6 +35,8 @@
 import { ExclusionMonitor } from './reach/ExclusionMonitor.ts';
 import { GatewayMetrics } from './GatewayMetrics.ts';
 import { LateBound } from './LateBound.ts';
+import { makeBudgets } from './makeBudgets.ts';
+import { makeHedgeMonitor } from './placement/HedgeMonitor.ts';
 import { makeConnectionPools } from './makeConnectionPools.ts';
 import { makeIncarnation } from './makeIncarnation.ts';
 import { PauseMonitor } from './PauseMonitor.ts';
@@ -169,18 +169,17 @@
       now,
     });
     const endpointLimits = new EndpointLimits();
-    const quotas = new QuotaLimiter(
-      {
-        windowMs: bounds.quotaWindowMs,
-        overshoot: bounds.quotaOvershoot,
-        slack: bounds.quotaSlack,
-      },
-      now(),
-    );
+    const { quotas, retryBudget } = makeBudgets(bounds, now());
+    const hedging = makeHedgeMonitor(settings, {
+      group: () => lateBound.group.get(),
+      listReady: (service) => directory.listReady(service),
+      now,
+    });
     const { coldCaps } = endpointLimits;
     const placements = new PlacementCoordinator({
       group: () => lateBound.group.get(),
       crashes,
+      hedging,
       limits: endpointLimits,
       quotas,
       findAccount: (name) => lateBound.gateway.peek()?.routeIndex?.findAccount(name),
@@ -208,17 +207,15 @@
       logger,
       now,
     });
-    const retryBudget = new RetryBudget({
-      ratio: bounds.retryRatio,
-      slack: bounds.retrySlack,
-      windowMs: bounds.retryWindowMs,
-    });
     const pauses = new PauseMonitor({
       onPaused: (pause) => {
         // Another gateway may have charged them meanwhile.
         quotas.reset(now());
         endpointLimits.reset(now());
-        if (pause.uncountedMs > 0) retryBudget.forgetRequests();
+        if (pause.uncountedMs > 0) {
+          retryBudget.forgetRequests();
+          hedging?.policy.forget();
+        }
         endpointPool.closeIdle();
         lateBound.storeSubscription.peek()?.recordPause(pause);
       },
@@ -234,6 +231,7 @@
       plainEndpoints,
       plainSelector: new PlainEndpointSelector(plainEndpoints, endpointLimits),
       retryBudget,
+      hedging,
       placements,
       pauses,
       crashes,
@@ -301,6 +299,7 @@
       nextIncarnation: () => makeIncarnation(Date.now()),
       onMessage: (from, message, at) => {
         placements.handle(from, message, at);
+        hedging?.handle(from, message);
         crashes.handle(message);
         limits.handle(message);
         exclusions.handle(message);
--- a/src/coordination/gateway/index.ts
+++ b/src/coordination/gateway/index.ts
@@ -19,6 +19,15 @@
 export { EndpointReach, SILENCE_MS } from './reach/EndpointReach.ts';
 export type { ReachChange } from './reach/EndpointReach.ts';
 export { EngineSpeed } from './placement/EngineSpeed.ts';
+export { FirstByteTimes, sizeGroupOf } from './placement/FirstByteTimes.ts';
+export type { FirstByteReport, RequestGroup } from './placement/FirstByteTimes.ts';
+export { HedgePolicy, estimateHedges } from './placement/HedgePolicy.ts';
+export type {
+  HedgeAccount,
+  HedgeEstimate,
+  HedgeLimit,
+  SlowRequest,
+} from './placement/HedgePolicy.ts';
 export { pickService } from './routing/pickService.ts';
 export { CrashQuarantine } from './crashes/CrashQuarantine.ts';
 export type { QuarantineDecision } from './crashes/CrashQuarantine.ts';
--- a/src/coordination/gateway/placement/PlacementScheduler.ts
+++ b/src/coordination/gateway/placement/PlacementScheduler.ts
@@ -266,6 +266,13 @@
     return [...this.#engines.values()];
   }
 
+  /** Returns the occupied part of the slots of a service's engines, from 0 to 1; 0 if it has no engines. */
+  occupancyOf(service: string): number {
+    const engines = this.engines().filter(({ record }) => record.service === service);
+    const slots = engines.reduce((sum, { record }) => sum + Math.max(1, record.slots), 0);
+    return engines.reduce((sum, { running }) => sum + running.size, 0) / Math.max(1, slots);
+  }
+
   /**
    * Places or refuses waiting tickets, or leaves them in the queue.
    *
@@ -286,12 +293,17 @@
     );
     const group = new EngineGroup(preferHealthy(engines, ({ availability }) => availability, now));
     const waiting = [...this.#waiting.values()].filter(({ ticket }) => ticket.service === service);
-    const ordered = orderQueue(waiting, {
+    const queue = orderQueue(waiting, {
       group,
       grantRatios: this.#grantRatios,
       routeSizes: this.#routeSizes,
       now,
     });
+    // Second copies come last: they get only what no other ticket waits for.
+    const isHedge = ({ ticket }: WaitingPlacement): boolean => ticket.hedge !== undefined;
+    const ordered = queue.some(isHedge)
+      ? [...queue.filter((queued) => !isHedge(queued)), ...queue.filter(isHedge)]
+      : queue;
     const decisions: PlacementDecision[] = [];
     /** Slot time that the tickets ahead in the queue are expected to use, in ms. */
     let slotMsQueuedAhead = 0;
--- a/src/coordination/gateway/placement/PlainEndpointSelector.ts
+++ b/src/coordination/gateway/placement/PlainEndpointSelector.ts
@@ -12,6 +12,9 @@
   | { readonly _tag: 'scheduled'; readonly immediate: boolean }
   | { readonly _tag: 'none' };
 
+/** Costs count as equal up to this ratio, since they follow from moving averages. */
+const EQUAL_COST_FACTOR = 1.1;
+
 /** The endpoints among which a request chooses. */
 export interface PlainCandidates {
   readonly service: string;
@@ -72,6 +75,35 @@
     return this.#balancer.pick(unlimited, avoid, fraction, now);
   }
 
+  /**
+   * Selects the endpoint of a second copy: none that is cold or states a limit, and one in another failure domain if it
+   * is about as good.
+   *
+   * @param candidates - the endpoints to choose from
+   * @param first - the endpoint that has the first copy
+   * @param now - present time in ms, monotonic
+   * @returns the selection
+   */
+  selectHedge(candidates: PlainCandidates, first: EndpointRecord, now: number): PlainSelection {
+    const { records, avoid, fraction } = candidates;
+    const usable = records.filter(
+      (record) =>
+        record.id !== first.id &&
+        record.coldMs <= 0 &&
+        !this.#limits.statesLimit(endpointStartOf(record), now),
+    );
+    const best = this.#balancer.pick(usable, avoid, fraction, now);
+    if (best === undefined) return { _tag: 'none' };
+    // Only the scheduler counts the requests to endpoints that may turn cold.
+    if (this.#isLimited(best, now)) return { _tag: 'scheduled', immediate: true };
+    const elsewhere = usable.filter(({ failureDomain }) => failureDomain !== first.failureDomain);
+    const other = this.#balancer.pick(elsewhere, avoid, fraction, now);
+    const isAsGood =
+      other !== undefined &&
+      this.#balancer.costOf(other) <= EQUAL_COST_FACTOR * this.#balancer.costOf(best);
+    return { _tag: 'direct', endpoint: isAsGood ? other : best };
+  }
+
   /**
    * Records that the scheduler had no slot at the limited endpoints of a service.
    *
--- a/src/coordination/gateway/placement/PlainServiceBalancer.ts
+++ b/src/coordination/gateway/placement/PlainServiceBalancer.ts
@@ -56,7 +56,7 @@
     const rotated = [...usable.slice(start), ...usable.slice(0, start)];
     return rotated.reduce<EndpointRecord | undefined>(
       (best, record) =>
-        best === undefined || this.#cost(record) < this.#cost(best) ? record : best,
+        best === undefined || this.costOf(record) < this.costOf(best) ? record : best,
       undefined,
     );
   }
@@ -87,12 +87,25 @@
     load.latencyMs += LATENCY_SMOOTHING * (totalMs - load.latencyMs);
   }
 
+  /**
+   * Records that a request was cancelled before its answer because a second copy was answered first. Otherwise a slow
+   * endpoint whose requests are answered by others would keep the response time that it had before.
+   *
+   * @param record - the endpoint that it was sent to
+   * @param atLeastMs - time that the request had taken, in ms
+   */
+  recordSlow(record: EndpointRecord, atLeastMs: number): void {
+    const load = this.#loadOf(record);
+    load.latencyMs += LATENCY_SMOOTHING * Math.max(0, atLeastMs - load.latencyMs);
+  }
+
   /** Removes the state of all endpoints except the given ones. */
   retain(ids: ReadonlySet<string>): void {
     [...this.#loads.keys()].filter((id) => !ids.has(id)).forEach((id) => this.#loads.delete(id));
   }
 
-  #cost(record: EndpointRecord): number {
+  /** Returns the expected time of a request at an endpoint in ms, weighted by the endpoint's failures. */
+  costOf(record: EndpointRecord): number {
     const { inFlight, latencyMs, availability } = this.#loadOf(record);
     const slots = Math.max(1, record.slots);
     const successRate = 1 - Math.min(MAXIMUM_COUNTED_FAILURE_RATE, availability.failureRate);
--- a/src/coordination/gateway/placement/TicketAdmission.ts
+++ b/src/coordination/gateway/placement/TicketAdmission.ts
@@ -4,6 +4,7 @@
 } from '../../../protocol/peer/GatewayMessages.ts';
 import { endpointStartOf } from '../../../state/gateway/index.ts';
 import type { EndpointLimits } from '../limits/EndpointLimits.ts';
+import { admitHedge } from './admitHedge.ts';
 import { adviseRetryAfter } from './adviseRetryAfter.ts';
 import { chooseEngine, type EngineCandidate, type PlacementLimits } from './chooseEngine.ts';
 import type { ColdSlowdown } from './ColdSlowdown.ts';
@@ -164,6 +165,18 @@
       slowdownOf: ({ record }) =>
         this.#limits.coldCaps.isCold(endpointStartOf(record), now) ? this.#coldSlowdown.factor : 1,
     };
+    if (ticket.hedge !== undefined) {
+      const { hedge } = ticket;
+      const context = {
+        group,
+        engines: this.#selectUnbound(open, now),
+        hasQueue: expectedWaitMs > 0,
+      };
+      const hedged = admitHedge({ ...ticket, hedge }, context, limits);
+      return hedged === undefined
+        ? refuseImmediately(0, engines)
+        : { _tag: 'grant', candidate: hedged };
+    }
     const candidate =
       this.#chooseUnlimited(ticket, open, group, limits) ?? chooseEngine(ticket, open, limits);
     if (candidate !== undefined) return { _tag: 'grant', candidate };
@@ -210,6 +223,14 @@
     return chooseEngine(ticket, unlimited, limits);
   }
 
+  /** Selects the engines that state no limit and aren't cold. */
+  #selectUnbound(engines: readonly EngineLoad[], now: number): readonly EngineLoad[] {
+    return engines.filter(({ record }) => {
+      const start = endpointStartOf(record);
+      return !this.#limits.statesLimit(start, now) && !this.#limits.coldCaps.isCold(start, now);
+    });
+  }
+
   #isCapped(engines: readonly EngineLoad[], now: number): boolean {
     const { coldCaps } = this.#limits;
     return engines.some(({ record }) => coldCaps.msUntilAllowed(endpointStartOf(record), now) > 0);
--- a/src/protocol/peer/GatewayMessages.ts
+++ b/src/protocol/peer/GatewayMessages.ts
@@ -52,6 +52,8 @@
   promptParts: Schema.optionalKey(PromptParts),
   /** Whether it is refused rather than queued, because its gateway has another endpoint for it. */
   immediate: Schema.optionalKey(Schema.Boolean),
+  /** Present on the ticket of a second copy of a slow request; `failureDomain` is that of the first copy's endpoint. */
+  hedge: Schema.optionalKey(Schema.Struct({ failureDomain: Schema.String })),
 });
 export type PlacementTicket = typeof PlacementTicket.Type;
 
@@ -157,6 +159,29 @@
 });
 export type QuarantinedPart = typeof QuarantinedPart.Type;
 
+const requestGroup = {
+  service: Schema.NonEmptyString,
+  route: Schema.String,
+  /** Size group of the requests. */
+  size: Schema.Finite,
+};
+
+/** Times from sending requests to their first byte that the sender has seen since its last report. */
+export const FirstByteTimesReport = Schema.Struct({
+  ...requestGroup,
+  /** Pairs of a bucket of the histogram and the number of times in it. */
+  counts: Schema.Array(Schema.Tuple([Schema.Finite, Schema.Finite])),
+});
+
+/** When requests of a group are slow, from the times of all gateways. */
+export const SlowRequestEstimate = Schema.Struct({
+  ...requestGroup,
+  /** Time since sending after which a request is slow. */
+  afterMs: Milliseconds,
+  /** Whether the service has too few free slots for second copies. */
+  isShort: Schema.Boolean,
+});
+
 /** Kinds of store objects whose changes gateways relay to each other. */
 export const WatchedKind = Schema.Literals(['configuration', 'endpoints', 'domainDrains']);
 export type WatchedKind = typeof WatchedKind.Type;
@@ -190,6 +215,8 @@
   Schema.TaggedStruct('placementState', {
     running: Schema.Array(ActivePlacement),
     waiting: Schema.Array(PlacementTicket),
+    /** Sent where second copies of slow requests are allowed. */
+    firstBytes: Schema.optionalKey(Schema.Array(FirstByteTimesReport)),
   }),
   /** Heartbeat of the scheduler to the gateways that recently sent it requests. */
   Schema.TaggedStruct('schedulerAlive', { configurationVersion: Schema.Finite }),
@@ -203,6 +230,8 @@
         decodeMsPerToken: Milliseconds,
       }),
     ),
+    /** Sent where second copies of slow requests are allowed. */
+    hedging: Schema.optionalKey(Schema.Array(SlowRequestEstimate)),
   }),
   /** Limits that answers to the sender stated, or that the scheduler knows. */
   Schema.TaggedStruct('endpointLimits', { limits: Schema.Array(EndpointLimitReport) }),
--- a/src/state/gateway/GatewaySettings.ts
+++ b/src/state/gateway/GatewaySettings.ts
@@ -41,6 +41,9 @@
 });
 export type GatewayBounds = typeof GatewayBounds.Type;
 
+/** Above this share, second copies would be a load of their own and not the remedy of a few slow requests. */
+export const MAXIMUM_HEDGE_SHARE = 0.2;
+
 /** Settings of a gateway process, read at its start. */
 export const GatewaySettings = Schema.Struct({
   instance: Schema.NonEmptyString,
@@ -68,5 +71,12 @@
    */
   cores: Schema.Finite.check(Schema.isBetween({ minimum: 0.01, maximum: 4_096 })),
   bounds: GatewayBounds,
+  /** Second copies of slow requests; none are sent if it is absent. */
+  hedging: Schema.optionalKey(
+    Schema.Struct({
+      /** Second copies as a share of the requests, over all gateways; 0 allows none. */
+      share: Schema.Finite.check(Schema.isBetween({ minimum: 0, maximum: MAXIMUM_HEDGE_SHARE })),
+    }),
+  ),
 });
 export type GatewaySettings = typeof GatewaySettings.Type;
--- a/src/state/gateway/index.ts
+++ b/src/state/gateway/index.ts
@@ -1,5 +1,10 @@
 export { EndpointRecord, endpointStartOf } from './EndpointRecord.ts';
-export { GatewayBounds, GatewaySettings, ListenAddress } from './GatewaySettings.ts';
+export {
+  GatewayBounds,
+  GatewaySettings,
+  ListenAddress,
+  MAXIMUM_HEDGE_SHARE,
+} from './GatewaySettings.ts';
 export {
   Account,
   AccountQuota,
--- a/test/gateway/startGateway.ts
+++ b/test/gateway/startGateway.ts
@@ -9,7 +9,7 @@
 import { makeObjectStore } from '../../platform/makeObjectStore.ts';
 import { makeWireAdapter } from '../../platform/makeWireAdapter.ts';
 import { PATHS } from '../../platform/names.ts';
-import type { GatewayBounds } from '../../src/state/gateway/index.ts';
+import type { GatewayBounds, GatewaySettings } from '../../src/state/gateway/index.ts';
 import { startObjectStore, type ObjectStoreStandIn } from './startObjectStore.ts';
 import type { RunnerStandIn } from './startRunner.ts';
 
@@ -131,6 +131,7 @@
   readonly store?: ObjectStoreStandIn;
   /** Bounds in addition to the usual ones. */
   readonly bounds?: Partial<GatewayBounds>;
+  readonly hedging?: GatewaySettings['hedging'];
 }
 
 /** Starts a gateway, with a store of its own and nothing in it where none is given. */
@@ -142,6 +143,7 @@
     seeds = [],
     store: given,
     bounds = {},
+    hedging,
   }: GatewayDifferences = {},
 ): Promise<GatewayStandIns> => {
   const store = given ?? (await startObjectStore(context));
@@ -176,6 +178,7 @@
             addressesKeepMs: 5_000,
             ...bounds,
           },
+          ...(hedging && { hedging }),
         },
         wire: makeWireAdapter(),
         log: { logger, droppedLines: () => 0, flush: () => {} },
