Test that a gateway learns from the scheduler when requests are slow

Cause: the times to first byte and the estimates travelled between gateways only in unit tests.

Change: a test with two gateways, of which the one that doesn't schedule has all requests; no program code.

--- a/test/gateway/hedging.test.ts
+++ b/test/gateway/hedging.test.ts
@@ -116,4 +116,39 @@
     const page = await ask(gateway.addresses.metrics, '/metrics');
     expect(page.body).toInclude('\ncorianderwick_gateway_running 0\n');
   });
+
+  // Guards against a gateway that never learns when requests are slow because its times do not reach the scheduler.
+  it('learns when requests are slow from the scheduler, which has no requests of its own', async (context) => {
+    const served = (request: ArrivedRequest): void => {
+      request.socket.write(answer(request, 'quick'));
+    };
+    const runners = [await startRunner(context, served), await startRunner(context, served)];
+    const leader = await startGateway(context, { hedging: { share: 0.2 } });
+    const { store } = leader;
+    runners.forEach((runner, index) =>
+      store.put('servers', `i-${index}`, runnerSpec('plain', runner)),
+    );
+    store.put('config', 'main', makeConfiguration(7));
+    await untilReady(leader);
+    const seeds = [leader.gateway.addresses.peers];
+    const follower = await startGateway(context, {
+      instance: 'front-a-2',
+      seeds,
+      store,
+      hedging: { share: 0.2 },
+    });
+    await untilReady(follower);
+    const { callers } = follower.gateway.addresses;
+    for (let sent = 0; sent < 140; sent += 1) {
+      // eslint-disable-next-line no-await-in-loop
+      await Promise.all([call(callers, { path: '/read/1' }), sleep(50)]);
+    }
+    runners.forEach((runner) =>
+      runner.setScript((request) => {
+        setTimeout(() => served(request), 200);
+      }),
+    );
+    await call(callers, { path: '/read/1' });
+    expect(hedgeLines(follower.log, 'hedge sent').length).toBeGreaterThan(0);
+  });
 });
