--- a/src/app/gateway/runGateway.ts
+++ b/src/app/gateway/runGateway.ts
@@ -13,28 +13,26 @@
   RolloutGate,
   TICK_INTERVAL_MS,
 } from '../../coordination/gateway/index.ts';
-import type { ObjectStore, StatusStore, WireAdapter } from '../../protocol/gateway/index.ts';
 import {
   endpointStartOf,
   DEFAULT_CLIENT_LIMITS,
   type EndpointRecord,
-  type GatewaySettings,
 } from '../../state/gateway/index.ts';
 import { EntryTiming } from '../../state/EntrySettings.ts';
 import { makeGatewayServer } from '../../transport/gateway/index.ts';
-import type { ConnectionPool } from '../../transport/http/index.ts';
 import { makePeerNetwork } from '../../transport/peer/index.ts';
 import { startStatusServers } from './startStatusServers.ts';
 import { drainGateway } from './drainGateway.ts';
 import { MAXIMUM_GRANT_AGE_MS } from './placement/CapGuard.ts';
 import { EndpointLimitMonitor } from './placement/EndpointLimitMonitor.ts';
-import { CrashDetector } from './crashes/CrashDetector.ts';
+import { makeCrashDetector } from './crashes/makeCrashDetector.ts';
 import { CrashMonitor } from './crashes/CrashMonitor.ts';
 import { Gateway } from './Gateway.ts';
-import type { GatewayLog } from './GatewayLog.ts';
 import { ExclusionMonitor } from './reach/ExclusionMonitor.ts';
 import { GatewayMetrics } from './GatewayMetrics.ts';
+import type { GatewayOptions, RunningGateway } from './GatewayOptions.ts';
 import { LateBound } from './LateBound.ts';
+import { makeHedgeMonitor } from './placement/HedgeMonitor.ts';
 import { makeConnectionPools } from './makeConnectionPools.ts';
 import { makeGroupBounds } from './makeGroupBounds.ts';
 import { makeIncarnation } from './makeIncarnation.ts';
@@ -50,38 +48,6 @@
 import { predictRequestMs } from './rollouts/predictRequestMs.ts';
 import { StoreSubscription } from './following/StoreSubscription.ts';
 
-/** Settings, platform adapters and log of a gateway process. */
-export interface GatewayOptions {
-  readonly settings: GatewaySettings;
-  readonly wire: WireAdapter;
-  readonly log: GatewayLog;
-  /** Creates the store client on a connection pool; `onCall` is called with the kind of each call. */
-  readonly makeStore: (
-    pool: ConnectionPool,
-    onCall: (call: string) => void,
-  ) => ObjectStore & StatusStore;
-  /** Paths of the readiness probe and of the list of caller addresses. */
-  readonly paths: { readonly readiness: string; readonly addresses: string };
-  /** Formats the list of addresses, which callers may cache for `cacheMs`. */
-  readonly formatAddresses: (addresses: readonly string[], cacheMs: number) => string;
-}
-
-/** A started gateway process. */
-export interface RunningGateway {
-  /** Bound addresses, `IP:PORT` each. */
-  readonly addresses: {
-    readonly callers: string;
-    readonly readiness: string;
-    readonly directory: string;
-    readonly peers: string;
-    readonly metrics: string;
-  };
-  /** Drains the gateway; resolves when the process may exit. */
-  readonly stop: () => Promise<void>;
-  /** Applies the settings that may change at run time: the seeds. */
-  readonly reload: (settings: GatewaySettings) => void;
-}
-
 /** Interval at which requests in flight are looked at while some are, or should be, at peers. */
 const REVIEW_INTERVAL_MS = 250;
 /** Fixed, because the platform provides no secret: every process on the internal network may join. */
@@ -148,29 +114,29 @@
       failureDomain: settings.failureDomain,
       random: Math.random,
     });
-    const crashDetector = new CrashDetector({
-      checkEndpoint: (address, onChecked) => {
-        const url = `http://${address}`;
-        endpointPool.connect(url, true, (outcome) => {
-          if (outcome._tag === 'connected') endpointPool.release(url, outcome.socket);
-          onChecked(outcome._tag === 'connected');
-        });
-      },
-      checkReach: (endpointId, onVerdict) => reach.check(endpointId, onVerdict),
-      isIsolatedAlone: () => reach.isIsolated && forwarder.choose([]) !== undefined,
-      isExpectedToRun: (id) => directory.isExpectedToRun(id),
-      onCrash: (runs, at) => crashes.recordCrash(runs, at),
+    const crashDetector = makeCrashDetector({
+      pool: endpointPool,
+      reach,
+      forwarder,
+      directory,
+      crashes,
       metrics,
       logger,
       now,
     });
     const store = options.makeStore(storePool, (call) => metrics.countStoreCall(call));
     const { endpointLimits, quotas, retryBudget } = makeGroupBounds(bounds, now());
+    const hedging = makeHedgeMonitor(settings, {
+      group: () => lateBound.group.get(),
+      listReady: (service) => directory.listReady(service),
+      now,
+    });
     const { coldCaps } = endpointLimits;
     const gate = new RolloutGate(bounds.rollouts?.rollbackMs);
     const placements = new PlacementCoordinator({
       group: () => lateBound.group.get(),
       crashes,
+      hedging,
       limits: endpointLimits,
       quotas,
       candidates: gate,
@@ -220,7 +186,10 @@
         // Another gateway may have charged them meanwhile.
         quotas.reset(now());
         endpointLimits.reset(now());
-        if (pause.uncountedMs > 0) retryBudget.forgetRequests();
+        if (pause.uncountedMs > 0) {
+          retryBudget.forgetRequests();
+          hedging?.policy.forget();
+        }
         endpointPool.closeIdle();
         lateBound.storeSubscription.peek()?.recordPause(pause);
       },
@@ -236,6 +205,7 @@
       plainEndpoints,
       plainSelector: new PlainEndpointSelector(plainEndpoints, endpointLimits),
       retryBudget,
+      hedging,
       placements,
       pauses,
       crashes,
@@ -304,6 +274,7 @@
       nextIncarnation: () => makeIncarnation(Date.now()),
       onMessage: (from, message, at) => {
         placements.handle(from, message, at);
+        hedging?.handle(from, message);
         crashes.handle(message);
         limits.handle(message);
         exclusions.handle(message);
--- a/src/app/gateway/startStatusServers.ts
+++ b/src/app/gateway/startStatusServers.ts
@@ -14,7 +14,7 @@
 import type { PeerGroup } from './PeerGroup.ts';
 import type { PlacementCoordinator } from './placement/PlacementCoordinator.ts';
 import type { ReachMonitor } from './reach/ReachMonitor.ts';
-import type { GatewayOptions } from './runGateway.ts';
+import type { GatewayOptions } from './GatewayOptions.ts';
 import type { StoreSubscription } from './following/StoreSubscription.ts';
 
 /** Components whose status is served, and the addresses and paths of the servers. */
