Check a configuration before it is sent

Cause: an error in a configuration of the users' platform showed only in the rejections of its callers; entries that can't be read are left out by the gateways without a word to the operator.

--- /dev/null
+++ b/src/state/gateway/review/index.ts
@@ -0,0 +1,4 @@
+export { compareRouteTables } from './compareRouteTables.ts';
+export type { RouteTableDifference } from './compareRouteTables.ts';
+export { reviewRouteTable } from './reviewRouteTable.ts';
+export type { ReviewFinding } from './reviewRouteTable.ts';
