--- a/src/app/gateway/GatewayMetrics.ts
+++ b/src/app/gateway/GatewayMetrics.ts
@@ -60,7 +60,7 @@
 
   readonly #pauses = new Counter({
     name: 'corianderwick_gateway_pauses_total',
-    help: 'Times that the process stood still, or that its clocks disagreed.',
+    help: 'Times that the process was paused, or that its clocks disagreed.',
     registers: [this.#registry],
   });
 
--- a/src/app/gateway/PauseMonitor.ts
+++ b/src/app/gateway/PauseMonitor.ts
@@ -32,7 +32,7 @@
 
   #held: (() => void)[] = [];
 
-  /** Number of pauses, by which the end of a hold is told from that of an earlier one. */
+  /** Number of pauses, which distinguishes the end of a hold from that of an earlier one. */
   #pauses = 0;
 
   #isHolding = false;
@@ -42,7 +42,7 @@
   }
 
   /**
-   * Tells whether what was granted to this process may be used now. Call it periodically, and right before a request is
+   * Whether what was granted to this process may be used now. Call it periodically, and right before a request is
    * sent.
    *
    * @returns false after a pause, until requests aren't held any longer
@@ -71,7 +71,7 @@
     this.#isHolding = true;
     const number = this.#pauses;
     metrics.countPause();
-    logger.warn({ ...pause }, 'process stood still; requests are held');
+    logger.warn({ ...pause }, 'process was paused; requests are held');
     onPaused(pause);
     const backlog = new Promise<void>((resolve) => {
       setTimeout(resolve, BACKLOG_MS);
--- a/src/app/gateway/crashes/makeCrashDetector.ts
+++ b/src/app/gateway/crashes/makeCrashDetector.ts
@@ -7,7 +7,7 @@
 import { CrashDetector } from './CrashDetector.ts';
 import type { CrashMonitor } from './CrashMonitor.ts';
 
-/** Components that a crash detector asks and tells. */
+/** Collaborators of a crash detector. */
 export interface CrashDetectorContext {
   /** Connections to endpoints. */
   readonly pool: ConnectionPool;
@@ -24,7 +24,7 @@
 /**
  * Makes the crash detector of a gateway.
  *
- * @param context - components that it asks and tells
+ * @param context - its collaborators
  */
 export const makeCrashDetector = ({
   pool,
--- a/src/app/gateway/following/DomainDrainSubscription.ts
+++ b/src/app/gateway/following/DomainDrainSubscription.ts
@@ -50,7 +50,7 @@
 
   #isRelying = false;
 
-  /** Whether the store has confirmed the view and peers haven't been told yet. */
+  /** Whether the store has confirmed the view and peers haven't been notified yet. */
   #isConfirmationDue = false;
 
   /** Revision up to which this process has relayed all changes since it began to watch; undefined if unknown. */
@@ -112,7 +112,7 @@
     this.#watch?.stop();
   }
 
-  /** Decides whether to rely on peers, and tells them that the store confirmed the view. Call it periodically. */
+  /** Decides whether to rely on peers, and notifies them that the store confirmed the view. Call it periodically. */
   tick(): void {
     const { drains, group, logger, now } = this.#options;
     const { timing } = drains;
--- a/src/app/gateway/following/StoreSubscription.ts
+++ b/src/app/gateway/following/StoreSubscription.ts
@@ -108,7 +108,7 @@
   /** Last moment before the changes that are being applied at which the store confirmed the endpoints, in ms. */
   #endpointsListedAt = Number.NEGATIVE_INFINITY;
 
-  /** Time since the last confirmation of the endpoints in which this process stood still, in ms. */
+  /** Time since the last confirmation of the endpoints for which this process was paused, in ms. */
   #pausedMs = 0;
 
   /** End of the last pause of the process in ms. */
@@ -167,7 +167,7 @@
   }
 
   /**
-   * Records that the process stood still until now. That time is no outage of the store, and what peers sent meanwhile
+   * Records that the process was paused until now. That time is no outage of the store, and what peers sent meanwhile
    * arrives only now.
    *
    * @param pause - how long, by which clock
--- a/src/app/gateway/following/StoreWatch.ts
+++ b/src/app/gateway/following/StoreWatch.ts
@@ -110,7 +110,7 @@
 
   #resume: (() => void) | undefined;
 
-  /** End of the last pause of the process in ms; what the store was asked before tells nothing of the time since. */
+  /** End of the last pause of the process in ms; answers to earlier calls don't cover the time since. */
   #pausedAt = Number.NEGATIVE_INFINITY;
 
   constructor(options: StoreWatchOptions) {
@@ -212,7 +212,7 @@
     return true;
   }
 
-  /** Records that the process stood still until now: the answer to a call in progress is discarded. */
+  /** Records that the process was paused until now: the answer to a call in progress is discarded. */
   recordPause(): void {
     this.#pausedAt = this.#options.now();
   }
--- a/src/app/gateway/request/EndpointAttempt.ts
+++ b/src/app/gateway/request/EndpointAttempt.ts
@@ -185,7 +185,7 @@
       this.#onUnreachable(detail);
       return;
     }
-    this.#end('unused', 'the process stood still');
+    this.#end('unused', 'the process was paused');
     this.#emit({ _tag: 'notSent' });
   }
 
@@ -356,7 +356,7 @@
     context.crashDetector.observeBrokenRun(run, (finding) => this.#releaseAfterCheck(finding));
   }
 
-  /** A gateway that has lost all its connections tells nothing of the endpoint. */
+  /** A gateway that has lost all its connections has no evidence about the endpoint. */
   #releaseAfterCheck(finding: CrashFinding): void {
     this.#release(finding === 'isolated' ? 'cancelled' : 'failed');
   }
@@ -431,7 +431,7 @@
       context.placements.releaseSlot(ticketId, { outcome, ...this.#measureDecoding(outcome, now) });
   }
 
-  /** Returns what the outcome tells of the endpoint's version. */
+  /** Returns the evidence that the outcome gives about the endpoint's version. */
   #evidenceOf(outcome: PlacementResult['outcome']): AttemptEnd['outcome'] {
     if (outcome === 'served') return this.status < FIRST_CLIENT_ERROR ? 'served' : 'other';
     if (outcome === 'failed') return this.#isConnectionLost ? 'broken' : 'failed';
--- a/src/app/gateway/request/RequestAttempt.ts
+++ b/src/app/gateway/request/RequestAttempt.ts
@@ -12,7 +12,7 @@
   | { readonly _tag: 'answered'; readonly body: Uint8Array }
   /** The request was certainly not executed; `arrived` tells whether the endpoint received it. */
   | { readonly _tag: 'notRun'; readonly arrived: boolean; readonly detail: string }
-  /** The process stood still before it sent the request, so that the permission to do so may have expired. */
+  /** The process was paused before it sent the request, so that the permission to do so may have expired. */
   | { readonly _tag: 'notSent' }
   /** The request may have been executed, and no complete answer arrived. */
   | {
--- a/src/app/gateway/rollouts/RolloutMonitor.ts
+++ b/src/app/gateway/rollouts/RolloutMonitor.ts
@@ -46,7 +46,7 @@
 export interface AttemptEnd {
   readonly record: EndpointRecord;
   readonly route: string;
-  /** `other` tells nothing of the version, for example if the endpoint did not run the request. */
+  /** `other` is no evidence about the version, for example if the endpoint did not run the request. */
   readonly outcome: 'served' | 'failed' | 'broken' | 'cancelled' | 'other';
   readonly totalMs: number;
   readonly promptTokens: number;
@@ -65,7 +65,7 @@
 
 /**
  * Carries out canary roll-outs. Each gateway reports what it sent to the versions of a service that has two, and how
- * it ended; the scheduler drives the roll-out and tells all what they may send.
+ * it ended; the scheduler drives the roll-out and notifies all gateways of what they may send.
  */
 export class RolloutMonitor {
   readonly #options: RolloutMonitorOptions;
--- a/src/app/gateway/rollouts/RolloutStore.ts
+++ b/src/app/gateway/rollouts/RolloutStore.ts
@@ -32,7 +32,7 @@
   readonly revision: number;
 }
 
-/** Longest wait for a change; the store is heard from at least as often. */
+/** Longest wait for a change; the store responds at least as often. */
 const WATCH = { waitMs: 2_000, answerMs: 800, fresh: false } as const;
 const RETRY_MS = 300;
 /**
--- a/src/coordination/gateway/following/PauseDetector.ts
+++ b/src/coordination/gateway/following/PauseDetector.ts
@@ -13,7 +13,7 @@
 const MAXIMUM_GAP_MS = 500;
 
 /**
- * Finds out that the process stood still: its event loop was blocked, it was stopped, or its machine was suspended, which
+ * Finds out that the process was paused: its event loop was blocked, it was stopped, or its machine was suspended, which
  * only the wall clock counts. The wall clock may also be set, forward or backward; that counts as a pause as well, since
  * the two can't be told apart.
  */
--- a/src/coordination/gateway/rollouts/RolloutDriver.ts
+++ b/src/coordination/gateway/rollouts/RolloutDriver.ts
@@ -60,7 +60,7 @@
  * and so much more, within bounds that a clock which was set can't leave; otherwise an assumed time.
  */
 const START_MS = { beforeStart: 500, minimum: 500, maximum: 4_000, assumed: 1_500 } as const;
-/** Differences of the times of day beyond which they tell nothing. */
+/** Differences between times of day above which they aren't used. */
 const MAXIMUM_START_MS = 10_000;
 /** Age of an order that a waiting call of the store reports. */
 const WATCH_LATENCY_MS = 300;
--- a/src/coordination/gateway/rollouts/RolloutGate.ts
+++ b/src/coordination/gateway/rollouts/RolloutGate.ts
@@ -16,7 +16,7 @@
 
 /**
  * Time for which a version must have been the only one to count as the one that serves. A gateway that has just
- * started may learn of the endpoints one by one, and takes the version of the one that started first.
+ * started may receive the endpoints one by one, and takes the version of the one that started first.
  */
 const SETTLED_MS = 5_000;
 
--- a/src/coordination/gateway/rollouts/SharedFaults.ts
+++ b/src/coordination/gateway/rollouts/SharedFaults.ts
@@ -14,7 +14,7 @@
 const NEW_ENDPOINTS = '';
 
 /**
- * Tells lost connections that come from a fault of endpoints, such as a crash of many at once, from those that the
+ * Distinguishes lost connections that come from a fault of endpoints, such as a crash of many at once, from those that the
  * new version causes.
  */
 export class SharedFaults {
--- a/src/protocol/peer/RolloutMessages.ts
+++ b/src/protocol/peer/RolloutMessages.ts
@@ -45,9 +45,9 @@
   observations: Schema.Array(VersionObservation),
   /** Name of the step that is in force at the sender; absent before the first one. */
   step: Schema.optionalKey(Schema.String),
-  /** Time since the order, and its target, as far as the sender was told. */
+  /** Time since the order, and its target, as far as the sender knows. */
   order: Schema.optionalKey(Schema.Struct({ target: Schema.String, ageMs: Milliseconds })),
-  /** Versions that the sender was told are bad. */
+  /** Versions that the sender knows to be bad. */
   condemned: Schema.Array(Schema.String),
 });
 export type RolloutReport = typeof RolloutReport.Type;
--- a/src/transport/gateway/makeGatewayServer.test.ts
+++ b/src/transport/gateway/makeGatewayServer.test.ts
@@ -91,7 +91,7 @@
   });
 
   // Guards against callers that get 408 though their heads had arrived in time, while this process was paused.
-  it('reads a head that arrived while the process stood still', async (context) => {
+  it('reads a head that arrived while the process was paused', async (context) => {
     const server = await start(context);
     const { socket, seen } = connect(context, server.address);
     await wait(50);
--- a/test/gateway/pauses.test.ts
+++ b/test/gateway/pauses.test.ts
@@ -52,8 +52,8 @@
   return { runner, store, gateway, ask, got: () => got };
 };
 
-// Each guards against requests to an endpoint that left while the gateway stood still (DRAIN).
-describe('a gateway whose process stood still', () => {
+// Each guards against requests to an endpoint that left while the gateway was paused (DRAIN).
+describe('a gateway whose process was paused', () => {
   it('sends nothing by the view of the store from before', async (context) => {
     const { runner, store, gateway, ask, got } = await start(context);
     ask();
@@ -105,7 +105,7 @@
     expect(runner.arrived).toEqual([]);
   });
 
-  // Guards against a quota that is charged twice, by a leader that stood still and by the one that took its place.
+  // Guards against a quota that is charged twice, by a leader that was paused and by the one that took its place.
   it('starts with empty quota buckets', async (context) => {
     const runner = await startRunner(context, (request) => {
       request.socket.write(streamHead(request) + chunk(event(1)) + END);
