Check the permission of a version again before a second copy is sent

Cause: a second copy at a model engine was sent by a grant without the check that first copies have, so that it could reach a version whose permission had expired. Change: HedgedAttempt asks findGranted as RequestHandler does. Measured: the tests of hedging pass; found by reading, no play showed it (hedging is off by default).

--- a/src/app/gateway/request/HedgedAttempt.ts
+++ b/src/app/gateway/request/HedgedAttempt.ts
@@ -13,13 +13,13 @@
 export interface HedgedAttemptOptions {
   readonly context: Pick<
     GatewayContext,
-    'placements' | 'directory' | 'exclusions' | 'pauses' | 'reach' | 'metrics' | 'logger' | 'now'
+    'placements' | 'exclusions' | 'pauses' | 'reach' | 'metrics' | 'logger' | 'now'
   >;
   readonly hedging: Pick<HedgeMonitor, 'policy' | 'record'>;
   readonly request: Pick<RoutedRequest, 'id' | 'service'>;
   readonly slowRequest: Omit<SlowRequest, 'mayRepeat'>;
   readonly retries: Pick<RequestRetries, 'mayRepeat' | 'tryCharge' | 'executions'>;
-  readonly endpoints: Pick<RequestEndpoints, 'avoided' | 'selectHedge'>;
+  readonly endpoints: Pick<RequestEndpoints, 'avoided' | 'selectHedge' | 'findGranted'>;
   /** Endpoint of the first copy. */
   readonly endpoint: EndpointRecord;
   /** Ticket of the first copy; undefined for an endpoint that needs none. */
@@ -227,8 +227,8 @@
       this.#refuse('scheduler');
       return;
     }
-    const { directory, exclusions, placements, pauses } = this.#options.context;
-    const endpoint = directory.findReady(answer.endpoint);
+    const { exclusions, placements, pauses } = this.#options.context;
+    const endpoint = this.#options.endpoints.findGranted(answer.endpoint);
     const isUsable = endpoint !== undefined && exclusions.find(endpoint) === undefined;
     if (isUsable && this.#first.status === 0 && pauses.check()) {
       this.#sendSecond(endpoint, ticketId, slowAfterMs);
