Charge a withdrawn ticket again unless its charge was confirmed (QUOTA)

Cause: a request counted as charged as soon as it asked for a slot. Change: a request counts as charged once its ticket was granted, or was withdrawn after a scheduler had confirmed the charge. Ruled out: pauses alone, as no bucket was refilled.

--- a/src/app/gateway/placement/PlacementCoordinator.test.ts
+++ b/src/app/gateway/placement/PlacementCoordinator.test.ts
@@ -111,6 +111,17 @@
     ]);
   });
 
+  // QUOTA: guards against a request that counts as charged though the scheduler held or refused its withdrawn ticket.
+  it('says of a withdrawn ticket that it is charged only if a scheduler confirmed that', () => {
+    const { coordinator, state, place } = makeCoordinator('own');
+    place('confirmed');
+    place('unconfirmed');
+    coordinator.handle('first', { _tag: 'placementQueued', ids: ['confirmed'] }, state.now);
+    expect(coordinator.withdraw('confirmed')).toEqual(true);
+    expect(coordinator.withdraw('unconfirmed')).toEqual(false);
+    expect(coordinator.withdraw('unknown')).toEqual(false);
+  });
+
   // Guards against second copies of a gateway that doesn't know the load of the service.
   it('refuses the ticket of a second copy if the scheduler is silent', () => {
     const { coordinator, state, answers, place } = makeCoordinator('own');
--- a/src/app/gateway/placement/PlacementCoordinator.ts
+++ b/src/app/gateway/placement/PlacementCoordinator.ts
@@ -138,11 +138,17 @@
     if (!sent) this.#decideLocally(ticket.id, now);
   }
 
-  /** Withdraws a pending ticket; no effect if it was already answered. */
-  withdraw(id: string): void {
-    if (!this.#tickets.withdraw(id)) return;
+  /**
+   * Withdraws a pending ticket; no effect if it was already answered.
+   *
+   * @returns whether a scheduler has confirmed that the ticket is charged to its quota, or that there is nothing to charge
+   */
+  withdraw(id: string): boolean {
+    const isCharged = this.#tickets.findPending(id)?.ticket.quotaUnits === 0;
+    if (!this.#tickets.withdraw(id)) return false;
     this.#withdraw(id);
     this.#sendToLeader({ _tag: 'placementWithdraw', ids: [id] });
+    return isCharged;
   }
 
   /**
--- a/src/app/gateway/request/RequestHandler.ts
+++ b/src/app/gateway/request/RequestHandler.ts
@@ -50,7 +50,7 @@
 
   readonly #retries: RequestRetries;
 
-  /** Whether a ticket of the request may have been charged to its quota. */
+  /** Whether a ticket of the request is known to have been charged to its quota; one that isn't is charged again. */
   #isCharged: boolean;
 
   #lastEventId: string | undefined;
@@ -135,8 +135,7 @@
 
   /** Ends the request because the process is stopping. */
   abort(): void {
-    if (this.#done) return;
-    this.#abandon(STATUS.badGateway, 'the gateway is stopping');
+    if (!this.#done) this.#abandon(STATUS.badGateway, 'the gateway is stopping');
   }
 
   #forward(peer: Member): void {
@@ -216,7 +215,6 @@
 
   #requestSlot(immediate: boolean): void {
     const ticket = this.#makeTicket(immediate);
-    this.#isCharged = true;
     this.#ticketId = ticket.id;
     const { placements } = this.#context;
     placements.requestSlot(ticket, (answer) => this.#onPlacementAnswer(ticket, answer));
@@ -256,6 +254,7 @@
       this.#endUnserved(answer.reason, answer.retryAfterMs, status);
       return;
     }
+    this.#isCharged = true;
     if (this.#forwarding.findPeer() !== undefined) {
       this.#context.placements.releaseSlot(ticketId, { outcome: 'unused' });
       this.#place();
@@ -436,7 +435,8 @@
   }
 
   #cancel(): void {
-    if (this.#ticketId !== undefined) this.#context.placements.withdraw(this.#ticketId);
+    if (this.#ticketId !== undefined && this.#context.placements.withdraw(this.#ticketId))
+      this.#isCharged = true;
     this.#ticketId = undefined;
     this.#attempt?.cancel();
   }
