--- a/src/coordination/gateway/limits/ColdStartCaps.test.ts
+++ b/src/coordination/gateway/limits/ColdStartCaps.test.ts
@@ -110,6 +110,17 @@
     expect(mostInSecond(times) <= BOUND).toEqual(true);
   });
 
+  // Guards against schedulers on all sides of a network partition that each send one request at once.
+  it('keeps the bound when the gateways are split into six sides', () => {
+    const sides = Array.from({ length: 6 }, () => {
+      const caps = makeCaps();
+      caps.setPart({ _tag: 'scheduled', share: 1 / 6 });
+      return sendAll(caps, 1_000, 6_000);
+    });
+    const alone = makeGroup(90).flatMap((caps) => sendAll(caps, 1_000, 6_000));
+    expect(mostInSecond([...sides.flat(), ...alone]) <= BOUND).toEqual(true);
+  });
+
   // Guards against requests that the scheduler before counted, and that are given back to the next one.
   it('takes back only what it has counted since it was emptied', () => {
     const caps = makeCaps();
--- a/test/replication/domainDrains.test.ts
+++ b/test/replication/domainDrains.test.ts
@@ -162,6 +162,24 @@
     await fc.assert(property, { numRuns: 100, seed: 1 });
   });
 
+  // Guards against a call that was sent before a pause and failed after it, and that is taken for an outage of the store.
+  it('send nothing after a pause in which an answer of the store was lost', async () => {
+    const { clock, store, gateways, sending } = startGroup();
+    await clock.runUntil(DRAIN_AT - 4_000);
+    const [watcher, ...others] = gateways as [Gateway, ...Gateway[]];
+    Object.assign(watcher, { paused: true, path: 'silent' });
+    await clock.runUntil(DRAIN_AT);
+    others.forEach((gateway) => Object.assign(gateway, { muted: true }));
+    store.put('domainDrains', 'a', {});
+    await clock.runUntil(DRAIN_AT + 5_000);
+    Object.assign(watcher, { paused: false, path: 'open' });
+    store.refresh();
+    for (let { now } = clock; now < DRAIN_AT + 7_000; now += 5) {
+      await clock.runUntil(now);
+      expect(sending()).toEqual([]);
+    }
+  });
+
   it('have a drain in force, and its end, within a fraction of a second while all is well', async () => {
     const { clock, store, sending, log } = startGroup();
     await clock.runUntil(DRAIN_AT);
