--- a/src/app/gateway/following/StoreSubscription.ts
+++ b/src/app/gateway/following/StoreSubscription.ts
@@ -103,6 +103,9 @@
 
   readonly #log: ViewLog;
 
+  /** The latest confirmation that a peer has reported, whether or not it holds for the view of this process. */
+  #peerConfirmation: { readonly from: string; readonly at: number } | undefined;
+
   #endpointsListed = false;
 
   /** Last moment before the changes that are being applied at which the store confirmed the endpoints, in ms. */
@@ -227,7 +230,12 @@
       );
     }
     Object.values(this.#watches).forEach((watch) => watch.setRelayed(relies));
-    this.#log.recordOutage(this.outagePhase(now()), directory.missingCount);
+    this.#log.recordOutage(this.outagePhase(now()), {
+      missing: directory.missingCount,
+      ageMs: Math.round(view.ageMs),
+      peer: this.#peerConfirmation?.from,
+      peerConfirmedMsAgo: this.#peerConfirmation && Math.round(now() - this.#peerConfirmation.at),
+    });
     this.#log.recordAge(this.viewAge(now()), { watcher, relies });
   }
 
@@ -260,8 +268,10 @@
     };
     this.#relianceMonitor.recordReport(from, { required });
     if (!reached && report.confirmedMsAgo === undefined) return;
-    if (isBehind(this.#known(), required)) return;
     const at = this.#options.now() - (report.confirmedMsAgo ?? 0);
+    if (at > (this.#peerConfirmation?.at ?? Number.NEGATIVE_INFINITY))
+      this.#peerConfirmation = { from, at };
+    if (isBehind(this.#known(), required)) return;
     this.#confirm('configuration', { at, path: 'peer' });
     this.#confirm('endpoints', { at, path: 'peer' });
   }
@@ -414,7 +424,7 @@
     changes: readonly EndpointChange[],
     source: StoreChangeSource | 'graceExpired',
   ): void {
-    this.#log.recordEndpoints(changes, source);
+    this.#log.recordEndpoints(changes, source, this.#options.now());
     if (changes.length > 0) this.#options.onEndpointsChanged();
   }
 }
--- a/src/app/gateway/following/ViewLog.ts
+++ b/src/app/gateway/following/ViewLog.ts
@@ -6,6 +6,17 @@
 /** Age of the view that is logged, with the reason: what the promises leave is then short. */
 const OLD_VIEW_MS = 1_500;
 
+/** What speaks for and against an outage of the store. */
+export interface OutageEvidence {
+  /** Number of missing entries that are kept in use. */
+  readonly missing: number;
+  /** Time since the store last confirmed the view of this process, in ms. */
+  readonly ageMs: number;
+  /** The last confirmation that a peer has reported: by whom, and how long ago it was, in ms; absent without one. */
+  readonly peer?: string | undefined;
+  readonly peerConfirmedMsAgo?: number | undefined;
+}
+
 /** Logs how the view of the store changes. */
 export class ViewLog {
   readonly #logger: Logger;
@@ -31,12 +42,12 @@
     this.#logger.info({ ...view, isOld, ...details, phases }, 'store view age');
   }
 
-  /** Logs a change of the phase of an outage, with the number of missing entries that are kept in use. */
-  recordOutage(phase: OutagePhase, missing: number): void {
+  /** Logs a change of the phase of an outage, with what speaks for and against one. */
+  recordOutage(phase: OutagePhase, evidence: OutageEvidence): void {
     if (phase === this.#reportedPhase) return;
     const before = this.#reportedPhase;
     this.#reportedPhase = phase;
-    this.#logger.info({ phase, before, missing }, 'store outage');
+    this.#logger.info({ phase, before, ...evidence }, 'store outage');
   }
 
   /** Logs that the objects of a kind were listed. */
@@ -48,9 +59,11 @@
   recordEndpoints(
     changes: readonly EndpointChange[],
     source: StoreChangeSource | 'graceExpired',
+    now: number,
   ): void {
     const { revision } = this.#watches.endpoints;
-    changes.forEach(({ _tag, record }) => {
+    changes.forEach((change) => {
+      const { record } = change;
       this.#logger.info(
         {
           endpoint: record.id,
@@ -58,9 +71,13 @@
           service: record.service,
           failureDomain: record.failureDomain,
           version: record.version,
-          change: _tag,
+          change: change._tag,
           source,
           revision,
+          ...(change._tag === 'missing' && {
+            listedMsAgo: Math.round(now - change.listedAt),
+            keptMs: Math.round(change.until - now),
+          }),
         },
         'endpoint changed',
       );
--- a/src/app/gateway/reach/PeerAttempt.ts
+++ b/src/app/gateway/reach/PeerAttempt.ts
@@ -30,6 +30,8 @@
 
   readonly viewAge = undefined;
 
+  readonly writing = undefined;
+
   readonly #options: PeerAttemptOptions;
 
   readonly #reader = new AnswerReader();
--- a/src/app/gateway/request/EndpointAttempt.ts
+++ b/src/app/gateway/request/EndpointAttempt.ts
@@ -12,7 +12,7 @@
 import type { AttemptEnd } from '../rollouts/RolloutMonitor.ts';
 import type { CrashFinding } from '../crashes/CrashDetector.ts';
 import type { GatewayContext } from '../GatewayContext.ts';
-import type { AttemptEvent, RequestAttempt } from './RequestAttempt.ts';
+import type { AttemptEvent, AttemptWriting, RequestAttempt } from './RequestAttempt.ts';
 import type { RoutedRequest } from './RoutedRequest.ts';
 import { stallLimitMs, StallTimer } from './StallTimer.ts';
 import type { ViewAge } from '../following/StoreSubscription.ts';
@@ -69,6 +69,8 @@
   /** How old the view of the store was by which the request was sent. */
   readonly viewAge: ViewAge;
 
+  writing: AttemptWriting | undefined;
+
   written = false;
 
   heardAt: number;
@@ -154,6 +156,7 @@
     switch (event._tag) {
       case 'written':
         this.written = true;
+        this.writing = this.#describeWriting();
         return;
       case 'refused':
         if (event.forbidden) this.#onForbidden(event.detail);
@@ -179,6 +182,14 @@
     }
   }
 
+  #describeWriting(): AttemptWriting {
+    const { now, directory } = this.#options.context;
+    const { id } = this.endpoint;
+    const listed = directory.isMissing(id) ? 'missing' : 'listed';
+    const listing = directory.findReady(id) === undefined ? 'gone' : listed;
+    return { afterMs: now() - this.#sentAt, listing };
+  }
+
   /** What was decided before a pause holds no longer, so that the request is placed anew. */
   #onForbidden(detail: string): void {
     if (this.#isWithheld) {
--- a/src/app/gateway/request/HedgedAttempt.ts
+++ b/src/app/gateway/request/HedgedAttempt.ts
@@ -90,6 +90,10 @@
     return this.#current.viewAge;
   }
 
+  get writing(): RequestAttempt['writing'] {
+    return this.#current.writing;
+  }
+
   get ended(): boolean {
     return this.#isClosed || this.#copies().every(({ ended }) => ended);
   }
--- a/src/app/gateway/request/RequestAttempt.ts
+++ b/src/app/gateway/request/RequestAttempt.ts
@@ -29,6 +29,14 @@
       readonly retryAfterMs: number;
     };
 
+/** The moment at which a request was written to an endpoint. */
+export interface AttemptWriting {
+  /** Time since the endpoint was chosen, in ms. */
+  readonly afterMs: number;
+  /** Whether the store listed the endpoint, as far as this process knew. */
+  readonly listing: 'listed' | 'missing' | 'gone';
+}
+
 /** One sending of a request: to an endpoint, or to a peer that sends it on. */
 export interface RequestAttempt {
   readonly kind: 'endpoint' | 'peer';
@@ -36,6 +44,8 @@
   readonly target: string;
   /** How old the view of the store was at the sending to an endpoint; undefined for a peer, which has its own. */
   readonly viewAge: ViewAge | undefined;
+  /** What the directory and the clock said when the request was written; undefined before, and for a peer. */
+  readonly writing: AttemptWriting | undefined;
   /** Whether the attempt has ended or was cancelled. */
   readonly ended: boolean;
   /** Whether the request was written to a connection, so that it may have arrived. */
--- a/src/app/gateway/request/logRequestEnd.ts
+++ b/src/app/gateway/request/logRequestEnd.ts
@@ -1,5 +1,5 @@
 import type { Logger } from 'pino';
-import type { RequestAttempt } from './RequestAttempt.ts';
+import type { AttemptWriting, RequestAttempt } from './RequestAttempt.ts';
 import type { RoutedRequest } from './RoutedRequest.ts';
 import type { ViewAge } from '../following/StoreSubscription.ts';
 
@@ -33,6 +33,11 @@
 const describeViewAge = (view: ViewAge | undefined) =>
   view === undefined ? {} : { viewAgeMs: Math.round(view.ageMs), viewPath: view.path };
 
+const describeWriting = (writing: AttemptWriting | undefined) =>
+  writing === undefined
+    ? {}
+    : { writtenAfterMs: Math.round(writing.afterMs), listing: writing.listing };
+
 /**
  * Logs the end of a request; a forwarded one is logged by both gateways under its id.
  *
@@ -74,6 +79,7 @@
       waitedBeforeMs,
       configurationVersion,
       ...describeViewAge(attempt?.viewAge),
+      ...describeWriting(attempt?.writing),
     },
     'request ended',
   );
--- a/src/coordination/gateway/following/EndpointDirectory.ts
+++ b/src/coordination/gateway/following/EndpointDirectory.ts
@@ -31,7 +31,13 @@
 export type EndpointChange =
   | { readonly _tag: 'added'; readonly record: EndpointRecord }
   | { readonly _tag: 'draining'; readonly record: EndpointRecord }
-  | { readonly _tag: 'missing'; readonly record: EndpointRecord }
+  /** The store no longer lists the entry, which was last known to be listed at `listedAt`; it is kept until `until`, in ms. */
+  | {
+      readonly _tag: 'missing';
+      readonly record: EndpointRecord;
+      readonly listedAt: number;
+      readonly until: number;
+    }
   | { readonly _tag: 'removed'; readonly record: EndpointRecord };
 
 /** A time in which the store didn't confirm the view, so that entries may have expired; in ms. */
@@ -126,7 +132,7 @@
     if (until > now && entry.record.state === 'ready') {
       if (entry.missingUntil !== undefined) return [];
       entry.missingUntil = until;
-      return [{ _tag: 'missing', record: entry.record }];
+      return [{ _tag: 'missing', record: entry.record, listedAt, until }];
     }
     this.#entries.delete(id);
     return [{ _tag: 'removed', record: entry.record }];
@@ -195,6 +201,11 @@
     return record?.state === 'ready' && this.#isUsable(record) ? record : undefined;
   }
 
+  /** Whether an endpoint is in use although the store no longer lists it. */
+  isMissing(id: string): boolean {
+    return this.#entries.get(id)?.missingUntil !== undefined;
+  }
+
   /** Whether an endpoint is listed and hasn't said that it leaves, so that it should run. */
   isExpectedToRun(id: string): boolean {
     return this.#entries.get(id)?.record.state === 'ready';
