Reproduce an endpoint that stays in use while the store refuses a gateway (DRAIN, red)

The simulation excused a gateway from the promises while the store refused its calls, and for 3 s after. It owes them now as long as the store answers any undisturbed gateway: it has a path to the store, and peers that know.

--- a/test/replication/playReplication.ts
+++ b/test/replication/playReplication.ts
@@ -50,6 +50,8 @@
   lastDisturbedAt: number;
   /** Disturbances that go on. */
   disturbances: number;
+  /** End of the last time in which the store refused calls of the place; infinite while it does. */
+  lastRefusedAt: number;
 }
 
 /** Plays gateways, which follow a store through faults, and checks how old their views get. */
@@ -100,6 +102,7 @@
         linkDelayMs: 0,
         lastDisturbedAt: Number.NEGATIVE_INFINITY,
         disturbances: 0,
+        lastRefusedAt: Number.NEGATIVE_INFINITY,
       })),
     );
   }
@@ -270,12 +273,16 @@
     this.#clock.after(forMs, () => process.setStalled(false));
   }
 
+  /** A place whose calls are refused has a path to the store, so that it isn't disturbed. */
   #cutStore(place: Place, how: StorePath, forMs: number): void {
-    this.#disturb(place, forMs);
-    Object.assign(place, { path: how });
+    const isRefused = how === 'refused';
+    if (!isRefused) this.#disturb(place, forMs);
+    const lastRefusedAt = isRefused ? Number.POSITIVE_INFINITY : place.lastRefusedAt;
+    Object.assign(place, { path: how, lastRefusedAt });
     this.#store.refresh();
     this.#clock.after(forMs, () => {
       Object.assign(place, { path: 'open' });
+      if (isRefused) Object.assign(place, { lastRefusedAt: this.#clock.now });
       this.#store.refresh();
     });
   }
@@ -384,12 +391,20 @@
     return this.#storeDisturbances === 0 && this.#clock.now - this.#storeDisturbedAt >= CONTACT_MS;
   }
 
-  #isInTouch({ process, disturbances, lastDisturbedAt }: Place): boolean {
+  #isUndisturbed({ process, disturbances, lastDisturbedAt }: Place): boolean {
     return (
-      process !== undefined &&
-      disturbances === 0 &&
-      this.#clock.now - lastDisturbedAt >= CONTACT_MS &&
-      this.#isStoreCalm()
+      process !== undefined && disturbances === 0 && this.#clock.now - lastDisturbedAt >= CONTACT_MS
+    );
+  }
+
+  /** Whether the promises hold for a place: also if the store refuses it, while it answers any undisturbed one. */
+  #isInTouch(place: Place): boolean {
+    return this.#isStoreCalm() && this.#isUndisturbed(place) && this.#isAnyAnswered();
+  }
+
+  #isAnyAnswered(): boolean {
+    return this.#places.some(
+      (place) => this.#isUndisturbed(place) && this.#clock.now - place.lastRefusedAt >= CONTACT_MS,
     );
   }
 
--- a/test/replication/replication.test.ts
+++ b/test/replication/replication.test.ts
@@ -120,6 +120,15 @@
     expect(await findStaleViews(plan, 2_147_479_539)).toEqual([]);
   });
 
+  // DRAIN: a watcher that the store refused took its own silence for an outage, and kept an endpoint that it saw leave.
+  it('drop an endpoint in time that is removed while the store refuses their watcher', async () => {
+    const plan: readonly ReplicationStep[] = [
+      { at: 0, action: cutStore([0], 1_576) },
+      { at: 1_631, action: removeEndpoint },
+    ];
+    expect(await findStaleViews(plan)).toEqual([]);
+  });
+
   it('act on no view that is older than promised, whatever happens', async () => {
     const property = fc.asyncProperty(fc.integer(), replicationPlan, async (seed, plan) => {
       expect(await findStaleViews(plan, seed)).toEqual([]);
