--- a/src/app/gateway/following/DomainDrainSubscription.ts
+++ b/src/app/gateway/following/DomainDrainSubscription.ts
@@ -1,5 +1,6 @@
 import type { Logger } from 'pino';
 import type {
+  ChangeSpan,
   DomainDrains,
   DrainChange,
   DrainObstacle,
@@ -92,7 +93,7 @@
         onUnavailable: (detail) => logger.warn({ dependency, detail }, 'dependency lost'),
       },
       onFailed: (sentAt) => drains.recordFailure(sentAt),
-      onWatchResult: (from, to, changes) => this.#relay(from, to, changes),
+      onWatchResult: (span) => this.#relay(span),
       onConfirmed: (at) => {
         drains.confirm(at);
         this.#isConfirmationDue = true;
@@ -129,8 +130,10 @@
       logger.info(details, 'store watcher changed');
     }
     this.#watch.setRelayed(relies);
-    if (this.#isConfirmationDue && !relies && rank <= DEPUTY_RANK)
-      this.#relay(this.#watch.revision, this.#watch.revision, []);
+    if (this.#isConfirmationDue && !relies && rank <= DEPUTY_RANK) {
+      const { revision } = this.#watch;
+      this.#relay({ fromRevision: revision, toRevision: revision, changes: [] });
+    }
     this.#logObstacle();
   }
 
@@ -144,13 +147,13 @@
     const { drains, now } = this.#options;
     const watch = this.#watch;
     if (watch === undefined) return;
-    const { fromRevision, toRevision, changes, confirmedMsAgo = 0 } = message;
+    const { fromRevision, toRevision, changes, present, confirmedMsAgo = 0 } = message;
     this.#notePause(now());
     const isTrusted = now() >= this.#distrustsUntil;
     if (isTrusted && watch.canApply(fromRevision) && toRevision >= watch.revision)
       drains.confirm(now() - confirmedMsAgo);
     const { revision } = watch;
-    watch.applyRelayed(fromRevision, toRevision, changes);
+    watch.applyRelayed({ fromRevision, toRevision, changes, present });
     // What a peer has relayed needn't have reached those that rely on this process.
     if (watch.revision !== revision) this.#relayedTo = undefined;
     this.#requiredRevision = Math.max(
@@ -171,7 +174,7 @@
   }
 
   /** Relays the result of an own call: changes to all members, a confirmation to those of the failure domain. */
-  #relay(fromRevision: number, toRevision: number, changes: readonly StoreChange[]): void {
+  #relay({ fromRevision, toRevision, changes, present }: ChangeSpan): void {
     const { drains, group, now, logger } = this.#options;
     if (changes.length === 0 && group.storeCallRank() > DEPUTY_RANK) return;
     this.#isConfirmationDue = false;
@@ -185,6 +188,7 @@
       confirmedMsAgo: Math.max(0, now() - drains.confirmedAt),
       afterOutage: false,
       changes,
+      ...(present !== undefined && { present }),
     };
     if (changes.length === 0) {
       group.sameDomainPeers().forEach(({ incarnation }) => group.send(incarnation, message));
--- a/src/app/gateway/following/StoreSubscription.test.ts
+++ b/src/app/gateway/following/StoreSubscription.test.ts
@@ -69,6 +69,7 @@
       storeWatcher: () => WATCHER,
       storeCallRank: () => 1,
       sameDomainPeers: () => [],
+      liveMembers: () => [],
       send: () => true,
       broadcast: () => {},
     },
--- a/src/app/gateway/following/StoreSubscription.ts
+++ b/src/app/gateway/following/StoreSubscription.ts
@@ -1,9 +1,9 @@
 import type { Logger } from 'pino';
 import {
-  EXPIRY_OUTAGE_MS,
-  RelayedRevisions,
   RelianceMonitor,
+  StoreContact,
   ViewFreshness,
+  graceUntil,
   isBehind,
   type Confirmation,
   type ConfirmationPath,
@@ -13,12 +13,14 @@
   type Pause,
   type ViewKind,
 } from '../../../coordination/gateway/index.ts';
-import type { ObjectStore, StoreChange, WireAdapter } from '../../../protocol/gateway/index.ts';
+import type { ObjectStore, WireAdapter } from '../../../protocol/gateway/index.ts';
 import type { PeerMessage } from '../../../protocol/peer/PeerMessage.ts';
 import type { EndpointRecord, RouteTable } from '../../../state/gateway/index.ts';
 import { BACKLOG_MS } from '../PauseMonitor.ts';
 import type { PeerGroup } from '../PeerGroup.ts';
+import { recordContact } from './contactReport.ts';
 import { StoreWatch, type StoreChangeSource, type StoreWatchListener } from './StoreWatch.ts';
+import { ViewExchange } from './ViewExchange.ts';
 import { ViewLog } from './ViewLog.ts';
 import { ViewReporter } from './ViewReporter.ts';
 
@@ -29,6 +31,9 @@
 type StoreChangesMessage = Extract<PeerMessage, { readonly _tag: 'storeChanges' }> & {
   readonly kind: ViewKind;
 };
+type StoreViewMessage = Extract<PeerMessage, { readonly _tag: 'storeView' }> & {
+  readonly kind: ViewKind;
+};
 
 /** How old the view of the store is, and what its age depends on. */
 export interface ViewAge {
@@ -38,6 +43,9 @@
   readonly path: ConfirmationPath;
 }
 
+/** Time since an answer of the store to any member in which it is taken for available. */
+const RECENT_CONTACT_MS = 1_500;
+
 /** Whether the store is unavailable, or was so recently that entries may still be missing. */
 export type OutagePhase = 'none' | 'unavailable' | 'grace';
 
@@ -48,7 +56,13 @@
   readonly directory: EndpointDirectory;
   readonly group: Pick<
     PeerGroup,
-    'incarnation' | 'storeWatcher' | 'storeCallRank' | 'sameDomainPeers' | 'send' | 'broadcast'
+    | 'incarnation'
+    | 'storeWatcher'
+    | 'storeCallRank'
+    | 'sameDomainPeers'
+    | 'liveMembers'
+    | 'send'
+    | 'broadcast'
   >;
   readonly logger: Logger;
   /** Present time in ms, monotonic. */
@@ -73,9 +87,6 @@
   readonly onRelayReceived: (kind: ViewKind, result: RelayResult) => void;
 }
 
-/** Rank of the first member after the watcher, which reports to its failure domain while it calls the store itself. */
-const DEPUTY_RANK = 1;
-
 /**
  * Keeps the configuration and the endpoint directory up to date with the platform's store. One member
  * of each failure domain, the watcher, watches the store and relays changes to the others of its domain; a member
@@ -93,41 +104,35 @@
   /** Whether the watches are suspended because the watcher of the domain relays changes. */
   #isRelying = false;
 
-  /** Store revisions up to which this process has relayed changes. */
-  readonly #relayedRevisions: Readonly<Record<ViewKind, RelayedRevisions>> = {
-    configuration: new RelayedRevisions(),
-    endpoints: new RelayedRevisions(),
-  };
+  readonly #contact = new StoreContact();
 
   readonly #reporter: ViewReporter;
 
-  readonly #log: ViewLog;
+  readonly #exchange: ViewExchange;
 
-  /** The latest confirmation that a peer has reported, whether or not it holds for the view of this process. */
-  #peerConfirmation: { readonly from: string; readonly at: number } | undefined;
+  readonly #log: ViewLog;
 
   #endpointsListed = false;
 
   /** Last moment before the changes that are being applied at which the store confirmed the endpoints, in ms. */
   #endpointsListedAt = Number.NEGATIVE_INFINITY;
 
-  /** Time since the last confirmation of the endpoints for which this process was paused, in ms. */
-  #pausedMs = 0;
-
   /** End of the last pause of the process in ms. */
   #resumedAt = Number.NEGATIVE_INFINITY;
 
   constructor(options: StoreSubscriptionOptions) {
     this.#options = options;
     const { store, now, random, sleep, group } = options;
-    const isReliedOn = (): boolean => group.storeWatcher() === group.incarnation;
+    // While the store answers others, they supply the members of the domain.
+    const isReliedOn = (): boolean =>
+      group.storeWatcher() === group.incarnation && !this.#isAnsweredToOthers();
     const common = { store, now, random, sleep, isReliedOn };
     const watch = (kind: ViewKind, listener: StoreWatchListener): StoreWatch =>
       new StoreWatch({
         ...common,
         kind,
         listener,
-        onWatchResult: (from, to, changes) => this.#relayChanges(kind, from, to, changes),
+        onWatchResult: (span) => this.#exchange.relay(kind, span),
         onConfirmed: (at) => this.#confirm(kind, { at, path: 'call' }),
       });
     this.#watches = {
@@ -138,6 +143,17 @@
       group,
       watches: this.#watches,
       freshness: this.#freshness,
+      contact: this.#contact,
+    });
+    this.#exchange = new ViewExchange({
+      group,
+      watches: this.#watches,
+      freshness: this.#freshness,
+      contact: this.#contact,
+      reliance: this.#relianceMonitor,
+      reporter: this.#reporter,
+      logger: options.logger,
+      now,
     });
     this.#log = new ViewLog(options.logger, this.#watches);
   }
@@ -164,9 +180,9 @@
    * @returns `none` if a missing entry means that its endpoint has left
    */
   outagePhase(now: number): OutagePhase {
-    const { at } = this.#freshness.confirmationOf('endpoints');
-    if (Number.isFinite(at) && now - at - this.#pausedMs > EXPIRY_OUTAGE_MS) return 'unavailable';
-    return this.#options.directory.remainingGraceMs(now) > 0 ? 'grace' : 'none';
+    const outage = this.#contact.outage(now);
+    if (outage?.endedAt === Number.POSITIVE_INFINITY) return 'unavailable';
+    return graceUntil(outage) > now ? 'grace' : 'none';
   }
 
   /**
@@ -175,9 +191,9 @@
    *
    * @param pause - how long, by which clock
    */
-  recordPause({ countedMs, uncountedMs }: Pause): void {
-    this.#freshness.age(uncountedMs);
-    this.#pausedMs += countedMs + uncountedMs;
+  recordPause(pause: Pause): void {
+    this.#freshness.age(pause.uncountedMs);
+    this.#contact.recordPause(pause, this.#options.now());
     this.#resumedAt = this.#options.now();
     Object.values(this.#watches).forEach((watch) => watch.recordPause());
   }
@@ -202,25 +218,24 @@
   }
 
   /**
-   * Removes endpoints that are still missing after an outage of the store and its grace time, decides whether to
-   * rely on peers, asks them for what is missing and reports to them what is known here. Call it periodically.
+   * Removes missing endpoints that need not be kept any longer, decides whether to rely on peers, asks them for what is
+   * missing and reports to them what is known here. Call it periodically.
    */
   tick(): void {
     const { directory, group, now } = this.#options;
-    // Entries that expired in an outage are registered again only after its end.
-    if (this.outagePhase(now()) !== 'unavailable')
-      this.#reportChanges(directory.removeMissing(now()), 'graceExpired');
+    const outage = this.#contact.outage(now());
+    this.#reportChanges(directory.removeMissing(outage, now()), 'graceExpired');
     const watcher = group.storeWatcher();
     const rank = group.storeCallRank();
     const known = this.#known();
     const view = { known, ageMs: this.#freshness.ageMs(now()) };
     const obstacle = this.#relianceMonitor.findObstacle(view, rank, now());
-    this.#requestMissing(known);
+    this.#exchange.requestMissing(known);
     const relies = rank > 0 && obstacle === undefined;
-    if (rank === 0 || (rank === DEPUTY_RANK && !relies)) this.#reporter.sendWhenDue(now());
+    if (rank === 0) this.#reporter.sendWhenDue(now());
     // Changes that the watcher relays meanwhile are not relayed from here, so that the revisions
     // recorded here no longer tell what the other members have received.
-    if (relies) Object.values(this.#relayedRevisions).forEach((revisions) => revisions.reset());
+    if (relies) this.#exchange.forgetRelayed();
     if (relies !== this.#isRelying) {
       this.#isRelying = relies;
       const reported = this.#relianceMonitor.latestRevisions;
@@ -233,24 +248,28 @@
     this.#log.recordOutage(this.outagePhase(now()), {
       missing: directory.missingCount,
       ageMs: Math.round(view.ageMs),
-      peer: this.#peerConfirmation?.from,
-      peerConfirmedMsAgo: this.#peerConfirmation && Math.round(now() - this.#peerConfirmation.at),
+      answeredMsAgo: Math.round(now() - (this.#contact.latest?.until ?? Number.NEGATIVE_INFINITY)),
     });
     this.#log.recordAge(this.viewAge(now()), { watcher, relies });
   }
 
   /**
-   * Processes reports of peers, changes that they send and their requests for changes; other messages are ignored.
+   * Processes reports of peers, what they send of their views and their requests; other messages are ignored.
    *
    * @param from - incarnation of the sender
    * @param message - the decoded message
    */
   handle(from: string, message: PeerMessage): void {
-    if (message._tag === 'storeWatcherAlive') this.#receiveReport(from, message);
-    else if (message._tag === 'storeChanges' && message.kind !== 'domainDrains')
-      this.#receiveChanges(from, { ...message, kind: message.kind });
-    else if (message._tag === 'storeChangesRequest' && message.kind !== 'domainDrains')
-      this.#sendChangesSince(from, message.kind, message.sinceRevision);
+    if (message._tag === 'storeWatcherAlive') {
+      this.#receiveReport(from, message);
+      return;
+    }
+    if (!('kind' in message) || message.kind === 'domainDrains') return;
+    const { kind } = message;
+    if (message._tag === 'storeChanges') this.#receiveChanges(from, { ...message, kind });
+    else if (message._tag === 'storeView') this.#receiveView({ ...message, kind });
+    else if (message._tag === 'storeChangesRequest')
+      this.#exchange.answerRequest(from, kind, message.sinceRevision);
   }
 
   #known(): KnownRevisions {
@@ -258,110 +277,74 @@
     return { configuration: configuration.revision, endpoints: endpoints.revision };
   }
 
+  /** Whether the store has answered any member lately. */
+  #isAnsweredToOthers(): boolean {
+    const { latest } = this.#contact;
+    return latest !== undefined && this.#options.now() - latest.until < RECENT_CONTACT_MS;
+  }
+
   /** A peer that holds nothing that is missing here vouches for this view as far as the store does for its own. */
   #receiveReport(from: string, report: ViewReportMessage): void {
-    const { reached, configurationRevision, endpointsRevision, completeSince } = report;
+    const { reached, configurationRevision, endpointsRevision, completeSince, gaps } = report;
     // Reports of the build before may lack revisions of lists and the age.
     const required = completeSince ?? {
       configuration: configurationRevision,
       endpoints: endpointsRevision,
     };
-    this.#relianceMonitor.recordReport(from, { required });
-    if (!reached && report.confirmedMsAgo === undefined) return;
+    const isConfirmed = reached || report.confirmedMsAgo !== undefined;
     const at = this.#options.now() - (report.confirmedMsAgo ?? 0);
-    if (at > (this.#peerConfirmation?.at ?? Number.NEGATIVE_INFINITY))
-      this.#peerConfirmation = { from, at };
-    if (isBehind(this.#known(), required)) return;
-    this.#confirm('configuration', { at, path: 'peer' });
-    this.#confirm('endpoints', { at, path: 'peer' });
+    const confirmedAt = isConfirmed ? at : Number.NEGATIVE_INFINITY;
+    this.#relianceMonitor.recordReport(from, { required, confirmedAt });
+    this.#hearOfStore(report);
+    const known = this.#known();
+    if (!isConfirmed || isBehind(known, required)) return;
+    (['configuration', 'endpoints'] as const).forEach((kind) => {
+      const gap = gaps?.[kind];
+      const isInGap = gap !== undefined && known[kind] > gap.after && known[kind] < gap.until;
+      if (!isInGap) this.#confirm(kind, { at, path: 'peer' });
+    });
   }
 
   #receiveChanges(from: string, message: StoreChangesMessage): void {
     const { now, logger, onRelayReceived } = this.#options;
-    const { kind, fromRevision, toRevision, changes, confirmedMsAgo = 0 } = message;
+    const { kind, fromRevision, toRevision, confirmedMsAgo = 0 } = message;
     const watch = this.#watches[kind];
     const known = watch.revision;
+    this.#hearOfStore({ ...message, confirmedMsAgo });
     if (watch.canApply(fromRevision) && toRevision >= known)
       this.#confirm(kind, { at: now() - confirmedMsAgo, path: 'peer' });
-    const isApplied = watch.applyRelayed(fromRevision, toRevision, changes);
+    const isApplied = watch.applyRelayed(message);
     onRelayReceived(kind, isApplied ? 'applied' : 'gap');
     if (isApplied) return;
     logger.warn({ kind, from, fromRevision, toRevision, known }, 'relayed changes leave a gap');
   }
 
-  /** Asks the peer that reported the highest revisions for the changes that are missing here. */
-  #requestMissing(known: KnownRevisions): void {
-    const { group, now } = this.#options;
-    const peer = this.#relianceMonitor.takeRequest(now());
-    if (peer === undefined) return;
-    const { latestRevisions } = this.#relianceMonitor;
-    const kinds = ['configuration', 'endpoints'] as const;
-    kinds
-      .filter((kind) => known[kind] > 0 && known[kind] < latestRevisions[kind])
-      .forEach((kind) =>
-        group.send(peer, { _tag: 'storeChangesRequest', kind, sinceRevision: known[kind] }),
-      );
+  #receiveView(message: StoreViewMessage): void {
+    const { kind, revision, objects, confirmedMsAgo } = message;
+    const watch = this.#watches[kind];
+    this.#hearOfStore(message);
+    if (revision < watch.revision) return;
+    this.#confirm(kind, { at: this.#options.now() - confirmedMsAgo, path: 'peer' });
+    watch.applyView(revision, objects);
   }
 
-  #sendChangesSince(to: string, kind: ViewKind, revision: number): void {
-    const { group, now, logger } = this.#options;
-    const span = this.#watches[kind].changesSince(revision);
-    if (span === undefined) return;
-    const confirmedMsAgo = Math.max(0, now() - this.#freshness.confirmationOf(kind).at);
-    group.send(to, { _tag: 'storeChanges', kind, ...span, confirmedMsAgo, afterOutage: false });
-    logger.info(
-      { kind, to, ...span, changes: span.changes.length },
-      'store changes sent on request',
-    );
+  /** Records what a peer says of when the store answered the group, unless the message may have waited in a pause. */
+  #hearOfStore(message: Parameters<typeof recordContact>[1]): void {
+    const now = this.#options.now();
+    if (now - this.#resumedAt >= BACKLOG_MS) recordContact(this.#contact, message, now);
   }
 
   /** Records a confirmation of the view, before the changes that come with it are applied. */
   #confirm(kind: ViewKind, confirmation: Confirmation): void {
-    if (confirmation.path === 'peer' && this.#options.now() - this.#resumedAt < BACKLOG_MS) return;
+    const { now, group } = this.#options;
+    const { at, path } = confirmation;
+    if (path === 'peer' && now() - this.#resumedAt < BACKLOG_MS) return;
     const previousAt = this.#freshness.confirm(kind, confirmation);
-    if (kind !== 'endpoints') return;
-    this.#endpointsListedAt = previousAt;
-    this.#options.directory.recordConfirmation(previousAt + this.#pausedMs, confirmation.at);
-    if (confirmation.at > previousAt) this.#pausedMs = 0;
-  }
-
-  #relayChanges(
-    kind: ViewKind,
-    fromRevision: number,
-    toRevision: number,
-    changes: readonly StoreChange[],
-  ): void {
-    const { group, directory, now, logger } = this.#options;
-    const graceMs = directory.remainingGraceMs(now());
-    const afterOutage = graceMs > 0;
-    const isWatcher = group.storeWatcher() === group.incarnation;
-    // A member that calls the store though it isn't the watcher passes on only what has changed.
-    if (!isWatcher && changes.length === 0) return;
-    const watched = {
-      from: fromRevision,
-      to: toRevision,
-      isNews: changes.length > 0 || afterOutage,
-    };
-    const from = this.#relayedRevisions[kind].planRelay(watched, now());
-    if (from === undefined) return;
-    const message: PeerMessage = {
-      _tag: 'storeChanges',
-      kind,
-      fromRevision: from,
-      toRevision,
-      changes,
-      afterOutage,
-      graceMs,
-    };
-    const peers = group
-      .sameDomainPeers()
-      .filter(({ incarnation }) => group.send(incarnation, message)).length;
-    if (changes.length === 0) return;
-    logger.info(
-      { kind, fromRevision: from, toRevision, peers, isWatcher },
-      'store changes relayed',
-    );
-    if (group.storeCallRank() <= DEPUTY_RANK) this.#reporter.sendToAll(now());
+    if (kind === 'endpoints') this.#endpointsListedAt = previousAt;
+    if (path !== 'call') return;
+    this.#contact.record({ from: at, until: at });
+    if (!this.#isRelying && group.storeCallRank() > 0 && this.#endpointsListed)
+      this.#reporter.sendCallResult(now());
   }
 
   #makeConfigurationListener(): StoreWatchListener {
@@ -384,10 +367,11 @@
         this.#log.recordList('endpoints', count);
       },
       onChanges: (changes, source) => {
+        const outage = this.#contact.outage(now());
         const directoryChanges = changes.flatMap(({ removed, object }) => {
           const record = removed ? undefined : wire.readEndpoint(object.name, object.spec);
           if (record === undefined)
-            return directory.remove(object.name, this.#endpointsListedAt, now());
+            return directory.remove(object.name, this.#endpointsListedAt, outage, now());
           const changed = directory.put(record);
           const isAdded = changed.some(({ _tag }) => _tag === 'added');
           const isNew = isAdded && this.#endpointsListed;
--- a/src/app/gateway/following/StoreWatch.ts
+++ b/src/app/gateway/following/StoreWatch.ts
@@ -6,6 +6,7 @@
   WATCH_WAIT_MS,
   storeRetryDelay,
   type ChangeSpan,
+  type RevisionGap,
 } from '../../../coordination/gateway/index.ts';
 import type {
   ObjectStore,
@@ -51,11 +52,7 @@
    * Called with the changes of each call that raised the revision, to relay them. After the first list
    * there is nothing to relay, because it doesn't tell what changed.
    */
-  readonly onWatchResult: (
-    fromRevision: number,
-    toRevision: number,
-    changes: readonly StoreChange[],
-  ) => void;
+  readonly onWatchResult: (span: ChangeSpan) => void;
   /** Called after each failed call, with the moment at which it was sent, in ms. */
   readonly onFailed?: (sentAt: number) => void;
   /** Called when the store has confirmed the view, with the moment at which it did, in ms. */
@@ -100,6 +97,8 @@
 
   #completeSince = 0;
 
+  #gap: RevisionGap = { after: 0, until: 0 };
+
   #failures = 0;
 
   #reached = false;
@@ -167,6 +166,11 @@
     if (!relayed) this.#resume?.();
   }
 
+  /** Whether the last call to the store failed. */
+  get hasFailed(): boolean {
+    return this.#failures > 0;
+  }
+
   /**
    * Returns what a view of a peer lacks.
    *
@@ -174,7 +178,24 @@
    * @returns the changes; undefined if they aren't known here
    */
   changesSince(revision: number): ChangeSpan | undefined {
-    return this.#log.since(revision);
+    const span = this.#log.since(revision);
+    if (span === undefined || revision >= this.#gap.until) return span;
+    return { ...span, present: this.present };
+  }
+
+  /** Names of all objects that are known here. */
+  get present(): readonly string[] {
+    return this.objects.map(({ name }) => name);
+  }
+
+  /** Revisions between which objects may have come and gone unnoticed. */
+  get gap(): RevisionGap {
+    return this.#gap;
+  }
+
+  /** All objects that are known here; complete at `revision`. */
+  get objects(): readonly StoreObject[] {
+    return this.#objects.objects;
   }
 
   /**
@@ -190,12 +211,10 @@
   /**
    * Applies changes that another process has watched.
    *
-   * @param fromRevision - store revision after which the changes are complete
-   * @param toRevision - store revision up to which the changes are complete
-   * @param changes - the changes in order
-   * @returns false if earlier changes are missing here, so that the view isn't complete up to `toRevision`
+   * @param span - the changes, and between which store revisions they are complete
+   * @returns false if earlier changes are missing here, so that the view isn't complete up to the end of the span
    */
-  applyRelayed(fromRevision: number, toRevision: number, changes: readonly StoreChange[]): boolean {
+  applyRelayed({ fromRevision, toRevision, changes, present }: ChangeSpan): boolean {
     const known = this.#revision;
     if (known === undefined) return false;
     if (!this.canApply(fromRevision)) {
@@ -206,12 +225,25 @@
     }
     if (toRevision <= known) return true;
     this.#isListDue = false;
-    this.#log.append(changes, toRevision);
     this.#revision = toRevision;
-    this.#apply(changes, 'relay');
+    const gone = present === undefined ? [] : this.#objects.findGone(present, toRevision);
+    const all = [...changes, ...gone];
+    this.#log.append(all, toRevision);
+    if (present !== undefined) this.#gap = { after: known, until: toRevision };
+    this.#apply(all, 'relay');
     return true;
   }
 
+  /**
+   * Applies the whole view of a peer.
+   *
+   * @param revision - store revision at which it is complete
+   * @param objects - all objects
+   */
+  applyView(revision: number, objects: readonly StoreObject[]): void {
+    this.#applyObjects(revision, objects, 'relay');
+  }
+
   /** Records that the process was paused until now: the answer to a call in progress is discarded. */
   recordPause(): void {
     this.#pausedAt = this.#options.now();
@@ -322,19 +354,33 @@
 
   #applyList(revision: number, objects: readonly StoreObject[]): void {
     const before = this.#revision;
+    const changes = this.#applyObjects(revision, objects, 'list');
+    if (before === undefined || changes === undefined) return;
+    const { present } = this;
+    this.#options.onWatchResult({ fromRevision: before, toRevision: revision, changes, present });
+  }
+
+  /** Returns what was news of all objects; undefined if the view is newer. */
+  #applyObjects(
+    revision: number,
+    objects: readonly StoreObject[],
+    source: 'list' | 'relay',
+  ): readonly StoreChange[] | undefined {
     this.#isListDue = false;
+    const before = this.#revision;
     // Changes that were relayed during the call are newer than its result.
-    if (before !== undefined && revision <= before) return;
+    if (before !== undefined && revision <= before) return undefined;
     // A list doesn't show the changes that hold already, but peers may lack them.
     const held = this.#ahead.filter(({ object }) => object.revision <= revision);
     const changes = [...held, ...this.#objects.compare(objects, revision)];
     this.#revision = revision;
-    this.#apply(changes, 'list');
+    this.#apply(changes, source);
     if (before === undefined) this.#log.reset(revision);
     else this.#log.append(changes, revision);
     if (before === undefined || changes.length > 0) this.#completeSince = revision;
+    this.#gap = { after: before ?? 0, until: revision };
     this.#options.listener.onList(objects.length);
-    if (before !== undefined) this.#options.onWatchResult(before, revision, changes);
+    return changes;
   }
 
   #isFromBeforePause(sentAt: number): boolean {
@@ -349,7 +395,7 @@
     this.#revision = revision;
     this.#log.append(changes, revision);
     this.#apply(changes, 'watch');
-    this.#options.onWatchResult(before, revision, changes);
+    this.#options.onWatchResult({ fromRevision: before, toRevision: revision, changes });
   }
 
   /** Applies what is news of changes that complete the view up to its revision. */
--- a/src/app/gateway/following/ViewLog.ts
+++ b/src/app/gateway/following/ViewLog.ts
@@ -12,9 +12,8 @@
   readonly missing: number;
   /** Time since the store last confirmed the view of this process, in ms. */
   readonly ageMs: number;
-  /** The last confirmation that a peer has reported: by whom, and how long ago it was, in ms; absent without one. */
-  readonly peer?: string | undefined;
-  readonly peerConfirmedMsAgo?: number | undefined;
+  /** Time since the store last answered any member, as far as this process has heard, in ms. */
+  readonly answeredMsAgo: number;
 }
 
 /** Logs how the view of the store changes. */
--- a/src/app/gateway/following/ViewReporter.ts
+++ b/src/app/gateway/following/ViewReporter.ts
@@ -1,6 +1,7 @@
-import type { ViewFreshness, ViewKind } from '../../../coordination/gateway/index.ts';
+import type { StoreContact, ViewFreshness, ViewKind } from '../../../coordination/gateway/index.ts';
 import type { PeerMessage } from '../../../protocol/peer/PeerMessage.ts';
 import type { PeerGroup } from '../PeerGroup.ts';
+import { reportContact } from './contactReport.ts';
 import type { StoreWatch } from './StoreWatch.ts';
 
 /** What is reported, and to whom. */
@@ -8,6 +9,7 @@
   readonly group: Pick<PeerGroup, 'sameDomainPeers' | 'send' | 'broadcast'>;
   readonly watches: Readonly<Record<ViewKind, StoreWatch>>;
   readonly freshness: ViewFreshness;
+  readonly contact: StoreContact;
 }
 
 /** Longest time between reports to the members of the failure domain. */
@@ -46,9 +48,29 @@
       this.sendToAll(now);
       return;
     }
-    const { group } = this.#options;
-    const report = this.#makeReport(now);
-    group.sameDomainPeers().forEach(({ incarnation }) => group.send(incarnation, report));
+    this.#sendToDomain(now);
+  }
+
+  /**
+   * Tells the failure domain that a call of this process has confirmed the view, though another member watches the store
+   * for it: that one, and others, may be refused by the store.
+   *
+   * @param now - present time in ms, monotonic
+   */
+  sendCallResult(now: number): void {
+    const { at, path } = this.#options.freshness.oldest;
+    if (path !== 'call' || at <= this.#reportedConfirmationAt) return;
+    if (now - this.#sentAt >= CONFIRMATION_INTERVAL_MS) this.#sendToDomain(now);
+  }
+
+  /**
+   * Sends a report to one member that asked for it.
+   *
+   * @param to - its incarnation
+   * @param now - present time in ms, monotonic
+   */
+  sendTo(to: string, now: number): void {
+    this.#options.group.send(to, this.#makeReport(now));
   }
 
   /**
@@ -58,14 +80,26 @@
    */
   sendToAll(now: number): void {
     this.#broadcastSentAt = now;
+    this.#recordSending(now);
     this.#options.group.broadcast(this.#makeReport(now));
   }
 
+  #sendToDomain(now: number): void {
+    const { group } = this.#options;
+    const report = this.#makeReport(now);
+    this.#recordSending(now);
+    group.sameDomainPeers().forEach(({ incarnation }) => group.send(incarnation, report));
+  }
+
+  #recordSending(now: number): void {
+    this.#sentAt = now;
+    this.#reportedConfirmationAt = this.#options.freshness.oldest.at;
+  }
+
   #makeReport(now: number): PeerMessage {
     const { configuration, endpoints } = this.#options.watches;
     const confirmedAt = this.#options.freshness.oldest.at;
-    this.#sentAt = now;
-    this.#reportedConfirmationAt = confirmedAt;
+    const gaps = { configuration: configuration.gap, endpoints: endpoints.gap };
     return {
       _tag: 'storeWatcherAlive',
       reached: configuration.reached && endpoints.reached,
@@ -76,6 +110,8 @@
         endpoints: endpoints.completeSince,
       },
       ...(Number.isFinite(confirmedAt) ? { confirmedMsAgo: Math.max(0, now - confirmedAt) } : {}),
+      gaps,
+      ...reportContact(this.#options.contact, now),
     };
   }
 }
--- a/src/app/routePeerMessage.ts
+++ b/src/app/routePeerMessage.ts
@@ -135,6 +135,7 @@
     case 'quarantinedParts':
     case 'storeChanges':
     case 'storeChangesRequest':
+    case 'storeView':
     case 'endpointsLeaving':
     case 'rolloutReports':
     case 'rolloutSteps':
--- a/src/coordination/gateway/following/ChangeLog.ts
+++ b/src/coordination/gateway/following/ChangeLog.ts
@@ -5,6 +5,20 @@
   readonly fromRevision: number;
   readonly toRevision: number;
   readonly changes: readonly StoreChange[];
+  /**
+   * Names of all objects at `toRevision`, if the changes were derived from a list: it doesn't tell which objects came and
+   * went, so that a view which saw one come would miss that it went.
+   */
+  readonly present?: readonly string[] | undefined;
+}
+
+/**
+ * Store revisions, both excluded, between which objects may have come and gone without notice, because the view jumped
+ * over them by a list.
+ */
+export interface RevisionGap {
+  readonly after: number;
+  readonly until: number;
 }
 
 /** Objects whose last change is kept for peers. */
--- a/src/coordination/gateway/following/EndpointDirectory.ts
+++ b/src/coordination/gateway/following/EndpointDirectory.ts
@@ -1,30 +1,12 @@
 import type { EndpointRecord } from '../../../state/gateway/index.ts';
-
-/**
- * Time after an outage of the store in which missing entries are kept. Entries that expired during
- * the outage are registered again within 2 s of its end if their endpoint is alive. Together with the
- * longest delay before this process notices the end, it is over within the 3 s after which a gateway
- * counts as undisturbed.
- */
-export const MISSING_ENTRY_GRACE_MS = 2_050;
-
-/**
- * Longest time for which an entry is kept that was removed after an outage, from the last moment at which it is
- * known to have been listed. Most such endpoints have left, and none may be used for longer than 2 s after that.
- */
-const REMOVED_ENTRY_RETENTION_MS = 1_800;
-
-/**
- * Time without a confirmation of the view after which entries may have expired because the store was unavailable.
- * In a shorter one no endpoint misses enough of its heartbeats.
- */
-export const EXPIRY_OUTAGE_MS = 2_000;
+import { retainUntil } from './retainUntil.ts';
+import type { Outage } from './StoreContact.ts';
 
 /** An endpoint's entry in the directory. */
 interface DirectoryEntry {
   readonly record: EndpointRecord;
-  /** End of its use, in ms; set if the store stopped listing the entry in or after an outage. */
-  missingUntil?: number | undefined;
+  /** When the store is known to have listed it last, in ms; set if it no longer does and the entry is kept in use. */
+  listedAt?: number | undefined;
 }
 
 /** A change of one endpoint in the directory. */
@@ -40,12 +22,6 @@
     }
   | { readonly _tag: 'removed'; readonly record: EndpointRecord };
 
-/** A time in which the store didn't confirm the view, so that entries may have expired; in ms. */
-interface Outage {
-  readonly startedAt: number;
-  readonly endedAt: number;
-}
-
 /**
  * The endpoints that the store lists. An entry that goes missing in an outage of the store, or
  * shortly after, is kept until its endpoint has had time to register again. At any other time a
@@ -56,11 +32,6 @@
 
   readonly #isUsable: (record: EndpointRecord) => boolean;
 
-  #lastOutage: Outage = {
-    startedAt: Number.NEGATIVE_INFINITY,
-    endedAt: Number.NEGATIVE_INFINITY,
-  };
-
   /**
    * @param isUsable - whether requests may be sent to an endpoint now, as far as its failure domain is concerned; asked
    *   at each sending
@@ -69,32 +40,9 @@
     this.#isUsable = isUsable;
   }
 
-  /**
-   * Records that the store has confirmed the view, before the changes that come with that are applied. After a
-   * long time without a confirmation, the grace time starts.
-   *
-   * @param previousAt - when it did so before, in ms; `-Infinity` if never
-   * @param now - current time, in ms
-   */
-  recordConfirmation(previousAt: number, now: number): void {
-    if (!Number.isFinite(previousAt) || now - previousAt <= EXPIRY_OUTAGE_MS) return;
-    this.#lastOutage = { startedAt: previousAt, endedAt: now };
-  }
-
-  /**
-   * Returns for how long missing entries are still kept after an outage.
-   *
-   * @param now - current time, in ms
-   * @returns the remaining grace time in ms; 0 if a missing entry means that its endpoint has left
-   */
-  remainingGraceMs(now: number): number {
-    return Math.max(0, this.#graceUntil - now);
-  }
-
   /** Number of entries that the store no longer lists and that are kept in use. */
   get missingCount(): number {
-    return [...this.#entries.values()].filter(({ missingUntil }) => missingUntil !== undefined)
-      .length;
+    return [...this.#entries.values()].filter(({ listedAt }) => listedAt !== undefined).length;
   }
 
   /**
@@ -117,21 +65,22 @@
   }
 
   /**
-   * Handles an entry that the store no longer lists: removes it, or marks it as missing in the grace time after an
+   * Handles an entry that the store no longer lists: removes it, or marks it as missing if it may have expired in an
    * outage. A draining endpoint is removed in either case.
    *
    * @param id - the endpoint's id
    * @param listedAt - last moment at which the store is known to have listed the entry, in ms
+   * @param outage - the last outage of the store that the group knows of, if any
    * @param now - current time, in ms
    * @returns the change; empty if the entry is unknown or was marked before
    */
-  remove(id: string, listedAt: number, now: number): EndpointChange[] {
+  remove(id: string, listedAt: number, outage: Outage | undefined, now: number): EndpointChange[] {
     const entry = this.#entries.get(id);
     if (entry === undefined) return [];
-    const until = this.#retainUntil(listedAt);
+    const until = retainUntil(listedAt, outage);
     if (until > now && entry.record.state === 'ready') {
-      if (entry.missingUntil !== undefined) return [];
-      entry.missingUntil = until;
+      if (entry.listedAt !== undefined) return [];
+      entry.listedAt = listedAt;
       return [{ _tag: 'missing', record: entry.record, listedAt, until }];
     }
     this.#entries.delete(id);
@@ -139,32 +88,22 @@
   }
 
   /**
-   * Removes the entries whose time as missing ones is over. During an outage, call it only after its end.
+   * Removes the missing entries that need not be kept any longer, or needn't have been: that the store was available may
+   * become known later.
    *
+   * @param outage - the last outage of the store that the group knows of, if any
    * @param now - current time, in ms
    * @returns the removed endpoints
    */
-  removeMissing(now: number): EndpointChange[] {
+  removeMissing(outage: Outage | undefined, now: number): EndpointChange[] {
     return [...this.#entries.values()]
-      .filter(({ missingUntil }) => missingUntil !== undefined && now >= missingUntil)
+      .filter(({ listedAt }) => listedAt !== undefined && retainUntil(listedAt, outage) <= now)
       .map(({ record }) => {
         this.#entries.delete(record.id);
         return { _tag: 'removed', record };
       });
   }
 
-  /** Returns until when an entry is kept that was removed after a moment at which it was listed. */
-  #retainUntil(listedAt: number): number {
-    const hasExpiredInOutage = listedAt <= this.#lastOutage.startedAt;
-    return hasExpiredInOutage
-      ? this.#graceUntil
-      : Math.min(this.#graceUntil, listedAt + REMOVED_ENTRY_RETENTION_MS);
-  }
-
-  get #graceUntil(): number {
-    return this.#lastOutage.endedAt + MISSING_ENTRY_GRACE_MS;
-  }
-
   /** Lists the endpoints of a service that accept new requests. */
   listReady(service: string): EndpointRecord[] {
     return this.listAllReady().filter((record) => record.service === service);
@@ -203,7 +142,7 @@
 
   /** Whether an endpoint is in use although the store no longer lists it. */
   isMissing(id: string): boolean {
-    return this.#entries.get(id)?.missingUntil !== undefined;
+    return this.#entries.get(id)?.listedAt !== undefined;
   }
 
   /** Whether an endpoint is listed and hasn't said that it leaves, so that it should run. */
--- a/src/coordination/gateway/following/ObjectRevisions.ts
+++ b/src/coordination/gateway/following/ObjectRevisions.ts
@@ -4,15 +4,20 @@
 const MAXIMUM_REMOVED = 4_096;
 
 /**
- * Revisions of the objects of one kind. Each object's state only grows in its revision, whichever path it
+ * The objects of one kind with their revisions. Each object's state only grows in its revision, whichever path it
  * arrives by, so that a state which arrives again or late changes nothing.
  */
 export class ObjectRevisions {
-  readonly #present = new Map<string, number>();
+  readonly #present = new Map<string, StoreObject>();
 
   /** Revisions of the removals, the oldest removal first. */
   readonly #removed = new Map<string, number>();
 
+  /** All objects that are present. */
+  get objects(): readonly StoreObject[] {
+    return [...this.#present.values()];
+  }
+
   /**
    * Records changes.
    *
@@ -31,27 +36,38 @@
    * @returns the changes since the known states
    */
   compare(objects: readonly StoreObject[], revision: number): readonly StoreChange[] {
-    const listed = new Set(objects.map(({ name }) => name));
-    const missing = [...this.#present]
-      .filter(([name, known]) => !listed.has(name) && known <= revision)
-      .map(([name]) => name);
     return [
       ...objects
-        .filter(({ name, revision: listedAt }) => this.#present.get(name) !== listedAt)
+        .filter(({ name, revision: listedAt }) => this.#present.get(name)?.revision !== listedAt)
         .map((object) => ({ removed: false, object })),
-      ...missing.map((name) => ({
-        removed: true,
-        object: { name, revision, spec: null, status: null },
-      })),
+      ...this.findGone(
+        objects.map(({ name }) => name),
+        revision,
+      ),
     ];
   }
 
-  #applyOne({ removed, object: { name, revision } }: StoreChange): boolean {
-    const known = this.#present.get(name) ?? Number.NEGATIVE_INFINITY;
+  /**
+   * Derives from the names of all objects which ones are gone.
+   *
+   * @param names - names of all objects
+   * @param revision - store revision at which they were all; states that are newer stay
+   * @returns the removals
+   */
+  findGone(names: readonly string[], revision: number): readonly StoreChange[] {
+    const listed = new Set(names);
+    return this.objects
+      .filter(({ name, revision: known }) => !listed.has(name) && known <= revision)
+      .map(({ name }) => ({ removed: true, object: { name, revision, spec: null, status: null } }));
+  }
+
+  #applyOne({ removed, object }: StoreChange): boolean {
+    const { name, revision } = object;
+    const known = this.#present.get(name)?.revision ?? Number.NEGATIVE_INFINITY;
     const removedAt = this.#removed.get(name) ?? Number.NEGATIVE_INFINITY;
     if (!removed) {
       if (revision <= known || revision <= removedAt) return false;
-      this.#present.set(name, revision);
+      this.#present.set(name, object);
       return true;
     }
     // A removal may bear the revision of the state that it ends.
--- a/src/coordination/gateway/following/RelianceMonitor.test.ts
+++ b/src/coordination/gateway/following/RelianceMonitor.test.ts
@@ -3,7 +3,10 @@
 import { RelianceMonitor } from './RelianceMonitor.ts';
 
 const revisions = (revision: number) => ({ configuration: revision, endpoints: revision });
-const report = (revision: number) => ({ required: revisions(revision) });
+const report = (revision: number, confirmedAt = 0) => ({
+  required: revisions(revision),
+  confirmedAt,
+});
 const view = (revision: number, ageMs: number) => ({ known: revisions(revision), ageMs });
 
 describe('RelianceMonitor', () => {
@@ -46,11 +49,25 @@
     monitor.recordReport('other', report(12));
     monitor.recordReport('w', report(10));
     monitor.findObstacle(view(10, 0), 1, 100);
-    expect(monitor.takeRequest(100)).toEqual(undefined);
-    expect(monitor.takeRequest(150)).toEqual('other');
-    expect(monitor.takeRequest(200)).toEqual(undefined);
-    expect(monitor.takeRequest(300)).toEqual('other');
+    expect(monitor.takeRequest(['w', 'other'], 100)).toEqual(undefined);
+    expect(monitor.takeRequest(['w', 'other'], 150)).toEqual('other');
+    expect(monitor.takeRequest(['w', 'other'], 200)).toEqual(undefined);
+    expect(monitor.takeRequest(['w', 'other'], 300)).toEqual('other');
     monitor.findObstacle(view(12, 0), 1, 400);
-    expect(monitor.takeRequest(500)).toEqual(undefined);
+    expect(monitor.takeRequest(['w', 'other'], 500)).toEqual(undefined);
+  });
+
+  // CONFIG, DRAIN: a gateway that the store refused had a view that was seconds old, beside peers that knew better.
+  it('asks the peers whose views are youngest, one after the other, when its own is old', () => {
+    const monitor = new RelianceMonitor();
+    monitor.recordReport('a', report(10, 100));
+    monitor.recordReport('b', report(10, 300));
+    const peers = ['a', 'b', 'c'];
+    monitor.findObstacle(view(10, 1_100), 0, 1_000);
+    expect(monitor.takeRequest(peers, 1_000)).toEqual(undefined);
+    monitor.findObstacle(view(10, 1_300), 0, 1_200);
+    const asked = [1_200, 1_300, 1_350, 1_500, 1_650].map((at) => monitor.takeRequest(peers, at));
+    expect(asked).toEqual(['b', undefined, 'a', 'c', undefined]);
+    expect(monitor.takeRequest(peers, 2_200)).toEqual('b');
   });
 });
--- a/src/coordination/gateway/following/RelianceMonitor.ts
+++ b/src/coordination/gateway/following/RelianceMonitor.ts
@@ -1,4 +1,4 @@
-import { MAXIMUM_LAG_MS, relianceMs } from './viewTiming.ts';
+import { MAXIMUM_LAG_MS, REQUEST_INTERVAL_MS, relianceMs } from './viewTiming.ts';
 
 /** Store revisions up to which a process has received all changes. */
 export interface KnownRevisions {
@@ -10,6 +10,8 @@
 export interface ViewReport {
   /** Store revisions at which a complete view holds all that the peer's view holds. */
   readonly required: KnownRevisions;
+  /** When the store had confirmed the peer's view, in ms; `-Infinity` if that isn't known. */
+  readonly confirmedAt: number;
 }
 
 /**
@@ -20,8 +22,8 @@
 
 const NO_REVISIONS: KnownRevisions = { configuration: 0, endpoints: 0 };
 
-/** Interval at which a peer is asked again for changes that are missing here. */
-const REQUEST_INTERVAL_MS = 150;
+/** Time after which a peer that was asked and didn't help is asked again. */
+const ASKED_PEER_REST_MS = 900;
 
 /** Tells whether a view lacks changes up to some revisions. */
 export const isBehind = (known: KnownRevisions, required: KnownRevisions): boolean =>
@@ -39,8 +41,16 @@
 
   #laggingSince: number | undefined;
 
+  #isOld = false;
+
   #requestedAt = Number.NEGATIVE_INFINITY;
 
+  /** When the store had confirmed the views of peers, in ms, as they reported last. */
+  readonly #confirmedAt = new Map<string, number>();
+
+  /** When peers were asked because the view is old, in ms. */
+  readonly #askedAt = new Map<string, number>();
+
   /** Highest revisions that any peer has reported. */
   get latestRevisions(): KnownRevisions {
     return this.#latest;
@@ -52,7 +62,8 @@
    * @param from - incarnation of the peer
    * @param report - what it says
    */
-  recordReport(from: string, { required }: ViewReport): void {
+  recordReport(from: string, { required, confirmedAt }: ViewReport): void {
+    this.#confirmedAt.set(from, confirmedAt);
     if (!isBehind(required, this.#latest)) this.#reporter = from;
     this.#latest = {
       configuration: Math.max(this.#latest.configuration, required.configuration),
@@ -75,24 +86,44 @@
   ): RelianceObstacle | undefined {
     if (!isBehind(view.known, this.#latest)) this.#laggingSince = undefined;
     else this.#laggingSince ??= now;
-    if (view.ageMs > relianceMs(rank)) return 'old';
+    this.#isOld = view.ageMs > relianceMs(rank);
+    if (this.#isOld) return 'old';
     return this.#laggingSince !== undefined && now - this.#laggingSince > MAXIMUM_LAG_MS
       ? 'lagging'
       : undefined;
   }
 
   /**
-   * Returns the peer that is to be asked for missing changes now. Call it after `findObstacle`, which tells whether
-   * any are missing.
+   * Returns the peer that is to be asked now for what the view lacks: changes, or a confirmation if the store hasn't
+   * given one for long. Call it after `findObstacle`, which tells whether anything is lacking.
    *
+   * @param peers - incarnations of the other living members
    * @param now - current time, in ms
    * @returns its incarnation; undefined if there is nothing to ask
    */
-  takeRequest(now: number): string | undefined {
-    // Changes that are relayed at the same time need not be asked for.
-    if (this.#laggingSince === undefined || this.#laggingSince === now) return undefined;
+  takeRequest(peers: readonly string[], now: number): string | undefined {
     if (now - this.#requestedAt < REQUEST_INTERVAL_MS) return undefined;
-    this.#requestedAt = now;
-    return this.#reporter;
+    // Changes that are relayed at the same time need not be asked for.
+    const isLagging = this.#laggingSince !== undefined && this.#laggingSince !== now;
+    const peer = isLagging ? this.#reporter : this.#findFreshest(peers, now);
+    if (peer !== undefined) this.#requestedAt = now;
+    return peer;
+  }
+
+  /** Returns the peer whose view was confirmed last, but for those that were asked in vain. */
+  #findFreshest(peers: readonly string[], now: number): string | undefined {
+    if (!this.#isOld) return undefined;
+    const living = new Set(peers);
+    [this.#askedAt, this.#confirmedAt].forEach((times) =>
+      [...times.keys()].filter((peer) => !living.has(peer)).forEach((peer) => times.delete(peer)),
+    );
+    const timeOf = (times: ReadonlyMap<string, number>, peer: string): number =>
+      times.get(peer) ?? Number.NEGATIVE_INFINITY;
+    const [freshest] = peers
+      .filter((peer) => now - timeOf(this.#askedAt, peer) > ASKED_PEER_REST_MS)
+      .map((peer) => ({ peer, confirmedAt: timeOf(this.#confirmedAt, peer) }))
+      .sort((a, b) => (a.confirmedAt === b.confirmedAt ? 0 : b.confirmedAt - a.confirmedAt));
+    if (freshest !== undefined) this.#askedAt.set(freshest.peer, now);
+    return freshest?.peer;
   }
 }
--- a/src/coordination/gateway/following/viewTiming.ts
+++ b/src/coordination/gateway/following/viewTiming.ts
@@ -28,6 +28,12 @@
 /** Time for which a gateway that lacks a change asks its peers before it calls the store. */
 export const MAXIMUM_LAG_MS = 400;
 
+/** Interval at which a gateway asks a peer for what its view lacks. */
+export const REQUEST_INTERVAL_MS = 150;
+
+/** Peers that a gateway asks in vain before one answers whose view is young. */
+const ASKED_IN_VAIN = 2;
+
 /** Time of messages on the way and in busy event loops for which the paths leave room. */
 export const TRANSIT_RESERVE_MS = 100;
 
@@ -56,8 +62,8 @@
   CATCH_UP_WAIT_MS;
 
 /**
- * Returns the greatest age that a view reaches on each path while the store is well and the gateway's own path to it
- * fails at most once.
+ * Returns the greatest age that a view reaches on each path while the store is well, and answers the gateway with one
+ * failure at most or refuses it for long.
  *
  * @returns the ages in ms, by path
  */
@@ -66,4 +72,6 @@
   'follower, the watcher is silent': relianceMs(Infinity) + TICK_INTERVAL_MS + CATCH_UP_MS,
   'follower, a peer knows the change':
     TRANSIT_RESERVE_MS + MAXIMUM_LAG_MS + TICK_INTERVAL_MS + CATCH_UP_MS,
+  'refused by the store, peers are not':
+    relianceMs(Infinity) + TICK_INTERVAL_MS + ASKED_IN_VAIN * REQUEST_INTERVAL_MS,
 });
--- a/src/protocol/peer/GatewayMessages.ts
+++ b/src/protocol/peer/GatewayMessages.ts
@@ -189,6 +189,22 @@
 export const WatchedKind = Schema.Literals(['configuration', 'endpoints', 'domainDrains']);
 export type WatchedKind = typeof WatchedKind.Type;
 
+const StoredObject = Schema.Struct({
+  name: Schema.String,
+  revision: Schema.Finite,
+  spec: Schema.Unknown,
+  status: Schema.Unknown,
+});
+
+const RevisionGap = Schema.Struct({ after: Schema.Finite, until: Schema.Finite });
+
+/** The latest time in which the store answered members of the group, as far as the sender has heard. */
+export const StoreContactReport = Schema.Struct({
+  fromMsAgo: Milliseconds,
+  untilMsAgo: Milliseconds,
+});
+export type StoreContactReport = typeof StoreContactReport.Type;
+
 /** Messages between gateways: placement at the scheduling gateway, and relayed changes of the store. */
 export const GatewayMessages = [
   Schema.TaggedStruct('placementRequest', { tickets: Schema.Array(PlacementTicket) }),
@@ -253,7 +269,7 @@
   /** Asks for the changes of the store that the sender lacks. */
   Schema.TaggedStruct('storeChangesRequest', {
     kind: WatchedKind,
-    /** Store revision up to which the sender's view is complete. */
+    /** Store revision up to which the sender's view is complete; 0 if it has none. */
     sinceRevision: Schema.Finite,
   }),
   /** Changes of the store, relayed by a gateway that watches it to those that don't, or asked for. */
@@ -267,17 +283,23 @@
     /** Only receivers of the build before read these two; others know from their own view of an outage. */
     afterOutage: Schema.Boolean,
     graceMs: Schema.optionalKey(Milliseconds),
-    changes: Schema.Array(
-      Schema.Struct({
-        removed: Schema.Boolean,
-        object: Schema.Struct({
-          name: Schema.String,
-          revision: Schema.Finite,
-          spec: Schema.Unknown,
-          status: Schema.Unknown,
-        }),
-      }),
-    ),
+    changes: Schema.Array(Schema.Struct({ removed: Schema.Boolean, object: StoredObject })),
+    /**
+     * Names of all objects at `toRevision`, if the changes were derived from a list: it doesn't tell which objects came
+     * and went since the one before.
+     */
+    present: Schema.optionalKey(Schema.Array(Schema.String)),
+    contact: Schema.optionalKey(StoreContactReport),
+  }),
+  /** All objects of a kind, for a gateway that asked for changes which the sender can't derive any more. */
+  Schema.TaggedStruct('storeView', {
+    kind: WatchedKind,
+    /** Store revision at which the objects are complete. */
+    revision: Schema.Finite,
+    /** Time since the store confirmed the view. */
+    confirmedMsAgo: Milliseconds,
+    objects: Schema.Array(StoredObject),
+    contact: Schema.optionalKey(StoreContactReport),
   }),
   /** Says what a gateway that calls the store knows, and since when. */
   Schema.TaggedStruct('storeWatcherAlive', {
@@ -296,5 +318,8 @@
     ),
     /** Time since the store last confirmed the sender's view of both kinds. */
     confirmedMsAgo: Schema.optionalKey(Milliseconds),
+    /** Revisions between which the sender doesn't know what came and went; it says nothing of views in between. */
+    gaps: Schema.optionalKey(Schema.Struct({ configuration: RevisionGap, endpoints: RevisionGap })),
+    contact: Schema.optionalKey(StoreContactReport),
   }),
 ] as const;
--- a/test/replication/SimulatedGateway.ts
+++ b/test/replication/SimulatedGateway.ts
@@ -65,6 +65,8 @@
         incarnation: this.incarnation,
         storeWatcher: () => this.#storeCallers()[0] as string,
         storeCallRank: () => this.#storeCallers().indexOf(this.incarnation),
+        liveMembers: () =>
+          [this, ...this.#peers()].map(({ incarnation }) => ({ incarnation })) as Member[],
         sameDomainPeers: () =>
           this.#peers().filter(
             ({ failureDomain }) => failureDomain === this.failureDomain,
