Span watches without changes in the relays of a member that isn't the watcher

A member that called the store beside the watcher relayed changes from its own last revision. A watch without changes had raised that, so that its peers saw a gap where nothing had changed, logged it, and asked for what they had. It now remembers such watches as the watcher does. The new test of RelayedRevisions shows the span.

--- a/src/app/gateway/following/ViewExchange.ts
+++ b/src/app/gateway/following/ViewExchange.ts
@@ -59,7 +59,10 @@
     const revisions = this.#relayedRevisions[kind];
     const watched = { from: fromRevision, to: toRevision, isNews: changes.length > 0 };
     // A member that calls the store though it isn't the watcher relays only what has changed.
-    if (!isWatcher && !watched.isNews) return;
+    if (!isWatcher && !watched.isNews) {
+      revisions.recordUnchanged(watched);
+      return;
+    }
     const from = revisions.planRelay(watched, now());
     if (from === undefined) return;
     const message = this.#makeChanges(kind, { fromRevision: from, toRevision, changes, present });
--- a/src/coordination/gateway/following/RelayedRevisions.test.ts
+++ b/src/coordination/gateway/following/RelayedRevisions.test.ts
@@ -18,6 +18,16 @@
     expect(relayed.planRelay({ from: 12, to: 15, isNews: true }, 1_000)).toEqual(11);
   });
 
+  // Peers of a member that isn't the watcher saw a gap where nothing had changed, and asked for what they had.
+  it('spans watches without changes that a member has not relayed', () => {
+    const relayed = new RelayedRevisions();
+    relayed.recordUnchanged({ from: 22, to: 23 });
+    relayed.recordUnchanged({ from: 23, to: 24 });
+    expect(relayed.planRelay({ from: 24, to: 25, isNews: true }, 0)).toEqual(22);
+    relayed.recordUnchanged({ from: 30, to: 31 });
+    expect(relayed.planRelay({ from: 31, to: 32, isNews: true }, 10)).toEqual(30);
+  });
+
   it('leaves a detectable gap after revisions that did not come from a watch', () => {
     const relayed = new RelayedRevisions();
     relayed.planRelay({ from: 10, to: 11, isNews: true }, 0);
--- a/src/coordination/gateway/following/RelayedRevisions.ts
+++ b/src/coordination/gateway/following/RelayedRevisions.ts
@@ -41,6 +41,17 @@
     return previous?.relayedTo ?? watched.from;
   }
 
+  /**
+   * Records a watch without changes of a member that relays only changes.
+   *
+   * @param watched - the revisions that the watch spans
+   */
+  recordUnchanged({ from, to }: { readonly from: number; readonly to: number }): void {
+    const previous = this.#last?.watchedTo === from ? this.#last : undefined;
+    const relayedAt = previous?.relayedAt ?? Number.NEGATIVE_INFINITY;
+    this.#last = { relayedTo: previous?.relayedTo ?? from, watchedTo: to, relayedAt };
+  }
+
   /**
    * Discards the last relayed revision. It is called after this process got revisions from a list
    * of the store or from another watcher: changes among them weren't relayed from here, so the next span
