Count a list as of its sending, and test what relayed lists and views of peers tell

A list confirmed the view as of the moment at which its answer was handled, a watch as of its sending or the end of its wait. One that was long on the way made the view look younger than it was, to this process and to those that rely on it. The new test of StoreWatch was red before.

--- a/src/app/gateway/following/StoreWatch.test.ts
+++ b/src/app/gateway/following/StoreWatch.test.ts
@@ -1,11 +1,43 @@
 import { describe, it } from 'node:test';
 import { setTimeout } from 'node:timers/promises';
 import { expect } from 'earl';
-import type { ObjectStore, WatchResult } from '../../../protocol/gateway/index.ts';
-import { StoreWatch } from './StoreWatch.ts';
+import type { ObjectStore, StoreObject, WatchResult } from '../../../protocol/gateway/index.ts';
+import { StoreWatch, type StoreWatchOptions } from './StoreWatch.ts';
 
 const WAIT_MS = 900;
 
+const object = (name: string, revision: number): StoreObject => ({
+  name,
+  revision,
+  spec: null,
+  status: null,
+});
+
+/** A watch on a store that lists nothing and whose watches never end, unless options say otherwise. */
+const makeWatch = (options: Partial<StoreWatchOptions>): StoreWatch =>
+  new StoreWatch({
+    store: {
+      list: () => Promise.resolve({ _tag: 'listed', objects: [], revision: 10 }),
+      watch: () => new Promise(() => {}),
+    },
+    kind: 'endpoints',
+    isReliedOn: () => true,
+    now: () => 0,
+    random: () => 0,
+    sleep: (ms) => setTimeout(ms),
+    onWatchResult: () => {},
+    onConfirmed: () => {},
+    listener: {
+      onList: () => {},
+      onChanges: () => {},
+      onAvailable: () => {},
+      onUnavailable: () => {},
+    },
+    ...options,
+  });
+
+const settle = (): Promise<void> => setTimeout(0);
+
 /** Runs a watch on a store that returns these results in turn, and stops it after the last one. */
 const runWatch = async (results: readonly WatchResult[]) => {
   const waits: number[] = [];
@@ -55,4 +87,59 @@
     const { events } = await runWatch([{ _tag: 'unavailable', detail: 'no answer' }]);
     expect(events).toEqual(['regained', 'list', 'failed, reached false']);
   });
+
+  // DRAIN, CONFIG: a list that was long on the way made the view look as young as if the store had just read it.
+  it('takes a list for a confirmation as of its sending', async () => {
+    let now = 0;
+    const confirmations: number[] = [];
+    const watch = makeWatch({
+      store: {
+        list: () => {
+          now = 700;
+          return Promise.resolve({ _tag: 'listed', objects: [], revision: 10 });
+        },
+        watch: () => new Promise(() => {}),
+      },
+      now: () => now,
+      onConfirmed: (at) => confirmations.push(at),
+    });
+    watch.run().catch(() => {});
+    await settle();
+    watch.stop();
+    expect(confirmations).toEqual([0]);
+  });
+
+  // DRAIN: an endpoint that came and went in a gap of the history stayed in use at a gateway that had seen it come.
+  it('learns from a relayed list what is gone, also what its sender never saw', async () => {
+    const watch = makeWatch({});
+    watch.run().catch(() => {});
+    await settle();
+    watch.applyRelayed({
+      fromRevision: 10,
+      toRevision: 15,
+      changes: [
+        { removed: false, object: object('stays', 14) },
+        { removed: false, object: object('came and went', 15) },
+      ],
+    });
+    watch.applyRelayed({
+      fromRevision: 10,
+      toRevision: 20,
+      changes: [{ removed: false, object: object('stays', 14) }],
+      present: ['stays'],
+    });
+    expect(watch.present).toEqual(['stays']);
+    expect(watch.gap).toEqual({ after: 15, until: 20 });
+    expect(watch.changesSince(16)?.present).toEqual(['stays']);
+    watch.stop();
+  });
+
+  // CONFIG: a gateway that the store refused from its start had no configuration, beside peers that had it.
+  it('takes the whole view of a peer where it has none', () => {
+    const watch = makeWatch({});
+    watch.applyView(30, [object('a', 12)]);
+    expect([watch.revision, watch.present]).toEqual([30, ['a']]);
+    watch.applyView(20, []);
+    expect(watch.present).toEqual(['a']);
+  });
 });
--- a/src/app/gateway/following/StoreWatch.ts
+++ b/src/app/gateway/following/StoreWatch.ts
@@ -299,7 +299,8 @@
       await this.#backOff(result.detail, sentAt);
       return;
     }
-    this.#reportAvailable(now());
+    // The answer may have been long on the way, and its objects may have been read as it was sent.
+    this.#reportAvailable(sentAt);
     this.#applyList(result.revision, result.objects);
   }
 
