Check right before a request is written that its endpoint may still get it (DRAIN)

An endpoint was looked up when it was chosen. The simulation sends requests now, which are written once a connection has opened, has endpoints that say that they leave, routes that come and go and entries that can't be read, and checks what is written beside what the directory holds.

--- a/src/app/gateway/GatewayContext.ts
+++ b/src/app/gateway/GatewayContext.ts
@@ -47,11 +47,8 @@
   readonly now: () => number;
   /** A random number in [0, 1). */
   readonly random: () => number;
-  /**
-   * Whether a request that was decided at a moment, in ms, may still be sent to its endpoint: the failure domain isn't
-   * drained, and it isn't one of a capped endpoint that was held back for long.
-   */
-  readonly maySend: (endpoint: EndpointRecord, decidedAt: number) => boolean;
+  /** Whether a request whose endpoint was chosen at a moment, in ms, may still be sent to it. */
+  readonly maySend: (endpoint: EndpointRecord, chosenAt: number) => boolean;
   /** Returns how old the view of the store is by which requests are sent. */
   readonly viewAge: (now: number) => ViewAge;
   /** Number of gateways among which the slack of the retry budget is divided. */
--- a/src/app/gateway/runGateway.ts
+++ b/src/app/gateway/runGateway.ts
@@ -23,7 +23,6 @@
 import { makePeerNetwork } from '../../transport/peer/index.ts';
 import { startStatusServers } from './startStatusServers.ts';
 import { drainGateway } from './drainGateway.ts';
-import { MAXIMUM_GRANT_AGE_MS } from './placement/CapGuard.ts';
 import { EndpointLimitMonitor } from './placement/EndpointLimitMonitor.ts';
 import { makeCrashDetector } from './crashes/makeCrashDetector.ts';
 import { CrashMonitor } from './crashes/CrashMonitor.ts';
@@ -44,6 +43,7 @@
 import { receiveForwarded } from './reach/receiveForwarded.ts';
 import type { DomainDrainSubscription } from './following/DomainDrainSubscription.ts';
 import { startDomainDrains } from './following/startDomainDrains.ts';
+import { makeSendPermission } from './request/makeSendPermission.ts';
 import { RolloutMonitor } from './rollouts/RolloutMonitor.ts';
 import { predictRequestMs } from './rollouts/predictRequestMs.ts';
 import { StoreSubscription } from './following/StoreSubscription.ts';
@@ -220,10 +220,7 @@
       logger,
       now,
       random: Math.random,
-      maySend: (record, decidedAt) => {
-        const isLate = now() - decidedAt > MAXIMUM_GRANT_AGE_MS;
-        return isUsable(record) && !(isLate && coldCaps.isCapped(endpointStartOf(record)));
-      },
+      maySend: makeSendPermission({ directory, exclusions, coldCaps, now }),
       viewAge: (at) => lateBound.storeSubscription.get().viewAge(at),
       memberCount: () =>
         lateBound.group.get().liveMembers().length +
--- a/test/replication/ReplicationPlan.ts
+++ b/test/replication/ReplicationPlan.ts
@@ -32,6 +32,15 @@
   | { readonly _tag: 'stall'; readonly gateway: number; readonly forMs: number }
   /** Some gateways' next calls are turned away, as when many come at once. */
   | { readonly _tag: 'turnAway'; readonly gateways: readonly number[]; readonly calls: number }
+  /** An endpoint leaves, and says so in an answer to one gateway at the same moment. */
+  | {
+      readonly _tag: 'sayLeaving';
+      readonly endpoint: number;
+      readonly to: number;
+      readonly drains: boolean;
+    }
+  /** Another writer leaves an entry among those of the endpoints that can't be read. */
+  | { readonly _tag: 'addUnreadable'; readonly entry: number; readonly forMs: number }
   /** The store's answers take longer. */
   | { readonly _tag: 'slowStore'; readonly byMs: number; readonly forMs: number }
   /** Messages of a gateway to its peers take longer. */
@@ -120,6 +129,22 @@
   { maxLength: MOST_STEPS, size: 'max' },
 );
 
+const endpointAction: fc.Arbitrary<ReplicationAction> = fc.oneof(
+  fc.record({
+    _tag: fc.constant('sayLeaving' as const),
+    endpoint: index,
+    to: index,
+    drains: fc.boolean(),
+  }),
+  fc.record({ _tag: fc.constant('addUnreadable' as const), entry: index, forMs }),
+);
+
+/** Further steps, in which endpoints say that they leave and entries can't be read. */
+export const endpointSteps: fc.Arbitrary<readonly ReplicationStep[]> = fc.array(
+  fc.record({ at: fc.nat({ max: FAULTS_MS }), action: endpointAction }),
+  { maxLength: MOST_STEPS / 2, size: 'max' },
+);
+
 /** Longest delay of messages on a link that isn't disturbed in the sense of the promises. */
 const LONGEST_LINK_DELAY_MS = 100;
 const LONGEST_STORE_DELAY_MS = 1_500;
--- a/test/replication/SimulatedGateway.ts
+++ b/test/replication/SimulatedGateway.ts
@@ -1,5 +1,7 @@
 import pino from 'pino';
 import { StoreSubscription } from '../../src/app/gateway/following/StoreSubscription.ts';
+import { ExclusionMonitor } from '../../src/app/gateway/reach/ExclusionMonitor.ts';
+import { makeSendPermission } from '../../src/app/gateway/request/makeSendPermission.ts';
 import { EndpointDirectory } from '../../src/coordination/gateway/index.ts';
 import type { ObjectStore } from '../../src/protocol/gateway/index.ts';
 import type { PeerMessage } from '../../src/protocol/peer/PeerMessage.ts';
@@ -11,6 +13,19 @@
 /** Name of the one plain service of a simulation. */
 export const SERVICE = 'plain';
 
+/** Entry of an endpoint in the simulated store; `undefined` fields make it unreadable. */
+const readEntry = (spec: unknown): EndpointRecord | undefined =>
+  typeof spec === 'object' && spec !== null && 'service' in spec
+    ? (spec as EndpointRecord)
+    : undefined;
+
+/** Configuration in the simulated store. */
+export interface SimulatedConfiguration {
+  readonly version: number;
+  /** Names of its routes. */
+  readonly routes: readonly string[];
+}
+
 /** One gateway process of a simulation: its view of the store and of the other processes. */
 export class SimulatedGateway {
   readonly directory = new EndpointDirectory();
@@ -23,8 +38,13 @@
 
   readonly #serving = new Map<string, SimulatedGateway>();
 
-  /** Version of the configuration in force; 0 before the first one. */
-  configurationVersion = 0;
+  /** The configuration in force. */
+  configuration: SimulatedConfiguration = { version: 0, routes: [] };
+
+  readonly #exclusions: ExclusionMonitor;
+
+  /** Whether a request for an endpoint that was chosen before, in ms, may still be written. */
+  readonly mayWrite: (record: EndpointRecord, chosenAt: number) => boolean;
 
   /** Messages and ticks wait while the process stands still. */
   paused = false;
@@ -51,6 +71,20 @@
     const { clock, store, path, send, random, onLog } = options;
     this.incarnation = options.incarnation;
     this.failureDomain = options.failureDomain;
+    const logger =
+      onLog === undefined
+        ? pino({ level: 'silent' })
+        : pino({}, { write: (line: string) => onLog(JSON.parse(line)) });
+    const now = (): number => clock.now;
+    const broadcast = (message: PeerMessage): void =>
+      this.#peers().forEach((peer) => send(peer, message));
+    this.#exclusions = new ExclusionMonitor({ group: () => ({ broadcast }), logger, now });
+    this.mayWrite = makeSendPermission({
+      directory: this.directory,
+      exclusions: this.#exclusions,
+      coldCaps: { isCapped: () => false },
+      now,
+    });
     this.#subscription = new StoreSubscription({
       store: this.#withLateAnswers(
         store.reachedBy(path, () => this.#takeTurnedAwayCall()),
@@ -58,7 +92,7 @@
       ),
       wire: {
         readRouteTable: (spec) => spec as RouteTable,
-        readEndpoint: (_name, spec) => spec as EndpointRecord,
+        readEndpoint: (_name, spec) => readEntry(spec),
       },
       directory: this.directory,
       group: {
@@ -75,17 +109,15 @@
           const peer = this.#serving.get(to);
           return peer !== undefined && send(peer, message);
         },
-        broadcast: (message) => this.#peers().forEach((peer) => send(peer, message)),
+        broadcast,
       },
-      logger:
-        onLog === undefined
-          ? pino({ level: 'silent' })
-          : pino({}, { write: (line: string) => onLog(JSON.parse(line)) }),
-      now: () => clock.now,
+      logger,
+      now,
       random,
       sleep: clock.sleep,
-      onConfiguration: ({ version }) => {
-        this.configurationVersion = Math.max(this.configurationVersion, version);
+      onConfiguration: (table) => {
+        const configuration = table as unknown as SimulatedConfiguration;
+        if (configuration.version > this.configuration.version) this.configuration = configuration;
       },
       onEndpointsChanged: () => {},
       onRelayReceived: () => {},
@@ -105,7 +137,10 @@
   }
 
   receive(from: string, message: PeerMessage): void {
-    this.#whenRunning(() => this.#subscription.handle(from, message));
+    this.#whenRunning(() => {
+      this.#exclusions.handle(message);
+      this.#subscription.handle(from, message);
+    });
   }
 
   /** Learns that another process serves. */
@@ -135,8 +170,15 @@
     return this.#stalled;
   }
 
-  readyEndpoints(): ReadonlySet<string> {
-    return new Set(this.directory.listReady(SERVICE).map(({ id }) => id));
+  /** Lists the endpoints that may be chosen for a request. */
+  candidates(): readonly EndpointRecord[] {
+    return this.#exclusions.selectIncluded(this.directory.listReady(SERVICE));
+  }
+
+  /** Reads in an answer of an endpoint that it leaves. */
+  hearLeaving(id: string): void {
+    const record = this.directory.listAll().find((other) => other.id === id);
+    if (record !== undefined) this.#exclusions.observe(record, [{ _tag: 'leaving' }]);
   }
 
   #takeTurnedAwayCall(): boolean {
--- a/test/replication/main.ts
+++ b/test/replication/main.ts
@@ -1,7 +1,13 @@
 import { parseArgs } from 'node:util';
 import fc from 'fast-check';
 import { playReplication } from './playReplication.ts';
-import { calmSteps, mergePlans, replicationPlan, slowSteps } from './ReplicationPlan.ts';
+import {
+  calmSteps,
+  endpointSteps,
+  mergePlans,
+  replicationPlan,
+  slowSteps,
+} from './ReplicationPlan.ts';
 
 const { values } = parseArgs({
   options: {
@@ -12,14 +18,20 @@
     calm: { type: 'boolean', default: false },
     /** Adds times in which the store or links between gateways are slow. */
     slow: { type: 'boolean', default: false },
+    /** Adds endpoints that say that they leave, and entries that can't be read. */
+    endpoints: { type: 'boolean', default: false },
     log: { type: 'boolean', default: false },
   },
 });
 
 const none = fc.constant([]);
 const furtherSteps = fc
-  .tuple(values.calm ? calmSteps : none, values.slow ? slowSteps : none)
-  .map(([calm, slow]) => mergePlans(calm, slow));
+  .tuple(
+    values.calm ? calmSteps : none,
+    values.slow ? slowSteps : none,
+    values.endpoints ? endpointSteps : none,
+  )
+  .map((steps) => mergePlans(...steps));
 const start = performance.now();
 let calls = 0;
 let played = 0;
--- a/test/replication/playReplication.ts
+++ b/test/replication/playReplication.ts
@@ -1,27 +1,19 @@
 import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64';
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
 import type { PeerMessage } from '../../src/protocol/peer/PeerMessage.ts';
+import { ReplicationPromises, type StaleView } from './ReplicationPromises.ts';
 import { SERVICE, SimulatedGateway } from './SimulatedGateway.ts';
 import { SimulatedStore, type StorePath } from './SimulatedStore.ts';
+import { CONNECT_TIMEOUT_MS } from '../../src/coordination/gateway/following/viewTiming.ts';
 import { VirtualClock } from './VirtualClock.ts';
 import { FAULTS_MS, type ReplicationAction, type ReplicationStep } from './ReplicationPlan.ts';
 
-/** A gateway that acted on a view of the store that is older than the bound. */
-export interface StaleView {
-  readonly promise: 'DRAIN' | 'CONFIG';
-  readonly at: number;
-  readonly gateway: string;
-  readonly detail: string;
-}
-
 /** What came of a simulation. */
 export interface ReplicationResult {
   readonly stale: readonly StaleView[];
   readonly storeCalls: number;
 }
 
-/** Promises to the users: time after which a change of the store is in force in every gateway. */
-const BOUND_MS = 2_000;
 /** Time without disturbance after which the promises hold for a gateway. */
 const CONTACT_MS = 3_000;
 const TICK_MS = 50;
@@ -62,16 +54,14 @@
 
   readonly #random: () => number;
 
+  /** Draws the time in which a connection to an endpoint opens, in ms. */
+  readonly #connectMs: () => number;
+
   readonly #places: Place[];
 
   readonly #stale: StaleView[] = [];
 
-  readonly #departures = new Map<
-    string,
-    { readonly at: number; readonly isCalm: boolean; readonly drains: boolean }
-  >();
-
-  readonly #versions: { readonly version: number; readonly at: number }[] = [];
+  readonly #rules = new ReplicationPromises();
 
   readonly #lossBudget = new Map<string, number>();
 
@@ -90,6 +80,9 @@
   constructor(seed: number, onLog?: (line: Record<string, unknown>) => void) {
     const generator = xoroshiro128plus(seed);
     this.#random = () => uniformFloat64(generator);
+    // Of its own, so that the other draws of a seed don't depend on how many requests are sent.
+    const connections = xoroshiro128plus(seed);
+    this.#connectMs = () => uniformFloat64(connections) * CONNECT_TIMEOUT_MS;
     this.#onLog = onLog;
     // With one failure domain no other watchers tell that the domain's own one lags.
     const domains = this.#random() < 0.5 ? DOMAINS : DOMAINS.slice(0, 1);
@@ -162,6 +155,15 @@
       case 'compact':
         this.#compact(action.mutedMs, action.leaves);
         return;
+      case 'sayLeaving':
+        this.#leave(action.endpoint, action.drains, action.to);
+        return;
+      case 'addUnreadable': {
+        const name = `unreadable-${action.entry}`;
+        this.#store.put('endpoints', name, { address: action.entry });
+        this.#clock.after(action.forMs, () => this.#store.remove('endpoints', name));
+        return;
+      }
       case 'cutPeers':
         this.#cutPeers(this.#placeAt(action.gateway), action.forMs);
         return;
@@ -369,22 +371,30 @@
     });
   }
 
-  #leave(index: number, drains: boolean): void {
+  /** An endpoint leaves; it may say so in an answer to a gateway. */
+  #leave(index: number, drains: boolean, to?: number): void {
     const id = this.#endpoints[index % this.#endpoints.length] as string;
     this.#endpoints = this.#endpoints.filter((other) => other !== id);
     const { now } = this.#clock;
-    this.#departures.set(id, { at: now, isCalm: this.#isStoreCalm(), drains });
+    this.#rules.recordDeparture(id, { at: now, isCalm: this.#isStoreCalm(), drains });
     if (drains) {
       this.#putEndpoint(id, 'draining');
       this.#clock.after(DRAINING_LISTED_MS, () => this.#store.remove('endpoints', id));
     } else this.#store.remove('endpoints', id);
     this.#clock.after(500, () => this.#addEndpoint());
+    const listener = to === undefined ? undefined : this.#placeAt(to).process;
+    if (listener === undefined || listener.isBusy || listener.paused) return;
+    const isListed = listener.candidates().some((record) => record.id === id);
+    listener.hearLeaving(id);
+    if (isListed) this.#rules.recordHeard(listener.incarnation, id, now);
   }
 
+  /** Puts a new version in the store, which adds a route and drops an older one. */
   #configure(): void {
-    const version = (this.#versions.at(-1)?.version ?? 0) + 1;
-    this.#store.put('configuration', 'main', { version });
-    this.#versions.push({ version, at: this.#clock.now });
+    const version = this.#rules.latestVersion + 1;
+    const routes = [version, version - 1].map((number) => `route-${number}`);
+    this.#store.put('configuration', 'main', { version, routes });
+    this.#rules.recordConfiguration({ version, routes, at: this.#clock.now });
   }
 
   #isStoreCalm(): boolean {
@@ -409,31 +419,32 @@
   }
 
   #check(): void {
-    const { now } = this.#clock;
-    const due = now - BOUND_MS;
-    const owedVersion = this.#versions.findLast(({ at }) => at < due)?.version ?? 0;
-    const departed = [...this.#departures].filter(
-      // The promise counts from an acknowledgement that the store gave while it was stable.
-      ([, { at, isCalm }]) => at < due && isCalm,
-    );
     this.#places
       .filter((place) => this.#isInTouch(place))
-      .forEach(({ process }) => {
+      .forEach((place) => {
+        const { process } = place;
         if (process === undefined || process.isBusy) return;
-        const gateway = process.incarnation;
-        if (process.configurationVersion < owedVersion) {
-          const detail = `version ${process.configurationVersion} in force, ${owedVersion} owed`;
-          this.#stale.push({ promise: 'CONFIG', at: now, gateway, detail });
-        }
-        const ready = process.readyEndpoints();
-        departed
-          .filter(([id]) => ready.has(id))
-          .forEach(([id, { at, drains }]) => {
-            const detail = `${id} left at ${at} (${drains ? 'drained' : 'removed'}) and is used`;
-            this.#stale.push({ promise: 'DRAIN', at: now, gateway, detail });
-          });
+        this.#report(this.#rules.checkView(process, this.#clock.now));
+        this.#sendRequests(place, process);
       });
   }
+
+  /** Sends a request to each endpoint that may be chosen; it is written once a connection has opened. */
+  #sendRequests(place: Place, process: SimulatedGateway): void {
+    const chosenAt = this.#clock.now;
+    process.candidates().forEach((record) =>
+      this.#clock.after(this.#connectMs(), () => {
+        if (!this.#rules.hasLeft(record.id)) return;
+        if (place.process !== process || process.isBusy || !this.#isInTouch(place)) return;
+        if (process.mayWrite(record, chosenAt))
+          this.#report(this.#rules.checkWritten(process, record.id, this.#clock.now));
+      }),
+    );
+  }
+
+  #report(stale: readonly StaleView[]): void {
+    this.#stale.push(...stale);
+  }
 }
 
 /**
--- a/test/replication/replication.test.ts
+++ b/test/replication/replication.test.ts
@@ -2,7 +2,13 @@
 import { expect } from 'earl';
 import fc from 'fast-check';
 import { playReplication } from './playReplication.ts';
-import { calmSteps, mergePlans, replicationPlan, type ReplicationStep } from './ReplicationPlan.ts';
+import {
+  calmSteps,
+  endpointSteps,
+  mergePlans,
+  replicationPlan,
+  type ReplicationStep,
+} from './ReplicationPlan.ts';
 
 const findStaleViews = async (plan: readonly ReplicationStep[], seed = 0) =>
   (await playReplication(seed, plan)).stale;
@@ -129,6 +135,15 @@
     expect(await findStaleViews(plan)).toEqual([]);
   });
 
+  // DRAIN: a request was written to an endpoint that had said to the gateway that it leaves while the connection opened.
+  it('write nothing to an endpoint that has said that it leaves', async () => {
+    const plan: readonly ReplicationStep[] = [
+      { at: 0, action: { _tag: 'pause', gateway: 0, forMs: 20 } },
+      { at: 3_051, action: { _tag: 'sayLeaving', endpoint: 0, to: 0, drains: false } },
+    ];
+    expect(await findStaleViews(plan)).toEqual([]);
+  });
+
   it('act on no view that is older than promised, whatever happens', async () => {
     const property = fc.asyncProperty(fc.integer(), replicationPlan, async (seed, plan) => {
       expect(await findStaleViews(plan, seed)).toEqual([]);
@@ -148,4 +163,16 @@
     );
     await fc.assert(property, { numRuns: RANDOM_PLANS, seed: 35 });
   });
+
+  it('send nothing late, though endpoints say that they leave and entries can not be read', async () => {
+    const property = fc.asyncProperty(
+      fc.integer(),
+      replicationPlan,
+      endpointSteps,
+      async (seed, plan, further) => {
+        expect(await findStaleViews(mergePlans(plan, further), seed)).toEqual([]);
+      },
+    );
+    await fc.assert(property, { numRuns: RANDOM_PLANS, seed: 44 });
+  });
 });
