--- a/src/app/gateway/GatewayMetrics.ts
+++ b/src/app/gateway/GatewayMetrics.ts
@@ -85,6 +85,13 @@
     registers: [this.#registry],
   });
 
+  readonly #unusableEntries = new Counter({
+    name: 'corianderwick_gateway_unusable_entries_total',
+    help: 'Objects of the store that could not be used, or not as a whole, by kind.',
+    labelNames: ['kind'],
+    registers: [this.#registry],
+  });
+
   readonly #relays = new Counter({
     name: 'corianderwick_gateway_store_relays_total',
     help: 'Relayed messages with changes of the store by kind of object and what became of them.',
@@ -239,6 +246,11 @@
     this.#storeCalls.inc({ call });
   }
 
+  /** Counts an object of the store that can't be used, or not as a whole. */
+  countUnusableEntry(kind: string): void {
+    this.#unusableEntries.inc({ kind });
+  }
+
   /** Counts a message of relayed changes: `applied`, or `gap` if changes before them are missing. */
   countRelay(kind: string, result: string): void {
     this.#relays.inc({ kind, result });
--- a/src/app/gateway/following/StoreSubscription.test.ts
+++ b/src/app/gateway/following/StoreSubscription.test.ts
@@ -62,6 +62,7 @@
     wire: {
       readRouteTable: () => undefined,
       readEndpoint: (_name, spec) => spec as EndpointRecord,
+      findFaults: () => [],
     },
     directory,
     group: {
@@ -83,6 +84,7 @@
     onConfiguration: () => {},
     onEndpointsChanged: () => {},
     onRelayReceived: () => {},
+    onUnusable: () => {},
   });
   context.after(() => subscription.stop());
   subscription.start();
--- a/src/app/gateway/following/StoreSubscription.ts
+++ b/src/app/gateway/following/StoreSubscription.ts
@@ -13,13 +13,14 @@
   type Pause,
   type ViewKind,
 } from '../../../coordination/gateway/index.ts';
-import type { ObjectStore, WireAdapter } from '../../../protocol/gateway/index.ts';
+import type { ObjectStore, StoreObject, WireAdapter } from '../../../protocol/gateway/index.ts';
 import type { PeerMessage } from '../../../protocol/peer/PeerMessage.ts';
 import type { EndpointRecord, RouteTable } from '../../../state/gateway/index.ts';
 import { BACKLOG_MS } from '../PauseMonitor.ts';
 import type { PeerGroup } from '../PeerGroup.ts';
 import { recordContact } from './contactReport.ts';
 import { StoreWatch, type StoreChangeSource, type StoreWatchListener } from './StoreWatch.ts';
+import { UnusableEntries } from './UnusableEntries.ts';
 import { ViewExchange } from './ViewExchange.ts';
 import { ViewLog } from './ViewLog.ts';
 import { ViewReporter } from './ViewReporter.ts';
@@ -52,7 +53,7 @@
 /** Collaborators and callbacks of a store subscription. */
 export interface StoreSubscriptionOptions {
   readonly store: ObjectStore;
-  readonly wire: Pick<WireAdapter, 'readRouteTable' | 'readEndpoint'>;
+  readonly wire: Pick<WireAdapter, 'readRouteTable' | 'readEndpoint' | 'findFaults'>;
   readonly directory: EndpointDirectory;
   readonly group: Pick<
     PeerGroup,
@@ -85,6 +86,8 @@
   readonly onEndpointsChanged: () => void;
   /** Called for each message of relayed changes, with what became of it. */
   readonly onRelayReceived: (kind: ViewKind, result: RelayResult) => void;
+  /** Called once for each object that can't be used, or not as a whole. */
+  readonly onUnusable: (kind: ViewKind) => void;
 }
 
 /**
@@ -112,6 +115,8 @@
 
   readonly #log: ViewLog;
 
+  readonly #unusable: UnusableEntries;
+
   #endpointsListed = false;
 
   /** Last moment before the changes that are being applied at which the store confirmed the endpoints, in ms. */
@@ -134,6 +139,7 @@
         listener,
         onWatchResult: (span) => this.#exchange.relay(kind, span),
         onConfirmed: (at) => this.#confirm(kind, { at, path: 'call' }),
+        onError: (err) => options.logger.error({ err, kind }, 'store watch failed'),
       });
     this.#watches = {
       configuration: watch('configuration', this.#makeConfigurationListener()),
@@ -155,6 +161,7 @@
       logger: options.logger,
       now,
     });
+    this.#unusable = new UnusableEntries(options);
     this.#log = new ViewLog(options.logger, this.#watches);
   }
 
@@ -354,7 +361,7 @@
       onChanges: (changes, source) =>
         changes
           .filter(({ removed }) => !removed)
-          .forEach(({ object }) => this.#applyConfiguration(object.spec, source)),
+          .forEach(({ object }) => this.#applyConfiguration(object, source)),
     };
   }
 
@@ -370,6 +377,8 @@
         const outage = this.#contact.outage(now());
         const directoryChanges = changes.flatMap(({ removed, object }) => {
           const record = removed ? undefined : wire.readEndpoint(object.name, object.spec);
+          if (removed || record !== undefined) this.#unusable.forget('endpoints', object.name);
+          else this.#unusable.record('endpoints', object);
           if (record === undefined)
             return directory.remove(object.name, this.#endpointsListedAt, outage, now());
           const changed = directory.put(record);
@@ -397,11 +406,14 @@
     };
   }
 
-  #applyConfiguration(spec: unknown, source: StoreChangeSource): void {
-    const table = this.#options.wire.readRouteTable(spec);
-    if (table === undefined)
-      this.#options.logger.warn('configuration in the store cannot be parsed');
-    else this.#options.onConfiguration(table, source);
+  /** A configuration that can't be read leaves the one before in force; entries that can't be are left out. */
+  #applyConfiguration(object: StoreObject, source: StoreChangeSource): void {
+    const { wire, onConfiguration } = this.#options;
+    const table = wire.readRouteTable(object.spec);
+    this.#unusable.forget('configuration', object.name);
+    if (table === undefined || table.leftOut !== undefined)
+      this.#unusable.record('configuration', object);
+    if (table !== undefined) onConfiguration(table, source);
   }
 
   #reportChanges(
--- a/src/app/gateway/following/StoreWatch.ts
+++ b/src/app/gateway/following/StoreWatch.ts
@@ -53,6 +53,8 @@
    * there is nothing to relay, because it doesn't tell what changed.
    */
   readonly onWatchResult: (span: ChangeSpan) => void;
+  /** Called with an error that a result of the store led to. */
+  readonly onError?: (error: unknown) => void;
   /** Called after each failed call, with the moment at which it was sent, in ms. */
   readonly onFailed?: (sentAt: number) => void;
   /** Called when the store has confirmed the view, with the moment at which it did, in ms. */
@@ -123,10 +125,17 @@
       // eslint-disable-next-line no-await-in-loop
       await (this.#relayed && this.#revision !== undefined
         ? this.#waitUntilResumed()
-        : this.#listOrWatch());
+        : this.#listOrWatch().catch((error: unknown) => this.#recover(error)));
     }
   }
 
+  /** Goes on after a result that couldn't be applied, and reads everything anew. */
+  async #recover(error: unknown): Promise<void> {
+    this.#options.onError?.(error);
+    this.#isListDue = true;
+    await this.#backOff(`${error}`, this.#options.now());
+  }
+
   /** What the watch is doing, for the log. */
   get phase(): StoreWatchPhase {
     return this.#phase;
--- a/src/app/gateway/rollouts/RolloutStore.ts
+++ b/src/app/gateway/rollouts/RolloutStore.ts
@@ -157,10 +157,13 @@
 
   #read(object: StoreObject): RolloutOrder | undefined {
     const order = this.#options.wire.readRollout(object);
-    const { name, revision, spec, status } = object;
+    const { name, revision, spec, status, fault } = object;
     if (order === undefined && this.#loggedUnusable.get(name) !== revision) {
       this.#loggedUnusable.set(name, revision);
-      this.#options.logger.warn({ name, revision, spec, status }, 'roll-out order not usable');
+      this.#options.logger.warn(
+        { name, revision, spec, status, fault },
+        'roll-out order not usable',
+      );
     }
     return order;
   }
--- a/src/app/gateway/runGateway.ts
+++ b/src/app/gateway/runGateway.ts
@@ -328,6 +328,7 @@
           },
           onEndpointsChanged: updateEngines,
           onRelayReceived: (kind, result) => metrics.countRelay(kind, result),
+          onUnusable: (kind) => metrics.countUnusableEntry(kind),
         });
         lateBound.storeSubscription.set(subscription);
         subscription.start();
--- a/src/protocol/gateway/ObjectStore.ts
+++ b/src/protocol/gateway/ObjectStore.ts
@@ -12,6 +12,8 @@
   /** Content as written by its owner; not validated yet. */
   readonly spec: unknown;
   readonly status: unknown;
+  /** Why its content was dropped: it can't be handled, let alone read. */
+  readonly fault?: string | undefined;
 }
 
 /** A change of an object, reported by a watch. */
--- a/src/protocol/gateway/WireAdapter.ts
+++ b/src/protocol/gateway/WireAdapter.ts
@@ -74,6 +74,8 @@
   readonly readRouteTable: (spec: unknown) => RouteTable | undefined;
   /** Decodes an endpoint object; undefined if it is invalid. */
   readonly readEndpoint: (name: string, spec: unknown) => EndpointRecord | undefined;
+  /** Returns why an object can't be read, or what of it is left out: a line for each fault; none if it is sound. */
+  readonly findFaults: (kind: 'configuration' | 'endpoints', spec: unknown) => readonly string[];
   /** Decodes a roll-out object; undefined if it is invalid. */
   readonly readRollout: (object: StoreObject) => RolloutOrder | undefined;
   /** Builds the status of a roll-out object. */
--- a/src/protocol/peer/GatewayMessages.ts
+++ b/src/protocol/peer/GatewayMessages.ts
@@ -194,6 +194,8 @@
   revision: Schema.Finite,
   spec: Schema.Unknown,
   status: Schema.Unknown,
+  /** Why its content was dropped. */
+  fault: Schema.optionalKey(Schema.String),
 });
 
 const RevisionGap = Schema.Struct({ after: Schema.Finite, until: Schema.Finite });
--- a/src/protocol/peer/peerCodec.ts
+++ b/src/protocol/peer/peerCodec.ts
@@ -16,11 +16,16 @@
  *
  * @param from - incarnation of the sender
  * @param message - the message
- * @returns the encoded message, or undefined if it exceeds `MAXIMUM_MESSAGE_BYTES`
+ * @returns the encoded message, or undefined if it exceeds `MAXIMUM_MESSAGE_BYTES` or is nested too deeply to encode
  */
 export const encodePeerMessage = (from: string, message: PeerMessage): Buffer | undefined => {
-  const bytes = packr.pack({ version: PEER_PROTOCOL_VERSION, from, message });
-  return bytes.length <= MAXIMUM_MESSAGE_BYTES ? bytes : undefined;
+  try {
+    const bytes = packr.pack({ version: PEER_PROTOCOL_VERSION, from, message });
+    return bytes.length <= MAXIMUM_MESSAGE_BYTES ? bytes : undefined;
+  } catch (error) {
+    if (error instanceof RangeError) return undefined;
+    throw error;
+  }
 };
 
 /**
--- a/src/state/gateway/RouteTable.ts
+++ b/src/state/gateway/RouteTable.ts
@@ -115,5 +115,7 @@
   /** Absent if requests need no account keys. */
   accounts: Schema.optionalKey(Schema.Array(Account)),
   limits: ClientLimits,
+  /** Number of entries that couldn't be read; absent if all could. */
+  leftOut: Schema.optionalKey(Schema.Finite),
 });
 export type RouteTable = typeof RouteTable.Type;
--- a/src/transport/http/ConnectionPool.ts
+++ b/src/transport/http/ConnectionPool.ts
@@ -24,7 +24,11 @@
 const MAXIMUM_IDLE_PER_ADDRESS = 64;
 const KEEP_ALIVE_PROBE_MS = 10_000;
 
-const hostAndPort = (address: string): { readonly host: string; readonly port: number } => {
+/** Returns undefined for what is no address, such as one with a port out of range. */
+const hostAndPort = (
+  address: string,
+): { readonly host: string; readonly port: number } | undefined => {
+  if (!URL.canParse(address)) return undefined;
   const { hostname, port } = new URL(address);
   return { host: hostname, port: Number(port) };
 };
@@ -132,7 +136,12 @@
   }
 
   #open(address: string, onOutcome: (outcome: ConnectOutcome) => void): () => void {
-    const socket = net.connect({ ...hostAndPort(address), noDelay: true });
+    const target = hostAndPort(address);
+    if (target === undefined) {
+      onOutcome({ _tag: 'refused', detail: `${address} is no address` });
+      return () => {};
+    }
+    const socket = net.connect({ ...target, noDelay: true });
     this.#sockets.add(socket);
     socket.once('close', () => this.#sockets.delete(socket));
     let settled = false;
--- a/test/gateway/startObjectStore.ts
+++ b/test/gateway/startObjectStore.ts
@@ -30,6 +30,8 @@
 export interface ObjectStoreStandIn {
   readonly address: string;
   readonly put: (kind: string, name: string, spec: unknown) => void;
+  /** Puts an object whose spec is some JSON text, which need not be parsed or written by this process. */
+  readonly putText: (kind: string, name: string, text: string) => void;
   readonly remove: (kind: string, name: string) => void;
   readonly get: (kind: string, name: string) => HeldObject | undefined;
   /** Answers 503 to everything until it is set to false again. */
@@ -67,6 +69,13 @@
   let oldest = 0;
   let condition: StoreCondition = { _tag: 'sound' };
   let watching = 0;
+  /** Texts of specs, by what stands for them. */
+  const texts = new Map<string, string>();
+  const stringify = (body: unknown): string =>
+    [...texts].reduce(
+      (json, [placeholder, text]) => json.replaceAll(`"${placeholder}"`, () => text),
+      JSON.stringify(body),
+    );
 
   const isAway = (): boolean => condition._tag === 'away';
 
@@ -113,7 +122,7 @@
       }
       if (condition._tag === 'slow') await wait(condition.ms);
       response.writeHead(status, { 'content-type': 'application/json' });
-      response.end(JSON.stringify(body));
+      response.end(stringify(body));
     };
     const serve = async (): Promise<void> => {
       const url = new URL(request.url ?? '/', 'http://store');
@@ -159,6 +168,11 @@
     put: (kind, name, spec) => {
       change(kind, name, { spec, status: kindOf(kind).get(name)?.status ?? null });
     },
+    putText: (kind, name, text) => {
+      const placeholder = `text ${texts.size}`;
+      texts.set(placeholder, text);
+      change(kind, name, { spec: placeholder, status: null });
+    },
     remove: (kind, name) => {
       change(kind, name, undefined);
     },
--- a/test/replication/SimulatedGateway.ts
+++ b/test/replication/SimulatedGateway.ts
@@ -93,6 +93,7 @@
       wire: {
         readRouteTable: (spec) => spec as RouteTable,
         readEndpoint: (_name, spec) => readEntry(spec),
+        findFaults: () => ['unreadable'],
       },
       directory: this.directory,
       group: {
@@ -121,6 +122,7 @@
       },
       onEndpointsChanged: () => {},
       onRelayReceived: () => {},
+      onUnusable: () => {},
     });
   }
 
