Don't pass on a signed 408 or 421 of an endpoint (REFUSED)

To callers these two say that the request has not run, like 429 and 503, whose replacement by 502 they lacked. An endpoint that ran a request and answered with one of them made the promise in the gateway's name. The two new cases of lostAnswers.test.ts were red before. The further report that led here, a rejection that is written once more on a kept connection, is ruled out with and without an id (copies.test.ts; the case with an id is new and was green).

--- a/src/app/gateway/request/CallerAnswer.ts
+++ b/src/app/gateway/request/CallerAnswer.ts
@@ -4,7 +4,7 @@
 
 const EMPTY_BODY = Buffer.alloc(0);
 /** Statuses by which callers know that a request has not run. */
-const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([429, 503]);
+const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
 const STATUS_BAD_GATEWAY = 502;
 
 /** The answer to a caller: what an endpoint answered, or the gateway's own word. */
--- a/test/gateway/copies.test.ts
+++ b/test/gateway/copies.test.ts
@@ -53,4 +53,26 @@
     const second = await read(gateway.addresses.callers, '/write/second');
     expect([second.status, second.body]).toEqual([200, 'ran']);
   });
+
+  // REFUSED, TWICE: a caller was told that its request has not run, by the copy of an earlier rejection on the connection.
+  it('says nothing of a request whose answer is the copy of an earlier rejection', async (context) => {
+    let rejection = '';
+    const runner = await startRunner(context, (request) => {
+      if (request.line.includes('first')) {
+        const id = request.headers['x-corianderwick-request-id'];
+        rejection = notRun().replace('\r\n', `\r\nX-Corianderwick-Request-Id: ${id}\r\n`);
+        request.socket.write(rejection);
+        return;
+      }
+      const isReused = runner.arrived[0]?.socket === request.socket;
+      request.socket.write((isReused ? rejection : '') + answer(request, 'ran'));
+    });
+    const { gateway } = await startReadyGateway(context, { 'i-1': runnerSpec('plain', runner) });
+    const { callers } = gateway.addresses;
+    expect((await read(callers, '/write/first')).status).toEqual(503);
+    // After a rejection the endpoint gets no requests for a moment.
+    await wait(700);
+    expect((await read(callers, '/write/second')).status).toEqual(502);
+    expect(runner.arrived.length).toEqual(2);
+  });
 });
--- a/test/gateway/lostAnswers.test.ts
+++ b/test/gateway/lostAnswers.test.ts
@@ -4,8 +4,13 @@
 import { notRun, signed, startRunner } from './startRunner.ts';
 
 describe('a gateway whose endpoint answered that it has no room, though it ran the request', () => {
-  // Guards against a caller that is told that its request has not run: 429 and 503 say so.
-  ['429 Too Many Requests', '503 Service Unavailable'].forEach((status) =>
+  // Guards against a caller that is told that its request has not run: these statuses say so (REFUSED).
+  [
+    '429 Too Many Requests',
+    '503 Service Unavailable',
+    '408 Request Timeout',
+    '421 Misdirected Request',
+  ].forEach((status) =>
     it(`does not pass on ${status} without the statement that it has not run`, async (context) => {
       const runner = await startRunner(context, (request) =>
         request.socket.write(signed(request, status, 'Content-Length: 0\r\n\r\n')),
