--- a/src/app/gateway/request/RequestHandler.ts
+++ b/src/app/gateway/request/RequestHandler.ts
@@ -4,7 +4,7 @@
 import type { InboundAnswer } from '../../../transport/gateway/index.ts';
 import { CallerAnswer } from './CallerAnswer.ts';
 import type { GatewayContext } from '../GatewayContext.ts';
-import { logRequestEnd, type RequestOutcome } from './logRequestEnd.ts';
+import { recordRequestEnd, type RequestOutcome } from './recordRequestEnd.ts';
 import { deadlineOf } from './deadlineOf.ts';
 import { makeEndpointAttempt } from './makeEndpointAttempt.ts';
 import type { PlacementTicket } from '../../../protocol/peer/GatewayMessages.ts';
@@ -70,10 +70,9 @@
     answer.onDrain(() => this.#attempt?.resume());
     this.#forwarding = new RequestForwarding(context, request);
     this.#quarantine = new RequestQuarantine(context.crashes, request);
-    const { fields, forwarded } = request;
     this.#endpoints = new RequestEndpoints(context, request);
-    this.#isCharged = forwarded?.isCharged ?? false;
-    this.#lastEventId = forwarded === undefined ? fields.lastEventId : forwarded.lastEventId;
+    this.#isCharged = request.forwarded?.isCharged ?? false;
+    this.#lastEventId = (request.forwarded ?? request.fields).lastEventId;
     this.#deadlineAt = deadlineOf(request);
     this.#retries = new RequestRetries(context, request, this.#deadlineAt);
   }
@@ -315,12 +314,11 @@
     if (this.#done || this.#attempt !== attempt) return;
     switch (event._tag) {
       case 'streamed':
-        if (event.lastEventId !== undefined) this.#lastEventId = event.lastEventId;
-        this.#passOn(attempt, event.bytes);
+        this.#passOn(attempt, event);
         return;
       case 'streamEnded':
-        this.#answer.begin(attempt, this.#sinceArrivalMs());
-        this.#finish('served', attempt.status, '', () => this.#answer.end());
+        if (this.#beginAnswer(attempt))
+          this.#finish('served', attempt.status, '', () => this.#answer.end());
         return;
       case 'answered':
         this.#onAnswered(attempt, event.body);
@@ -369,24 +367,36 @@
     } else this.#endUnserved(detail, retryAfterMs, status);
   }
 
-  #passOn(attempt: RequestAttempt, bytes: Uint8Array): void {
-    this.#answer.begin(attempt, this.#sinceArrivalMs());
+  #passOn(
+    attempt: RequestAttempt,
+    { bytes, lastEventId }: AttemptEvent & { _tag: 'streamed' },
+  ): void {
+    if (!this.#beginAnswer(attempt)) return;
+    this.#lastEventId = lastEventId ?? this.#lastEventId;
     if (!this.#answer.write(bytes)) attempt.pause();
   }
 
+  /** Begins the answer, or goes on with it; an endpoint that was to resume it may have answered with something else. */
+  #beginAnswer(attempt: RequestAttempt): boolean {
+    if (this.#answer.begin(attempt, this.#sinceArrivalMs())) return true;
+    attempt.cancel();
+    this.#onBroken(attempt, { detail: 'no continuation of the stream', connectionLost: false });
+    return false;
+  }
+
   #onAnswered(attempt: RequestAttempt, body: Uint8Array): void {
     this.#retries.executions += 1;
-    const { status, kind } = attempt;
+    const { status } = attempt;
     const failed = status >= FIRST_SERVER_ERROR;
     // A peer has retried already.
-    const isFinal = !failed || kind === 'peer';
-    if (!isFinal && this.#retries.mayRepeat() && this.#retries.tryCharge()) {
+    const mayRetry = failed && attempt.kind !== 'peer';
+    if (mayRetry && this.#retries.mayRepeat() && this.#retries.tryCharge()) {
       this.#avoid(attempt);
       this.#place();
       return;
     }
     if (this.#answer.begun) {
-      this.#abortAnswer(`the endpoint that resumed the stream answered with status ${status}`);
+      this.#endUnserved(`stream resumed with status ${status}`, NO_ENDPOINT_RETRY_AFTER_MS);
       return;
     }
     this.#answer.firstByteMs = this.#sinceArrivalMs();
@@ -442,7 +452,8 @@
   }
 
   /**
-   * Ends a request that isn't served: the answer tells whether it may have been executed.
+   * Ends a request that isn't served: the answer tells whether it may have been executed. One that has begun is broken
+   * off, so that the caller sees that it is incomplete.
    *
    * @param reason - why the request ends, for the log
    * @param retryAfterMs - `Retry-After` of the answer if no endpoint executed the request
@@ -456,7 +467,7 @@
     failureStatus: number = STATUS.badGateway,
   ): void {
     if (this.#answer.begun) {
-      this.#abortAnswer(reason);
+      this.#finish('brokenOff', 0, reason, () => this.#answer.abort());
       return;
     }
     if (this.#retries.executions > 0) {
@@ -475,23 +486,13 @@
     return this.#context.now() - this.#request.inbound.arrivedAt;
   }
 
-  /** Closes the connection before the end of an answer, so that the caller sees that it is incomplete. */
-  #abortAnswer(reason: string): void {
-    this.#finish('brokenOff', 0, reason, () => this.#answer.abort());
-  }
-
   #finish(outcome: RequestOutcome, status: number, reason: string, sendAnswer: () => void): void {
     if (this.#done) return;
     this.#done = true;
     clearTimeout(this.#deadlineTimer);
     clearTimeout(this.#restTimer);
     sendAnswer();
-    const { metrics, onFinished } = this.#context;
-    const { route, forwarded } = this.#request;
-    if (forwarded !== undefined) metrics.countForwarding('received', outcome);
-    metrics.countRequest(route.name, outcome, status);
-    if (outcome === 'served') metrics.recordFirstByteLatency(route.name, this.#answer.firstByteMs);
-    logRequestEnd(this.#context.logger, this.#request, this.#attempt, {
+    recordRequestEnd(this.#context, this.#request, this.#attempt, {
       outcome,
       status,
       reason,
@@ -500,6 +501,6 @@
       firstByteMs: Math.round(this.#answer.firstByteMs),
       totalMs: Math.round(this.#sinceArrivalMs()),
     });
-    onFinished(this);
+    this.#context.onFinished(this);
   }
 }
--- a/src/app/gateway/request/logRequestEnd.ts
+++ b/src/app/gateway/request/recordRequestEnd.ts
@@ -1,4 +1,4 @@
-import type { Logger } from 'pino';
+import type { GatewayContext } from '../GatewayContext.ts';
 import type { AttemptWriting, RequestAttempt } from './RequestAttempt.ts';
 import type { RoutedRequest } from './RoutedRequest.ts';
 import type { ViewAge } from '../following/StoreSubscription.ts';
@@ -39,28 +39,25 @@
     : { writtenAfterMs: Math.round(writing.afterMs), listing: writing.listing };
 
 /**
- * Logs the end of a request; a forwarded one is logged by both gateways under its id.
+ * Logs and counts the end of a request; a forwarded one is logged by both gateways under its id.
  *
- * @param logger - log of the process
+ * @param context - components of the process
  * @param request - the request
  * @param attempt - its last attempt, if it had one
  * @param end - how it ended
  */
-export const logRequestEnd = (
-  logger: Logger,
-  {
-    id,
-    route,
-    account,
-    service,
-    configurationVersion,
-    fields,
-    forwarded,
-    waitedBeforeMs,
-  }: RoutedRequest,
+export const recordRequestEnd = (
+  { logger, metrics }: Pick<GatewayContext, 'logger' | 'metrics'>,
+  request: RoutedRequest,
   attempt: RequestAttempt | undefined,
   end: RequestEnd,
 ): void => {
+  const { id, route, account, service, configurationVersion, fields, forwarded, waitedBeforeMs } =
+    request;
+  const { outcome, status, firstByteMs } = end;
+  if (forwarded !== undefined) metrics.countForwarding('received', outcome);
+  metrics.countRequest(route.name, outcome, status);
+  if (outcome === 'served') metrics.recordFirstByteLatency(route.name, firstByteMs);
   logger.info(
     {
       request: id,
--- a/test/gateway/streams.test.ts
+++ b/test/gateway/streams.test.ts
@@ -4,9 +4,11 @@
 import { until } from '../support/scoped.ts';
 import { call, KEY, runnerSpec, startReadyGateway } from './startGateway.ts';
 import {
+  answer,
   chunk,
   END,
   event,
+  notRun,
   startRunner,
   streamHead,
   unframedStreamHead,
@@ -65,6 +67,37 @@
     expect(sound.arrived.at(-1)?.headers['last-event-id']).toEqual('1');
   });
 
+  /** What an endpoint may answer that was to resume a stream, other than the rest of it. */
+  const ERRORS: Readonly<Record<string, (request: ArrivedRequest) => string>> = {
+    '500': (request) => answer(request, 'it failed', '500 Internal Server Error'),
+    '503 of its own': (request) => answer(request, 'no room', '503 Service Unavailable'),
+    '503 that says that it has not run': () => notRun(),
+    '404': (request) => answer(request, 'nothing here', '404 Not Found'),
+    '302': (request) => answer(request, 'elsewhere', '302 Found'),
+    '204': (request) =>
+      streamHead(request)
+        .replace('200 OK', '204 No Content')
+        .replace('Transfer-Encoding: chunked\r\n', ''),
+    'an answer without a signature': () => 'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nno',
+    'no HTTP': () => 'it failed\r\n\r\n',
+    'a whole answer that is no stream': (request) => answer(request, 'it failed'),
+    'a whole answer that ends as an event does': (request) => answer(request, 'it failed\n\n'),
+  };
+  // ORDER, MIXED: callers found the text of an error in the middle of their stream, or the stream ended as if complete.
+  Object.entries(ERRORS).forEach(([name, text]) =>
+    it(`stays broken where the endpoint that was to resume it answers with ${name}`, async (context) => {
+      const broken = await startRunner(context, cutAfter(event(1)));
+      const failing = await startRunner(context, write(text));
+      const { gateway } = await startReadyGateway(context, {
+        'i-1': runnerSpec('model', broken),
+        'i-2': runnerSpec('model', failing),
+      });
+      const got = await call(gateway.addresses.callers, { path: '/resumed/', method: 'POST' });
+      expect([failing.arrived.length, got.status, got.complete]).toEqual([1, 200, false]);
+      expect(got.body).toEqual(event(1));
+    }),
+  );
+
   /** Streams that end cleanly as HTTP frames them, but inside an event. */
   const TORN: readonly { readonly framing: string; readonly script: RunnerScript }[] = [
     {
