--- a/src/app/gateway/following/StoreSubscription.ts
+++ b/src/app/gateway/following/StoreSubscription.ts
@@ -18,7 +18,7 @@
 import type { EndpointRecord, RouteTable } from '../../../state/gateway/index.ts';
 import { BACKLOG_MS } from '../PauseMonitor.ts';
 import type { PeerGroup } from '../PeerGroup.ts';
-import { recordContact } from './contactReport.ts';
+import { recordContact } from './recordContact.ts';
 import { StoreWatch, type StoreChangeSource, type StoreWatchListener } from './StoreWatch.ts';
 import { UnusableEntries } from './UnusableEntries.ts';
 import { ViewExchange } from './ViewExchange.ts';
--- a/src/app/gateway/following/ViewExchange.ts
+++ b/src/app/gateway/following/ViewExchange.ts
@@ -11,7 +11,7 @@
 import type { PeerMessage } from '../../../protocol/peer/PeerMessage.ts';
 import type { PeerGroup } from '../PeerGroup.ts';
 import type { StoreWatch } from './StoreWatch.ts';
-import { reportContact } from './contactReport.ts';
+import { reportContact } from './reportContact.ts';
 import type { ViewReporter } from './ViewReporter.ts';
 
 /** Rank of the first member after the watcher. */
--- a/src/app/gateway/following/ViewReporter.ts
+++ b/src/app/gateway/following/ViewReporter.ts
@@ -1,7 +1,7 @@
 import type { StoreContact, ViewFreshness, ViewKind } from '../../../coordination/gateway/index.ts';
 import type { PeerMessage } from '../../../protocol/peer/PeerMessage.ts';
 import type { PeerGroup } from '../PeerGroup.ts';
-import { reportContact } from './contactReport.ts';
+import { reportContact } from './reportContact.ts';
 import type { StoreWatch } from './StoreWatch.ts';
 
 /** What is reported, and to whom. */
