Ask other peers once the one that reported a change doesn't answer

A gateway that lacks a change asks the peer that reported it. If that peer had gone, and the store refused the gateway, it asked nobody else. Once its view is old it asks the peers whose views are youngest, one after the other. Found by reading; the new test of RelianceMonitor was red before.

--- a/src/coordination/gateway/following/RelianceMonitor.test.ts
+++ b/src/coordination/gateway/following/RelianceMonitor.test.ts
@@ -70,4 +70,16 @@
     expect(asked).toEqual(['b', undefined, 'a', 'c', undefined]);
     expect(monitor.takeRequest(peers, 2_200)).toEqual('b');
   });
+
+  // CONFIG: a gateway that the store refused asked the one peer that had reported a change, which was gone.
+  it('asks others if the peer that reported the highest revisions does not answer', () => {
+    const monitor = new RelianceMonitor();
+    monitor.recordReport('b', report(10, 100));
+    monitor.recordReport('gone', report(12, 200));
+    monitor.findObstacle(view(10, 1_000), 0, 1_000);
+    monitor.findObstacle(view(10, 1_050), 0, 1_050);
+    expect(monitor.takeRequest(['b'], 1_050)).toEqual('gone');
+    monitor.findObstacle(view(10, 1_250), 0, 1_250);
+    expect(monitor.takeRequest(['b'], 1_250)).toEqual('b');
+  });
 });
--- a/src/coordination/gateway/following/RelianceMonitor.ts
+++ b/src/coordination/gateway/following/RelianceMonitor.ts
@@ -105,7 +105,8 @@
     if (now - this.#requestedAt < REQUEST_INTERVAL_MS) return undefined;
     // Changes that are relayed at the same time need not be asked for.
     const isLagging = this.#laggingSince !== undefined && this.#laggingSince !== now;
-    const peer = isLagging ? this.#reporter : this.#findFreshest(peers, now);
+    // If the view gets old all the same, the reporter hasn't answered.
+    const peer = isLagging && !this.#isOld ? this.#reporter : this.#findFreshest(peers, now);
     if (peer !== undefined) this.#requestedAt = now;
     return peer;
   }
