--- a/test/soak/GatewayProcess.ts
+++ b/test/soak/GatewayProcess.ts
@@ -151,7 +151,7 @@
       },
     );
     this.#child = child;
-    if (this.#endpointLinks !== 'clear') child.send(this.#endpointLinks);
+    if (this.#endpointLinks !== 'clear') this.#tellLinks(child);
     running.add(child);
     this.#hasSpoken = false;
     child.stdout?.once('data', () => {
@@ -184,7 +184,12 @@
   /** Changes what happens to its connections to endpoints, also after a restart. */
   setEndpointLinks(links: EndpointLinks): void {
     this.#endpointLinks = links;
-    this.#child?.send(links);
+    if (this.#child !== undefined) this.#tellLinks(this.#child);
+  }
+
+  /** A process that has just ended doesn't hear of them; the next one is told at its start. */
+  #tellLinks(child: ChildProcess): void {
+    child.send(this.#endpointLinks, () => {});
   }
 
   pause(): void {
