--- a/test/gateway/endless.test.ts
+++ b/test/gateway/endless.test.ts
@@ -2,7 +2,7 @@
 import { describe, it } from 'node:test';
 import { expect } from 'earl';
 import { until } from '../support/scoped.ts';
-import { call, runnerSpec, startReadyGateway } from './startGateway.ts';
+import { call, makeConfiguration, runnerSpec, startReadyGateway } from './startGateway.ts';
 import { signed, startRunner, streamHead, type ArrivedRequest } from './startRunner.ts';
 
 const BLOCK_BYTES = 16 * 1024;
@@ -49,6 +49,12 @@
   },
 ];
 
+/** The size of an answer is what ends it, not the time that reading it takes. */
+const withLongTimeout = ({ routes, ...rest }: Record<string, unknown>) => ({
+  ...rest,
+  routes: (routes as object[]).map((route) => ({ ...route, timeout_ms: 30_000 })),
+});
+
 describe('a gateway before an endpoint that sends bytes without end', () => {
   ENDLESS.forEach(({ name, first, block }) =>
     ['/write/', '/stream/', '/resumed/'].forEach((path) =>
@@ -82,7 +88,11 @@
         `4\r\nabcd\r\n`,
       );
     });
-    const { gateway } = await startReadyGateway(context, { 'i-1': runnerSpec('model', runner) });
+    const { gateway } = await startReadyGateway(
+      context,
+      { 'i-1': runnerSpec('model', runner) },
+      withLongTimeout(makeConfiguration(7)),
+    );
     const got = await call(gateway.addresses.callers, { path: '/stream/', method: 'POST' });
     expect([got.status, got.body]).toEqual([502, '']);
   });
--- a/test/gateway/oddEntries.test.ts
+++ b/test/gateway/oddEntries.test.ts
@@ -77,10 +77,9 @@
       await until(() => gateways.every((gateway) => versionInForce(gateway) === 8));
       await until(() => gateways.every((gateway) => linesAbout(gateway, 'i-odd').length > 0));
       for (const { gateway } of gateways) {
-        // eslint-disable-next-line no-await-in-loop -- one request after the other
         const got = await call(gateway.addresses.callers, { path: '/read/' });
         expect([got.status, got.complete]).toEqual([200, true]);
-        // eslint-disable-next-line no-await-in-loop
+
         const { body } = await ask(gateway.addresses.metrics, '/metrics');
         expect(body).toMatchRegex(/unusable_entries_total\{kind="endpoints"\} [1-9]/);
       }
