Decide the next call to the store in a state machine of its own

StoreWatch kept five fields that together decide which call to the store comes next, how long it may take and how long the pause after a failure is. StoreCallSchedule holds them now, with the present time as an argument, so that they can be tested without a store.

--- a/src/app/gateway/following/StoreWatch.ts
+++ b/src/app/gateway/following/StoreWatch.ts
@@ -2,11 +2,12 @@
   CATCH_UP_WAIT_MS,
   ChangeLog,
   ObjectRevisions,
-  WATCH_ANSWER_MS,
-  WATCH_WAIT_MS,
-  storeRetryDelay,
+  StoreCallSchedule,
   type ChangeSpan,
+  type DueCall,
+  type DueWatch,
   type RevisionGap,
+  type StoreCallTiming,
 } from '../../../coordination/gateway/index.ts';
 import type {
   ObjectStore,
@@ -38,8 +39,8 @@
   readonly store: ObjectStore;
   readonly kind: StoreObjectKind;
   readonly listener: StoreWatchListener;
-  /** Longest wait of a watch in ms, and a factor for the pauses after failed calls, where they differ from the usual. */
-  readonly timing?: { readonly waitMs: number; readonly retryFactor: number };
+  /** Timing of the calls where it differs from the usual. */
+  readonly timing?: StoreCallTiming;
   /** Returns whether other processes rely on this watch now, so that it retries sooner. */
   readonly isReliedOn: () => boolean;
   /** Present time in ms, monotonic. */
@@ -66,9 +67,6 @@
   readonly onAnswered?: () => void;
 }
 
-/** Longest time for the answer to a watch beyond its wait, for a store that is slow. */
-const MAXIMUM_ANSWER_MS = 1_200;
-
 /** Gives a removal a revision after the one that was watched from, if it bears that of the state that it ends. */
 const placeAfter = (revision: number, change: StoreChange): StoreChange => {
   const { removed, object } = change;
@@ -84,11 +82,7 @@
 
   #revision: number | undefined;
 
-  /** Whether the store has discarded the history since the known revision. */
-  #isListDue = false;
-
-  /** Whether the store let the last call time out. It may answer lists though it answers no watches. */
-  #isUnanswered = false;
+  readonly #schedule: StoreCallSchedule;
 
   readonly #objects = new ObjectRevisions();
 
@@ -97,20 +91,12 @@
   /** Changes that hold here although changes before them are missing. */
   #ahead: readonly StoreChange[] = [];
 
-  /** Whether the next answer is wanted at once, because the last one is old or was lost. */
-  #isCatchUpDue = false;
-
-  /** Time for the answer to the next watch beyond its wait; follows a slow store. */
-  #answerMs = WATCH_ANSWER_MS;
-
   #lastChangeRevision = 0;
 
   #completeSince = 0;
 
   #gap: RevisionGap = { after: 0, until: 0 };
 
-  #failures = 0;
-
   #reached = false;
 
   #relayed = false;
@@ -124,6 +110,7 @@
 
   constructor(options: StoreWatchOptions) {
     this.#options = options;
+    this.#schedule = new StoreCallSchedule(options.timing);
   }
 
   /** Lists and watches until `stop` is called. */
@@ -140,8 +127,8 @@
   /** Goes on after a result that couldn't be applied, and reads everything anew. */
   async #recover(error: unknown): Promise<void> {
     this.#options.onError?.(error);
-    this.#isListDue = true;
-    await this.#backOff(`${error}`, this.#options.now());
+    this.#schedule.requireList();
+    await this.#backOff({ _tag: 'list' }, this.#options.now(), `${error}`);
   }
 
   /** What the watch is doing, for the log. */
@@ -169,7 +156,7 @@
 
   /** Whether the store answered the last call. */
   get reached(): boolean {
-    return this.#reached && this.#failures === 0;
+    return this.#reached && !this.hasFailed;
   }
 
   /**
@@ -185,7 +172,7 @@
 
   /** Whether the last call to the store failed. */
   get hasFailed(): boolean {
-    return this.#failures > 0;
+    return this.#schedule.failures > 0;
   }
 
   /**
@@ -246,7 +233,7 @@
       return false;
     }
     if (toRevision <= known) return true;
-    this.#isListDue = false;
+    this.#schedule.recordComplete();
     this.#revision = toRevision;
     const gone = present === undefined ? [] : this.#objects.findGone(present, toRevision);
     const all = [...changes, ...gone];
@@ -279,7 +266,7 @@
     const sentAt = now();
     const result = await store.watch(kind, from, {
       waitMs: CATCH_UP_WAIT_MS,
-      answerMs: this.#answerMs,
+      answerMs: this.#schedule.answerMs,
       fresh: true,
     });
     if (this.#stopped || this.#isFromBeforePause(sentAt)) return;
@@ -297,10 +284,7 @@
   }
 
   #waitUntilResumed(): Promise<void> {
-    // Earlier failures say nothing about the store at the time of the next call.
-    this.#failures = 0;
-    this.#isUnanswered = false;
-    this.#isCatchUpDue = true;
+    this.#schedule.recordResumed();
     this.#phase = 'suspended';
     return new Promise((resolve) => {
       this.#resume = resolve;
@@ -309,60 +293,44 @@
 
   async #listOrWatch(): Promise<void> {
     this.#phase = 'calling';
-    await (this.#revision === undefined || this.#isListDue || this.#isUnanswered
-      ? this.#list()
-      : this.#watchFrom(this.#revision));
+    const call = this.#schedule.next(this.#revision !== undefined);
+    await (call._tag === 'list' ? this.#list(call) : this.#watch(call));
   }
 
-  async #list(): Promise<void> {
+  async #list(call: DueCall = { _tag: 'list' }): Promise<void> {
     const { store, kind, now } = this.#options;
     const sentAt = now();
     const result = await store.list(kind);
     if (this.#stopped || this.#isFromBeforePause(sentAt)) return;
     if (result._tag === 'unavailable') {
-      // A slow store may answer a watch in the time that a watch has, and not a list.
-      this.#isUnanswered = false;
-      await this.#backOff(result.detail, sentAt);
+      await this.#backOff(call, sentAt, result.detail);
       return;
     }
     // The answer may have been long on the way, and its objects may have been read as it was sent.
     this.#applyAnswer(sentAt, () => this.#applyList(result.revision, result.objects));
   }
 
-  async #watchFrom(revision: number): Promise<void> {
-    const { store, kind, now, timing } = this.#options;
+  async #watch(call: DueWatch): Promise<void> {
+    const { store, kind, now } = this.#options;
+    const { waitMs, answerMs, isCatchUp } = call;
+    const { revision } = this;
     const sentAt = now();
-    const isCatchUp = this.#isCatchUpDue;
-    const waitMs = isCatchUp ? CATCH_UP_WAIT_MS : (timing?.waitMs ?? WATCH_WAIT_MS);
-    const result = await store.watch(kind, revision, {
-      waitMs,
-      answerMs: this.#answerMs,
-      fresh: isCatchUp,
-    });
+    const result = await store.watch(kind, revision, { waitMs, answerMs, fresh: isCatchUp });
     if (this.#stopped) return;
     if (this.#isFromBeforePause(sentAt)) {
-      this.#isCatchUpDue = true;
+      this.#schedule.recordDiscarded();
       return;
     }
-    const beyondWaitMs = now() - sentAt - waitMs;
     switch (result._tag) {
       case 'unavailable':
-        this.#isCatchUpDue = true;
-        if (beyondWaitMs >= this.#answerMs) {
-          this.#isUnanswered = true;
-          this.#answerMs = Math.min(MAXIMUM_ANSWER_MS, 2 * this.#answerMs);
-        }
-        await this.#backOff(result.detail, sentAt);
+        await this.#backOff(call, sentAt, result.detail);
         return;
       case 'expired':
-        this.#isListDue = true;
+        this.#schedule.requireList();
         return;
       case 'changed': {
         const confirmedAt = this.#confirmationOf(result.changes, sentAt, waitMs);
-        // After a pause of this process an answer may be so old that the next one is wanted soon, not after a long wait.
-        this.#isCatchUpDue = timing !== undefined && now() - confirmedAt > WATCH_WAIT_MS;
-        if (isCatchUp || beyondWaitMs > 0)
-          this.#answerMs = Math.min(MAXIMUM_ANSWER_MS, Math.max(WATCH_ANSWER_MS, 2 * beyondWaitMs));
+        this.#schedule.recordWatched(call, { sentAt, confirmedAt }, now());
         this.#applyAnswer(confirmedAt, () =>
           this.#applyWatched(revision, result.revision, result.changes),
         );
@@ -395,7 +363,7 @@
     objects: readonly StoreObject[],
     source: 'list' | 'relay',
   ): readonly StoreChange[] | undefined {
-    this.#isListDue = false;
+    this.#schedule.recordComplete();
     const before = this.#revision;
     // Changes that were relayed during the call are newer than its result.
     if (before !== undefined && revision <= before) return undefined;
@@ -445,23 +413,19 @@
   #applyAnswer(confirmedAt: number, apply: () => void): void {
     const wasReached = this.reached;
     this.#reached = true;
-    this.#failures = 0;
-    this.#isUnanswered = false;
+    this.#schedule.recordAvailable();
     this.#options.onConfirmed(confirmedAt);
     apply();
     this.#options.onAnswered?.();
     if (!wasReached) this.#options.listener.onAvailable();
   }
 
-  async #backOff(detail: string, sentAt: number): Promise<void> {
-    const { random, sleep, isReliedOn, timing } = this.#options;
-    // The first call after a failure comes at once, since it may follow from one lost connection.
-    this.#options.onFailed?.(sentAt);
-    const factor = this.#failures === 0 ? 1 : (timing?.retryFactor ?? 1);
-    const pauseMs = factor * storeRetryDelay(this.#failures, isReliedOn(), random());
-    this.#failures += 1;
-    if (this.#failures === 1) this.#options.listener.onUnavailable(detail);
+  async #backOff(call: DueCall, sentAt: number, detail: string): Promise<void> {
+    const { now, random, sleep, isReliedOn, onFailed, listener } = this.#options;
+    this.#schedule.recordFailure(call, sentAt, now());
+    onFailed?.(sentAt);
+    if (this.#schedule.failures === 1) listener.onUnavailable(detail);
     this.#phase = 'backingOff';
-    await sleep(pauseMs);
+    await sleep(this.#schedule.pauseMs(isReliedOn(), random()));
   }
 }
--- a/src/coordination/gateway/index.ts
+++ b/src/coordination/gateway/index.ts
@@ -52,13 +52,14 @@
 export { RelianceMonitor, isBehind } from './following/RelianceMonitor.ts';
 export type { KnownRevisions } from './following/RelianceMonitor.ts';
 export { graceUntil } from './following/retainUntil.ts';
+export { StoreCallSchedule } from './following/StoreCallSchedule.ts';
+export type { DueCall, DueWatch, StoreCallTiming } from './following/StoreCallSchedule.ts';
 export { StoreContact } from './following/StoreContact.ts';
 export type { ContactSpan, Outage } from './following/StoreContact.ts';
 export { ViewFreshness } from './following/ViewFreshness.ts';
 export type { Confirmation, ConfirmationPath, ViewKind } from './following/ViewFreshness.ts';
 export { RequestCrashAttribution } from './crashes/RequestCrashAttribution.ts';
 export { RetryBudget } from './limits/RetryBudget.ts';
-export { storeRetryDelay } from './following/storeRetryDelay.ts';
 export { RouteIndex } from './routing/RouteIndex.ts';
 export type { RouteMatch } from './routing/RouteIndex.ts';
 export { RelayedRevisions } from './following/RelayedRevisions.ts';
@@ -68,7 +69,5 @@
   CALM_TICK_INTERVAL_MS,
   TICK_INTERVAL_MS,
   YOUNG_VIEW_MS,
-  WATCH_ANSWER_MS,
-  WATCH_WAIT_MS,
   relianceMs,
 } from './following/viewTiming.ts';
