--- a/src/app/gateway/following/DomainDrainSubscription.ts
+++ b/src/app/gateway/following/DomainDrainSubscription.ts
@@ -8,6 +8,7 @@
 import type { ObjectStore, StoreChange } from '../../../protocol/gateway/index.ts';
 import type { PeerMessage } from '../../../protocol/peer/PeerMessage.ts';
 import type { PeerGroup } from '../PeerGroup.ts';
+import { recoveryDetails } from './recoveryDetails.ts';
 import { StoreWatch } from './StoreWatch.ts';
 
 /** Collaborators and callbacks of a subscription to the drains of failure domains. */
@@ -87,7 +88,8 @@
           this.#options.onChanged([]);
         },
         onChanges: (changes) => this.#apply(changes),
-        onAvailable: () => logger.info({ dependency }, 'dependency regained'),
+        onAvailable: (recovery) =>
+          logger.info({ dependency, ...recoveryDetails(recovery, now()) }, 'dependency regained'),
         onUnavailable: (detail) => logger.warn({ dependency, detail }, 'dependency lost'),
       },
       onFailed: (sentAt) => drains.recordFailure(sentAt),
--- a/src/app/gateway/following/StoreSubscription.ts
+++ b/src/app/gateway/following/StoreSubscription.ts
@@ -19,6 +19,7 @@
 import { BACKLOG_MS } from '../PauseMonitor.ts';
 import type { PeerGroup } from '../PeerGroup.ts';
 import { recordContact } from './recordContact.ts';
+import { recoveryDetails } from './recoveryDetails.ts';
 import { StoreWatch, type StoreChangeSource, type StoreWatchListener } from './StoreWatch.ts';
 import { UnusableEntries } from './UnusableEntries.ts';
 import { ViewExchange } from './ViewExchange.ts';
@@ -138,7 +139,7 @@
         ...common,
         kind,
         listener,
-        onWatchResult: (span) => this.#exchange.relay(kind, span),
+        onWatchResult: (span, sentAt) => this.#exchange.relay(kind, span, now() - sentAt),
         onConfirmed: (at) => this.#confirm(kind, { at, path: 'call' }),
         onAnswered: () => this.#reportCallResult(),
         onError: (err) => options.logger.error({ err, kind }, 'store watch failed'),
@@ -401,9 +402,10 @@
   #makeHealthListener(name: string): Pick<StoreWatchListener, 'onAvailable' | 'onUnavailable'> {
     const { group, logger, now } = this.#options;
     return {
-      onAvailable: () => {
+      onAvailable: (recovery) => {
         if (group.storeWatcher() === group.incarnation) this.#reporter.sendToAll(now());
-        logger.info({ dependency: name }, 'dependency regained');
+        const details = recoveryDetails(recovery, now());
+        logger.info({ dependency: name, ...details }, 'dependency regained');
       },
       onUnavailable: (detail) => {
         if (group.storeWatcher() === group.incarnation) this.#reporter.sendToAll(now());
--- a/src/app/gateway/following/StoreWatch.ts
+++ b/src/app/gateway/following/StoreWatch.ts
@@ -6,6 +6,7 @@
   type ChangeSpan,
   type DueCall,
   type DueWatch,
+  type FailedCalls,
   type RevisionGap,
   type StoreCallTiming,
 } from '../../../coordination/gateway/index.ts';
@@ -22,6 +23,14 @@
 /** What a store watch is doing. */
 export type StoreWatchPhase = 'calling' | 'backingOff' | 'suspended';
 
+/** The answer that showed that the store is available, and what came before it. */
+export interface StoreRecovery {
+  /** Time that the answered call took, in ms. */
+  readonly callMs: number;
+  /** The calls that failed before; undefined if none has. */
+  readonly failed: FailedCalls | undefined;
+}
+
 /** Callbacks of a store watch. */
 export interface StoreWatchListener {
   /** Called with the number of objects after each list, at the start and after a discarded history. */
@@ -29,7 +38,7 @@
   /** Called with changes that are news here, and how they were received. */
   readonly onChanges: (changes: readonly StoreChange[], source: StoreChangeSource) => void;
   /** Called when the store answers for the first time or again after a failure. */
-  readonly onAvailable: () => void;
+  readonly onAvailable: (recovery: StoreRecovery) => void;
   /** Called when a call to the store fails, but not for further failures in a row. */
   readonly onUnavailable: (detail: string) => void;
 }
@@ -50,10 +59,10 @@
   /** Resolves after a time in ms. */
   readonly sleep: (ms: number) => Promise<void>;
   /**
-   * Called with the changes of each call that raised the revision, to relay them. After the first list
-   * there is nothing to relay, because it doesn't tell what changed.
+   * Called with the changes of each call that raised the revision, to relay them, and the moment at which it was sent, in
+   * ms. After the first list there is nothing to relay, because it doesn't tell what changed.
    */
-  readonly onWatchResult: (span: ChangeSpan) => void;
+  readonly onWatchResult: (span: ChangeSpan, sentAt: number) => void;
   /** Called with an error that a result of the store led to. */
   readonly onError?: (error: unknown) => void;
   /** Called after each failed call, with the moment at which it was sent, in ms. */
@@ -172,7 +181,7 @@
 
   /** Whether the last call to the store failed. */
   get hasFailed(): boolean {
-    return this.#schedule.failures > 0;
+    return this.#schedule.failed !== undefined;
   }
 
   /**
@@ -272,8 +281,9 @@
     if (this.#stopped || this.#isFromBeforePause(sentAt)) return;
     if (result._tag === 'expired') await this.#list();
     if (result._tag !== 'changed') return;
-    this.#applyAnswer(this.#confirmationOf(result.changes, sentAt, CATCH_UP_WAIT_MS), () =>
-      this.#applyWatched(from, result.revision, result.changes),
+    const confirmedAt = this.#confirmationOf(result.changes, sentAt, CATCH_UP_WAIT_MS);
+    this.#applyAnswer({ sentAt, confirmedAt }, () =>
+      this.#applyWatched({ from, sentAt }, result.revision, result.changes),
     );
   }
 
@@ -307,7 +317,9 @@
       return;
     }
     // The answer may have been long on the way, and its objects may have been read as it was sent.
-    this.#applyAnswer(sentAt, () => this.#applyList(result.revision, result.objects));
+    this.#applyAnswer({ sentAt, confirmedAt: sentAt }, () =>
+      this.#applyList(sentAt, result.revision, result.objects),
+    );
   }
 
   async #watch(call: DueWatch): Promise<void> {
@@ -331,8 +343,8 @@
       case 'changed': {
         const confirmedAt = this.#confirmationOf(result.changes, sentAt, waitMs);
         this.#schedule.recordWatched(call, { sentAt, confirmedAt }, now());
-        this.#applyAnswer(confirmedAt, () =>
-          this.#applyWatched(revision, result.revision, result.changes),
+        this.#applyAnswer({ sentAt, confirmedAt }, () =>
+          this.#applyWatched({ from: revision, sentAt }, result.revision, result.changes),
         );
         return;
       }
@@ -349,12 +361,13 @@
     return changes.length === 0 ? sentAt + waitMs : sentAt;
   }
 
-  #applyList(revision: number, objects: readonly StoreObject[]): void {
+  #applyList(sentAt: number, revision: number, objects: readonly StoreObject[]): void {
     const before = this.#revision;
     const changes = this.#applyObjects(revision, objects, 'list');
     if (before === undefined || changes === undefined) return;
     const { present } = this;
-    this.#options.onWatchResult({ fromRevision: before, toRevision: revision, changes, present });
+    const span = { fromRevision: before, toRevision: revision, changes, present };
+    this.#options.onWatchResult(span, sentAt);
   }
 
   /** Returns what was news of all objects; undefined if the view is newer. */
@@ -384,7 +397,11 @@
     return sentAt < this.#pausedAt;
   }
 
-  #applyWatched(from: number, revision: number, watched: readonly StoreChange[]): void {
+  #applyWatched(
+    { from, sentAt }: { readonly from: number; readonly sentAt: number },
+    revision: number,
+    watched: readonly StoreChange[],
+  ): void {
     const before = this.#revision ?? 0;
     // Changes that were relayed during the call are newer than its result.
     if (revision <= before) return;
@@ -392,7 +409,8 @@
     this.#revision = revision;
     this.#log.append(changes, revision);
     this.#apply(changes, 'watch');
-    this.#options.onWatchResult({ fromRevision: before, toRevision: revision, changes });
+    const span = { fromRevision: before, toRevision: revision, changes };
+    this.#options.onWatchResult(span, sentAt);
   }
 
   /** Applies what is news of changes that complete the view up to its revision. */
@@ -410,21 +428,26 @@
   }
 
   /** Peers may be told of a confirmation only once the view holds what it confirms. */
-  #applyAnswer(confirmedAt: number, apply: () => void): void {
+  #applyAnswer(
+    { sentAt, confirmedAt }: { readonly sentAt: number; readonly confirmedAt: number },
+    apply: () => void,
+  ): void {
+    const { now, onConfirmed, onAnswered, listener } = this.#options;
     const wasReached = this.reached;
+    const { failed } = this.#schedule;
     this.#reached = true;
     this.#schedule.recordAvailable();
-    this.#options.onConfirmed(confirmedAt);
+    onConfirmed(confirmedAt);
     apply();
-    this.#options.onAnswered?.();
-    if (!wasReached) this.#options.listener.onAvailable();
+    onAnswered?.();
+    if (!wasReached) listener.onAvailable({ callMs: now() - sentAt, failed });
   }
 
   async #backOff(call: DueCall, sentAt: number, detail: string): Promise<void> {
     const { now, random, sleep, isReliedOn, onFailed, listener } = this.#options;
     this.#schedule.recordFailure(call, sentAt, now());
     onFailed?.(sentAt);
-    if (this.#schedule.failures === 1) listener.onUnavailable(detail);
+    if (this.#schedule.failed?.count === 1) listener.onUnavailable(detail);
     this.#phase = 'backingOff';
     await sleep(this.#schedule.pauseMs(isReliedOn(), random()));
   }
--- a/src/app/gateway/following/ViewExchange.test.ts
+++ b/src/app/gateway/following/ViewExchange.test.ts
@@ -83,13 +83,9 @@
   // DRAIN: an endpoint that came and went in a gap of the history stayed in use at a member that had seen it come.
   it('relays at once which objects a list holds, also where it brings no change', () => {
     const { exchange, spans } = makeExchange();
-    exchange.relay('endpoints', { fromRevision: 10, toRevision: 11, changes: [] });
-    exchange.relay('endpoints', {
-      fromRevision: 11,
-      toRevision: 14,
-      changes: [],
-      present: ['stays'],
-    });
+    exchange.relay('endpoints', { fromRevision: 10, toRevision: 11, changes: [] }, 4);
+    const listed = { fromRevision: 11, toRevision: 14, changes: [], present: ['stays'] };
+    exchange.relay('endpoints', listed, 4);
     expect(spans().map(({ present }) => present)).toEqual([undefined, ['stays']]);
   });
 });
--- a/src/app/gateway/following/ViewExchange.ts
+++ b/src/app/gateway/following/ViewExchange.ts
@@ -52,8 +52,13 @@
    *
    * @param kind - kind of the objects
    * @param span - the changes, and between which store revisions they are complete
+   * @param callMs - how long the call took, in ms
    */
-  relay(kind: ViewKind, { fromRevision, toRevision, changes, present }: ChangeSpan): void {
+  relay(
+    kind: ViewKind,
+    { fromRevision, toRevision, changes, present }: ChangeSpan,
+    callMs: number,
+  ): void {
     const { group, logger, now, reporter } = this.#options;
     const isWatcher = group.storeWatcher() === group.incarnation;
     const revisions = this.#relayedRevisions[kind];
@@ -74,8 +79,10 @@
       .sameDomainPeers()
       .filter(({ incarnation }) => group.send(incarnation, message)).length;
     if (changes.length === 0) return;
+    // The store may have answered at any time within the call.
+    const times = { callMs: Math.round(callMs), ageMs: Math.round(this.#confirmedMsAgo(kind)) };
     logger.info(
-      { kind, fromRevision: from, toRevision, peers, isWatcher },
+      { kind, fromRevision: from, toRevision, peers, isWatcher, ...times },
       'store changes relayed',
     );
     if (group.storeCallRank() <= DEPUTY_RANK) reporter.reportChange();
--- a/src/app/gateway/following/ViewLog.ts
+++ b/src/app/gateway/following/ViewLog.ts
@@ -65,7 +65,7 @@
   ): void {
     const { revision } = this.#watches.endpoints;
     if (changes.length > MAXIMUM_LOGGED_CHANGES) {
-      const counts = { added: 0, draining: 0, missing: 0, removed: 0 };
+      const counts = { added: 0, draining: 0, readyAgain: 0, missing: 0, removed: 0 };
       changes.forEach(({ _tag }) => {
         counts[_tag] += 1;
       });
--- a/src/coordination/gateway/following/EndpointDirectory.test.ts
+++ b/src/coordination/gateway/following/EndpointDirectory.test.ts
@@ -62,6 +62,12 @@
     expect(directory.put(record('1', { bornAt: 2 })).map(({ _tag }) => _tag)).toEqual(['added']);
   });
 
+  it('tells that an endpoint which drained is listed as ready again', () => {
+    const directory = new EndpointDirectory();
+    directory.put(record('1', { state: 'draining' }));
+    expect(directory.put(record('1')).map(({ _tag }) => _tag)).toEqual(['readyAgain']);
+  });
+
   // DRAIN: an endpoint that left while one watch was cut was kept as if it had expired in an outage of the store.
   it('takes a removal between two confirmations of the view for a departure', () => {
     const directory = new EndpointDirectory();
--- a/src/coordination/gateway/following/EndpointDirectory.ts
+++ b/src/coordination/gateway/following/EndpointDirectory.ts
@@ -13,6 +13,8 @@
 export type EndpointChange =
   | { readonly _tag: 'added'; readonly record: EndpointRecord }
   | { readonly _tag: 'draining'; readonly record: EndpointRecord }
+  /** The store lists the same start of the endpoint as ready again, after it had listed it as draining. */
+  | { readonly _tag: 'readyAgain'; readonly record: EndpointRecord }
   /** The store no longer lists the entry, which was last known to be listed at `listedAt`; it is kept until `until`, in ms. */
   | {
       readonly _tag: 'missing';
@@ -50,7 +52,7 @@
    * added. An entry that was marked as missing no longer is.
    *
    * @param record - the entry's current contents
-   * @returns the change; empty if the endpoint was neither added nor began to drain
+   * @returns the change; empty if the endpoint was neither added nor changed its state
    */
   put(record: EndpointRecord): EndpointChange[] {
     const previous = this.#entries.get(record.id);
@@ -61,6 +63,9 @@
     if (record.state === 'draining' && previous.record.state === 'ready') {
       return [{ _tag: 'draining', record }];
     }
+    if (record.state === 'ready' && previous.record.state === 'draining') {
+      return [{ _tag: 'readyAgain', record }];
+    }
     return [];
   }
 
--- a/src/coordination/gateway/following/StoreCallSchedule.ts
+++ b/src/coordination/gateway/following/StoreCallSchedule.ts
@@ -15,6 +15,15 @@
 /** The call to the store that is due. */
 export type DueCall = { readonly _tag: 'list' } | DueWatch;
 
+/** Calls in a row that failed. */
+export interface FailedCalls {
+  readonly count: number;
+  /** When the first of them was sent, in ms. */
+  readonly since: number;
+  /** Longest time that any of them took beyond its wait, in ms: short if the store refuses calls, long if it is silent. */
+  readonly longestMs: number;
+}
+
 /** Timing of calls where it differs from the usual. */
 export interface StoreCallTiming {
   /** Longest wait of a watch, in ms. */
@@ -42,7 +51,7 @@
   /** Time for the answer to the next watch beyond its wait; follows a slow store. */
   #answerMs = WATCH_ANSWER_MS;
 
-  #failures = 0;
+  #failed: FailedCalls | undefined;
 
   /**
    * @param timing - where it differs from the usual
@@ -51,9 +60,9 @@
     this.#timing = timing;
   }
 
-  /** Number of failed calls in a row. */
-  get failures(): number {
-    return this.#failures;
+  /** The calls that failed since the last answer; undefined if the last one was answered. */
+  get failed(): FailedCalls | undefined {
+    return this.#failed;
   }
 
   /** Time for the answer to a call that is made beside the others, in ms. */
@@ -86,7 +95,7 @@
   /** Records that calls begin again after others have supplied the changes. */
   recordResumed(): void {
     // Earlier failures say nothing about the store at the time of the next call.
-    this.#failures = 0;
+    this.#failed = undefined;
     this.#isUnanswered = false;
     this.#isCatchUpDue = true;
   }
@@ -98,7 +107,7 @@
 
   /** Records that the store answered. */
   recordAvailable(): void {
-    this.#failures = 0;
+    this.#failed = undefined;
     this.#isUnanswered = false;
   }
 
@@ -129,14 +138,16 @@
    * @param now - present time in ms, monotonic
    */
   recordFailure(call: DueCall, sentAt: number, now: number): void {
-    this.#failures += 1;
+    const beyondWaitMs = now - sentAt - (call._tag === 'list' ? 0 : call.waitMs);
+    const { count = 0, since = sentAt, longestMs = 0 } = this.#failed ?? {};
+    this.#failed = { count: count + 1, since, longestMs: Math.max(longestMs, beyondWaitMs) };
     if (call._tag === 'list') {
       // A slow store may answer a watch in the time that a watch has, and not a list.
       this.#isUnanswered = false;
       return;
     }
     this.#isCatchUpDue = true;
-    if (now - sentAt - call.waitMs < call.answerMs) return;
+    if (beyondWaitMs < call.answerMs) return;
     this.#isUnanswered = true;
     this.#answerMs = Math.min(MAXIMUM_ANSWER_MS, 2 * call.answerMs);
   }
@@ -149,7 +160,7 @@
    * @returns the time in ms
    */
   pauseMs(hasDependents: boolean, fraction: number): number {
-    const previous = this.#failures - 1;
+    const previous = Math.max(0, (this.#failed?.count ?? 0) - 1);
     // The first call after a failure comes at once, since it may follow from one lost connection.
     const factor = previous === 0 ? 1 : (this.#timing?.retryFactor ?? 1);
     return factor * storeRetryDelay(previous, hasDependents, fraction);
--- a/src/coordination/gateway/index.ts
+++ b/src/coordination/gateway/index.ts
@@ -53,7 +53,12 @@
 export type { KnownRevisions } from './following/RelianceMonitor.ts';
 export { graceUntil } from './following/retainUntil.ts';
 export { StoreCallSchedule } from './following/StoreCallSchedule.ts';
-export type { DueCall, DueWatch, StoreCallTiming } from './following/StoreCallSchedule.ts';
+export type {
+  DueCall,
+  DueWatch,
+  FailedCalls,
+  StoreCallTiming,
+} from './following/StoreCallSchedule.ts';
 export { StoreContact } from './following/StoreContact.ts';
 export type { ContactSpan, Outage } from './following/StoreContact.ts';
 export { ViewFreshness } from './following/ViewFreshness.ts';
