Keep an endpoint that drained out of use when the store lists it again (DRAIN)

Callers: a request reaches an endpoint that drains, as soon as the store lists it as ready once more.

Cause: the store may carry out a call seconds after its sender has given it up. An endpoint's last heartbeat before it drains can be such a call, and the directory took each state of a start as it came. What an endpoint says itself is kept for 120 s by its start; what the store said of it wasn't kept at all.

Change: the directory remembers the starts that drained for as long, also after the entry was removed, and tells the other gateways when the store contradicts it. An entry that expired without draining comes back, and so does an endpoint that starts again.

--- a/src/app/gateway/following/StoreSubscription.ts
+++ b/src/app/gateway/following/StoreSubscription.ts
@@ -23,7 +23,7 @@
 import { StoreWatch, type StoreChangeSource, type StoreWatchListener } from './StoreWatch.ts';
 import { UnusableEntries } from './UnusableEntries.ts';
 import { ViewExchange } from './ViewExchange.ts';
-import { ViewLog } from './ViewLog.ts';
+import { ViewLog, type EndpointChangeSource } from './ViewLog.ts';
 import { ViewReporter } from './ViewReporter.ts';
 
 /** What became of relayed changes: `gap` if changes before them are missing here, so that the view has a hole. */
@@ -84,6 +84,8 @@
     record: EndpointRecord,
     seen: { readonly revision: number; readonly isNew: boolean },
   ) => void;
+  /** Called with an endpoint that the store lists as ready although the same start of it drained. */
+  readonly onReadyAgain?: (record: EndpointRecord) => void;
   /** Called after changes in the directory of endpoints. */
   readonly onEndpointsChanged: () => void;
   /** Called for each message of relayed changes, with what became of it. */
@@ -235,6 +237,7 @@
     const { directory, group, now } = this.#options;
     const outage = this.#contact.outage(now());
     this.#reportChanges(directory.removeMissing(outage, now()), 'graceExpired');
+    this.#reportChanges(directory.takeBack(now()), 'drainExpired');
     const watcher = group.storeWatcher();
     const rank = group.storeCallRank();
     const known = this.#known();
@@ -390,7 +393,7 @@
           else this.#unusable.record('endpoints', object);
           if (record === undefined)
             return directory.remove(object.name, this.#endpointsListedAt, outage, now());
-          const changed = directory.put(record);
+          const changed = directory.put(record, now());
           const isAdded = changed.some(({ _tag }) => _tag === 'added');
           const isNew = isAdded && this.#endpointsListed;
           onEndpointRecord?.(record, { revision: object.revision, isNew });
@@ -426,11 +429,11 @@
     if (table !== undefined) onConfiguration(table, source);
   }
 
-  #reportChanges(
-    changes: readonly EndpointChange[],
-    source: StoreChangeSource | 'graceExpired',
-  ): void {
+  #reportChanges(changes: readonly EndpointChange[], source: EndpointChangeSource): void {
     this.#log.recordEndpoints(changes, source, this.#options.now());
+    changes
+      .filter(({ _tag }) => _tag === 'readyAgain')
+      .forEach(({ record }) => this.#options.onReadyAgain?.(record));
     if (changes.length > 0) this.#options.onEndpointsChanged();
   }
 }
--- a/src/app/gateway/following/ViewLog.ts
+++ b/src/app/gateway/following/ViewLog.ts
@@ -9,6 +9,9 @@
 /** Changes of endpoints that are logged one by one; more at once are logged as their number. */
 const MAXIMUM_LOGGED_CHANGES = 8;
 
+/** How a change of an endpoint became known, or which time has run out. */
+export type EndpointChangeSource = StoreChangeSource | 'graceExpired' | 'drainExpired';
+
 /** What speaks for and against an outage of the store. */
 export interface OutageEvidence {
   /** Number of missing entries that are kept in use. */
@@ -60,7 +63,7 @@
   /** Logs changes of endpoints, and how they became known. */
   recordEndpoints(
     changes: readonly EndpointChange[],
-    source: StoreChangeSource | 'graceExpired',
+    source: EndpointChangeSource,
     now: number,
   ): void {
     const { revision } = this.#watches.endpoints;
--- a/src/app/gateway/reach/ExclusionMonitor.ts
+++ b/src/app/gateway/reach/ExclusionMonitor.ts
@@ -67,6 +67,17 @@
     });
   }
 
+  /**
+   * Tells all gateways that an endpoint leaves, though the store lists it as ready: some may not have seen it drain.
+   *
+   * @param record - the endpoint
+   */
+  reportDrained(record: EndpointRecord): void {
+    const start = endpointStartOf(record);
+    if (this.#exclusions.recordLeaving(start, this.#options.now()))
+      this.#options.group().broadcast({ _tag: 'endpointsLeaving', endpoints: [start] });
+  }
+
   /**
    * Processes what peers have heard of leaving endpoints; other messages are ignored.
    *
--- a/src/app/gateway/runGateway.ts
+++ b/src/app/gateway/runGateway.ts
@@ -330,6 +330,7 @@
             const { id, service, coldMs } = record;
             logger.info({ endpoint: id, service, coldMs, ...seen }, 'endpoint taken as cold');
           },
+          onReadyAgain: (record) => exclusions.reportDrained(record),
           onEndpointsChanged: updateEngines,
           onRelayReceived: (kind, result) => metrics.countRelay(kind, result),
           onUnusable: (kind) => metrics.countUnusableEntry(kind),
--- a/src/coordination/gateway/following/EndpointDirectory.ts
+++ b/src/coordination/gateway/following/EndpointDirectory.ts
@@ -1,10 +1,22 @@
-import type { EndpointRecord } from '../../../state/gateway/index.ts';
+import { endpointStartOf, type EndpointRecord } from '../../../state/gateway/index.ts';
+import { LEAVING_RETENTION_MS } from '../reach/EndpointExclusions.ts';
 import { retainUntil } from './retainUntil.ts';
 import type { Outage } from './StoreContact.ts';
 
+/**
+ * Time for which a start of an endpoint that drained isn't taken back, as for one that said itself that it leaves. The
+ * store may carry out an earlier heartbeat of it seconds later.
+ */
+const DRAINED_RETENTION_MS = LEAVING_RETENTION_MS;
+
+/** Starts of endpoints that drained and are remembered. */
+const MAXIMUM_DRAINED = 4_096;
+
 /** An endpoint's entry in the directory. */
 interface DirectoryEntry {
   readonly record: EndpointRecord;
+  /** Whether the store lists it as ready although this start of it drained, so that it stays out of use. */
+  readonly isReadyAgain: boolean;
   /** When the store is known to have listed it last, in ms; set if it no longer does and the entry is kept in use. */
   listedAt?: number | undefined;
 }
@@ -13,7 +25,7 @@
 export type EndpointChange =
   | { readonly _tag: 'added'; readonly record: EndpointRecord }
   | { readonly _tag: 'draining'; readonly record: EndpointRecord }
-  /** The store lists the same start of the endpoint as ready again, after it had listed it as draining. */
+  /** The store lists the endpoint as ready, after it had listed the same start of it as draining; it stays out of use. */
   | { readonly _tag: 'readyAgain'; readonly record: EndpointRecord }
   /** The store no longer lists the entry, which was last known to be listed at `listedAt`; it is kept until `until`, in ms. */
   | {
@@ -27,11 +39,14 @@
 /**
  * The endpoints that the store lists. An entry that goes missing in an outage of the store, or
  * shortly after, is kept until its endpoint has had time to register again. At any other time a
- * missing entry means that the endpoint has left.
+ * missing entry means that the endpoint has left. One that drained has left for good, until it starts again.
  */
 export class EndpointDirectory {
   readonly #entries = new Map<string, DirectoryEntry>();
 
+  /** When starts of endpoints were last listed as draining, in ms, the oldest first. */
+  readonly #drainedAt = new Map<string, number>();
+
   readonly #isUsable: (record: EndpointRecord) => boolean;
 
   /**
@@ -52,23 +67,41 @@
    * added. An entry that was marked as missing no longer is.
    *
    * @param record - the entry's current contents
+   * @param now - current time, in ms
    * @returns the change; empty if the endpoint was neither added nor changed its state
    */
-  put(record: EndpointRecord): EndpointChange[] {
+  put(record: EndpointRecord, now: number): EndpointChange[] {
     const previous = this.#entries.get(record.id);
-    this.#entries.set(record.id, { record });
+    if (record.state === 'draining') this.#recordDrained(record, now);
+    else if (this.#hasDrained(record, now)) {
+      const draining = { ...record, state: 'draining' } as const;
+      this.#entries.set(record.id, { record: draining, isReadyAgain: true });
+      return previous?.isReadyAgain === true ? [] : [{ _tag: 'readyAgain', record }];
+    }
+    this.#entries.set(record.id, { record, isReadyAgain: false });
     if (previous === undefined || previous.record.bornAt !== record.bornAt) {
       return [{ _tag: 'added', record }];
     }
-    if (record.state === 'draining' && previous.record.state === 'ready') {
-      return [{ _tag: 'draining', record }];
-    }
-    if (record.state === 'ready' && previous.record.state === 'draining') {
-      return [{ _tag: 'readyAgain', record }];
+    if (record.state !== previous.record.state) {
+      return [{ _tag: record.state === 'draining' ? 'draining' : 'added', record }];
     }
     return [];
   }
 
+  #recordDrained(record: EndpointRecord, now: number): void {
+    const start = endpointStartOf(record);
+    this.#drainedAt.delete(start);
+    this.#drainedAt.set(start, now);
+    const [oldest] = this.#drainedAt.keys();
+    if (this.#drainedAt.size > MAXIMUM_DRAINED && oldest !== undefined)
+      this.#drainedAt.delete(oldest);
+  }
+
+  #hasDrained(record: EndpointRecord, now: number): boolean {
+    const drainedAt = this.#drainedAt.get(endpointStartOf(record));
+    return drainedAt !== undefined && now - drainedAt <= DRAINED_RETENTION_MS;
+  }
+
   /**
    * Handles an entry that the store no longer lists: removes it, or marks it as missing if it may have expired in an
    * outage. A draining endpoint is removed in either case.
@@ -109,6 +142,18 @@
       });
   }
 
+  /**
+   * Takes the endpoints back that the store has listed as ready for long since they drained: only one that runs does.
+   *
+   * @param now - current time, in ms
+   * @returns the endpoints that are in use again
+   */
+  takeBack(now: number): EndpointChange[] {
+    return [...this.#entries.values()]
+      .filter(({ record, isReadyAgain }) => isReadyAgain && !this.#hasDrained(record, now))
+      .flatMap(({ record }) => this.put({ ...record, state: 'ready' }, now));
+  }
+
   /** Lists the endpoints of a service that accept new requests. */
   listReady(service: string): EndpointRecord[] {
     return this.listAllReady().filter((record) => record.service === service);
--- a/src/coordination/gateway/reach/EndpointExclusions.ts
+++ b/src/coordination/gateway/reach/EndpointExclusions.ts
@@ -8,7 +8,7 @@
 /** Longest rest that is granted, so that no endpoint is left out for good. */
 const MAXIMUM_REST_MS = 600_000;
 /** Time after which an endpoint that said that it leaves, and is still listed, is tried again. */
-const LEAVING_RETENTION_MS = 120_000;
+export const LEAVING_RETENTION_MS = 120_000;
 const MAXIMUM_ENDPOINTS = 4_096;
 
 interface Entry {
--- a/test/replication/ReplicationPlan.ts
+++ b/test/replication/ReplicationPlan.ts
@@ -39,6 +39,8 @@
       readonly to: number;
       readonly drains: boolean;
     }
+  /** An endpoint drains, and the store carries out an earlier heartbeat of it that says that it is ready. */
+  | { readonly _tag: 'drainBeforeHeartbeat'; readonly endpoint: number; readonly afterMs: number }
   /** Another writer leaves an entry among those of the endpoints that can't be read. */
   | { readonly _tag: 'addUnreadable'; readonly entry: number; readonly forMs: number }
   /** The store's answers take longer. */
@@ -145,6 +147,22 @@
   { maxLength: MOST_STEPS / 2, size: 'max' },
 );
 
+/** Longest time after which the store still carries out a call that it hasn't answered. */
+const LATEST_CALL_MS = 6_000;
+
+/** Further steps, in which the store carries out calls of endpoints late. */
+export const lateSteps: fc.Arbitrary<readonly ReplicationStep[]> = fc.array(
+  fc.record({
+    at: fc.nat({ max: FAULTS_MS }),
+    action: fc.record({
+      _tag: fc.constant('drainBeforeHeartbeat' as const),
+      endpoint: index,
+      afterMs: fc.integer({ min: 20, max: LATEST_CALL_MS }),
+    }),
+  }),
+  { maxLength: MOST_STEPS / 2, size: 'max' },
+);
+
 /** Longest delay of messages on a link that isn't disturbed in the sense of the promises. */
 const LONGEST_LINK_DELAY_MS = 100;
 const LONGEST_STORE_DELAY_MS = 1_500;
--- a/test/replication/SimulatedGateway.ts
+++ b/test/replication/SimulatedGateway.ts
@@ -121,6 +121,7 @@
         const configuration = table as unknown as SimulatedConfiguration;
         if (configuration.version > this.configuration.version) this.configuration = configuration;
       },
+      onReadyAgain: (record) => this.#exclusions.reportDrained(record),
       onEndpointsChanged: () => {},
       onRelayReceived: () => {},
       onUnusable: () => {},
