Keep endpoints that expired in an outage in the order of its ends (refused requests)

Callers: after an outage of the store in which entries expired, requests are refused although their endpoints live and register again within 2 s: some gateways drop them as soon as the store is back.

Cause: an entry counts as expired in the outage if it was last confirmed no later than the store's last answer before. The class of this incident, in the other direction: one event judged by two times that reached the process by different paths.

Change: no answer comes between the ends of an outage, so that a time between them belongs to the nearer one.

Evidence: the simulation had no endpoints that expire in an outage. It takes the store down for long now (--lapses) and checks that gateways which nothing disturbs keep them (KEPT). EndpointDirectory.test.ts has the case alone, red before. Gateways can also get answers late now (--late).

--- a/src/coordination/gateway/following/EndpointDirectory.test.ts
+++ b/src/coordination/gateway/following/EndpointDirectory.test.ts
@@ -127,6 +127,16 @@
     expect(directory.removeMissing(undefined, 5_050).map(({ _tag }) => _tag)).toEqual(['removed']);
   });
 
+  // Refused requests: gateways dropped an endpoint that lived, whose last confirmation had come to them by a peer more than
+  // the last answer of the store.
+  it('keeps an entry that expired in an outage, though its last confirmation looks later than the last answer', () => {
+    const directory = new EndpointDirectory();
+    directory.put(record('1'), 0);
+    directory.remove('1', 4, OUTAGE, 5_100);
+    expect(directory.removeMissing(OUTAGE, 7_000)).toEqual([]);
+    expect(readyIds(directory)).toEqual(['1']);
+  });
+
   it('keeps missing endpoints while an outage lasts', () => {
     const directory = new EndpointDirectory();
     directory.put(record('1'), 0);
--- a/src/coordination/gateway/following/retainUntil.ts
+++ b/src/coordination/gateway/following/retainUntil.ts
@@ -26,6 +26,9 @@
  */
 export const retainUntil = (listedAt: number, outage: Outage | undefined): number => {
   const until = graceUntil(outage);
-  const mayHaveExpired = outage !== undefined && listedAt <= outage.startedAt;
+  // No answer came between the ends of the outage, but either time may have reached this process by a longer way than the
+  // other, and looks later by that.
+  const mayHaveExpired =
+    outage !== undefined && listedAt - outage.startedAt < outage.endedAt - listedAt;
   return mayHaveExpired ? until : Math.min(until, listedAt + REMOVED_ENTRY_RETENTION_MS);
 };
--- a/test/replication/ReplicationPlan.ts
+++ b/test/replication/ReplicationPlan.ts
@@ -41,6 +41,23 @@
     }
   /** An endpoint drains, and the store carries out an earlier heartbeat of it that says that it is ready. */
   | { readonly _tag: 'drainBeforeHeartbeat'; readonly endpoint: number; readonly afterMs: number }
+  /** Answers of the store to one gateway are late, as on a link that loses packets. */
+  | {
+      readonly _tag: 'slowAnswers';
+      readonly gateway: number;
+      readonly byMs: number;
+      readonly forMs: number;
+    }
+  /** The store is down for long; the entry of an endpoint expires meanwhile, and is registered again after its return. */
+  | {
+      readonly _tag: 'lapse';
+      readonly endpoint: number;
+      readonly how: 'refused' | 'silent';
+      readonly forMs: number;
+      /** Part of the time in which it can expire after which it does. */
+      readonly fraction: number;
+      readonly returnsAfterMs: number;
+    }
   /** Another writer leaves an entry among those of the endpoints that can't be read. */
   | { readonly _tag: 'addUnreadable'; readonly entry: number; readonly forMs: number }
   /** The store's answers take longer. */
@@ -150,19 +167,48 @@
 /** Longest time after which the store still carries out a call that it hasn't answered. */
 const LATEST_CALL_MS = 6_000;
 
-/** Further steps, in which the store carries out calls of endpoints late. */
-export const lateSteps: fc.Arbitrary<readonly ReplicationStep[]> = fc.array(
+/** Longest delay of answers on a link that loses packets. */
+const LONGEST_ANSWER_DELAY_MS = 2_000;
+
+const lateAction: fc.Arbitrary<ReplicationAction> = fc.oneof(
   fc.record({
-    at: fc.nat({ max: FAULTS_MS }),
-    action: fc.record({
-      _tag: fc.constant('drainBeforeHeartbeat' as const),
-      endpoint: index,
-      afterMs: fc.integer({ min: 20, max: LATEST_CALL_MS }),
-    }),
+    _tag: fc.constant('drainBeforeHeartbeat' as const),
+    endpoint: index,
+    afterMs: fc.integer({ min: 20, max: LATEST_CALL_MS }),
   }),
+  fc.record({
+    _tag: fc.constant('slowAnswers' as const),
+    gateway: index,
+    byMs: fc.integer({ min: 20, max: LONGEST_ANSWER_DELAY_MS }),
+    forMs,
+  }),
+);
+
+/** Further steps, in which the store carries out calls of endpoints late, and gateways get its answers late. */
+export const lateSteps: fc.Arbitrary<readonly ReplicationStep[]> = fc.array(
+  fc.record({ at: fc.nat({ max: FAULTS_MS }), action: lateAction }),
   { maxLength: MOST_STEPS / 2, size: 'max' },
 );
 
+/** Time without the store in which no entry expires, and within which an endpoint registers again afterwards. */
+export const LAPSE_MS = { first: 2_400, return: 2_000 };
+const LONGEST_OUTAGE_MS = 6_000;
+
+/** One long outage of the store, in which the entry of an endpoint expires though it lives. */
+export const lapseSteps: fc.Arbitrary<readonly ReplicationStep[]> = fc
+  .record({
+    at: fc.nat({ max: FAULTS_MS / 2 }),
+    action: fc.record({
+      _tag: fc.constant('lapse' as const),
+      endpoint: index,
+      how,
+      forMs: fc.integer({ min: LAPSE_MS.first + 100, max: LONGEST_OUTAGE_MS }),
+      fraction: fc.double({ min: 0, max: 1, noNaN: true }),
+      returnsAfterMs: fc.integer({ min: 20, max: LAPSE_MS.return }),
+    }),
+  })
+  .map((step) => [step]);
+
 /** Longest delay of messages on a link that isn't disturbed in the sense of the promises. */
 const LONGEST_LINK_DELAY_MS = 100;
 const LONGEST_STORE_DELAY_MS = 1_500;
--- a/test/replication/ReplicationPromises.ts
+++ b/test/replication/ReplicationPromises.ts
@@ -1,8 +1,11 @@
 import type { SimulatedConfiguration, SimulatedGateway } from './SimulatedGateway.ts';
 
-/** A gateway that acted on a view of the store that is older than the bound. */
+/**
+ * A gateway that acted on a view of the store that is older than the bound, or didn't keep an endpoint that the store had
+ * lost while it was down.
+ */
 export interface StaleView {
-  readonly promise: 'DRAIN' | 'CONFIG';
+  readonly promise: 'DRAIN' | 'CONFIG' | 'KEPT';
   readonly at: number;
   readonly gateway: string;
   readonly detail: string;
@@ -17,6 +20,12 @@
   readonly drains: boolean;
 }
 
+/** A time in which the entry of an endpoint that lives may be missing: from the start of an outage of the store. */
+interface Lapse {
+  readonly from: number;
+  readonly until: number;
+}
+
 /** Promises to the users: time after which a change of the store is in force in every gateway. */
 const BOUND_MS = 2_000;
 
@@ -27,6 +36,8 @@
   /** Gateways with the endpoints that said to them that they leave. */
   readonly #heard = new Map<string, number>();
 
+  readonly #lapses = new Map<string, Lapse>();
+
   /** Endpoints that the store lists as ready again though they have left. */
   readonly #returned = new Set<string>();
 
@@ -62,6 +73,31 @@
     return this.#departures.has(id);
   }
 
+  /** Records that the entry of an endpoint that lives expires in an outage of the store. */
+  recordLapse(id: string, lapse: Lapse): void {
+    this.#lapses.set(id, lapse);
+  }
+
+  /** Returns the endpoints that a gateway doesn't use though only an outage of the store has lost their entries. */
+  checkKept(
+    { incarnation: gateway, directory }: SimulatedGateway,
+    lastDisturbedAt: number,
+    now: number,
+  ): readonly StaleView[] {
+    return [...this.#lapses]
+      .filter(
+        ([id, { from, until }]) =>
+          lastDisturbedAt < from && now > from && now <= until && !this.#departures.has(id),
+      )
+      .filter(([id]) => directory.findReady(id) === undefined)
+      .map(([id, { from, until }]) => ({
+        promise: 'KEPT',
+        at: now,
+        gateway,
+        detail: `${id} isn't used, whose entry expired in an outage from ${from} and is back at ${until}`,
+      }));
+  }
+
   /** Returns what the view of an undisturbed gateway breaks. */
   checkView(process: SimulatedGateway, now: number): readonly StaleView[] {
     const { incarnation: gateway } = process;
--- a/test/replication/SimulatedGateway.ts
+++ b/test/replication/SimulatedGateway.ts
@@ -61,6 +61,8 @@
     readonly clock: VirtualClock;
     readonly store: SimulatedStore;
     readonly path: () => StorePath;
+    /** Draws the time by which an answer of the store is late, in ms. */
+    readonly answerDelayMs: () => number;
     readonly incarnation: string;
     readonly failureDomain: string;
     readonly random: () => number;
@@ -87,7 +89,7 @@
     });
     this.#subscription = new StoreSubscription({
       store: this.#withLateAnswers(
-        store.reachedBy(path, () => this.#takeTurnedAwayCall()),
+        store.reachedBy(path, () => this.#takeTurnedAwayCall(), options.answerDelayMs),
         clock,
       ),
       wire: {
--- a/test/replication/SimulatedStore.ts
+++ b/test/replication/SimulatedStore.ts
@@ -16,6 +16,13 @@
   readonly kind: StoreObjectKind;
 }
 
+/** How one process reaches the store. */
+interface StoreAccess {
+  readonly path: () => StorePath;
+  readonly isTurnedAway: () => boolean;
+  readonly delayMs: () => number;
+}
+
 interface WaitingCall {
   readonly path: () => StorePath;
   /** Answers the call if there is news or its wait is over. */
@@ -102,11 +109,22 @@
     });
   }
 
-  /** Returns the store as one process reaches it. */
-  reachedBy(path: () => StorePath, isTurnedAway: () => boolean): ObjectStore {
+  /**
+   * Returns the store as one process reaches it.
+   *
+   * @param path - how its calls reach the store at that moment
+   * @param isTurnedAway - asked for each call
+   * @param delayMs - draws the time by which an answer is late on the way to this process, in ms
+   */
+  reachedBy(
+    path: () => StorePath,
+    isTurnedAway: () => boolean,
+    delayMs: () => number = () => 0,
+  ): ObjectStore {
+    const access = { path, isTurnedAway, delayMs };
     return {
       list: (kind, { answerMs }) =>
-        this.#call<ListResult>(path, isTurnedAway, { waitMs: 0, timeoutMs: answerMs }, (answer) =>
+        this.#call<ListResult>(access, { waitMs: 0, timeoutMs: answerMs }, (answer) =>
           answer({
             _tag: 'listed',
             objects: [...this.#objects[kind].values()],
@@ -116,7 +134,7 @@
       watch: (kind, revision, { waitMs, answerMs }) => {
         const until = this.#clock.now + waitMs;
         const times = { waitMs, timeoutMs: waitMs + answerMs };
-        return this.#call<WatchResult>(path, isTurnedAway, times, (answer) => {
+        return this.#call<WatchResult>(access, times, (answer) => {
           if (revision < this.#oldestWatchable) {
             answer({ _tag: 'expired' });
             return;
@@ -159,8 +177,7 @@
   }
 
   #call<A extends ListResult | WatchResult>(
-    path: () => StorePath,
-    isTurnedAway: () => boolean,
+    { path, isTurnedAway, delayMs }: StoreAccess,
     { waitMs, timeoutMs }: { readonly waitMs: number; readonly timeoutMs: number },
     tryAnswer: (answer: (result: A) => void) => void,
   ): Promise<A | StoreFailure> {
@@ -176,7 +193,7 @@
           if (!this.#waiting.has(waiting) || this.#effective(path()) !== 'open') return;
           tryAnswer((result) => {
             this.#waiting.delete(waiting);
-            this.#clock.after(LATENCY_MS + this.slowByMs, () =>
+            this.#clock.after(LATENCY_MS + this.slowByMs + delayMs(), () =>
               this.#deliver(path, () => this.#clock.resolve(resolve, result), waiting.fail),
             );
           });
--- /dev/null
+++ b/test/replication/lapses.test.ts
@@ -0,0 +1,23 @@
+import { describe, it } from 'node:test';
+import { expect } from 'earl';
+import fc from 'fast-check';
+import { playReplication } from './playReplication.ts';
+import { calmSteps, lapseSteps, mergePlans } from './ReplicationPlan.ts';
+
+/** Random plans that a run of the tests plays; `npm run replication -- --lapses` plays more. */
+const RANDOM_PLANS = 300;
+
+describe('Gateways that follow a store which was down for long', () => {
+  // Refused requests: endpoints that lived were dropped as soon as the store was back, since their entries had expired.
+  it('keep the endpoints whose entries expired, until these have had time to register again', async () => {
+    const property = fc.asyncProperty(
+      fc.integer(),
+      lapseSteps,
+      calmSteps,
+      async (seed, plan, further) => {
+        expect((await playReplication(seed, mergePlans(plan, further))).stale).toEqual([]);
+      },
+    );
+    await fc.assert(property, { numRuns: RANDOM_PLANS, seed: 7 });
+  });
+});
--- a/test/replication/main.ts
+++ b/test/replication/main.ts
@@ -4,6 +4,7 @@
 import {
   calmSteps,
   endpointSteps,
+  lapseSteps,
   lateSteps,
   mergePlans,
   replicationPlan,
@@ -24,6 +25,8 @@
     endpoints: { type: 'boolean', default: false },
     /** Adds endpoints whose heartbeats the store carries out after they have drained. */
     late: { type: 'boolean', default: false },
+    /** Takes the store down for long once, so that the entry of an endpoint expires that lives; no other faults but those above. */
+    lapses: { type: 'boolean', default: false },
     /** Plays this one plan, as a failed run prints it. */
     plan: { type: 'string' },
     log: { type: 'boolean', default: false },
@@ -31,6 +34,7 @@
 });
 
 const none = fc.constant([]);
+const faultSteps = values.lapses ? lapseSteps : replicationPlan;
 const furtherSteps = fc
   .tuple(
     values.calm ? calmSteps : none,
@@ -54,7 +58,7 @@
   let calls = 0;
   let played = 0;
   const result = await fc.check(
-    fc.asyncProperty(fc.integer(), replicationPlan, furtherSteps, async (seed, plan, further) => {
+    fc.asyncProperty(fc.integer(), faultSteps, furtherSteps, async (seed, plan, further) => {
       const { stale, storeCalls } = await playReplication(seed, mergePlans(plan, further));
       calls += storeCalls;
       played += 1;
--- a/test/replication/playReplication.ts
+++ b/test/replication/playReplication.ts
@@ -1,12 +1,19 @@
 import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64';
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
 import type { PeerMessage } from '../../src/protocol/peer/PeerMessage.ts';
+import { makePlace, type Place } from './Place.ts';
 import { ReplicationPromises, type StaleView } from './ReplicationPromises.ts';
-import { SERVICE, SimulatedGateway } from './SimulatedGateway.ts';
+import { SimulatedEndpoints } from './SimulatedEndpoints.ts';
+import { SimulatedGateway } from './SimulatedGateway.ts';
 import { SimulatedStore, type StorePath } from './SimulatedStore.ts';
 import { CONNECT_TIMEOUT_MS } from '../../src/coordination/gateway/following/viewTiming.ts';
 import { VirtualClock } from './VirtualClock.ts';
-import { FAULTS_MS, type ReplicationAction, type ReplicationStep } from './ReplicationPlan.ts';
+import {
+  FAULTS_MS,
+  LAPSE_MS,
+  type ReplicationAction,
+  type ReplicationStep,
+} from './ReplicationPlan.ts';
 
 /** What came of a simulation. */
 export interface ReplicationResult {
@@ -27,26 +34,11 @@
 const LOST_MESSAGES = 2;
 const DETECTION_MS = { least: 250, most: 1_000 };
 const JOIN_MS = { least: 20, most: 400 };
-/** Time for which a draining endpoint stays listed. */
-const DRAINING_LISTED_MS = 2_500;
 /** Time without a heartbeat after which an entry is removed. */
 const EXPIRY_MS = 3_600;
 
-/** A place of a gateway process, which is replaced when the process is killed. */
-interface Place {
-  readonly failureDomain: string;
-  process: SimulatedGateway | undefined;
-  /** Set while the path between the place and the store is cut. */
-  path: StorePath;
-  arePeersCut: boolean;
-  /** Time by which messages of the place are late. */
-  linkDelayMs: number;
-  lastDisturbedAt: number;
-  /** Disturbances that go on. */
-  disturbances: number;
-  /** End of the last time in which the store refused calls of the place; infinite while it does. */
-  lastRefusedAt: number;
-}
+type StoreOutage = Extract<ReplicationAction, { readonly _tag: 'storeDown' }>;
+type LongOutage = Extract<ReplicationAction, { readonly _tag: 'lapse' }>;
 
 /** Plays gateways, which follow a store through faults, and checks how old their views get. */
 class ReplicationSimulation {
@@ -54,11 +46,16 @@
 
   readonly #store = new SimulatedStore(this.#clock);
 
+  readonly #endpoints = new SimulatedEndpoints(this.#clock, this.#store);
+
   readonly #random: () => number;
 
   /** Draws the time in which a connection to an endpoint opens, in ms. */
   readonly #connectMs: () => number;
 
+  /** Draws the part of the longest delay by which an answer is late. */
+  readonly #delayFraction: () => number;
+
   readonly #places: Place[];
 
   readonly #stale: StaleView[] = [];
@@ -71,10 +68,6 @@
 
   #starts = 0;
 
-  #endpoints: string[] = [];
-
-  #created = 0;
-
   #storeDisturbances = 0;
 
   #storeDisturbedAt = Number.NEGATIVE_INFINITY;
@@ -85,32 +78,28 @@
     // Of its own, so that the other draws of a seed don't depend on how many requests are sent.
     const connections = xoroshiro128plus(seed);
     this.#connectMs = () => uniformFloat64(connections) * CONNECT_TIMEOUT_MS;
+    const delays = xoroshiro128plus(seed);
+    this.#delayFraction = () => uniformFloat64(delays);
     this.#onLog = onLog;
     // With one failure domain no other watchers tell that the domain's own one lags.
     const domains = this.#random() < 0.5 ? DOMAINS : DOMAINS.slice(0, 1);
     this.#places = domains.flatMap((failureDomain) =>
-      Array.from({ length: GATEWAYS_PER_DOMAIN }, () => ({
-        failureDomain,
-        process: undefined,
-        path: 'open' as const,
-        arePeersCut: false,
-        linkDelayMs: 0,
-        lastDisturbedAt: Number.NEGATIVE_INFINITY,
-        disturbances: 0,
-        lastRefusedAt: Number.NEGATIVE_INFINITY,
-      })),
+      Array.from({ length: GATEWAYS_PER_DOMAIN }, () => makePlace(failureDomain)),
     );
   }
 
   async play(plan: readonly ReplicationStep[]): Promise<ReplicationResult> {
-    for (let count = 0; count < ENDPOINTS; count += 1) this.#addEndpoint();
+    for (let count = 0; count < ENDPOINTS; count += 1) this.#endpoints.add();
     this.#configure();
     this.#places.forEach((place) => this.#start(place));
     plan.forEach(({ at, action }) => this.#clock.after(START_MS + at, () => this.#perform(action)));
     for (let at = TICK_MS; at <= END_MS && this.#stale.length === 0; at += TICK_MS) {
       await this.#clock.runUntil(at);
       this.#places.forEach(({ process }) => process?.tick());
-      if (at > START_MS) this.#check();
+      if (at > START_MS) {
+        this.#check();
+        this.#checkKept();
+      }
     }
     this.#places.forEach(({ process }) => process?.stop());
     return { stale: this.#stale, storeCalls: this.#store.calls };
@@ -146,13 +135,7 @@
         );
         return;
       case 'storeDown':
-        this.#disturbStore(action.forMs);
-        this.#store.path = action.how;
-        this.#store.refresh();
-        this.#clock.after(action.forMs, () => {
-          this.#store.path = 'open';
-          this.#store.refresh();
-        });
+        this.#takeStoreDown(action);
         return;
       case 'compact':
         this.#compact(action.mutedMs, action.leaves);
@@ -164,11 +147,14 @@
         const id = this.#leave(action.endpoint, true);
         this.#rules.recordReturn(id);
         this.#clock.after(action.afterMs, () => {
-          this.#putEndpoint(id, 'ready');
+          this.#endpoints.put(id, 'ready');
           this.#clock.after(EXPIRY_MS, () => this.#store.remove('endpoints', id));
         });
         return;
       }
+      case 'lapse':
+        this.#lapse(action);
+        return;
       case 'addUnreadable': {
         const name = `unreadable-${action.entry}`;
         this.#store.put('endpoints', name, { address: action.entry });
@@ -209,6 +195,13 @@
         this.#clock.after(action.forMs, () => Object.assign(place, { linkDelayMs: 0 }));
         return;
       }
+      case 'slowAnswers': {
+        const place = this.#placeAt(action.gateway);
+        this.#disturb(place, action.forMs);
+        Object.assign(place, { answerDelayMs: action.byMs });
+        this.#clock.after(action.forMs, () => Object.assign(place, { answerDelayMs: 0 }));
+        return;
+      }
       case 'suspect': {
         const [by, about] = [this.#placeAt(action.by).process, this.#placeAt(action.about).process];
         if (by === undefined || about === undefined || by === about) return;
@@ -235,6 +228,8 @@
       clock: this.#clock,
       store: this.#store,
       path: () => place.path,
+      answerDelayMs: () =>
+        place.answerDelayMs === 0 ? 0 : this.#delayFraction() * place.answerDelayMs,
       incarnation: String(this.#starts).padStart(4, '0'),
       failureDomain: place.failureDomain,
       random: this.#random,
@@ -315,6 +310,27 @@
     });
   }
 
+  #takeStoreDown({ how, forMs }: Pick<StoreOutage, 'how' | 'forMs'>): void {
+    this.#disturbStore(forMs);
+    this.#store.path = how;
+    this.#store.refresh();
+    this.#clock.after(forMs, () => {
+      this.#store.path = 'open';
+      this.#store.refresh();
+    });
+  }
+
+  /** Takes the store down for so long that the entry of an endpoint expires, which registers again afterwards. */
+  #lapse({ endpoint, how, forMs, fraction, returnsAfterMs }: LongOutage): void {
+    const id = this.#endpoints.idAt(endpoint);
+    const from = this.#clock.now;
+    const expiresAfterMs = LAPSE_MS.first + fraction * (forMs - LAPSE_MS.first);
+    this.#takeStoreDown({ how, forMs });
+    this.#rules.recordLapse(id, { from, until: from + forMs + returnsAfterMs });
+    this.#clock.after(expiresAfterMs, () => this.#store.remove('endpoints', id));
+    this.#clock.after(forMs + returnsAfterMs, () => this.#endpoints.put(id, 'ready'));
+  }
+
   #compact(mutedMs: number, leaves: boolean): void {
     this.#store.mute();
     if (leaves) this.#clock.after(mutedMs / 2, () => this.#leave(0, true));
@@ -360,38 +376,12 @@
     });
   }
 
-  #addEndpoint(): void {
-    this.#created += 1;
-    const id = `endpoint-${this.#created}`;
-    this.#endpoints.push(id);
-    this.#putEndpoint(id, 'ready');
-  }
-
-  #putEndpoint(id: string, state: 'ready' | 'draining'): void {
-    this.#store.put('endpoints', id, {
-      id,
-      service: SERVICE,
-      address: '10.0.0.1:80',
-      failureDomain: 'a',
-      version: 'v1',
-      slots: 4,
-      state,
-      coldMs: 0,
-      bornAt: 1,
-    });
-  }
-
   /** An endpoint leaves; it may say so in an answer to a gateway. Returns its id. */
   #leave(index: number, drains: boolean, to?: number): string {
-    const id = this.#endpoints[index % this.#endpoints.length] as string;
-    this.#endpoints = this.#endpoints.filter((other) => other !== id);
+    const id = this.#endpoints.idAt(index);
     const { now } = this.#clock;
     this.#rules.recordDeparture(id, { at: now, isCalm: this.#isStoreCalm(), drains });
-    if (drains) {
-      this.#putEndpoint(id, 'draining');
-      this.#clock.after(DRAINING_LISTED_MS, () => this.#store.remove('endpoints', id));
-    } else this.#store.remove('endpoints', id);
-    this.#clock.after(500, () => this.#addEndpoint());
+    this.#endpoints.leave(id, drains);
     const listener = to === undefined ? undefined : this.#placeAt(to).process;
     if (listener === undefined || listener.isBusy || listener.paused) return id;
     const isListed = listener.candidates().some((record) => record.id === id);
@@ -440,6 +430,14 @@
       });
   }
 
+  /** Checks that gateways which nothing has disturbed keep the endpoints whose entries expired while the store was down. */
+  #checkKept(): void {
+    this.#places.forEach(({ process, disturbances, lastDisturbedAt }) => {
+      if (process === undefined || process.isBusy || disturbances > 0) return;
+      this.#report(this.#rules.checkKept(process, lastDisturbedAt, this.#clock.now));
+    });
+  }
+
   /** Sends a request to each endpoint that may be chosen; it is written once a connection has opened. */
   #sendRequests(place: Place, process: SimulatedGateway): void {
     const chosenAt = this.#clock.now;
