Tell a moment with the clock that saw it (DRAIN, CONFIG)

Callers: a gateway decides by a view that is older than it believes, and notices an outage of the store late.

Cause: peers say how long ago the store confirmed a view, or answered any member, and the receiver counts from the arrival of the message. Two gateways that tell each other the same moment make it younger by the time of each message on the way, with every report, request and answer.

Change: reports, relays and views name the clock of the process that got the answer, and the moment by it. PeerClocks maps it to the own clock by the message that took the least time, so that what is heard again is the same moment. A process that was paused names another clock from then on; peers of the build before say and hear the age alone.

--- a/src/app/gateway/following/StoreSubscription.ts
+++ b/src/app/gateway/following/StoreSubscription.ts
@@ -1,5 +1,6 @@
 import type { Logger } from 'pino';
 import {
+  PeerClocks,
   RelianceMonitor,
   StoreContact,
   ViewFreshness,
@@ -113,6 +114,8 @@
 
   readonly #contact = new StoreContact();
 
+  readonly #clocks: PeerClocks;
+
   readonly #reporter: ViewReporter;
 
   readonly #exchange: ViewExchange;
@@ -132,6 +135,7 @@
   constructor(options: StoreSubscriptionOptions) {
     this.#options = options;
     const { store, now, random, sleep, group } = options;
+    this.#clocks = new PeerClocks(group.incarnation);
     // While the store answers others, they supply the members of the domain.
     const isReliedOn = (): boolean =>
       group.storeWatcher() === group.incarnation && !this.#isAnsweredToOthers();
@@ -142,7 +146,8 @@
         kind,
         listener,
         onWatchResult: (span, sentAt) => this.#exchange.relay(kind, span, now() - sentAt),
-        onConfirmed: (at) => this.#confirm(kind, { at, path: 'call' }),
+        onConfirmed: (at) =>
+          this.#confirm(kind, { at, path: 'call', moment: this.#clocks.momentOf(at) }),
         onAnswered: () => this.#reportCallResult(),
         onError: (err) => options.logger.error({ err, kind }, 'store watch failed'),
       });
@@ -206,6 +211,7 @@
   recordPause(pause: Pause): void {
     this.#freshness.age(pause.uncountedMs);
     this.#contact.recordPause(pause, this.#options.now());
+    this.#clocks.recordPause();
     this.#resumedAt = this.#options.now();
     Object.values(this.#watches).forEach((watch) => watch.recordPause());
   }
@@ -306,7 +312,9 @@
       endpoints: endpointsRevision,
     };
     const isConfirmed = reached || report.confirmedMsAgo !== undefined;
-    const at = this.#options.now() - (report.confirmedMsAgo ?? 0);
+    const moment = report.confirmedAt;
+    const estimate = this.#options.now() - (report.confirmedMsAgo ?? 0);
+    const at = this.#clocks.toLocal(moment, estimate);
     const confirmedAt = isConfirmed ? at : Number.NEGATIVE_INFINITY;
     this.#relianceMonitor.recordReport(from, { required, confirmedAt });
     this.#hearOfStore(report);
@@ -315,18 +323,22 @@
     (['configuration', 'endpoints'] as const).forEach((kind) => {
       const gap = gaps?.[kind];
       const isInGap = gap !== undefined && known[kind] > gap.after && known[kind] < gap.until;
-      if (!isInGap) this.#confirm(kind, { at, path: 'peer' });
+      if (!isInGap) this.#confirm(kind, { at, path: 'peer', moment });
     });
   }
 
   #receiveChanges(from: string, message: StoreChangesMessage): void {
     const { now, logger, onRelayReceived } = this.#options;
-    const { kind, fromRevision, toRevision, confirmedMsAgo = 0 } = message;
+    const { kind, fromRevision, toRevision, confirmedMsAgo = 0, confirmedAt: moment } = message;
     const watch = this.#watches[kind];
     const known = watch.revision;
     this.#hearOfStore({ ...message, confirmedMsAgo });
     if (watch.canApply(fromRevision) && toRevision >= known)
-      this.#confirm(kind, { at: now() - confirmedMsAgo, path: 'peer' });
+      this.#confirm(kind, {
+        at: this.#clocks.toLocal(moment, now() - confirmedMsAgo),
+        path: 'peer',
+        moment,
+      });
     const isApplied = watch.applyRelayed(message);
     onRelayReceived(kind, isApplied ? 'applied' : 'gap');
     if (isApplied) return;
@@ -334,18 +346,20 @@
   }
 
   #receiveView(message: StoreViewMessage): void {
-    const { kind, revision, objects, confirmedMsAgo } = message;
+    const { kind, revision, objects, confirmedMsAgo, confirmedAt: moment } = message;
     const watch = this.#watches[kind];
     this.#hearOfStore(message);
     if (revision < watch.revision) return;
-    this.#confirm(kind, { at: this.#options.now() - confirmedMsAgo, path: 'peer' });
+    const at = this.#clocks.toLocal(moment, this.#options.now() - confirmedMsAgo);
+    this.#confirm(kind, { at, path: 'peer', moment });
     watch.applyView(revision, objects);
   }
 
   /** Records what a peer says of when the store answered the group, unless the message may have waited in a pause. */
-  #hearOfStore(message: Parameters<typeof recordContact>[1]): void {
+  #hearOfStore(message: Parameters<typeof recordContact>[2]): void {
     const now = this.#options.now();
-    if (now - this.#resumedAt >= BACKLOG_MS) recordContact(this.#contact, message, now);
+    if (now - this.#resumedAt >= BACKLOG_MS)
+      recordContact(this.#contact, this.#clocks, message, now);
   }
 
   /** Records a confirmation of the view, before the changes that come with it are applied. */
@@ -356,7 +370,8 @@
     if (kind === 'endpoints') this.#endpointsListedAt = previousAt;
     // The store may have come back only after the call was sent.
     const now = this.#options.now();
-    if (path === 'call') this.#contact.record({ from: now, until: now });
+    if (path === 'call')
+      this.#contact.record({ from: now, until: now, untilMoment: this.#clocks.momentOf(now) });
   }
 
   /** Tells the failure domain of an answer to a call of this process, whose changes are applied by now. */
--- a/src/app/gateway/following/ViewExchange.ts
+++ b/src/app/gateway/following/ViewExchange.ts
@@ -8,6 +8,7 @@
   type ViewFreshness,
   type ViewKind,
 } from '../../../coordination/gateway/index.ts';
+import type { ClockMoment } from '../../../protocol/peer/GatewayMessages.ts';
 import type { PeerMessage } from '../../../protocol/peer/PeerMessage.ts';
 import type { PeerGroup } from '../PeerGroup.ts';
 import type { StoreWatch } from './StoreWatch.ts';
@@ -80,7 +81,10 @@
       .filter(({ incarnation }) => group.send(incarnation, message)).length;
     if (changes.length === 0) return;
     // The store may have answered at any time within the call.
-    const times = { callMs: Math.round(callMs), ageMs: Math.round(this.#confirmedMsAgo(kind)) };
+    const times = {
+      callMs: Math.round(callMs),
+      ageMs: Math.round(this.#confirmation(kind).confirmedMsAgo),
+    };
     logger.info(
       { kind, fromRevision: from, toRevision, peers, isWatcher, ...times },
       'store changes relayed',
@@ -135,7 +139,7 @@
         kind,
         revision: watch.revision,
         objects: watch.objects,
-        confirmedMsAgo: this.#confirmedMsAgo(kind),
+        ...this.#confirmation(kind),
         ...reportContact(this.#options.contact, now()),
       });
       const details = { kind, to, known: revision, revision: watch.revision };
@@ -153,15 +157,21 @@
       toRevision,
       changes,
       ...(present !== undefined && { present }),
-      confirmedMsAgo: this.#confirmedMsAgo(kind),
+      ...this.#confirmation(kind),
       afterOutage: false,
       ...reportContact(contact, now()),
     } satisfies PeerMessage;
   }
 
-  #confirmedMsAgo(kind: ViewKind): number {
+  /** Returns the part of a message that tells when the store confirmed the view. */
+  #confirmation(kind: ViewKind): {
+    readonly confirmedMsAgo: number;
+    readonly confirmedAt?: ClockMoment;
+  } {
     const { freshness, now } = this.#options;
-    return Math.max(0, now() - freshness.confirmationOf(kind).at);
+    const { at, moment } = freshness.confirmationOf(kind);
+    const confirmedMsAgo = Math.max(0, now() - at);
+    return moment === undefined ? { confirmedMsAgo } : { confirmedMsAgo, confirmedAt: moment };
   }
 
   /** Lists the other members, beginning at another one in each process, so that not all ask the same. */
--- a/src/app/gateway/following/ViewReporter.ts
+++ b/src/app/gateway/following/ViewReporter.ts
@@ -147,7 +147,7 @@
 
   #makeReport(now: number): PeerMessage {
     const { configuration, endpoints } = this.#options.watches;
-    const confirmedAt = this.#options.freshness.oldest.at;
+    const { at: confirmedAt, moment } = this.#options.freshness.oldest;
     const gaps = { configuration: configuration.gap, endpoints: endpoints.gap };
     return {
       _tag: 'storeWatcherAlive',
@@ -159,6 +159,7 @@
         endpoints: endpoints.completeSince,
       },
       ...(Number.isFinite(confirmedAt) ? { confirmedMsAgo: Math.max(0, now - confirmedAt) } : {}),
+      ...(moment !== undefined && { confirmedAt: moment }),
       gaps,
       ...reportContact(this.#options.contact, now),
     };
--- a/src/app/gateway/following/reportContact.ts
+++ b/src/app/gateway/following/reportContact.ts
@@ -14,6 +14,12 @@
 ): { readonly contact?: StoreContactReport } => {
   const { latest } = contact;
   if (latest === undefined) return {};
-  const { from, until } = latest;
-  return { contact: { fromMsAgo: now - from, untilMsAgo: Math.max(0, now - until) } };
+  const { from, until, untilMoment } = latest;
+  return {
+    contact: {
+      fromMsAgo: now - from,
+      untilMsAgo: Math.max(0, now - until),
+      ...(untilMoment !== undefined && { until: untilMoment }),
+    },
+  };
 };
--- a/src/coordination/gateway/following/StoreContact.ts
+++ b/src/coordination/gateway/following/StoreContact.ts
@@ -1,3 +1,4 @@
+import type { ClockMoment } from '../../../protocol/peer/GatewayMessages.ts';
 import type { Pause } from './PauseDetector.ts';
 
 /**
@@ -10,6 +11,8 @@
 export interface ContactSpan {
   readonly from: number;
   readonly until: number;
+  /** Its end by the clock of the member that was answered, if that is known. */
+  readonly untilMoment?: ClockMoment | undefined;
 }
 
 /** A time in which the store answered no member of the group, so that entries may have expired; in ms. */
@@ -51,10 +54,8 @@
     const isNear = ({ from, until }: ContactSpan): boolean =>
       span.from - until <= EXPIRY_OUTAGE_MS && from - span.until <= EXPIRY_OUTAGE_MS;
     const near = [span, ...this.#spans.filter(isNear)];
-    const merged = {
-      from: Math.min(...near.map(({ from }) => from)),
-      until: Math.max(...near.map(({ until }) => until)),
-    };
+    const last = near.reduce((a, b) => (b.until > a.until ? b : a));
+    const merged = { ...last, from: Math.min(...near.map(({ from }) => from)) };
     const others = this.#spans.filter((other) => !isNear(other));
     this.#spans = [...others, merged].sort((a, b) => a.from - b.from).slice(-MAXIMUM_SPANS);
   }
@@ -66,7 +67,8 @@
    * @param now - current time, in ms
    */
   recordPause({ countedMs, uncountedMs }: Pause, now: number): void {
-    const age = ({ from, until }: ContactSpan): ContactSpan => ({
+    const age = ({ from, until, ...span }: ContactSpan): ContactSpan => ({
+      ...span,
       from: from - uncountedMs,
       until: until - uncountedMs,
     });
--- a/src/coordination/gateway/following/ViewFreshness.ts
+++ b/src/coordination/gateway/following/ViewFreshness.ts
@@ -1,4 +1,4 @@
-import type { WatchedKind } from '../../../protocol/peer/GatewayMessages.ts';
+import type { ClockMoment, WatchedKind } from '../../../protocol/peer/GatewayMessages.ts';
 
 /** Kinds of objects that one view holds; drains of failure domains are followed with their own timing. */
 export type ViewKind = Exclude<WatchedKind, 'domainDrains'>;
@@ -11,6 +11,8 @@
   /** In ms, monotonic; `-Infinity` before the first confirmation. */
   readonly at: number;
   readonly path: ConfirmationPath;
+  /** The same by the clock of the process that got the answer; undefined if a peer of a build before told it. */
+  readonly moment?: ClockMoment | undefined;
 }
 
 const NEVER: Confirmation = { at: Number.NEGATIVE_INFINITY, path: 'call' };
@@ -42,8 +44,8 @@
    */
   age(ms: number): void {
     (['configuration', 'endpoints'] as const).forEach((kind) => {
-      const { at, path } = this.#confirmations[kind];
-      this.#confirmations[kind] = { at: at - ms, path };
+      const { at, ...confirmation } = this.#confirmations[kind];
+      this.#confirmations[kind] = { ...confirmation, at: at - ms };
     });
   }
 
--- a/src/coordination/gateway/index.ts
+++ b/src/coordination/gateway/index.ts
@@ -34,6 +34,7 @@
 export { CrashQuarantine } from './crashes/CrashQuarantine.ts';
 export type { QuarantineDecision } from './crashes/CrashQuarantine.ts';
 export { ObjectRevisions } from './following/ObjectRevisions.ts';
+export { PeerClocks } from './following/PeerClocks.ts';
 export { PauseDetector } from './following/PauseDetector.ts';
 export type { Pause } from './following/PauseDetector.ts';
 export { PlainEndpointSelector } from './placement/PlainEndpointSelector.ts';
--- a/src/protocol/peer/GatewayMessages.ts
+++ b/src/protocol/peer/GatewayMessages.ts
@@ -200,10 +200,21 @@
 
 const RevisionGap = Schema.Struct({ after: Schema.Finite, until: Schema.Finite });
 
+/** A moment by the monotonic clock of one process, which peers can compare with others of the same clock. */
+export const ClockMoment = Schema.Struct({
+  /** Names the process, and the time since its last pause. */
+  clock: Schema.NonEmptyString,
+  /** In ms. */
+  at: Schema.Finite,
+});
+export type ClockMoment = typeof ClockMoment.Type;
+
 /** The latest time in which the store answered members of the group, as far as the sender has heard. */
 export const StoreContactReport = Schema.Struct({
   fromMsAgo: Milliseconds,
   untilMsAgo: Milliseconds,
+  /** The end, by the clock of the member that was answered; a build before doesn't state it. */
+  until: Schema.optionalKey(ClockMoment),
 });
 export type StoreContactReport = typeof StoreContactReport.Type;
 
@@ -282,6 +293,7 @@
     toRevision: Schema.Finite,
     /** Time since the store confirmed the view at `toRevision`, in ms; 0 if absent. */
     confirmedMsAgo: Schema.optionalKey(Milliseconds),
+    confirmedAt: Schema.optionalKey(ClockMoment),
     /** Only receivers of the build before read these two; others know from their own view of an outage. */
     afterOutage: Schema.Boolean,
     graceMs: Schema.optionalKey(Milliseconds),
@@ -300,6 +312,7 @@
     revision: Schema.Finite,
     /** Time since the store confirmed the view. */
     confirmedMsAgo: Milliseconds,
+    confirmedAt: Schema.optionalKey(ClockMoment),
     objects: Schema.Array(StoredObject),
     contact: Schema.optionalKey(StoreContactReport),
   }),
@@ -320,6 +333,7 @@
     ),
     /** Time since the store last confirmed the sender's view of both kinds. */
     confirmedMsAgo: Schema.optionalKey(Milliseconds),
+    confirmedAt: Schema.optionalKey(ClockMoment),
     /** Revisions between which the sender doesn't know what came and went; it says nothing of views in between. */
     gaps: Schema.optionalKey(Schema.Struct({ configuration: RevisionGap, endpoints: RevisionGap })),
     contact: Schema.optionalKey(StoreContactReport),
