Read everything anew after an overdue answer that could not be applied

An error while the answer to an overdue call is applied was logged, and the view may have taken a part of it. The objects are listed again then, as after an error in an answer in time.

--- a/src/app/gateway/following/StoreWatch.test.ts
+++ b/src/app/gateway/following/StoreWatch.test.ts
@@ -72,6 +72,43 @@
   return { waits, events };
 };
 
+const CHANGED: WatchResult = {
+  _tag: 'changed',
+  changes: [{ removed: false, object: object('a', 11) }],
+  revision: 11,
+};
+
+/** Runs a watch on a store that lists at once and leaves watches without an answer, until these are overdue. */
+const runOverdue = async (options: Partial<StoreWatchOptions>) => {
+  const answers: ((result: WatchResult) => void)[] = [];
+  const sleeps: (() => void)[] = [];
+  let now = 0;
+  const watch = makeWatch({
+    store: {
+      list: () => Promise.resolve({ _tag: 'listed', objects: [], revision: 10 }),
+      watch: () =>
+        new Promise((resolve) => {
+          answers.push(resolve);
+        }),
+    },
+    now: () => now,
+    sleep: () =>
+      new Promise((resolve) => {
+        sleeps.push(resolve);
+      }),
+    ...options,
+  });
+  watch.run().catch(() => {});
+  await settle();
+  now = 5_000;
+  // Each turn ends the sleeps, so that calls are overdue and pauses are over.
+  for (let turn = 0; turn < 4; turn += 1) {
+    sleeps.splice(0).forEach((resolve) => resolve());
+    await settle();
+  }
+  return { watch, answers };
+};
+
 describe('StoreWatch', () => {
   it('uses a short wait after a failure, so that the recovery of the store is detected soon', async () => {
     const { waits } = await runWatch([
@@ -141,44 +178,31 @@
 
   // DRAIN: a call that was sent while the store was slow held up the next one, so that its return was noticed late.
   it('calls again while an answer is overdue, and uses the answer when it arrives', async () => {
-    const answers: ((result: WatchResult) => void)[] = [];
-    const sleeps: (() => void)[] = [];
     const confirmations: number[] = [];
-    let now = 0;
-    const watch = makeWatch({
-      store: {
-        list: () => Promise.resolve({ _tag: 'listed', objects: [], revision: 10 }),
-        watch: () =>
-          new Promise((resolve) => {
-            answers.push(resolve);
-          }),
-      },
-      now: () => now,
-      sleep: () =>
-        new Promise((resolve) => {
-          sleeps.push(resolve);
-        }),
-      onConfirmed: (at) => confirmations.push(at),
-    });
-    watch.run().catch(() => {});
-    await settle();
-    now = 5_000;
-    for (let turn = 0; turn < 4; turn += 1) {
-      sleeps.splice(0).forEach((resolve) => resolve());
-      await settle();
-    }
+    const { watch, answers } = await runOverdue({ onConfirmed: (at) => confirmations.push(at) });
     expect(answers.length).toBeGreaterThan(1);
-    answers[0]?.({
-      _tag: 'changed',
-      changes: [{ removed: false, object: object('a', 11) }],
-      revision: 11,
-    });
+    answers[0]?.(CHANGED);
     await settle();
     watch.stop();
     expect(watch.present).toEqual(['a']);
     expect(confirmations).toEqual([0, 5_000, 0]);
   });
 
+  it('reports an error that an overdue answer led to', async () => {
+    const errors: unknown[] = [];
+    const onChanges = (): never => {
+      throw new Error('not applied');
+    };
+    const { watch, answers } = await runOverdue({
+      onError: (error) => errors.push(error),
+      listener: { onList: () => {}, onChanges, onAvailable: () => {}, onUnavailable: () => {} },
+    });
+    answers[0]?.(CHANGED);
+    await settle();
+    watch.stop();
+    expect(errors.length).toEqual(1);
+  });
+
   // DRAIN, CONFIG: a list that was long on the way made the view look as young as if the store had just read it.
   it('takes a list for a confirmation as of its sending', async () => {
     let now = 0;
--- a/src/app/gateway/following/StoreWatch.ts
+++ b/src/app/gateway/following/StoreWatch.ts
@@ -149,10 +149,14 @@
     }
   }
 
-  /** Goes on after a result that couldn't be applied, and reads everything anew. */
-  async #recover(error: unknown): Promise<void> {
+  /** Has everything read anew after a result that couldn't be applied. */
+  #recordError(error: unknown): void {
     this.#options.onError?.(error);
     this.#schedule.requireList();
+  }
+
+  async #recover(error: unknown): Promise<void> {
+    this.#recordError(error);
     await this.#backOff(this.#makeCall(), `${error}`);
   }
 
@@ -322,7 +326,7 @@
    */
   async #call(): Promise<void> {
     this.#phase = 'calling';
-    const { sleep, onError } = this.#options;
+    const { sleep } = this.#options;
     const sent = this.#makeCall();
     const { waitMs, answerMs } = sent.call;
     const answer = this.#send(sent, LATE_ANSWER_MS);
@@ -331,7 +335,9 @@
       await this.#handleAnswer(sent, outcome);
       return;
     }
-    answer.then((late) => this.#handleFurtherAnswer(sent, late)).catch((error) => onError?.(error));
+    answer
+      .then((late) => this.#handleFurtherAnswer(sent, late))
+      .catch((error: unknown) => this.#recordError(error));
     if (this.#isDiscarded(sent)) return;
     await this.#backOff(sent, `no answer within ${waitMs + answerMs} ms`);
   }
