Forget how messages from a clock were timed after some seconds

PeerClocks kept the smallest difference between two clocks for good. Where a clock runs slower, or stands still for less than the 0.5 s that count as a pause, the moments by it would look older and older: views would pass for old, and the store for unavailable, after hours.

--- a/src/app/gateway/following/StoreSubscription.ts
+++ b/src/app/gateway/following/StoreSubscription.ts
@@ -15,6 +15,7 @@
   type ViewKind,
 } from '../../../coordination/gateway/index.ts';
 import type { ObjectStore, StoreObject, WireAdapter } from '../../../protocol/gateway/index.ts';
+import type { ClockMoment } from '../../../protocol/peer/GatewayMessages.ts';
 import type { PeerMessage } from '../../../protocol/peer/PeerMessage.ts';
 import type { EndpointRecord, RouteTable } from '../../../state/gateway/index.ts';
 import { BACKLOG_MS } from '../PauseMonitor.ts';
@@ -313,8 +314,7 @@
     };
     const isConfirmed = reached || report.confirmedMsAgo !== undefined;
     const moment = report.confirmedAt;
-    const estimate = this.#options.now() - (report.confirmedMsAgo ?? 0);
-    const at = this.#clocks.toLocal(moment, estimate);
+    const at = this.#momentToLocal(moment, report.confirmedMsAgo ?? 0);
     const confirmedAt = isConfirmed ? at : Number.NEGATIVE_INFINITY;
     this.#relianceMonitor.recordReport(from, { required, confirmedAt });
     this.#hearOfStore(report);
@@ -328,14 +328,14 @@
   }
 
   #receiveChanges(from: string, message: StoreChangesMessage): void {
-    const { now, logger, onRelayReceived } = this.#options;
+    const { logger, onRelayReceived } = this.#options;
     const { kind, fromRevision, toRevision, confirmedMsAgo = 0, confirmedAt: moment } = message;
     const watch = this.#watches[kind];
     const known = watch.revision;
     this.#hearOfStore({ ...message, confirmedMsAgo });
     if (watch.canApply(fromRevision) && toRevision >= known)
       this.#confirm(kind, {
-        at: this.#clocks.toLocal(moment, now() - confirmedMsAgo),
+        at: this.#momentToLocal(moment, confirmedMsAgo),
         path: 'peer',
         moment,
       });
@@ -350,11 +350,16 @@
     const watch = this.#watches[kind];
     this.#hearOfStore(message);
     if (revision < watch.revision) return;
-    const at = this.#clocks.toLocal(moment, this.#options.now() - confirmedMsAgo);
+    const at = this.#momentToLocal(moment, confirmedMsAgo);
     this.#confirm(kind, { at, path: 'peer', moment });
     watch.applyView(revision, objects);
   }
 
+  #momentToLocal(moment: ClockMoment | undefined, msAgo: number): number {
+    const now = this.#options.now();
+    return this.#clocks.toLocal(moment, now - msAgo, now);
+  }
+
   /** Records what a peer says of when the store answered the group, unless the message may have waited in a pause. */
   #hearOfStore(message: Parameters<typeof recordContact>[2]): void {
     const now = this.#options.now();
--- a/src/app/gateway/following/recordContact.ts
+++ b/src/app/gateway/following/recordContact.ts
@@ -20,7 +20,7 @@
 ): void => {
   const { contact: report, confirmedMsAgo } = message;
   if (report !== undefined) {
-    const until = clocks.toLocal(report.until, now - report.untilMsAgo);
+    const until = clocks.toLocal(report.until, now - report.untilMsAgo, now);
     const from = Math.min(until, now - report.fromMsAgo);
     contact.record({ from, until, untilMoment: report.until });
   } else if (confirmedMsAgo !== undefined)
