Fail an attempt whose answer has a head that can't be sent on (LOST)

What callers saw: kept connections that closed without an answer, 29 to 38 at a time, because one endpoint had spoiled one head. Cause: Node's parser takes any three digits for a status and spaces within the names of headers. EndpointAttempt checked id, stamp and encoding of an answer only, and passed the head to response.writeHead, which throws. Nothing on the way catches it, so that the process ended with all its requests. Change: exchange() checks the head where it is read, before anything depends on it, and breaks the exchange off. That covers answers of endpoints, peers and the store, and the endpoint calls of the entry program.

--- a/src/transport/http/exchange.ts
+++ b/src/transport/http/exchange.ts
@@ -2,6 +2,7 @@
 import type { Socket } from 'node:net';
 import type { ConnectionPool } from './ConnectionPool.ts';
 import { EndProbe } from './EndProbe.ts';
+import { findHeadFault } from './findHeadFault.ts';
 
 const SCHEME = 'http://';
 /** Most bytes that bring an answer no further: a long head and framing, not bytes without end. */
@@ -184,6 +185,11 @@
     silence?.refresh();
     incoming = response;
     idleBytes = 0;
+    const fault = findHeadFault(response);
+    if (fault !== undefined) {
+      finish({ _tag: 'broken', silent: false, detail: fault });
+      return;
+    }
     onEvent({
       _tag: 'head',
       status: response.statusCode ?? 0,
--- /dev/null
+++ b/src/transport/http/findHeadFault.ts
@@ -0,0 +1,29 @@
+import * as http from 'node:http';
+import type { IncomingMessage } from 'node:http';
+
+/** Lower ones belong to interim answers, or to none. */
+const LOWEST_FINAL_STATUS = 200;
+
+/**
+ * Checks what HTTP demands of an answer's head, beyond what Node's parser does: the parser takes any three digits as the
+ * status and spaces within header names, for which writing the head to a caller would throw.
+ *
+ * @param response - an answer whose head has been parsed
+ * @returns why the head is no head of an HTTP answer; undefined if it is one
+ */
+export const findHeadFault = ({
+  statusCode = 0,
+  rawHeaders,
+}: Pick<IncomingMessage, 'statusCode' | 'rawHeaders'>): string | undefined => {
+  if (statusCode < LOWEST_FINAL_STATUS) return `status ${statusCode} ends no answer`;
+  try {
+    for (let index = 0; index + 1 < rawHeaders.length; index += 2) {
+      const name = rawHeaders[index] ?? '';
+      http.validateHeaderName(name);
+      http.validateHeaderValue(name, rawHeaders[index + 1] ?? '');
+    }
+    return undefined;
+  } catch (error) {
+    return (error as Error).message;
+  }
+};
