--- a/src/transport/gateway/makePlainServer.ts
+++ b/src/transport/gateway/makePlainServer.ts
@@ -14,8 +14,11 @@
 /** Answers a target, or says nothing where there is no such thing. */
 export type PlainHandler = (url: URL) => PlainAnswer | Promise<PlainAnswer> | undefined;
 
+const MALFORMED: PlainAnswer = { status: 400 };
 const NOT_FOUND: PlainAnswer = { status: 404 };
 const FAILED: PlainAnswer = { status: 500 };
+/** Makes the target of a request a whole URL. */
+const BASE = 'http://localhost';
 
 const respond = (
   response: http.ServerResponse,
@@ -43,9 +46,17 @@
 ): Effect.Effect<string, never, Scope.Scope> => {
   const server = http.createServer((incoming, response) => {
     incoming.resume();
-    const url = new URL(incoming.url ?? '/', 'http://localhost');
-    Promise.resolve(incoming.method === 'GET' ? handle(url) : undefined).then(
-      (answer) => respond(response, answer ?? NOT_FOUND),
+    const { method, url: target = '/' } = incoming;
+    // A target such as `//` is one to Node's parser, but not to URL.
+    if (!URL.canParse(target, BASE)) {
+      respond(response, MALFORMED);
+      return;
+    }
+    const url = new URL(target, BASE);
+    const answerQuestion = async (): Promise<PlainAnswer> =>
+      (method === 'GET' ? await handle(url) : undefined) ?? NOT_FOUND;
+    answerQuestion().then(
+      (answer) => respond(response, answer),
       (error: Error) => {
         onProblem(`${url.pathname}: ${error.message}`);
         respond(response, FAILED);
