Contain an error to the request or message that led to it (LOST)

What callers saw: one request or answer that can't be handled closed all kept connections of its gateway. Change: each has an answer now, and a log line (`fault contained`, with source and stack). A request of a caller or a peer: that request, with 502 or, where its answer had begun, its connection. An answer of an endpoint, a peer or the store: that exchange, which is broken off, so that its attempt fails. A connection that was opened: that connection. A message of a peer: that message. A write to an answer that has ended is left out, since Node emits an error for it that nothing would catch. There is no handler for uncaught errors.

--- a/src/app/gateway/makeConnectionPools.ts
+++ b/src/app/gateway/makeConnectionPools.ts
@@ -11,22 +11,26 @@
  * Makes the pools of connections to endpoints, peers and the store; they close with the scope.
  *
  * @param now - returns the present time in ms, monotonic
+ * @param onFault - told of errors that were thrown while an answer was handled
  */
-export const makeConnectionPools = (now: () => number) =>
+export const makeConnectionPools = (now: () => number, onFault: (error: unknown) => void) =>
   Effect.all({
     endpointPool: makeConnectionPool({
       connectTimeoutMs: CONNECT_TIMEOUT_MS,
       connectionTrustMs: ENDPOINT_MAXIMUM_IDLE_MS,
       now,
+      onFault,
     }),
     peerPool: makeConnectionPool({
       connectTimeoutMs: CONNECT_TIMEOUT_MS,
       connectionTrustMs: PEER_MAXIMUM_IDLE_MS,
       now,
+      onFault,
     }),
     storePool: makeConnectionPool({
       connectTimeoutMs: CONNECT_TIMEOUT_MS,
       connectionTrustMs: STORE_MAXIMUM_IDLE_MS,
       now,
+      onFault,
     }),
   });
--- a/src/app/gateway/reach/receiveForwarded.ts
+++ b/src/app/gateway/reach/receiveForwarded.ts
@@ -22,6 +22,8 @@
     answer: InboundAnswer,
     envelope: ForwardEnvelope,
   ) => void;
+  /** Told of errors that were thrown while a request was handled. */
+  readonly onFault: (error: unknown) => void;
   readonly logger: Logger;
   /** Present time in ms, monotonic. */
   readonly now: () => number;
@@ -53,7 +55,7 @@
  * @returns a listener for the HTTP server for peers
  */
 export const receiveForwarded = (receiver: ForwardedReceiver): RequestListener => {
-  const { secret, limits, onRequest, logger, now } = receiver;
+  const { secret, limits, onRequest, onFault, logger, now } = receiver;
   const connections = new InboundConnections({
     now,
     limits: () => {
@@ -73,6 +75,7 @@
       onRequest({ ...inbound, headerLines: callerLines }, answer, envelope);
     },
     onRejected: (status, reason) => logger.warn({ status, reason }, 'forwarded request rejected'),
+    onFault,
   });
   return (incoming, response) => connections.onRequest(incoming, response);
 };
--- a/src/app/gateway/runGateway.ts
+++ b/src/app/gateway/runGateway.ts
@@ -28,6 +28,7 @@
 import { EndpointLimitMonitor } from './placement/EndpointLimitMonitor.ts';
 import { makeCrashDetector } from './crashes/makeCrashDetector.ts';
 import { CrashMonitor } from './crashes/CrashMonitor.ts';
+import { FaultLog } from './FaultLog.ts';
 import { Gateway } from './Gateway.ts';
 import { ExclusionMonitor } from './reach/ExclusionMonitor.ts';
 import { GatewayMetrics } from './GatewayMetrics.ts';
@@ -82,13 +83,17 @@
     const { bounds } = settings;
     const now = (): number => performance.now();
     const metrics = new GatewayMetrics();
+    const faults = new FaultLog(logger);
     const drains = new DomainDrains(bounds.domainDrainMs, now());
     const isUsable = ({ failureDomain }: EndpointRecord): boolean =>
       drains.isUsable(failureDomain, now());
     const directory = new EndpointDirectory(isUsable);
     const plainEndpoints = new PlainServiceBalancer();
     const timing = yield* Schema.decodeEffect(EntryTiming)(PEER_TIMING).pipe(Effect.orDie);
-    const { endpointPool, peerPool, storePool } = yield* makeConnectionPools(now);
+    const { endpointPool, peerPool, storePool } = yield* makeConnectionPools(
+      now,
+      faults.reporter('answer'),
+    );
     const lateBound = {
       group: new LateBound<PeerGroup>(),
       gateway: new LateBound<Gateway>(),
@@ -240,6 +245,7 @@
         metrics.countRequest('', 'rejected', status);
         logger.info({ status, reason }, 'request rejected');
       },
+      onFault: faults.reporter('request'),
       onUnavailable: (reason) => logger.warn({ reason }, 'cannot listen for callers yet'),
     });
     const peers = yield* makePeerNetwork({
@@ -251,6 +257,7 @@
         secret: PEER_SECRET,
         limits: () => gateway.routeIndex?.table.limits ?? DEFAULT_CLIENT_LIMITS,
         onRequest: (request, answer, envelope) => gateway.serveForwarded(request, answer, envelope),
+        onFault: faults.reporter('forwarded request'),
         logger,
         now,
       }),
@@ -286,7 +293,9 @@
       onMemberEnded: (incarnation) => placements.removeMember(incarnation),
     });
     lateBound.group.set(group);
-    peers.network.onDelivery((delivery) => group.handle(delivery, now()));
+    peers.network.onDelivery((delivery) =>
+      faults.contain(delivery.message._tag, () => group.handle(delivery, now())),
+    );
     group.join(settings.seeds, now());
 
     const updateEngines = (): void => {
--- a/src/transport/gateway/InboundConnections.ts
+++ b/src/transport/gateway/InboundConnections.ts
@@ -14,12 +14,15 @@
   readonly onRequest: (request: InboundRequest, answer: InboundAnswer) => void;
   /** Told of requests that are refused before they reach `onRequest`. */
   readonly onRejected: (status: number, reason: string) => void;
+  /** Told of errors that were thrown while a request was handled; each ends that request alone. */
+  readonly onFault: (error: unknown) => void;
 }
 
 const STATUS = {
   requestTimeout: 408,
   contentTooLarge: 413,
   headerTooLarge: 431,
+  badGateway: 502,
   unavailable: 503,
 } as const;
 const ENDING = 'the gateway is stopping';
@@ -45,7 +48,32 @@
 const headerBytes = (lines: readonly string[]): number =>
   lines.reduce((sum, part) => sum + part.length + 2, 0);
 
-const makeAnswer = (response: http.ServerResponse, isDraining: () => boolean): InboundAnswer => {
+/** Answers and closes, for requests whose rest won't be read. */
+const reject = (response: http.ServerResponse, status: number): void => {
+  response.writeHead(status, { connection: 'close', 'content-length': 0 });
+  response.end();
+};
+
+/** Runs a listener of one request. An error of it ends that request: an endpoint may have run it. */
+const contain = (
+  response: http.ServerResponse,
+  onFault: (error: unknown) => void,
+  run: () => void,
+): void => {
+  try {
+    run();
+  } catch (error) {
+    if (response.headersSent || response.destroyed) response.destroy();
+    else reject(response, STATUS.badGateway);
+    onFault(error);
+  }
+};
+
+const makeAnswer = (
+  response: http.ServerResponse,
+  isDraining: () => boolean,
+  onFault: (error: unknown) => void,
+): InboundAnswer => {
   const takesChunks = response.useChunkedEncodingByDefault;
   let endsWithConnection = false;
   const writeHead = (
@@ -59,19 +87,20 @@
   return {
     send: (status, headerLines, body) => {
       if (response.headersSent || response.destroyed) return;
-      writeHead(status, headerLines, ['Content-Length', String(body.length)]);
-      response.end(body);
+      contain(response, onFault, () => {
+        writeHead(status, headerLines, ['Content-Length', String(body.length)]);
+        response.end(body);
+      });
     },
     begin: (status, headerLines) => {
       if (response.headersSent || response.destroyed) return;
       endsWithConnection = !takesChunks;
-      writeHead(
-        status,
-        headerLines,
-        takesChunks ? ['Transfer-Encoding', 'chunked'] : ['Connection', 'close'],
-      );
+      const framing = takesChunks ? ['Transfer-Encoding', 'chunked'] : ['Connection', 'close'];
+      contain(response, onFault, () => writeHead(status, headerLines, framing));
     },
     write: (bytes) => {
+      // Node emits an error, which nothing would catch, for a write to an answer that has ended.
+      if (response.writableEnded) return true;
       response.write(bytes);
       return response.writableLength < MAXIMUM_HELD_BYTES;
     },
@@ -84,22 +113,16 @@
       else response.destroy();
     },
     onDrain: (listener) => {
-      response.on('drain', listener);
+      response.on('drain', () => contain(response, onFault, listener));
     },
     onClosed: (listener) => {
       response.once('close', () => {
-        if (!response.writableFinished) listener();
+        if (!response.writableFinished) contain(response, onFault, listener);
       });
     },
   };
 };
 
-/** Answers and closes, for requests whose rest won't be read. */
-const reject = (response: http.ServerResponse, status: number): void => {
-  response.writeHead(status, { connection: 'close', 'content-length': 0 });
-  response.end();
-};
-
 /** What happens on a connection. */
 interface ConnectionState {
   /** Requests that have no complete answer yet. */
@@ -269,17 +292,17 @@
     incoming.on('end', () => {
       if (overflown || !incoming.complete || !this.#unread.delete(response)) return;
       const body = size === 0 ? SMALL_BODY : Buffer.concat(chunks, size);
-      this.#options.onRequest(
-        {
-          method: incoming.method ?? 'GET',
-          target: incoming.url ?? '/',
-          host: headers.host ?? '',
-          headerLines: incoming.rawHeaders,
-          body: hasBody ? body : undefined,
-          arrivedAt,
-        },
-        makeAnswer(response, () => this.draining),
-      );
+      const { onRequest, onFault } = this.#options;
+      const request = {
+        method: incoming.method ?? 'GET',
+        target: incoming.url ?? '/',
+        host: headers.host ?? '',
+        headerLines: incoming.rawHeaders,
+        body: hasBody ? body : undefined,
+        arrivedAt,
+      };
+      const answer = makeAnswer(response, () => this.draining, onFault);
+      contain(response, onFault, () => onRequest(request, answer));
     });
   }
 }
--- a/src/transport/gateway/makeGatewayServer.test.ts
+++ b/src/transport/gateway/makeGatewayServer.test.ts
@@ -11,7 +11,11 @@
 const HEADER_TIMEOUT_MS = 300;
 const SEED = 3;
 
-const start = (context: TestContext, onRequest: (request: InboundRequest) => void = () => {}) =>
+const start = (
+  context: TestContext,
+  onRequest: (request: InboundRequest) => void = () => {},
+  faults: unknown[] = [],
+) =>
   runScoped(
     context,
     makeGatewayServer({
@@ -28,6 +32,7 @@
         answer.send(200, [], Buffer.from('served'));
       },
       onRejected: () => {},
+      onFault: (error) => faults.push(error),
       onUnavailable: () => {},
     }),
   );
@@ -48,6 +53,24 @@
 };
 
 describe('makeGatewayServer', () => {
+  // LOST: an error of one request ended the process with the requests of all other callers.
+  it('ends a request alone that cannot be handled, and reports it', async (context) => {
+    const faults: unknown[] = [];
+    const broken = new Error('cannot be handled');
+    const fail = ({ target }: InboundRequest): void => {
+      if (target === '/broken') throw broken;
+    };
+    const { address } = await start(context, fail, faults);
+    const [one, other] = [connect(context, address), connect(context, address)];
+    one.socket.write(REQUEST.replace('/', '/broken'));
+    await until(() => one.seen.closed);
+    other.socket.write(REQUEST);
+    await until(() => other.seen.text !== '');
+    expect(one.seen.text.startsWith('HTTP/1.1 502 ')).toEqual(true);
+    expect(other.seen.text.endsWith('served')).toEqual(true);
+    expect(faults).toEqual([broken]);
+  });
+
   // Guards against connections that are reset because they waited to be accepted when the port was closed.
   it('answers on connections that wait to be accepted when it stops accepting', async (context) => {
     const server = await start(context);
--- a/src/transport/http/ConnectionPool.ts
+++ b/src/transport/http/ConnectionPool.ts
@@ -12,6 +12,8 @@
   readonly connectionTrustMs: number;
   /** Present time in ms, monotonic. */
   readonly now: () => number;
+  /** Told of errors that were thrown while an outcome or an answer was handled; without it they are thrown on. */
+  readonly onFault?: (error: unknown) => void;
 }
 
 interface IdleConnection {
@@ -73,12 +75,32 @@
     fresh: boolean,
     onOutcome: (outcome: ConnectOutcome) => void,
   ): () => void {
+    const tell = (outcome: ConnectOutcome): void => {
+      try {
+        onOutcome(outcome);
+      } catch (error) {
+        if (outcome._tag === 'connected') outcome.socket.destroy();
+        this.reportFault(error);
+      }
+    };
     const idle = fresh ? undefined : this.#takeIdle(address);
     if (idle) {
-      onOutcome({ _tag: 'connected', socket: idle, reused: true });
+      tell({ _tag: 'connected', socket: idle, reused: true });
       return () => {};
     }
-    return this.#open(address, onOutcome);
+    return this.#open(address, tell);
+  }
+
+  /**
+   * Reports an error that ends one use of a connection.
+   *
+   * @param error - what was thrown
+   * @throws the same error if nobody is to be told of it
+   */
+  reportFault(error: unknown): void {
+    const { onFault } = this.#options;
+    if (onFault === undefined) throw error;
+    onFault(error);
   }
 
   /**
--- a/src/transport/http/exchange.test.ts
+++ b/src/transport/http/exchange.test.ts
@@ -28,11 +28,12 @@
   return `http://127.0.0.1:${(server.address() as AddressInfo).port}`;
 };
 
-const makePool = (context: TestContext): ConnectionPool => {
+const makePool = (context: TestContext, onFault?: (error: unknown) => void): ConnectionPool => {
   const pool = new ConnectionPool({
     connectTimeoutMs: 1_000,
     connectionTrustMs: 60_000,
     now: () => performance.now(),
+    ...(onFault && { onFault }),
   });
   context.after(() => pool.close());
   return pool;
@@ -85,6 +86,26 @@
     expect([served.at(-1)?._tag, requests]).toEqual(['ended', 1]);
   });
 
+  // LOST: an error in the handling of one answer ended the process with all its requests.
+  (['written', 'head', 'data', 'ended'] as const).forEach((tag) =>
+    it(`breaks off alone where its listener throws at ${tag}, and reports it`, async (context) => {
+      const address = await startScript(context, (socket) => socket.write(FRAMED));
+      const faults: unknown[] = [];
+      const pool = makePool(context, (error) => faults.push(error));
+      const fault = new Error('listener failed');
+      const tags: string[] = [];
+      const request = { address, method: 'GET', path: '/', headers: {}, body: undefined };
+      exchange(pool, { ...request, fresh: true, silenceMs: undefined }, ({ _tag }) => {
+        tags.push(_tag);
+        if (_tag === tag) throw fault;
+      });
+      while (faults.length === 0) await wait(1);
+      expect(faults).toEqual([fault]);
+      expect(tags.at(-1)).toEqual(tag === 'ended' ? 'ended' : 'broken');
+      expect(lastOf(await run(pool, address))).toEqual('ended');
+    }),
+  );
+
   it('ends an answer without a length at the end of its connection', async (context) => {
     const address = await startScript(context, (socket) => socket.end(UNFRAMED));
     expect(lastOf(await run(makePool(context), address))).toEqual('ended');
--- a/src/transport/http/exchange.ts
+++ b/src/transport/http/exchange.ts
@@ -157,7 +157,20 @@
     clearTimeout(silence);
     clearTimeout(patience);
     if (event._tag === 'broken' || event._tag === 'refused') outgoing?.destroy();
-    onEvent(event);
+    try {
+      onEvent(event);
+    } catch (error) {
+      pool.reportFault(error);
+    }
+  };
+  /** Tells of an event that isn't the last. A listener that throws fails this exchange, and no other. */
+  const tell = (event: ExchangeEvent): void => {
+    try {
+      onEvent(event);
+    } catch (error) {
+      finish({ _tag: 'broken', silent: false, detail: `not handled: ${error}` });
+      pool.reportFault(error);
+    }
   };
   const endProbe = new EndProbe();
   const onSocketEnd = (socket: Socket): void => {
@@ -190,7 +203,7 @@
       finish({ _tag: 'broken', silent: false, detail: fault });
       return;
     }
-    onEvent({
+    tell({
       _tag: 'head',
       status: response.statusCode ?? 0,
       headers: response.headers,
@@ -201,7 +214,7 @@
       if (ended) return;
       silence?.refresh();
       idleBytes = 0;
-      onEvent({ _tag: 'data', bytes });
+      tell({ _tag: 'data', bytes });
     });
     response.on('end', () => {
       if (!response.complete) {
@@ -226,7 +239,7 @@
       return;
     }
     if (request.silenceMs !== undefined) silence = setTimeout(onSilence, request.silenceMs);
-    onEvent({ _tag: 'written' });
+    tell({ _tag: 'written' });
     if (ended) return;
     if (body) outgoing?.end(body);
     else outgoing?.end();
