Pause before a list that leads to the same position again

Cause: a lost history asks for a list at once, and its position for a watch at once. Nothing bounds the loop if the store can't tell changes from there either. Change: StoreCallSchedule counts expirations at one position in a row; from the second one on, the list waits as long as after a failed call.

--- a/src/app/gateway/following/StoreWatch.test.ts
+++ b/src/app/gateway/following/StoreWatch.test.ts
@@ -277,6 +277,32 @@
     expect(watch.present).toEqual(['a']);
   });
 
+  // Guards against a loop of watches and lists without a pause, where no history follows the position of the list.
+  it('pauses longer and longer before lists that lead to the same position', async () => {
+    const pauses: number[] = [];
+    let lists = 0;
+    const holder: { watch?: StoreWatch } = {};
+    holder.watch = makeWatch({
+      store: {
+        list: () => {
+          lists += 1;
+          if (lists === 5) holder.watch?.stop();
+          return Promise.resolve({ _tag: 'listed', objects: [], revision: 10 });
+        },
+        watch: () => Promise.resolve({ _tag: 'expired' }),
+      },
+      sleep: (ms) => {
+        // The others bound the time for an answer.
+        if (ms < WAIT_MS) pauses.push(ms);
+        return ms < WAIT_MS ? Promise.resolve() : new Promise(() => {});
+      },
+    });
+    await holder.watch.run();
+    // Lists have their own bound; what grows are the pauses between them.
+    const grown = pauses.filter((ms, index) => index === 0 || ms > (pauses[index - 1] ?? 0));
+    expect(grown.length).toBeGreaterThan(2);
+  });
+
   it('takes the list of a later era for newer, whatever its revision, and completes any view of a peer by it', async () => {
     const spans: ChangeSpan[] = [];
     const eras: number[][] = [];
--- a/src/app/gateway/following/StoreWatch.ts
+++ b/src/app/gateway/following/StoreWatch.ts
@@ -374,7 +374,8 @@
         await this.#backOff(sent, result.detail);
         return;
       case 'expired':
-        this.#schedule.requireList();
+        this.#schedule.recordExpired(sent.from);
+        await this.#pauseAfterExpiry();
         return;
       case 'listed':
       case 'changed': {
@@ -501,6 +502,13 @@
     if (news.length > 0) this.#options.listener.onChanges(news, source);
   }
 
+  /** A list that leads to no position which can be watched from must not be asked for without a pause. */
+  async #pauseAfterExpiry(): Promise<void> {
+    const { isReliedOn, random, sleep } = this.#options;
+    const pauseMs = this.#schedule.expiryPauseMs(isReliedOn(), random());
+    if (pauseMs > 0) await sleep(pauseMs);
+  }
+
   async #backOff({ call, sentAt }: SentCall, detail: string): Promise<void> {
     const { now, random, sleep, isReliedOn, onFailed, listener } = this.#options;
     this.#schedule.recordFailure(call, sentAt, now());
--- a/src/coordination/gateway/following/StoreCallSchedule.ts
+++ b/src/coordination/gateway/following/StoreCallSchedule.ts
@@ -1,3 +1,4 @@
+import type { StorePosition } from '../../../protocol/gateway/index.ts';
 import { storeRetryDelay } from './storeRetryDelay.ts';
 import {
   CATCH_UP_WAIT_MS,
@@ -62,6 +63,12 @@
 
   #failed: FailedCalls | undefined;
 
+  /** Position from which the store could not tell the changes last, and how often in a row it was the same. */
+  #expired: { readonly from: StorePosition | undefined; readonly count: number } = {
+    from: undefined,
+    count: 0,
+  };
+
   /**
    * @param timing - where it differs from the usual
    */
@@ -98,6 +105,28 @@
     this.#isListDue = true;
   }
 
+  /**
+   * Records that the store could not tell the changes since a position, so that the objects have to be listed again.
+   *
+   * @param from - the position
+   */
+  recordExpired(from: StorePosition | undefined): void {
+    this.#isListDue = true;
+    this.#expired = { from, count: from === this.#expired.from ? this.#expired.count + 1 : 0 };
+  }
+
+  /**
+   * Returns how long to wait before the list that follows: not at all, unless the list before it led to the same position.
+   *
+   * @param hasDependents - whether other processes rely on this one to watch the store
+   * @param fraction - a random number in [0, 1)
+   * @returns the time in ms
+   */
+  expiryPauseMs(hasDependents: boolean, fraction: number): number {
+    const { count } = this.#expired;
+    return count === 0 ? 0 : storeRetryDelay(count - 1, hasDependents, fraction);
+  }
+
   /** Records that the view is complete, so that its changes can be watched. */
   recordComplete(): void {
     this.#isListDue = false;
