Write a roll-out's final state again that the store has lost (EXPOSURE)

Cause: after a return of the store from an older copy the driver read the order without its final state, and began the roll-out again. Change: the driver remembers the final state that it has read, with the era. An order of a later era without it is answered by that step, and the state is written again. Evidence: the two new tests failed before and pass now. A driver that was started after the state was lost can't know of it; that stays open in 25.

--- a/src/coordination/gateway/rollouts/RolloutDriver.test.ts
+++ b/src/coordination/gateway/rollouts/RolloutDriver.test.ts
@@ -1,5 +1,6 @@
 import { describe, it } from 'node:test';
 import { expect } from 'earl';
+import { makePosition } from '../../../protocol/gateway/index.ts';
 import type { RolloutOrder } from '../../../state/gateway/index.ts';
 import { RolloutDriver, type RolloutOutcome } from './RolloutDriver.ts';
 
@@ -114,4 +115,26 @@
     unclear.observeOrder(ORDER, false, 1_000);
     expect(decide(unclear, 1_000).orderAgeMs).toEqual(2_500);
   });
+
+  // EXPOSURE: a bad version got requests again, because the store had gone back to before it was rolled back.
+  (['completed', 'rolledBack'] as const).forEach((state) =>
+    it(`writes \`${state}\` again that the store has lost, and acts by it meanwhile`, () => {
+      const driver = makeDriver();
+      driver.observeOrder({ ...ORDER, status: { state, target: 'v2' } }, true, 100);
+      driver.observeOrder({ ...ORDER, revision: makePosition(1, 5) }, false, 200);
+      const { step, write } = decide(driver, 300);
+      expect(step._tag).toEqual(state);
+      expect(write).toEqual({ state, target: 'v2', revision: makePosition(1, 5) });
+      const held = {
+        ...ORDER,
+        revision: makePosition(1, 9),
+        status: { state, target: 'v2' },
+      } as const;
+      driver.observeOrder(held, true, 400);
+      expect([decide(driver, 500).step._tag, decide(driver, 500).write]).toEqual([
+        state,
+        undefined,
+      ]);
+    }),
+  );
 });
--- a/src/coordination/gateway/rollouts/RolloutDriver.ts
+++ b/src/coordination/gateway/rollouts/RolloutDriver.ts
@@ -1,3 +1,4 @@
+import { eraOf } from '../../../protocol/gateway/index.ts';
 import type {
   RolloutReport,
   RolloutStep,
@@ -71,6 +72,9 @@
 const MAXIMUM_EARLY_OBSERVATIONS = 20_000;
 const FINAL = 'the store holds a final state';
 const EARLIER = 'the order in the store is of an earlier roll-out';
+const LOST = 'the store has gone back to before the final state';
+
+type FinalState = Exclude<RolloutState, 'running'>;
 
 /** What the store holds for the service. */
 type OrderView =
@@ -115,6 +119,9 @@
 
   #cutoverAt: number | undefined;
 
+  /** The last final state that the store held for the target of its order, and the era of the store. */
+  #final: { readonly target: string; readonly state: FinalState; readonly era: number } | undefined;
+
   #evidence: RolloutEvidence;
 
   #early: readonly { readonly observation: VersionObservation; readonly at: number }[] = [];
@@ -144,6 +151,9 @@
     }
     if (before._tag === 'read' && before.order.revision > order.revision) return;
     this.#view = { _tag: 'read', order };
+    const { target, status, revision } = order;
+    if (status !== undefined && status.target === target && status.state !== 'running')
+      this.#final = { target, state: status.state, era: eraOf(revision) };
     if (before._tag === 'read' && before.order.target === order.target) return;
     this.#begin(now - this.#estimateAgeMs(order, before, isWatched, now));
   }
@@ -188,14 +198,18 @@
     const { order } = view;
     const { target, status } = order;
     const state = status?.target === target ? status.state : undefined;
-    if (state === 'completed' || state === 'rolledBack') {
+    const lost = this.#findLost(order);
+    const final = lost ?? (state === 'running' ? undefined : state);
+    if (final !== undefined) {
       // Nothing reverses a final state. One for another version, or for the one that served before the present
       // second version appeared, is of an earlier roll-out.
       const isEarlier =
         !surroundings.slotsByVersion.has(target) || surroundings.baseVersion === target;
+      const write = lost && { state: lost, target, revision: order.revision };
+      const detail = lost === undefined ? FINAL : LOST;
       return isEarlier
-        ? { ...base, step: { _tag: 'unordered', service }, detail: EARLIER, write: undefined }
-        : { ...base, step: { _tag: state, service, target }, detail: FINAL, write: undefined };
+        ? { ...base, step: { _tag: 'unordered', service }, detail: EARLIER, write }
+        : { ...base, step: { _tag: final, service, target }, detail, write };
     }
     this.#evidence.advance(now);
     const ageMs = now - this.#orderedAt;
@@ -223,6 +237,14 @@
     };
   }
 
+  /** Returns the final state that an order had before the store went back to an older copy. */
+  #findLost({ target, status, revision }: RolloutOrder): FinalState | undefined {
+    const final = this.#final;
+    const isHeld = status?.target === target && status.state !== 'running';
+    if (final === undefined || isHeld || final.target !== target) return undefined;
+    return eraOf(revision) > final.era ? final.state : undefined;
+  }
+
   get #trialShare(): number {
     return Math.min(1, TRIAL_PART * this.#options.bounds.exposeShare);
   }
