Keep what only a copy lists out of use until the store has said so lately (DRAIN)

Cause: such an endpoint is taken back after 6 s, within which the store removes an entry that nobody writes. That time ran out while the store was down, so that the removal couldn't be known. Change: the time ends by the last confirmation of the view, not by the clock.

--- a/src/app/gateway/following/StoreSubscription.ts
+++ b/src/app/gateway/following/StoreSubscription.ts
@@ -263,7 +263,8 @@
     const { directory, group, now } = this.#options;
     const outage = this.#outage(now());
     this.#reportChanges(directory.removeMissing(outage, now()), 'graceExpired');
-    this.#reportChanges(directory.takeBack(now()), 'drainExpired');
+    const listedAt = this.#freshness.confirmationOf('endpoints').at;
+    this.#reportChanges(directory.takeBack(now(), listedAt), 'drainExpired');
     const watcher = group.storeWatcher();
     const rank = group.storeCallRank();
     const known = this.#known();
--- a/src/coordination/gateway/following/EndpointDirectory.test.ts
+++ b/src/coordination/gateway/following/EndpointDirectory.test.ts
@@ -84,8 +84,8 @@
       'added',
     ]);
     directory.put(record('2'), 1_000);
-    expect(directory.takeBack(119_000)).toEqual([]);
-    expect(directory.takeBack(121_000).map(({ _tag }) => _tag)).toEqual(['added']);
+    expect(directory.takeBack(119_000, 119_000)).toEqual([]);
+    expect(directory.takeBack(121_000, 121_000).map(({ _tag }) => _tag)).toEqual(['added']);
     expect(readyIds(directory).sort()).toEqual(['1', '2']);
   });
 
@@ -157,8 +157,9 @@
     expect(readyIds(directory)).toEqual([]);
     directory.put(record('1'), 1_500);
     expect(readyIds(directory)).toEqual(['1']);
-    expect(directory.takeBack(6_900)).toEqual([]);
-    directory.takeBack(7_100);
+    expect(directory.takeBack(6_900, 6_900)).toEqual([]);
+    expect(directory.takeBack(9_000, 6_900)).toEqual([]);
+    directory.takeBack(9_000, 7_100);
     expect(readyIds(directory)).toEqual(['1', '2']);
   });
 
--- a/src/coordination/gateway/following/EndpointDirectory.ts
+++ b/src/coordination/gateway/following/EndpointDirectory.ts
@@ -131,9 +131,9 @@
     return drainedAt !== undefined && now - drainedAt <= DRAINED_RETENTION_MS;
   }
 
-  #isCopied(start: string, now: number): boolean {
+  #isCopied(start: string, listedAt: number): boolean {
     const copiedAt = this.#copiedAt.get(start);
-    return copiedAt !== undefined && now - copiedAt <= COPIED_RETENTION_MS;
+    return copiedAt !== undefined && listedAt - copiedAt <= COPIED_RETENTION_MS;
   }
 
   /**
@@ -181,16 +181,18 @@
   }
 
   /**
-   * Takes the endpoints back that the store has listed as ready for long since they drained: only one that runs does.
+   * Takes the endpoints back that the store has listed as ready for long since they drained, or since only a copy listed
+   * them: only one that runs does.
    *
    * @param now - current time, in ms
+   * @param listedAt - last moment at which the store is known to have listed the endpoints, in ms
    * @returns the endpoints that are in use again
    */
-  takeBack(now: number): EndpointChange[] {
+  takeBack(now: number, listedAt: number): EndpointChange[] {
     return [...this.#entries.values()]
       .filter(({ record, isReadyAgain }) => {
         const start = endpointStartOf(record);
-        return isReadyAgain && !this.#hasDrained(start, now) && !this.#isCopied(start, now);
+        return isReadyAgain && !this.#hasDrained(start, now) && !this.#isCopied(start, listedAt);
       })
       .flatMap(({ record }) => this.put({ ...record, state: 'ready' }, now));
   }
