Reserve the shares of members that a new process has not met (QUOTA)

What callers saw: a tenant got 626,000 to 628,000 tokens in 8 s where 496,400 may be, after a gateway had been killed and started again behind a cut. Cause: lost members are remembered in memory only. A process that reaches no peer waits for one second and then takes itself for the whole group, beside the others, which reserve only the share of its predecessor. Change: for as long as they do (10 s from its start), a seed that it hasn't met counts as a lost member; where the settings name as many seeds as they can, the group is taken for at least ten members, whoever else starts cut off and is met. Quotas, slots, limits of endpoints and the retry budget use it, and caps of cold endpoints are not used at all meanwhile. A first start of all isn't slowed down, since seeds meet within moments. The new tests of PeerGroup fail without it.

--- a/src/app/gateway/PeerGroup.test.ts
+++ b/src/app/gateway/PeerGroup.test.ts
@@ -6,6 +6,7 @@
 import type { Member } from '../../state/Member.ts';
 import { EntryTiming } from '../../state/EntrySettings.ts';
 import { PeerGroup } from './PeerGroup.ts';
+import { ownShare, schedulerShare } from './placement/slotShares.ts';
 
 const member = (incarnation: string, overrides: Partial<Member> = {}): Member => ({
   incarnation,
@@ -87,4 +88,40 @@
     introduce(group, member('3', { draining: true }));
     expect([group.leader(), group.storeWatcher()]).toEqual(['5', '5']);
   });
+
+  const SEEDS = ['10.0.1.1:1', '10.0.1.1:2', '10.0.1.1:3'];
+
+  // QUOTA: a gateway that was restarted while it was cut off took itself for the whole group, beside the others.
+  it('reserves the shares of seeds that it has not met, for as long as they reserve its own', () => {
+    const { group } = makeGroup(member('1'));
+    group.join(SEEDS.slice(0, 2), 0);
+    expect([schedulerShare(group, 2_000), ownShare(group, 2_000)]).toEqual([1 / 2, 1 / 2]);
+    expect([schedulerShare(group, 10_000), ownShare(group, 10_000)]).toEqual([1, 1]);
+  });
+
+  it('assumes further members where the settings name as many seeds as they can', () => {
+    const { group } = makeGroup(member('4'));
+    group.join(SEEDS, 0);
+    expect(schedulerShare(group, 2_000)).toEqual(1 / 10);
+  });
+
+  it('uses a part together with others that start cut off as well', () => {
+    const { group } = makeGroup(member('1'));
+    group.join(SEEDS, 0);
+    introduce(group, member('2'));
+    expect(schedulerShare(group, 2_000)).toEqual(2 / 10);
+  });
+
+  it('uses everything at once on the first start of all, as it meets its seeds', () => {
+    const { group } = makeGroup(member('1'));
+    group.join(SEEDS, 0);
+    introduce(group, member('2'), member('3'));
+    expect(schedulerShare(group, 2_000)).toEqual(1);
+  });
+
+  it('uses everything at once where it has no other seeds', () => {
+    const { group } = makeGroup(member('1'));
+    group.join(SEEDS.slice(0, 1), 0);
+    expect(schedulerShare(group, 500)).toEqual(1);
+  });
 });
--- a/src/app/gateway/PeerGroup.ts
+++ b/src/app/gateway/PeerGroup.ts
@@ -45,6 +45,10 @@
  * reserved.
  */
 const LOST_MEMBER_RETENTION_MS = 10_000;
+/** Most seeds that the settings name. A group with so many may have more members than these. */
+const MAXIMUM_SEEDS = 3;
+/** Size that such a group is assumed to have while no member has told it. */
+const ASSUMED_GROUP_SIZE = 10;
 /** Longest time for which lost members are remembered. */
 const MAXIMUM_RETENTION_MS = 60_000;
 
@@ -217,6 +221,24 @@
     return hasSeeds && now - (this.#joinedAt ?? now) < FIRST_CONTACT_MS;
   }
 
+  /**
+   * Returns the number of members that this process must assume beside those that it knows. A process that starts behind
+   * a network partition can't tell that from being alone, and the others keep its share reserved, not theirs for it. So
+   * for as long as they do, a seed that it hasn't met counts as a lost member, and so do members that no seed named.
+   *
+   * @param now - present time in ms, monotonic
+   */
+  unmetCount(now: number): number {
+    if (now - (this.#joinedAt ?? now) >= LOST_MEMBER_RETENTION_MS) return 0;
+    const met = new Set(this.#membership.allMembers().map(({ peerAddress }) => peerAddress));
+    met.add(this.peerAddress);
+    const unmet = new Set(this.#seeds.filter((address) => !met.has(address))).size;
+    if (unmet === 0) return 0;
+    return this.#seeds.length < MAXIMUM_SEEDS
+      ? unmet
+      : Math.max(unmet, ASSUMED_GROUP_SIZE - met.size);
+  }
+
   /**
    * Returns the number of members that this process probably reaches, this one included.
    *
--- a/src/app/gateway/placement/ColdPartSelector.ts
+++ b/src/app/gateway/placement/ColdPartSelector.ts
@@ -23,8 +23,11 @@
   select(group: PeerGroup, isLeader: boolean, now: number): ColdPart {
     const alive = group.liveMembers();
     const lost = group.recentlyLostMembers(now, LOST_RETENTION_MS);
-    const share = alive.length / Math.max(1, alive.length + lost.length);
+    const unmet = group.unmetCount(now);
+    const share = alive.length / Math.max(1, alive.length + lost.length + unmet);
     if (isLeader && share >= MINIMUM_SCHEDULER_SHARE) return { _tag: 'scheduled', share };
+    // Who owns an endpoint can't be told before the members are known.
+    if (unmet > 0) return { _tag: 'alone', isOwner: () => false };
     this.#owners.setMembers([...alive, ...lost]);
     const isOwner = (endpointId: string, owners: number): boolean =>
       this.#owners.isOwner(group.incarnation, endpointId, owners);
--- a/src/app/gateway/runGateway.ts
+++ b/src/app/gateway/runGateway.ts
@@ -232,7 +232,8 @@
       viewAge: (at) => lateBound.storeSubscription.get().viewAge(at),
       memberCount: () =>
         lateBound.group.get().sizeEstimate(now()) +
-        lateBound.group.get().recentlyLostMembers(now()).length,
+        lateBound.group.get().recentlyLostMembers(now()).length +
+        lateBound.group.get().unmetCount(now()),
     });
     lateBound.gateway.set(gateway);
 
