--- a/src/app/gateway/placement/CapGuard.test.ts
+++ b/src/app/gateway/placement/CapGuard.test.ts
@@ -57,6 +57,7 @@
     leader: () => state.leader,
     liveMembers: () => [OWN, SCHEDULER].map((incarnation) => ({ incarnation })),
     recentlyLostMembers: () => [],
+    unmetCount: () => 0,
     leaderSupport: () => 1,
     reachedCount: () => 2,
     sizeEstimate: () => group.liveMembers().length,
--- a/src/app/gateway/placement/PlacementCoordinator.test.ts
+++ b/src/app/gateway/placement/PlacementCoordinator.test.ts
@@ -56,6 +56,7 @@
     leader: () => state.leader,
     liveMembers: () => [own, state.leader],
     recentlyLostMembers: () => [],
+    unmetCount: () => 0,
     leaderSupport: () => 1,
     reachedCount: () => 2,
     sizeEstimate: () => group.liveMembers().length,
