--- a/src/app/gateway/GatewayContext.ts
+++ b/src/app/gateway/GatewayContext.ts
@@ -1,5 +1,6 @@
 import type { Logger } from 'pino';
 import type {
+  AnswerMemory,
   EndpointDirectory,
   PlainEndpointSelector,
   PlainServiceBalancer,
@@ -41,6 +42,8 @@
   readonly rollouts: RolloutMonitor;
   readonly forwarder: PeerForwarder;
   readonly endpointPool: ConnectionPool;
+  /** Limits what unfinished answers hold together. */
+  readonly answerMemory: AnswerMemory;
   readonly metrics: GatewayMetrics;
   readonly logger: Logger;
   /** Present time in ms, monotonic. */
--- a/src/app/gateway/makeConnectionPools.ts
+++ b/src/app/gateway/makeConnectionPools.ts
@@ -1,6 +1,7 @@
 import * as Effect from 'effect/Effect';
 import { CONNECT_TIMEOUT_MS } from '../../coordination/gateway/index.ts';
 import { makeConnectionPool } from '../../transport/http/index.ts';
+import type { FaultLog } from './FaultLog.ts';
 
 /** Connections idle for longer are not reused, because endpoints close idle ones after some seconds. */
 const ENDPOINT_MAXIMUM_IDLE_MS = 1_500;
@@ -11,10 +12,11 @@
  * Makes the pools of connections to endpoints, peers and the store; they close with the scope.
  *
  * @param now - returns the present time in ms, monotonic
- * @param onFault - told of errors that were thrown while an answer was handled
+ * @param faults - logs errors that were thrown while an answer was handled
  */
-export const makeConnectionPools = (now: () => number, onFault: (error: unknown) => void) =>
-  Effect.all({
+export const makeConnectionPools = (now: () => number, faults: FaultLog) => {
+  const onFault = faults.reporter('answer');
+  return Effect.all({
     endpointPool: makeConnectionPool({
       connectTimeoutMs: CONNECT_TIMEOUT_MS,
       connectionTrustMs: ENDPOINT_MAXIMUM_IDLE_MS,
@@ -34,3 +36,4 @@
       onFault,
     }),
   });
+};
--- a/src/app/gateway/reach/PeerAttempt.ts
+++ b/src/app/gateway/reach/PeerAttempt.ts
@@ -34,7 +34,7 @@
 
   readonly #options: PeerAttemptOptions;
 
-  readonly #reader = new AnswerReader();
+  readonly #reader: AnswerReader;
 
   #exchange: Exchange | undefined;
 
@@ -55,6 +55,9 @@
   constructor(options: PeerAttemptOptions) {
     this.#options = options;
     this.heardAt = options.context.now();
+    this.#reader = new AnswerReader(options.context.answerMemory, options.peer.incarnation, () =>
+      this.#fail('the answers of the peer hold too much memory'),
+    );
   }
 
   get target(): string {
@@ -137,7 +140,9 @@
   }
 
   #onData(bytes: Buffer): void {
-    this.#apply(this.#isStream ? this.#reader.readStream(bytes) : this.#reader.readBody(bytes));
+    const outcome = this.#isStream ? this.#reader.readStream(bytes) : this.#reader.readBody(bytes);
+    // The answer may have had to yield its memory.
+    if (!this.ended) this.#apply(outcome);
   }
 
   #apply(outcome: ReadOutcome): void {
@@ -196,6 +201,7 @@
 
   #end(result: string, detail: string): void {
     this.ended = true;
+    this.#reader.release();
     const { context, request, peer, envelope } = this.#options;
     context.forwarder.count(peer.incarnation, -1);
     context.metrics.countForwarding('sent', result);
--- a/src/app/gateway/request/AnswerReader.ts
+++ b/src/app/gateway/request/AnswerReader.ts
@@ -1,8 +1,11 @@
-import { EventCutter, type AnswerFraming } from '../../../transport/http/index.ts';
+import type { AnswerMemory, HeldAnswer } from '../../../coordination/gateway/index.ts';
+import { ByteCollector, EventCutter, type AnswerFraming } from '../../../transport/http/index.ts';
 import type { AttemptEvent } from './RequestAttempt.ts';
 
 /** Size limit of an answer that is buffered until it is complete. */
 const MAXIMUM_BUFFERED_ANSWER_BYTES = 8 * 1024 * 1024;
+/** Most pieces in which such an answer, or one event, may come: each piece takes processor time, however small it is. */
+const MAXIMUM_PIECES = 65_536;
 /** Size limit of one event of a stream, which is buffered until it is complete. */
 const MAXIMUM_EVENT_BYTES = 1024 * 1024;
 
@@ -16,11 +19,20 @@
 
 /** Reads the body of an answer: a stream event by event, any other answer as a whole. */
 export class AnswerReader {
-  readonly #bodyChunks: Uint8Array[] = [];
+  readonly #body = new ByteCollector();
 
   readonly #eventCutter = new EventCutter();
 
-  #bufferedBytes = 0;
+  readonly #held: HeldAnswer;
+
+  /**
+   * @param memory - limits what all answers of the process hold together
+   * @param source - the endpoint or peer that sends the answer
+   * @param onYield - called if the answer has to be given up, because its source holds too much memory
+   */
+  constructor(memory: AnswerMemory, source: string, onYield: () => void) {
+    this.#held = memory.open(source, onYield);
+  }
 
   /** Number of complete events. */
   get eventCount(): number {
@@ -36,8 +48,10 @@
   /** Reads the next bytes of a stream. */
   readStream(bytes: Buffer): ReadOutcome {
     const { bytes: completeEvents, lastId } = this.#eventCutter.push(bytes);
-    if (this.#eventCutter.pendingSize > MAXIMUM_EVENT_BYTES)
+    const { pendingSize, pendingPieces, pendingMemory } = this.#eventCutter;
+    if (pendingSize > MAXIMUM_EVENT_BYTES || pendingPieces > MAXIMUM_PIECES)
       return { _tag: 'unusable', detail: 'event exceeds the buffer limit' };
+    this.#held.resize(pendingMemory);
     if (completeEvents.length === 0) return NOTHING;
     const id = lastId === undefined ? {} : { lastEventId: lastId };
     return { _tag: 'event', event: { _tag: 'streamed', bytes: completeEvents, ...id } };
@@ -45,16 +59,22 @@
 
   /** Reads the next bytes of an answer that isn't a stream. */
   readBody(bytes: Buffer): ReadOutcome {
-    this.#bufferedBytes += bytes.length;
-    if (this.#bufferedBytes > MAXIMUM_BUFFERED_ANSWER_BYTES)
+    const size = this.#body.size + bytes.length;
+    if (size > MAXIMUM_BUFFERED_ANSWER_BYTES || this.#body.pieces >= MAXIMUM_PIECES)
       return { _tag: 'unusable', detail: 'answer exceeds the buffer limit' };
-    this.#bodyChunks.push(bytes);
+    this.#body.append(bytes);
+    this.#held.resize(this.#body.capacity);
     return NOTHING;
   }
 
   /** Returns the whole body of an answer that isn't a stream. */
   body(): Uint8Array {
-    return Buffer.concat(this.#bodyChunks);
+    return this.#body.take();
+  }
+
+  /** Records that the answer has ended, or was given up. */
+  release(): void {
+    this.#held.release();
   }
 
   /**
--- a/src/app/gateway/request/EndpointAttempt.ts
+++ b/src/app/gateway/request/EndpointAttempt.ts
@@ -49,7 +49,7 @@
 
   readonly #sentAt: number;
 
-  readonly #reader = new AnswerReader();
+  readonly #reader: AnswerReader;
 
   readonly #stallTimer: StallTimer;
 
@@ -87,6 +87,9 @@
     this.heardAt = this.#sentAt;
     const limitMs = stallLimitMs(options.request.route);
     this.#stallTimer = new StallTimer(limitMs, () => this.#fail(`no event for ${limitMs} ms`));
+    this.#reader = new AnswerReader(options.context.answerMemory, options.endpoint.id, () =>
+      this.#fail('the answers of the endpoint hold too much memory'),
+    );
     this.viewAge = options.context.viewAge(this.#sentAt);
     options.context.metrics.recordViewAge(this.viewAge.ageMs);
   }
@@ -262,6 +265,8 @@
     const outcome = this.#isStream()
       ? this.#reader.readStream(bytes)
       : this.#reader.readBody(bytes);
+    // The answer may have had to yield its memory.
+    if (this.#ended) return;
     if (this.#reader.eventCount > eventCount) this.#stallTimer.restart();
     this.#apply(outcome);
   }
@@ -286,11 +291,6 @@
     this.#firstByteAt = context.now();
     if (ticketId !== undefined && this.#isStream())
       context.placements.reportFirstToken(ticketId, this.#firstByteAt - this.#sentAt);
-  }
-
-  #onEnded(): void {
-    const { status } = this;
-    this.#stallTimer.stop();
     if (this.#answerFields?.isNotRun && !this.#answerFields.isSigned) {
       this.#end('turnedAway', `status ${status}`);
       this.#emit({
@@ -300,6 +300,11 @@
       });
       return;
     }
+  }
+
+  #onEnded(): void {
+    const { status } = this;
+    this.#stallTimer.stop();
     if (this.#isStream()) {
       this.#onStreamEnded();
       return;
@@ -401,6 +406,7 @@
   #logEnd(outcome: PlacementResult['outcome'], detail: string): void {
     this.#ended = true;
     this.#stallTimer.stop();
+    this.#reader.release();
     const { context, request, endpoint, ticketId } = this.#options;
     const totalMs = context.now() - this.#sentAt;
     context.metrics.countAttempt(request.service.name, outcome);
--- a/src/app/gateway/runGateway.ts
+++ b/src/app/gateway/runGateway.ts
@@ -6,6 +6,7 @@
 import type * as Scope from 'effect/Scope';
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
 import {
+  AnswerMemory,
   DomainDrains,
   EndpointDirectory,
   PlainEndpointSelector,
@@ -90,10 +91,7 @@
     const directory = new EndpointDirectory(isUsable);
     const plainEndpoints = new PlainServiceBalancer();
     const timing = yield* Schema.decodeEffect(EntryTiming)(PEER_TIMING).pipe(Effect.orDie);
-    const { endpointPool, peerPool, storePool } = yield* makeConnectionPools(
-      now,
-      faults.reporter('answer'),
-    );
+    const { endpointPool, peerPool, storePool } = yield* makeConnectionPools(now, faults);
     const lateBound = {
       group: new LateBound<PeerGroup>(),
       gateway: new LateBound<Gateway>(),
@@ -224,6 +222,7 @@
       rollouts,
       forwarder,
       endpointPool,
+      answerMemory: new AnswerMemory(),
       metrics,
       logger,
       now,
--- a/src/coordination/gateway/index.ts
+++ b/src/coordination/gateway/index.ts
@@ -60,6 +60,8 @@
 export { ViewFreshness } from './following/ViewFreshness.ts';
 export type { Confirmation, ConfirmationPath, ViewKind } from './following/ViewFreshness.ts';
 export { RequestCrashAttribution } from './crashes/RequestCrashAttribution.ts';
+export { AnswerMemory } from './limits/AnswerMemory.ts';
+export type { HeldAnswer } from './limits/AnswerMemory.ts';
 export { RetryBudget } from './limits/RetryBudget.ts';
 export { RouteIndex } from './routing/RouteIndex.ts';
 export type { RouteMatch } from './routing/RouteIndex.ts';
--- a/src/transport/caller/receiveBody.ts
+++ b/src/transport/caller/receiveBody.ts
@@ -1,4 +1,5 @@
 import type { IncomingMessage } from 'node:http';
+import { ByteCollector } from '../http/index.ts';
 
 /** What receiving a body gave. */
 export type BodyOutcome =
@@ -7,8 +8,6 @@
   /** The caller left before its end. */
   | { readonly _tag: 'left' };
 
-const EMPTY = new Uint8Array(0);
-
 /**
  * Collects a request's body. How long that may take is the server's business.
  *
@@ -26,8 +25,7 @@
     return;
   }
   let settled = false;
-  let size = 0;
-  const chunks: Buffer[] = [];
+  const collected = new ByteCollector();
   const settle = (outcome: BodyOutcome): void => {
     if (settled) return;
     settled = true;
@@ -35,15 +33,10 @@
   };
   request.on('data', (chunk: Buffer) => {
     if (settled) return;
-    size += chunk.length;
-    if (size > maximumBytes) settle({ _tag: 'tooLarge' });
-    else chunks.push(chunk);
-  });
-  request.on('end', () => {
-    const [first] = chunks;
-    if (!first) settle({ _tag: 'received', body: EMPTY });
-    else settle({ _tag: 'received', body: chunks.length === 1 ? first : Buffer.concat(chunks) });
+    if (collected.size + chunk.length > maximumBytes) settle({ _tag: 'tooLarge' });
+    else collected.append(chunk);
   });
+  request.on('end', () => settle({ _tag: 'received', body: collected.take() }));
   request.on('error', () => settle({ _tag: 'left' }));
   request.on('close', () => settle({ _tag: 'left' }));
 };
--- a/src/transport/endpoint/WholeAnswer.ts
+++ b/src/transport/endpoint/WholeAnswer.ts
@@ -1,5 +1,6 @@
 import type { IncomingHttpHeaders } from 'node:http';
 import { checkWholeResponse } from '../../protocol/engine/engineResponses.ts';
+import { ByteCollector } from '../http/index.ts';
 import type { AnswerFinding } from './AnswerFinding.ts';
 
 const MAXIMUM_ANSWER_BYTES = 32 * 1024 * 1024;
@@ -19,9 +20,9 @@
 
   #headers: IncomingHttpHeaders = {};
 
-  #chunks: Buffer[] = [];
+  readonly #collected = new ByteCollector();
 
-  #size = 0;
+  #body: Buffer = Buffer.alloc(0);
 
   #complete = false;
 
@@ -34,8 +35,7 @@
 
   /** Prepares for a new connection, which brings the answer from its start. */
   restart(): void {
-    this.#chunks = [];
-    this.#size = 0;
+    this.#collected.take();
   }
 
   /**
@@ -56,11 +56,10 @@
    * @returns whether the answer is still within bounds
    */
   read(bytes: Buffer): AnswerFinding {
-    this.#size += bytes.length;
-    if (this.#size > MAXIMUM_ANSWER_BYTES) {
+    if (this.#collected.size + bytes.length > MAXIMUM_ANSWER_BYTES) {
       return { _tag: 'failed', reason: 'endpoint_failed', detail: 'answer is too large' };
     }
-    this.#chunks.push(bytes);
+    this.#collected.append(bytes);
     return { _tag: 'more' };
   }
 
@@ -70,7 +69,8 @@
    * @returns whether it is the request's own
    */
   close(): AnswerFinding {
-    const text = Buffer.concat(this.#chunks).toString('utf8');
+    this.#body = this.#collected.take();
+    const text = this.#body.toString('utf8');
     const summary = checkWholeResponse(text, this.#requestId);
     switch (summary._tag) {
       case 'own':
@@ -96,6 +96,6 @@
    */
   whole(): CompleteAnswer | undefined {
     if (!this.#complete) return undefined;
-    return { status: this.#status, headers: this.#headers, body: Buffer.concat(this.#chunks) };
+    return { status: this.#status, headers: this.#headers, body: this.#body };
   }
 }
--- a/src/transport/gateway/InboundConnections.ts
+++ b/src/transport/gateway/InboundConnections.ts
@@ -1,6 +1,7 @@
 import type * as http from 'node:http';
 import type { Socket } from 'node:net';
 import type { ClientLimits } from '../../state/gateway/index.ts';
+import { ByteCollector } from '../http/index.ts';
 import type { InboundAnswer, InboundRequest } from './InboundRequest.ts';
 
 /** Limits of requests, and where they go. */
@@ -43,7 +44,6 @@
  * an answer that isn't read for some seconds, and most streams are smaller than this.
  */
 const MAXIMUM_HELD_BYTES = 65_536;
-const SMALL_BODY = Buffer.alloc(0);
 
 const headerBytes = (lines: readonly string[]): number =>
   lines.reduce((sum, part) => sum + part.length + 2, 0);
@@ -272,7 +272,7 @@
     const { headers } = incoming;
     const hasBody =
       headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined;
-    const chunks: Buffer[] = [];
+    const collected = new ByteCollector();
     this.#unread.add(response);
     let size = 0;
     let overflown = false;
@@ -285,13 +285,13 @@
         reject(response, STATUS.contentTooLarge);
         return;
       }
-      chunks.push(chunk);
+      collected.append(chunk);
     });
     // A caller that leaves midway has no request to answer.
     incoming.on('error', () => {});
     incoming.on('end', () => {
       if (overflown || !incoming.complete || !this.#unread.delete(response)) return;
-      const body = size === 0 ? SMALL_BODY : Buffer.concat(chunks, size);
+      const body = collected.take();
       const { onRequest, onFault } = this.#options;
       const request = {
         method: incoming.method ?? 'GET',
--- /dev/null
+++ b/src/transport/http/ByteCollector.ts
@@ -0,0 +1,58 @@
+const SMALLEST_CAPACITY = 1_024;
+
+/**
+ * Collects bytes that arrive in pieces, in one block of memory. A piece that is kept by itself costs a hundred bytes and more,
+ * and keeps the whole block alive that the connection was read into, however small it is.
+ */
+export class ByteCollector {
+  #block = Buffer.alloc(0);
+
+  #size = 0;
+
+  #pieces = 0;
+
+  /** Number of bytes. */
+  get size(): number {
+    return this.#size;
+  }
+
+  /** Number of pieces that they came in. */
+  get pieces(): number {
+    return this.#pieces;
+  }
+
+  /** Memory that is used for them, in bytes. */
+  get capacity(): number {
+    return this.#block.length;
+  }
+
+  /**
+   * Copies the next bytes.
+   *
+   * @param bytes - a piece; it isn't kept
+   */
+  append(bytes: Uint8Array): void {
+    const size = this.#size + bytes.length;
+    if (size > this.#block.length) this.#grow(size);
+    this.#block.set(bytes, this.#size);
+    this.#size = size;
+    this.#pieces += 1;
+  }
+
+  /** Returns the bytes, and begins anew. */
+  take(): Buffer {
+    const bytes = this.#block.subarray(0, this.#size);
+    this.#block = Buffer.alloc(0);
+    this.#size = 0;
+    this.#pieces = 0;
+    return bytes;
+  }
+
+  #grow(size: number): void {
+    const block = Buffer.allocUnsafeSlow(
+      Math.max(SMALLEST_CAPACITY, size, Math.min(2 * this.#block.length, 2 * size)),
+    );
+    this.#block.copy(block, 0, 0, this.#size);
+    this.#block = block;
+  }
+}
--- a/src/transport/http/EventCutter.ts
+++ b/src/transport/http/EventCutter.ts
@@ -1,3 +1,5 @@
+import { ByteCollector } from './ByteCollector.ts';
+
 const LINE_FEED = 10;
 const CARRIAGE_RETURN = 13;
 const COLON = 58;
@@ -26,9 +28,7 @@
  */
 export class EventCutter {
   /** Bytes after the last complete event. */
-  #pending: Buffer[] = [];
-
-  #pendingSize = 0;
+  readonly #pending = new ByteCollector();
 
   #isLineEmpty = true;
 
@@ -49,7 +49,17 @@
 
   /** Number of bytes after the last complete event. */
   get pendingSize(): number {
-    return this.#pendingSize;
+    return this.#pending.size;
+  }
+
+  /** Memory that is used for them, in bytes. */
+  get pendingMemory(): number {
+    return this.#pending.capacity;
+  }
+
+  /** Number of pieces that they came in. */
+  get pendingPieces(): number {
+    return this.#pending.pieces;
   }
 
   /**
@@ -67,16 +77,15 @@
       this.#keep(bytes);
       return { bytes: EMPTY, lastId: undefined };
     }
-    const complete = Buffer.concat([...this.#pending, bytes.subarray(0, end)]);
-    this.#pending = [];
-    this.#pendingSize = 0;
+    this.#pending.append(bytes.subarray(0, end));
+    const complete = this.#pending.take();
     this.#keep(bytes.subarray(end));
     return { bytes: complete, lastId: findLastId(complete) };
   }
 
   /** Returns the bytes after the last complete event. */
   rest(): Buffer {
-    return Buffer.concat(this.#pending);
+    return this.#pending.take();
   }
 
   /** Reads one byte and returns whether it ends an empty line, which ends the event before it. */
@@ -98,8 +107,6 @@
   }
 
   #keep(bytes: Buffer): void {
-    if (bytes.length === 0) return;
-    this.#pending.push(bytes);
-    this.#pendingSize += bytes.length;
+    if (bytes.length > 0) this.#pending.append(bytes);
   }
 }
--- a/src/transport/http/index.ts
+++ b/src/transport/http/index.ts
@@ -1,3 +1,4 @@
+export { ByteCollector } from './ByteCollector.ts';
 export { confirmServerRuns } from './confirmServerRuns.ts';
 export { ConnectionPool } from './ConnectionPool.ts';
 export type { ConnectionPoolOptions } from './ConnectionPool.ts';
--- a/src/transport/http/requestWhole.ts
+++ b/src/transport/http/requestWhole.ts
@@ -1,4 +1,5 @@
 import type { IncomingHttpHeaders } from 'node:http';
+import { ByteCollector } from './ByteCollector.ts';
 import type { ConnectionPool } from './ConnectionPool.ts';
 import { exchange } from './exchange.ts';
 import type { Exchange } from './exchange.ts';
@@ -49,7 +50,7 @@
   let status = 0;
   let headers: IncomingHttpHeaders = {};
   let size = 0;
-  const chunks: Buffer[] = [];
+  const collected = new ByteCollector();
   const body = request.json === undefined ? undefined : Buffer.from(JSON.stringify(request.json));
 
   const finish = (outcome: WholeOutcome): void => {
@@ -81,7 +82,7 @@
         case 'data':
           size += event.bytes.length;
           if (size <= request.maximumBytes) {
-            chunks.push(event.bytes);
+            collected.append(event.bytes);
             return;
           }
           // The first chunks may arrive before `exchange` has returned its handle.
@@ -93,7 +94,7 @@
             _tag: 'answered',
             status,
             headers,
-            text: Buffer.concat(chunks).toString('utf8'),
+            text: collected.take().toString('utf8'),
           });
           return;
         case 'refused':
