Take the head of a refusal for true at once

What callers saw: 145 of 145 requests answered 504 at their deadline, though the endpoint had said in the head that it hadn't run them; its body had no end. Cause: a rejection counted only once its body was complete. Change: the head decides. The rest is read so that the connection can be used again, up to 64 KiB and for one second.

--- a/src/app/gateway/request/EndpointAttempt.ts
+++ b/src/app/gateway/request/EndpointAttempt.ts
@@ -36,6 +36,10 @@
 /** A prompt that crashes its engine does so within this time after the first byte of the answer. */
 const CRASH_ONSET_MS = 600;
 
+/** Longest body of a rejection for which its connection is kept, and time for it to arrive. */
+const MAXIMUM_REFUSAL_BYTES = 65_536;
+const REFUSAL_BODY_MS = 1_000;
+
 const isSuccess = (status: number): boolean => status >= 200 && status < 300;
 
 /**
@@ -66,6 +70,9 @@
 
   #isConnectionLost = false;
 
+  /** Bytes that have arrived after the attempt had ended. */
+  #unreadBytes = 0;
+
   /** How old the view of the store was by which the request was sent. */
   readonly viewAge: ViewAge;
 
@@ -155,7 +162,10 @@
   }
 
   #onExchange(event: ExchangeEvent): void {
-    if (this.#ended) return;
+    if (this.#ended) {
+      if (event._tag === 'data') this.#readOn(event.bytes);
+      return;
+    }
     switch (event._tag) {
       case 'written':
         this.written = true;
@@ -243,6 +253,10 @@
     if (answer.id === undefined) this.#exchange?.discardConnection();
     if (isForThisRequest && (answer.isSigned || answer.isNotRun) && !answer.isEncoded) {
       this.#recordStatements(answer);
+      if (answer.isNotRun && !answer.isSigned) {
+        this.#onTurnedAway();
+        return;
+      }
       if (this.#isStream()) this.#stallTimer.restart();
       return;
     }
@@ -251,6 +265,20 @@
     this.#fail(`answer does not belong to this request (status ${status})`);
   }
 
+  /** The head says that the request has not run, whatever follows. The rest is read so that the connection can be used again. */
+  #onTurnedAway(): void {
+    const { status } = this;
+    setTimeout(() => this.#exchange?.abort(), REFUSAL_BODY_MS).unref();
+    this.#end('turnedAway', `status ${status}`);
+    const detail = `endpoint rejected the request with status ${status}`;
+    this.#emit({ _tag: 'notRun', arrived: true, detail });
+  }
+
+  #readOn(bytes: Uint8Array): void {
+    this.#unreadBytes += bytes.length;
+    if (this.#unreadBytes > MAXIMUM_REFUSAL_BYTES) this.#exchange?.abort();
+  }
+
   #recordStatements({ isSigned, statements }: DecodedResponseHeaders): void {
     const { limits, exclusions } = this.#options.context;
     exclusions.observe(this.endpoint, statements);
@@ -291,15 +319,6 @@
     this.#firstByteAt = context.now();
     if (ticketId !== undefined && this.#isStream())
       context.placements.reportFirstToken(ticketId, this.#firstByteAt - this.#sentAt);
-    if (this.#answerFields?.isNotRun && !this.#answerFields.isSigned) {
-      this.#end('turnedAway', `status ${status}`);
-      this.#emit({
-        _tag: 'notRun',
-        arrived: true,
-        detail: `endpoint rejected the request with status ${status}`,
-      });
-      return;
-    }
   }
 
   #onEnded(): void {
