--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -24,7 +24,7 @@
 export const bundlePath = fileURLToPath(new URL('../dist/corianderwick.cjs', import.meta.url));
 
 /** Writes the bundle of a program. */
-export const bundle = (entryPoint = 'src/main.ts', outfile = bundlePath) =>
+export const bundle = (entryPoint = 'src/main.ts', outfile = bundlePath, options = {}) =>
   build({
     absWorkingDir: root,
     entryPoints: [entryPoint],
@@ -38,6 +38,7 @@
     plugins: [absentModules],
     legalComments: 'none',
     logLevel: 'warning',
+    ...options,
   });
 
 if (process.argv[1] === fileURLToPath(import.meta.url)) await bundle();
