Pause before roll-outs are listed at the same position again

The same loop as in StoreWatch, in the gateway that drives roll-outs: a watch that was refused was followed by a list at once, and a list by a watch. From a list that leads to no history it pauses now. The new test failed before (cancelled, the loop never paused), and passes now.

--- a/src/app/gateway/rollouts/RolloutStore.ts
+++ b/src/app/gateway/rollouts/RolloutStore.ts
@@ -1,5 +1,10 @@
 import type { Logger } from 'pino';
-import type { StatusStore, StoreObject, WireAdapter } from '../../../protocol/gateway/index.ts';
+import type {
+  StatusStore,
+  StoreObject,
+  StorePosition,
+  WireAdapter,
+} from '../../../protocol/gateway/index.ts';
 import type { RolloutOrder, RolloutState } from '../../../state/gateway/index.ts';
 
 /** Collaborators of a roll-out store. */
@@ -100,11 +105,13 @@
   async #follow(following: number): Promise<void> {
     const { store, sleep } = this.#options;
     const isCurrent = (): boolean => this.#following === following;
-    let revision: number | undefined;
+    let revision: StorePosition | undefined;
+    let isJustListed = false;
     while (isCurrent()) {
       if (revision === undefined) {
         // eslint-disable-next-line no-await-in-loop -- each call begins where the one before ended
         revision = await this.#list(isCurrent);
+        isJustListed = true;
         // eslint-disable-next-line no-await-in-loop
         if (revision === undefined) await sleep(RETRY_MS);
       } else {
@@ -115,6 +122,7 @@
           case 'changed':
             this.#hear();
             revision = result.revision;
+            isJustListed = false;
             result.changes.forEach(({ object, removed }) =>
               this.#options.onOrders(
                 {
@@ -128,6 +136,9 @@
             break;
           case 'expired':
             revision = undefined;
+            // A list that leads to no position which can be watched from must not be asked for without a pause.
+            // eslint-disable-next-line no-await-in-loop
+            if (isJustListed) await sleep(RETRY_MS);
             break;
           case 'unavailable':
             this.#lastCallAnswered = false;
@@ -142,7 +153,7 @@
     }
   }
 
-  async #list(isCurrent: () => boolean): Promise<number | undefined> {
+  async #list(isCurrent: () => boolean): Promise<StorePosition | undefined> {
     const result = await this.#options.store.list('rollouts', LIST);
     this.#lastCallAnswered = result._tag === 'listed';
     if (result._tag !== 'listed' || !isCurrent()) return undefined;
