--- a/src/app/gateway/PeerGroup.ts
+++ b/src/app/gateway/PeerGroup.ts
@@ -223,8 +223,9 @@
 
   /**
    * Returns the number of members that this process must assume beside those that it knows. A process that starts behind
-   * a network partition can't tell that from being alone, and the others keep its share reserved, not theirs for it. So
-   * for as long as they do, a seed that it hasn't met counts as a lost member, and so do members that no seed named.
+   * a network partition can't tell that from being alone. The members on the other side reserve the share of its
+   * predecessor, and use their own. For as long as they do, a seed that it hasn't met counts as a lost member, and so do
+   * members that the settings have no room to name.
    *
    * @param now - present time in ms, monotonic
    */
--- a/src/transport/gateway/InboundConnections.ts
+++ b/src/transport/gateway/InboundConnections.ts
@@ -54,7 +54,7 @@
   response.end();
 };
 
-/** Runs a listener of one request. An error of it ends that request: an endpoint may have run it. */
+/** Runs a listener of one request, and ends that request if it throws: with 502, since an endpoint may have run it. */
 const contain = (
   response: http.ServerResponse,
   onFault: (error: unknown) => void,
