--- a/src/app/gateway/reach/PeerAttempt.ts
+++ b/src/app/gateway/reach/PeerAttempt.ts
@@ -1,6 +1,11 @@
 import type { DecodedResponseHeaders, ForwardEnvelope } from '../../../protocol/gateway/index.ts';
 import type { Member } from '../../../state/Member.ts';
-import type { AnswerFraming, Exchange, ExchangeEvent } from '../../../transport/http/index.ts';
+import type {
+  AnswerFraming,
+  ConnectionUse,
+  Exchange,
+  ExchangeEvent,
+} from '../../../transport/http/index.ts';
 import { AnswerReader, type ReadOutcome } from '../request/AnswerReader.ts';
 import type { GatewayContext } from '../GatewayContext.ts';
 import type { AttemptEvent, RequestAttempt } from '../request/RequestAttempt.ts';
@@ -40,6 +45,9 @@
 
   #answerFields: DecodedResponseHeaders | undefined;
 
+  /** What the connection had carried before the request; undefined until it is written. */
+  #connection: ConnectionUse | undefined;
+
   ended = false;
 
   written = false;
@@ -96,6 +104,7 @@
     switch (event._tag) {
       case 'written':
         this.written = true;
+        this.#connection = event.connection;
         return;
       case 'refused':
         this.#finish('unreachable', event.detail, {
@@ -213,6 +222,7 @@
         result,
         detail,
         status: this.status,
+        connection: this.#connection,
         ...this.streamProgress,
       },
       'forwarding ended',
--- a/src/app/gateway/reach/PeerForwarder.ts
+++ b/src/app/gateway/reach/PeerForwarder.ts
@@ -96,6 +96,7 @@
   ): Exchange {
     const { pool, wire, secret } = this.#options;
     const { method, target, body, headerLines } = inbound;
+    const { id } = wire.readRequestHeaders(headerLines);
     const lines = wire.filterRequestHeaders(headerLines);
     const callerLines = lines.filter((_, index) => !isForwardLine(lines, index));
     const text = encodeForwardEnvelope(envelope);
@@ -104,6 +105,7 @@
       pool,
       {
         address: `http://${peer.peerAddress}`,
+        ...(id !== undefined && { id }),
         method,
         path: target,
         headers: {},
--- a/src/app/gateway/request/EndpointAttempt.ts
+++ b/src/app/gateway/request/EndpointAttempt.ts
@@ -5,6 +5,7 @@
   confirmServerRuns,
   exchange,
   type AnswerFraming,
+  type ConnectionUse,
   type Exchange,
   type ExchangeEvent,
 } from '../../../transport/http/index.ts';
@@ -12,6 +13,7 @@
 import type { AttemptEnd } from '../rollouts/RolloutMonitor.ts';
 import type { CrashFinding } from '../crashes/CrashDetector.ts';
 import type { GatewayContext } from '../GatewayContext.ts';
+import { logFailedAttempt } from './logFailedAttempt.ts';
 import type { AttemptEvent, AttemptWriting, RequestAttempt } from './RequestAttempt.ts';
 import type { RoutedRequest } from './RoutedRequest.ts';
 import { stallLimitMs, StallTimer } from './StallTimer.ts';
@@ -63,6 +65,9 @@
 
   #firstByteAt: number | undefined;
 
+  /** What the connection had carried before the request; undefined until it is written. */
+  #connection: ConnectionUse | undefined;
+
   #ended = false;
 
   /** Whether the permission to send had expired when there was a connection. */
@@ -127,6 +132,7 @@
       context.endpointPool,
       {
         address: `http://${endpoint.address}`,
+        id: request.id,
         method: inbound.method,
         path: inbound.target,
         headers: {},
@@ -169,6 +175,7 @@
     switch (event._tag) {
       case 'written':
         this.written = true;
+        this.#connection = event.connection;
         this.writing = this.#describeWriting();
         return;
       case 'refused':
@@ -429,24 +436,20 @@
     const { context, request, endpoint, ticketId } = this.#options;
     const totalMs = context.now() - this.#sentAt;
     context.metrics.countAttempt(request.service.name, outcome);
-    if (outcome !== 'served') {
-      context.logger.info(
-        {
-          request: request.id,
-          ticket: ticketId,
-          endpoint: endpoint.id,
-          address: endpoint.address,
-          outcome,
-          detail,
-          framing: this.framing,
-          retryAfterMs: this.#answerFields?.retryAfterMs,
-          ...this.streamProgress,
-          promptParts: request.fields.sharedPromptParts,
-          afterMs: Math.round(totalMs),
-        },
-        'try ended',
-      );
-    }
+    if (outcome === 'served') return;
+    const { status, framing, streamProgress } = this;
+    logFailedAttempt(context.logger, request, endpoint, {
+      ticket: ticketId,
+      outcome,
+      detail,
+      status,
+      answerId: this.#answerFields?.id,
+      connection: this.#connection,
+      framing,
+      retryAfterMs: this.#answerFields?.retryAfterMs,
+      ...streamProgress,
+      afterMs: Math.round(totalMs),
+    });
   }
 
   /** Releases the slot, and reports the outcome for load balancing. */
--- a/src/transport/http/ConnectionPool.ts
+++ b/src/transport/http/ConnectionPool.ts
@@ -1,4 +1,5 @@
 import * as net from 'node:net';
+import { ConnectionHistory, type ConnectionUse } from './ConnectionHistory.ts';
 
 /** What opening a connection gave. */
 export type ConnectOutcome =
@@ -56,7 +57,8 @@
 
   readonly #idle = new Map<string, IdleConnection[]>();
 
-  readonly #sockets = new Set<net.Socket>();
+  /** What each open connection has carried. */
+  readonly #histories = new Map<net.Socket, ConnectionHistory>();
 
   constructor(options: ConnectionPoolOptions) {
     this.#options = options;
@@ -103,6 +105,17 @@
     onFault(error);
   }
 
+  /**
+   * Records that a request is about to be sent on a connection.
+   *
+   * @param socket - a connection that this pool gave
+   * @param id - id of the request; undefined if it has none
+   * @returns what the connection had carried before
+   */
+  recordRequest(socket: net.Socket, id: string | undefined): ConnectionUse {
+    return (this.#histories.get(socket) ?? new ConnectionHistory()).record(id);
+  }
+
   /**
    * Takes a connection back once its answer was read to the end.
    *
@@ -139,7 +152,7 @@
 
   /** Closes every connection. */
   close(): void {
-    this.#sockets.forEach((socket) => socket.destroy());
+    this.#histories.forEach((_, socket) => socket.destroy());
     this.#idle.clear();
   }
 
@@ -164,8 +177,8 @@
       return () => {};
     }
     const socket = net.connect({ ...target, noDelay: true });
-    this.#sockets.add(socket);
-    socket.once('close', () => this.#sockets.delete(socket));
+    this.#histories.set(socket, new ConnectionHistory());
+    socket.once('close', () => this.#histories.delete(socket));
     let settled = false;
     let timer: NodeJS.Timeout | undefined;
     const settle = (outcome: ConnectOutcome): void => {
--- a/src/transport/http/exchange.ts
+++ b/src/transport/http/exchange.ts
@@ -1,5 +1,6 @@
 import * as http from 'node:http';
 import type { Socket } from 'node:net';
+import type { ConnectionUse } from './ConnectionHistory.ts';
 import type { ConnectionPool } from './ConnectionPool.ts';
 import { EndProbe } from './EndProbe.ts';
 import { findHeadFault } from './findHeadFault.ts';
@@ -11,6 +12,8 @@
 /** One HTTP request to a server known by its address. */
 export interface HttpRequest {
   readonly address: string;
+  /** Id that the server repeats in its answer; undefined for a request without one. */
+  readonly id?: string;
   readonly method: string;
   readonly path: string;
   readonly headers: Readonly<Record<string, string>>;
@@ -50,7 +53,7 @@
       readonly forbidden?: true;
     }
   /** The request is being written: from here on it may reach the server. */
-  | { readonly _tag: 'written' }
+  | { readonly _tag: 'written'; readonly connection: ConnectionUse }
   | {
       readonly _tag: 'head';
       readonly status: number;
@@ -231,7 +234,7 @@
     response.on('close', () => breakOff('connection closed before the end of the answer'));
   };
 
-  const write = (body: Uint8Array | undefined): void => {
+  const write = (body: Uint8Array | undefined, connection: ConnectionUse): void => {
     clearTimeout(patience);
     if (ended) return;
     if (request.mayWrite?.() === false) {
@@ -239,15 +242,15 @@
       return;
     }
     if (request.silenceMs !== undefined) silence = setTimeout(onSilence, request.silenceMs);
-    tell({ _tag: 'written' });
+    tell({ _tag: 'written', connection });
     if (ended) return;
     if (body) outgoing?.end(body);
     else outgoing?.end();
   };
-  const askFirst = (body: Uint8Array, withinMs: number): void => {
+  const askFirst = (body: Uint8Array, withinMs: number, connection: ConnectionUse): void => {
     const detail = 'the server did not say that it would take the body';
     patience = setTimeout(() => finish({ _tag: 'refused', detail }), withinMs);
-    outgoing?.on('continue', () => write(body));
+    outgoing?.on('continue', () => write(body, connection));
     outgoing?.flushHeaders();
   };
 
@@ -287,8 +290,9 @@
     outgoing.on('response', onResponse);
     outgoing.on('error', (error) => breakOff(error.message));
     outgoing.on('close', () => breakOff('connection closed before the answer'));
-    if (asksFirst) askFirst(body, continueWithinMs);
-    else write(body);
+    const connection = pool.recordRequest(socket, request.id);
+    if (asksFirst) askFirst(body, continueWithinMs, connection);
+    else write(body, connection);
   });
 
   return {
--- a/src/transport/http/index.ts
+++ b/src/transport/http/index.ts
@@ -1,4 +1,5 @@
 export { ByteCollector } from './ByteCollector.ts';
+export type { ConnectionUse } from './ConnectionHistory.ts';
 export { confirmServerRuns } from './confirmServerRuns.ts';
 export { ConnectionPool } from './ConnectionPool.ts';
 export type { ConnectionPoolOptions } from './ConnectionPool.ts';
