--- a/test/gateway/copies.test.ts
+++ b/test/gateway/copies.test.ts
@@ -1,11 +1,43 @@
-import { describe, it } from 'node:test';
+import { describe, it, type TestContext } from 'node:test';
 import { setTimeout as wait } from 'node:timers/promises';
 import { expect } from 'earl';
 import { call, runnerSpec, startReadyGateway } from './startGateway.ts';
-import { answer, notRun, startRunner } from './startRunner.ts';
+import { answer, chunk, END, event, notRun, startRunner, streamHead } from './startRunner.ts';
 
 const read = (address: string, path: string) => call(address, { path });
 
+/** Refuses a request that comes for the first time, and copies the refusal where it comes to the same connection again. */
+const startCopyingRunners = async (
+  context: TestContext,
+  service: 'plain' | 'model',
+  count: number,
+  runs: string[],
+) => {
+  const start = (name: string) => {
+    const refusals = new Map<string, Map<unknown, string>>();
+    return startRunner(context, (request) => {
+      const id = request.headers['x-corianderwick-request-id'] ?? '';
+      const refusal = notRun().replace('\r\n', `\r\nX-Corianderwick-Request-Id: ${id}\r\n`);
+      const copies = refusals.get(id);
+      if (copies === undefined) {
+        refusals.set(id, new Map([[request.socket, refusal]]));
+        request.socket.write(refusal);
+        return;
+      }
+      runs.push(name);
+      const own =
+        service === 'plain'
+          ? answer(request, 'ran')
+          : `${streamHead(request)}${chunk(event(1))}${END}`;
+      request.socket.write((copies.get(request.socket) ?? '') + own);
+    });
+  };
+  const names = Array.from({ length: count }, (_, index) => `i-${index + 1}`);
+  const runners = await Promise.all(names.map(start));
+  const specs = runners.map((runner, index) => [names[index], runnerSpec(service, runner)]);
+  return startReadyGateway(context, Object.fromEntries(specs));
+};
+
 describe('a gateway whose endpoint answers twice', () => {
   // Guards against an answer that reaches the next caller on the connection, wherever the second copy is cut.
   it('never passes the second copy on to the next caller', async (context) => {
@@ -75,4 +107,43 @@
     expect((await read(callers, '/write/second')).status).toEqual(502);
     expect(runner.arrived.length).toEqual(2);
   });
+
+  (
+    [
+      ['a plain service, one endpoint', '/write/', 'plain', 1],
+      ['a plain service, two endpoints', '/write/', 'plain', 2],
+      ['a stream, one endpoint', '/stream/', 'model', 1],
+      ['a stream, two endpoints', '/stream/', 'model', 2],
+    ] as const
+  ).forEach(([name, path, service, count]) =>
+    // TWICE, REFUSED: a request came to the connection that had brought its refusal, whose copy passed for the answer.
+    it(`never takes the copy of a request's own refusal for its answer: ${name}`, async (context) => {
+      const runs: string[] = [];
+      const { gateway } = await startCopyingRunners(context, service, count, runs);
+      const headers = { 'x-corianderwick-request-id': 'used-again' };
+      const again = () => call(gateway.addresses.callers, { path, method: 'POST', headers });
+      expect((await again()).status).toEqual(503);
+      // After a rejection the endpoint gets no requests for a moment.
+      await wait(700);
+      const { status, body } = await again();
+      expect([status, body, runs]).toEqual([
+        200,
+        path === '/stream/' ? event(1) : 'ran',
+        runs.slice(0, 1),
+      ]);
+    }),
+  );
+
+  // REFUSED, TWICE: a refusal that names no request passed for the answer to one that ran.
+  it('believes a refusal without an id only on a connection that has carried nothing else', async (context) => {
+    const runner = await startRunner(context, (request) => {
+      const isReused = runner.arrived[0] !== request;
+      request.socket.write((isReused ? notRun() : '') + answer(request, 'ran'));
+    });
+    const { gateway } = await startReadyGateway(context, { 'i-1': runnerSpec('plain', runner) });
+    const { callers } = gateway.addresses;
+    expect((await read(callers, '/write/first')).status).toEqual(200);
+    expect((await read(callers, '/write/second')).status).toEqual(502);
+    expect(runner.arrived.length).toEqual(2);
+  });
 });
