--- a/src/transport/caller/makeForwarder.ts
+++ b/src/transport/caller/makeForwarder.ts
@@ -137,6 +137,7 @@
     pool,
     {
       address: `http://${callerAddress}`,
+      id,
       method: request.method,
       path: request.path,
       headers: forwardedHeaders(request, id),
--- a/src/transport/endpoint/EngineCall.ts
+++ b/src/transport/endpoint/EngineCall.ts
@@ -102,13 +102,14 @@
   }
 
   #dispatch(): void {
-    const { address, method, path, body, mayWrite } = this.#request;
+    const { id, address, method, path, body, mayWrite } = this.#request;
     // A compressed answer couldn't be read on its way through.
     const headers = { ...endpointHeaders(this.#request), 'accept-encoding': 'identity' };
     this.#exchange = exchange(
       this.#pool,
       {
         address,
+        id,
         method,
         path,
         headers,
--- a/src/transport/endpoint/ServiceCall.ts
+++ b/src/transport/endpoint/ServiceCall.ts
@@ -40,6 +40,7 @@
       pool,
       {
         address: request.address,
+        id: request.id,
         method: request.method,
         path: request.path,
         headers: endpointHeaders(request),
--- a/src/transport/endpoint/makeEndpointClient.test.ts
+++ b/src/transport/endpoint/makeEndpointClient.test.ts
@@ -379,18 +379,18 @@
     makeEndpointClient({ timing: TIMING, limits: LIMITS, now: () => now }),
   );
   const request = requestTo(server.address, { engine: false, method: 'GET', body: Buffer.of() });
-  const callOnce = async (): Promise<void> => {
-    await collect(client, request);
+  const callOnce = async (id: string): Promise<void> => {
+    await collect(client, { ...request, id });
     // The connection goes back to the pool a turn after the answer's end.
     await new Promise((resolve) => {
       setTimeout(resolve, 20);
     });
   };
-  await callOnce();
-  await callOnce();
+  await callOnce('r1');
+  await callOnce('r2');
   expect(server.connections()).toEqual(1);
   now += TIMING.connectionTrustMs + 1;
-  await callOnce();
+  await callOnce('r3');
   expect(server.connections()).toEqual(2);
 });
 
--- a/src/transport/http/ConnectionHistory.ts
+++ b/src/transport/http/ConnectionHistory.ts
@@ -6,7 +6,13 @@
   readonly isRepeated: boolean;
 }
 
-/** The requests that one connection has carried. */
+/** Requests of one connection: with more, the ids of many connections would take several megabytes. */
+const MAXIMUM_REQUESTS = 128;
+
+/**
+ * The requests that one connection has carried. A server may send the copy of an answer at any later time, and the id in
+ * it tells nothing where the same request is under way again. So a connection must carry no id twice.
+ */
 export class ConnectionHistory {
   readonly #ids = new Set<string>();
 
@@ -25,6 +31,11 @@
     return use;
   }
 
+  /** Whether the connection has carried as many requests as are kept in mind, so that it must not carry more. */
+  get isFull(): boolean {
+    return this.#requests >= MAXIMUM_REQUESTS;
+  }
+
   /** Whether the connection has carried a request with an id. */
   has(id: string | undefined): boolean {
     return id !== undefined && this.#ids.has(id);
--- /dev/null
+++ b/src/transport/http/ConnectionPool.test.ts
@@ -0,0 +1,67 @@
+import * as net from 'node:net';
+import type { AddressInfo } from 'node:net';
+import { describe, it, type TestContext } from 'node:test';
+import { expect } from 'earl';
+import { ConnectionPool, type ConnectOutcome } from './ConnectionPool.ts';
+
+const start = async (context: TestContext) => {
+  const server = net.createServer((socket) => socket.on('error', () => {}));
+  await new Promise<void>((resolve) => {
+    server.listen(0, '127.0.0.1', resolve);
+  });
+  const pool = new ConnectionPool({
+    connectTimeoutMs: 1_000,
+    connectionTrustMs: 60_000,
+    now: () => performance.now(),
+  });
+  context.after(() => {
+    pool.close();
+    server.close();
+  });
+  const address = `http://127.0.0.1:${(server.address() as AddressInfo).port}`;
+  /** Sends a request and gets its whole answer, as far as the pool can tell. */
+  const carry = async (id: string, isKept = true): Promise<net.Socket> => {
+    const outcome = await new Promise<ConnectOutcome>((resolve) => {
+      pool.connect(address, false, resolve, id);
+    });
+    if (outcome._tag === 'refused') throw new Error(outcome.detail);
+    pool.recordRequest(outcome.socket, id);
+    if (isKept) pool.release(address, outcome.socket);
+    return outcome.socket;
+  };
+  return { carry };
+};
+
+describe('ConnectionPool', () => {
+  // TWICE: the copy of a refusal came before the answer to the same request, which was then sent to another endpoint.
+  it('gives a request no connection that has carried its id', async (context) => {
+    const { carry } = await start(context);
+    const first = await carry('a');
+    expect(await carry('b')).toExactlyEqual(first);
+    const second = await carry('a');
+    expect(second === first).toEqual(false);
+    expect([await carry('a')].some((socket) => [first, second].includes(socket))).toEqual(false);
+  });
+
+  it('takes an older idle connection that has not carried the id, and keeps the others', async (context) => {
+    const { carry } = await start(context);
+    const first = await carry('a');
+    const second = await carry('a');
+    await carry('c', false);
+    expect(await carry('c')).toExactlyEqual(first);
+    expect(second.destroyed).toEqual(false);
+  });
+
+  it('closes a connection that has carried as many requests as it can tell apart', async (context) => {
+    const { carry } = await start(context);
+    const first = await carry('request');
+    let at = 0;
+    let last = first;
+    while (last === first && at < 1_000) {
+      // eslint-disable-next-line no-await-in-loop
+      last = await carry(`request-${at}`);
+      at += 1;
+    }
+    expect([last === first, first.destroyed]).toEqual([false, true]);
+  });
+});
--- a/src/transport/http/ConnectionPool.ts
+++ b/src/transport/http/ConnectionPool.ts
@@ -70,12 +70,14 @@
    * @param address - `http://IP:PORT`
    * @param fresh - whether only a new connection will do
    * @param onOutcome - told once, possibly before this method returns
+   * @param requestId - id of a request that the connection must not have carried; undefined if any will do
    * @returns a function that gives up connecting
    */
   connect(
     address: string,
     fresh: boolean,
     onOutcome: (outcome: ConnectOutcome) => void,
+    requestId?: string,
   ): () => void {
     const tell = (outcome: ConnectOutcome): void => {
       try {
@@ -85,7 +87,7 @@
         this.reportFault(error);
       }
     };
-    const idle = fresh ? undefined : this.#takeIdle(address);
+    const idle = fresh ? undefined : this.#takeIdle(address, requestId);
     if (idle) {
       tell({ _tag: 'connected', socket: idle, reused: true });
       return () => {};
@@ -124,7 +126,8 @@
    */
   release(address: string, socket: net.Socket): void {
     const idle = this.#idle.get(address) ?? [];
-    if (socket.destroyed || idle.length >= MAXIMUM_IDLE_PER_ADDRESS) {
+    const isFull = this.#histories.get(socket)?.isFull === true;
+    if (socket.destroyed || isFull || idle.length >= MAXIMUM_IDLE_PER_ADDRESS) {
       socket.destroy();
       return;
     }
@@ -160,14 +163,20 @@
     return !socket.destroyed && this.#options.now() - idleSince <= this.#options.connectionTrustMs;
   }
 
-  #takeIdle(address: string): net.Socket | undefined {
-    const connection = this.#idle.get(address)?.pop();
-    if (!connection) return undefined;
-    const { socket } = connection;
-    connection.unwatch();
-    if (this.#isTrusted(connection)) return socket;
-    socket.destroy();
-    return this.#takeIdle(address);
+  /** Takes the connection that was used last, of those that are trusted and have not carried a request with the id. */
+  #takeIdle(address: string, requestId: string | undefined): net.Socket | undefined {
+    const idle = this.#idle.get(address) ?? [];
+    for (let at = idle.length - 1; at >= 0; at -= 1) {
+      const connection = idle[at] as IdleConnection;
+      const isTrusted = this.#isTrusted(connection);
+      if (!isTrusted || this.#histories.get(connection.socket)?.has(requestId) !== true) {
+        idle.splice(at, 1);
+        connection.unwatch();
+        if (isTrusted) return connection.socket;
+        connection.socket.destroy();
+      }
+    }
+    return undefined;
   }
 
   #open(address: string, onOutcome: (outcome: ConnectOutcome) => void): () => void {
--- a/src/transport/http/exchange.ts
+++ b/src/transport/http/exchange.ts
@@ -1,7 +1,7 @@
 import * as http from 'node:http';
 import type { Socket } from 'node:net';
 import type { ConnectionUse } from './ConnectionHistory.ts';
-import type { ConnectionPool } from './ConnectionPool.ts';
+import type { ConnectionPool, ConnectOutcome } from './ConnectionPool.ts';
 import { EndProbe } from './EndProbe.ts';
 import { findHeadFault } from './findHeadFault.ts';
 
@@ -12,7 +12,7 @@
 /** One HTTP request to a server known by its address. */
 export interface HttpRequest {
   readonly address: string;
-  /** Id that the server repeats in its answer; undefined for a request without one. */
+  /** Id that the server repeats in its answer. No connection carries a request with the same id twice. */
   readonly id?: string;
   readonly method: string;
   readonly path: string;
@@ -254,7 +254,7 @@
     outgoing?.flushHeaders();
   };
 
-  const stopConnecting = pool.connect(request.address, request.fresh, (outcome) => {
+  const onConnected = (outcome: ConnectOutcome): void => {
     if (ended) return;
     if (outcome._tag === 'refused') {
       finish(outcome);
@@ -293,7 +293,9 @@
     const connection = pool.recordRequest(socket, request.id);
     if (asksFirst) askFirst(body, continueWithinMs, connection);
     else write(body, connection);
-  });
+  };
+  const { address, fresh, id } = request;
+  const stopConnecting = pool.connect(address, fresh, onConnected, id);
 
   return {
     abort: () => {
