Believe a refusal without an id only on a connection that carried no other request (REFUSED, TWICE)

Callers were told 503 of a request that ran, or it was sent to another endpoint. An answer that says that nothing was run, and names no request, passed for the answer to whatever was under way. Endpoints repeat the id of each request that has one, so that such an answer is about something else on the connection unless that has carried nothing else.

--- a/src/app/gateway/request/EndpointAttempt.ts
+++ b/src/app/gateway/request/EndpointAttempt.ts
@@ -254,11 +254,10 @@
     this.status = status;
     this.headerLines = headerLines;
     this.#answerFields = answer;
-    const isForThisRequest =
-      answer.id === request.id || (answer.id === undefined && answer.isNotRun);
     // A second copy of an answer without an id would be taken for the answer to the next request.
     if (answer.id === undefined) this.#exchange?.discardConnection();
-    if (isForThisRequest && (answer.isSigned || answer.isNotRun) && !answer.isEncoded) {
+    const isOwn = answer.id === request.id || this.#isOwnWithoutId(answer);
+    if (isOwn && (answer.isSigned || answer.isNotRun) && !answer.isEncoded) {
       this.#recordStatements(answer);
       if (answer.isNotRun && !answer.isSigned) {
         this.#onTurnedAway();
@@ -272,6 +271,11 @@
     this.#fail(`answer does not belong to this request (status ${status})`);
   }
 
+  /** Whether an answer that names no request can only be about this one: a refusal on a connection that carried no other. */
+  #isOwnWithoutId({ id, isNotRun }: DecodedResponseHeaders): boolean {
+    return id === undefined && isNotRun && this.#connection?.earlierRequests === 0;
+  }
+
   /** The head says that the request has not run, whatever follows. The rest is read so that the connection can be used again. */
   #onTurnedAway(): void {
     const { status } = this;
