--- a/test/gateway/startRunner.ts
+++ b/test/gateway/startRunner.ts
@@ -57,6 +57,15 @@
 export const notRun = (): string =>
   'HTTP/1.1 503 Service Unavailable\r\nX-Corianderwick-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n';
 
+/** A refusal that names its request, which has not run. */
+export const refusal = (
+  { headers }: ArrivedRequest,
+  status = '503 Service Unavailable',
+  more = '',
+): string =>
+  `HTTP/1.1 ${status}\r\nX-Corianderwick-Request-Id: ${headers['x-corianderwick-request-id']}\r\n` +
+  `X-Corianderwick-Not-Executed: 1\r\n${more}Content-Length: 0\r\n\r\n`;
+
 /** The head of a stream. */
 export const streamHead = (request: ArrivedRequest): string =>
   `${signed(request, '200 OK', 'Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n')}\r\n`;
