Guard against a request that runs twice where no endpoint is reached (TWICE, REFUSED)

RequestHandler.#avoid keeps no note of the endpoint of an attempt while RequestForwarding.findPeer finds a peer. A gateway ceases to reach endpoints by new connections, the request in flight is refused on its old one and forwarded, the peer declines it, and the request goes to the same endpoint over the connection that brought its refusal. A copy of that refusal passed for the answer: the caller was told 503 of a request that ran, or it ran at a further endpoint as well.

--- a/test/gateway/repeatedRequests.test.ts
+++ b/test/gateway/repeatedRequests.test.ts
@@ -1,4 +1,4 @@
-import { describe, it } from 'node:test';
+import { describe, it, type TestContext } from 'node:test';
 import { expect } from 'earl';
 import { until } from '../support/scoped.ts';
 import {
@@ -85,3 +85,77 @@
     }),
   );
 });
+
+const NOT_REACHED = 'no endpoint is reached';
+
+const untilLogged = ({ log }: GatewayStandIns, message: string): Promise<void> =>
+  until(() => log.some(({ msg }) => msg === message));
+
+/** A configuration whose requests have the time for two gateways to miss their endpoints, one after the other. */
+const makePatientConfiguration = (): Record<string, unknown> => {
+  const configuration = makeConfiguration(7);
+  const routes = configuration.routes as readonly object[];
+  return { ...configuration, routes: routes.map((route) => ({ ...route, timeout_ms: 9_000 })) };
+};
+
+/** Two gateways that know each other, each with a runner of its own, which takes one connection and refuses what waits there. */
+const startPairWithoutReach = async (context: TestContext) => {
+  const start = async (instance: string, seeds: readonly string[]) => {
+    const standIns = await startGateway(context, { instance, failureDomain: instance, seeds });
+    const runner = await startRunner(context, async (request) => {
+      runner.stopListening();
+      await untilLogged(standIns, NOT_REACHED);
+      request.socket.write(refusal(request));
+    });
+    standIns.store.put('servers', `of-${instance}`, runnerSpec('plain', runner));
+    standIns.store.put('config', 'main', makePatientConfiguration());
+    await untilReady(standIns);
+    return { ...standIns, runner };
+  };
+  const peer = await start('peer', []);
+  const cut = await start('cut', [peer.gateway.addresses.peers]);
+  await until(() => cut.log.some(({ msg, status }) => msg === 'membership' && status === 'alive'));
+  return { cut, peer };
+};
+
+describe('a gateway that reaches no endpoint any more, and whose peer declines', () => {
+  [
+    { name: 'the only endpoint', findsAnother: false },
+    { name: 'an endpoint beside which another is listed later', findsAnother: true },
+  ].forEach(({ name, findsAnother }) =>
+    // TWICE, REFUSED: the endpoint of the refused attempt wasn't avoided as long as a peer could be asked, and the request came
+    // once more to the connection that had brought its refusal, whose copy passed for the answer.
+    it(`never takes the copy of a refusal for the answer of ${name}`, async (context) => {
+      const { cut, peer } = await startPairWithoutReach(context);
+      const runs: string[] = [];
+      const other = await startRunner(context, (request) => {
+        runs.push('other');
+        request.socket.write(served(request, 'plain'));
+      });
+      cut.runner.setScript(async (request, count) => {
+        const [first = request] = cut.runner.arrived;
+        if (count === 1) {
+          cut.runner.stopListening();
+          await untilLogged(cut, NOT_REACHED);
+          request.socket.write(refusal(request));
+          return;
+        }
+        runs.push('of-cut');
+        if (findsAnother) await list(cut, 'other', runnerSpec('plain', other));
+        const copy = request.socket === first.socket ? refusal(first) : '';
+        request.socket.write(copy + served(request, 'plain'));
+      });
+      const { status } = await call(cut.gateway.addresses.callers, {
+        path: '/write/',
+        method: 'POST',
+        body: 'order',
+        headers: { 'x-corianderwick-deadline-ms': '8000' },
+      });
+      const forwarded = cut.log.filter(({ msg }) => msg === 'forwarding ended');
+      expect(forwarded.map((line) => line.status)).toEqual([421]);
+      expect(peer.runner.arrived.length).toEqual(1);
+      // Its endpoint takes no new connection, so that a refusal is right as well if the request hasn't run.
+      expect([status, runs]).toEqual(runs.length === 0 ? [503, []] : [200, runs.slice(0, 1)]);
+    }),
+  );
+});
