Guard against a resumable stream that goes on elsewhere while it runs (TWICE)

The same way as behind two ids at one address, for a stream that may run again: after the copy of the refusal it went on at a further endpoint, and the connection of the first was kept as idle, so that the first wasn't told to stop.

--- a/test/gateway/repeatedRequests.test.ts
+++ b/test/gateway/repeatedRequests.test.ts
@@ -43,10 +43,11 @@
     [
       ['a plain service', '/write/', 'plain', 'ran'],
       ['a stream', '/stream/', 'model', event(1)],
+      ['a resumable stream', '/resumed/', 'model', event(1)],
     ] as const
   ).forEach(([name, path, service, ran]) =>
     // TWICE: a request came under the new id to the connection that had brought its 421 under the old one, whose copy
-    // passed for the answer.
+    // passed for the answer. A resumable stream went on at another endpoint while this one still worked on it.
     it(`never takes the copy of a refusal for the answer under the other id: ${name}`, async (context) => {
       const standIns = await startGateway(context);
       const runs: string[] = [];
