Fail an answer whose head holds that of another one (MIXED)

A copy that ends inside its status line or a header's value, right before the next answer, was parsed as one head with it: the caller got the status of the copy with stamp and body of the other answer, such as 200 with the body of a 500. A status line inside a reason phrase or a header fails the answer now, as other spoiled heads do.

npm test -- test/gateway/copies.test.ts: the three new cases failed before (200, 200 and 404 in place of 502).

--- a/src/transport/http/findHeadFault.ts
+++ b/src/transport/http/findHeadFault.ts
@@ -3,6 +3,8 @@
 
 /** Lower ones belong to interim answers, or to none. */
 const LOWEST_FINAL_STATUS = 200;
+/** Within a head it shows that an answer without its end stands before another one, and that the parser took both for one. */
+const STATUS_LINE = /HTTP\/1\.[01] \d{3}/;
 
 /**
  * Checks what HTTP demands of an answer's head, beyond what Node's parser does: the parser takes any three digits as the
@@ -13,9 +15,12 @@
  */
 export const findHeadFault = ({
   statusCode = 0,
+  statusMessage = '',
   rawHeaders,
-}: Pick<IncomingMessage, 'statusCode' | 'rawHeaders'>): string | undefined => {
+}: Pick<IncomingMessage, 'statusCode' | 'statusMessage' | 'rawHeaders'>): string | undefined => {
   if (statusCode < LOWEST_FINAL_STATUS) return `status ${statusCode} ends no answer`;
+  if ([statusMessage, ...rawHeaders].some((part) => STATUS_LINE.test(part)))
+    return 'the heads of two answers are joined';
   try {
     for (let index = 0; index + 1 < rawHeaders.length; index += 2) {
       const name = rawHeaders[index] ?? '';
--- a/test/gateway/copies.test.ts
+++ b/test/gateway/copies.test.ts
@@ -134,6 +134,28 @@
     }),
   );
 
+  (
+    [
+      ['within its status line', 'HTTP/1.1 200 O', '500 Internal Server Error'],
+      ['within the value of a header', 'HTTP/1.1 200 OK\r\nX-Note: a', '500 Internal Server Error'],
+      ['within the status line of a failure', 'HTTP/1.1 404 Not F', '200 OK'],
+    ] as const
+  ).forEach(([name, copy, status]) =>
+    // MIXED: a copy without its end and the answer that followed were read as one head, with the status of the copy.
+    it(`never takes the status of a copy that is cut ${name}`, async (context) => {
+      const runner = await startRunner(context, (request) => {
+        const isFirst = request.line.includes('first');
+        request.socket.write(
+          isFirst ? answer(request, 'first') : copy + answer(request, 'own', status),
+        );
+      });
+      const { gateway } = await startReadyGateway(context, { 'i-1': runnerSpec('plain', runner) });
+      const { callers } = gateway.addresses;
+      expect((await read(callers, '/write/first')).status).toEqual(200);
+      expect((await read(callers, '/write/second')).status).toEqual(502);
+    }),
+  );
+
   // REFUSED, TWICE: a refusal that names no request passed for the answer to one that ran.
   it('believes a refusal without an id only on a connection that has carried nothing else', async (context) => {
     const runner = await startRunner(context, (request) => {
