Bound what a connection's history takes, and record the ids of all calls (TWICE)

Ids of 4,000 characters took 505 kB a connection, since only their number had a bound; a connection is full at 8,192 characters too. An id that came 200 times in a row opened 200 connections, of which 65 stayed open: of idle connections that have all carried the id which comes next, the oldest is closed if there are two.

--- a/src/transport/client/Caller.ts
+++ b/src/transport/client/Caller.ts
@@ -156,6 +156,7 @@
       this.#pool,
       {
         address: `http://${entry}`,
+        id,
         method: call.method,
         path: call.path,
         headers,
--- a/src/transport/endpoint/EngineCall.ts
+++ b/src/transport/endpoint/EngineCall.ts
@@ -131,6 +131,7 @@
       this.#pool,
       {
         address: this.#request.address,
+        id: this.#request.id,
         method: 'GET',
         path: this.#streamPath(''),
         headers: {
@@ -307,6 +308,7 @@
       this.#pool,
       {
         address: this.#request.address,
+        id: this.#request.id,
         method,
         path: this.#streamPath(suffix),
         headers: { [REQUEST_ID_HEADER]: this.#request.id },
--- a/src/transport/endpoint/makeEndpointClient.test.ts
+++ b/src/transport/endpoint/makeEndpointClient.test.ts
@@ -371,7 +371,7 @@
   expect(tagsOf(events)).toEqual('head 1');
 });
 
-test('a connection is used again within its trusted time and not after it', async (context) => {
+test('a connection is used again within its trusted time and not after it, and for no id twice', async (context) => {
   let now = 0;
   const server = await startInlineServer(context, (_request, response) => response.end('ok'));
   const client = await runScoped(
@@ -389,9 +389,12 @@
   await callOnce('r1');
   await callOnce('r2');
   expect(server.connections()).toEqual(1);
+  // TWICE: the copy of an answer would pass for the answer to the same request.
+  await callOnce('r1');
+  expect(server.connections()).toEqual(2);
   now += TIMING.connectionTrustMs + 1;
   await callOnce('r3');
-  expect(server.connections()).toEqual(2);
+  expect(server.connections()).toEqual(3);
 });
 
 test('orders are told as accepted, fenced, refused or unsettled', async (context) => {
--- a/src/transport/http/ConnectionHistory.test.ts
+++ b/src/transport/http/ConnectionHistory.test.ts
@@ -18,16 +18,22 @@
     expect(history.record(undefined)).toEqual({ earlierRequests: 1, isRepeated: false });
   });
 
-  // TWICE: an id that is forgotten could come to its connection again.
-  it('is full before it would have to forget an id', () => {
+  const fill = (lengthOfId: number): number => {
     const history = new ConnectionHistory();
     let count = 0;
-    while (!history.isFull) {
-      history.record(`request-${count}`);
+    while (!history.isFull && count < 1_000) {
+      history.record(`${count}`.padEnd(lengthOfId, '-'));
       count += 1;
     }
-    expect(Array.from({ length: count }, (_, at) => history.has(`request-${at}`))).toEqual(
-      Array.from({ length: count }, () => true),
-    );
+    return count;
+  };
+
+  it('is full after 128 requests', () => {
+    expect([fill(16), fill(36)]).toEqual([128, 128]);
+  });
+
+  // Guards against the memory that callers take who choose long ids.
+  it('is full after few requests with long ids', () => {
+    expect([fill(4_096), fill(16_000)]).toEqual([2, 1]);
   });
 });
--- a/src/transport/http/ConnectionHistory.ts
+++ b/src/transport/http/ConnectionHistory.ts
@@ -6,8 +6,10 @@
   readonly isRepeated: boolean;
 }
 
-/** Requests of one connection: with more, the ids of many connections would take several megabytes. */
+/** With ids of 16 characters this is 6 kB; a new connection for each 128 requests hardly costs anything. */
 const MAXIMUM_REQUESTS = 128;
+/** Callers choose the length of their ids. */
+const MAXIMUM_ID_CHARACTERS = 8_192;
 
 /**
  * The requests that one connection has carried. A server may send the copy of an answer at any later time, and the id in
@@ -18,6 +20,8 @@
 
   #requests = 0;
 
+  #idCharacters = 0;
+
   /**
    * Records a request that is about to be sent.
    *
@@ -27,13 +31,16 @@
   record(id: string | undefined): ConnectionUse {
     const use = { earlierRequests: this.#requests, isRepeated: this.has(id) };
     this.#requests += 1;
-    if (id !== undefined) this.#ids.add(id);
+    if (id !== undefined && !use.isRepeated) {
+      this.#ids.add(id);
+      this.#idCharacters += id.length;
+    }
     return use;
   }
 
-  /** Whether the connection has carried as many requests as are kept in mind, so that it must not carry more. */
+  /** Whether the connection has carried as many requests as are recorded, so that it must not carry more. */
   get isFull(): boolean {
-    return this.#requests >= MAXIMUM_REQUESTS;
+    return this.#requests >= MAXIMUM_REQUESTS || this.#idCharacters >= MAXIMUM_ID_CHARACTERS;
   }
 
   /** Whether the connection has carried a request with an id. */
--- a/src/transport/http/ConnectionPool.test.ts
+++ b/src/transport/http/ConnectionPool.test.ts
@@ -52,6 +52,16 @@
     expect(second.destroyed).toEqual(false);
   });
 
+  // Guards against one id that comes all the time, and opens as many connections as may be idle.
+  it('keeps few connections that have all carried the id which comes next', async (context) => {
+    const { carry } = await start(context);
+    const sockets = new Set<net.Socket>();
+    // eslint-disable-next-line no-await-in-loop
+    for (let at = 0; at < 20; at += 1) sockets.add(await carry('a'));
+    expect(sockets.size).toEqual(20);
+    expect([...sockets].filter(({ destroyed }) => !destroyed).length).toBeLessThan(4);
+  });
+
   it('closes a connection that has carried as many requests as it can tell apart', async (context) => {
     const { carry } = await start(context);
     const first = await carry('request');
--- a/src/transport/http/ConnectionPool.ts
+++ b/src/transport/http/ConnectionPool.ts
@@ -25,6 +25,8 @@
 }
 
 const MAXIMUM_IDLE_PER_ADDRESS = 64;
+/** Idle connections that may be kept though they have all carried the id of the request that comes next. */
+const MAXIMUM_PASSED_OVER = 2;
 const KEEP_ALIVE_PROBE_MS = 10_000;
 
 /** Returns undefined for what is no address, such as one with a port out of range. */
@@ -115,7 +117,9 @@
    * @returns what the connection had carried before
    */
   recordRequest(socket: net.Socket, id: string | undefined): ConnectionUse {
-    return (this.#histories.get(socket) ?? new ConnectionHistory()).record(id);
+    const history = this.#histories.get(socket);
+    // A connection that has closed meanwhile is one of which nothing is known.
+    return history?.record(id) ?? { earlierRequests: Number.POSITIVE_INFINITY, isRepeated: false };
   }
 
   /**
@@ -166,16 +170,21 @@
   /** Takes the connection that was used last, of those that are trusted and have not carried a request with the id. */
   #takeIdle(address: string, requestId: string | undefined): net.Socket | undefined {
     const idle = this.#idle.get(address) ?? [];
+    const remove = (at: number): net.Socket | undefined => {
+      const [connection] = idle.splice(at, 1);
+      connection?.unwatch();
+      return connection?.socket;
+    };
+    let passedOver = 0;
     for (let at = idle.length - 1; at >= 0; at -= 1) {
       const connection = idle[at] as IdleConnection;
-      const isTrusted = this.#isTrusted(connection);
-      if (!isTrusted || this.#histories.get(connection.socket)?.has(requestId) !== true) {
-        idle.splice(at, 1);
-        connection.unwatch();
-        if (isTrusted) return connection.socket;
-        connection.socket.destroy();
-      }
+      const hasCarried = this.#histories.get(connection.socket)?.has(requestId) === true;
+      if (!this.#isTrusted(connection)) remove(at)?.destroy();
+      else if (!hasCarried) return remove(at);
+      else passedOver += 1;
     }
+    // An id that comes again and again would open connections without end.
+    if (passedOver >= MAXIMUM_PASSED_OVER) remove(0)?.destroy();
     return undefined;
   }
 
--- a/src/transport/http/exchange.ts
+++ b/src/transport/http/exchange.ts
@@ -12,7 +12,10 @@
 /** One HTTP request to a server known by its address. */
 export interface HttpRequest {
   readonly address: string;
-  /** Id that the server repeats in its answer. No connection carries a request with the same id twice. */
+  /**
+   * Id that the server repeats in its answer; undefined for a request without one. No connection carries two requests with
+   * the same id.
+   */
   readonly id?: string;
   readonly method: string;
   readonly path: string;
--- a/src/transport/http/requestWhole.ts
+++ b/src/transport/http/requestWhole.ts
@@ -7,6 +7,8 @@
 /** One small HTTP request whose answer is read as a whole. */
 export interface WholeRequest {
   readonly address: string;
+  /** Id that the server repeats in its answer; undefined for a request without one. */
+  readonly id?: string;
   readonly method: string;
   readonly path: string;
   readonly headers?: Readonly<Record<string, string>>;
@@ -63,6 +65,7 @@
     pool,
     {
       address: request.address,
+      ...(request.id !== undefined && { id: request.id }),
       method: request.method,
       path: request.path,
       headers: { ...request.headers, ...(body && { 'content-type': 'application/json' }) },
