Bound what the requests of callers hold in memory, by the memory of the instance

Clients that keep no limit ended a gateway: each body had a bound, all together had none, nor had the answers that callers don't read. The collector of a body doubled its block, and a body far over the limit was read up to it.

One account holds every body from its first byte to the answer of its request, for callers and forwarding peers, and answers that aren't read. Beyond it the one that has held most for longest is given up: a request that still arrives gets 503 and has not run, the connection of an unread answer is closed. What an endpoint may run is never given up, nor a single request; large ones leave a quarter to small ones. An announced length over the limit is answered 413 at once. Where the length is known, blocks don't grow beyond it. Unfinished answers of endpoints have 6 % of the memory, 32 MiB at most.

--- a/src/app/gateway/reach/PeerAttempt.ts
+++ b/src/app/gateway/reach/PeerAttempt.ts
@@ -115,6 +115,7 @@
         return;
       case 'head':
         this.framing = event.framing;
+        this.#reader.expect(event.headers['content-length']);
         this.status = event.status;
         this.headerLines = event.headerLines;
         this.#answerFields = this.#options.context.wire.readResponseHeaders(
--- a/src/app/gateway/reach/receiveForwarded.ts
+++ b/src/app/gateway/reach/receiveForwarded.ts
@@ -3,6 +3,7 @@
 import {
   decodeForwardEnvelope,
   isForwardLine,
+  type CallerMemory,
   type ForwardEnvelope,
 } from '../../../protocol/gateway/index.ts';
 import type { ClientLimits } from '../../../state/gateway/index.ts';
@@ -17,6 +18,8 @@
 export interface ForwardedReceiver {
   readonly secret: string;
   readonly limits: () => ClientLimits;
+  /** Shared with the requests that callers send to this gateway. */
+  readonly memory: CallerMemory;
   readonly onRequest: (
     inbound: InboundRequest,
     answer: InboundAnswer,
@@ -55,9 +58,10 @@
  * @returns a listener for the HTTP server for peers
  */
 export const receiveForwarded = (receiver: ForwardedReceiver): RequestListener => {
-  const { secret, limits, onRequest, onFault, logger, now } = receiver;
+  const { secret, limits, memory, onRequest, onFault, logger, now } = receiver;
   const connections = new InboundConnections({
     now,
+    memory,
     limits: () => {
       const callerLimits = limits();
       const maximumHeaderBytes = callerLimits.maximumHeaderBytes + ENVELOPE_BYTES;
--- a/src/app/gateway/request/AnswerReader.ts
+++ b/src/app/gateway/request/AnswerReader.ts
@@ -19,7 +19,7 @@
 
 /** Reads the body of an answer: a stream event by event, any other answer as a whole. */
 export class AnswerReader {
-  readonly #body = new ByteCollector();
+  #body = new ByteCollector();
 
   readonly #eventCutter = new EventCutter();
 
@@ -45,6 +45,15 @@
     return { events: count, unfinishedBytes: pendingSize };
   }
 
+  /**
+   * Records the length of an answer that isn't a stream, before its first bytes.
+   *
+   * @param length - value of the header that announces it; undefined for an answer without one
+   */
+  expect(length: string | undefined): void {
+    if (length !== undefined) this.#body = new ByteCollector(Number(length));
+  }
+
   /** Reads the next bytes of a stream. */
   readStream(bytes: Buffer): ReadOutcome {
     const { bytes: completeEvents, lastId } = this.#eventCutter.push(bytes);
--- a/src/app/gateway/request/EndpointAttempt.ts
+++ b/src/app/gateway/request/EndpointAttempt.ts
@@ -185,6 +185,7 @@
       case 'head':
         this.#hear();
         this.framing = event.framing;
+        this.#reader.expect(event.headers['content-length']);
         this.#onHead(event.status, event.headerLines);
         return;
       case 'data':
--- a/src/app/gateway/runGateway.ts
+++ b/src/app/gateway/runGateway.ts
@@ -6,7 +6,6 @@
 import type * as Scope from 'effect/Scope';
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
 import {
-  AnswerMemory,
   DomainDrains,
   EndpointDirectory,
   PlainEndpointSelector,
@@ -36,7 +35,7 @@
 import type { GatewayOptions, RunningGateway } from './GatewayOptions.ts';
 import { LateBound } from './LateBound.ts';
 import { makeHedgeMonitor } from './placement/HedgeMonitor.ts';
-import { makeConnectionPools } from './makeConnectionPools.ts';
+import { makeResources } from './makeResources.ts';
 import { makeGroupBounds } from './makeGroupBounds.ts';
 import { makeIncarnation } from './makeIncarnation.ts';
 import { PauseMonitor } from './PauseMonitor.ts';
@@ -91,7 +90,8 @@
     const directory = new EndpointDirectory(isUsable);
     const plainEndpoints = new PlainServiceBalancer();
     const timing = yield* Schema.decodeEffect(EntryTiming)(PEER_TIMING).pipe(Effect.orDie);
-    const { endpointPool, peerPool, storePool } = yield* makeConnectionPools(now, faults);
+    const resources = yield* makeResources(settings, now, faults);
+    const { endpointPool, answerMemory, inbound } = resources;
     const lateBound = {
       group: new LateBound<PeerGroup>(),
       gateway: new LateBound<Gateway>(),
@@ -114,7 +114,7 @@
     });
     const forwarder = new PeerForwarder({
       group: () => lateBound.group.get(),
-      pool: peerPool,
+      pool: resources.peerPool,
       wire,
       secret: PEER_SECRET,
       failureDomain: settings.failureDomain,
@@ -130,7 +130,7 @@
       logger,
       now,
     });
-    const store = options.makeStore(storePool, (call) => metrics.countStoreCall(call));
+    const store = options.makeStore(resources.storePool, (call) => metrics.countStoreCall(call));
     const { endpointLimits, quotas, retryBudget } = makeGroupBounds(bounds, now());
     const hedging = makeHedgeMonitor(settings, {
       group: () => lateBound.group.get(),
@@ -222,7 +222,7 @@
       rollouts,
       forwarder,
       endpointPool,
-      answerMemory: new AnswerMemory(),
+      answerMemory,
       metrics,
       logger,
       now,
@@ -237,8 +237,8 @@
     lateBound.gateway.set(gateway);
 
     const server = yield* makeGatewayServer({
+      ...inbound,
       address: settings.callers,
-      now,
       limits: () => gateway.routeIndex?.table.limits ?? DEFAULT_CLIENT_LIMITS,
       onRequest: (request, answer) => gateway.serve(request, answer),
       onRejected: (status, reason) => {
@@ -254,12 +254,12 @@
       incarnation: () => lateBound.group.peek()?.incarnation ?? '',
       now,
       onRequest: receiveForwarded({
+        ...inbound,
         secret: PEER_SECRET,
         limits: () => gateway.routeIndex?.table.limits ?? DEFAULT_CLIENT_LIMITS,
         onRequest: (request, answer, envelope) => gateway.serveForwarded(request, answer, envelope),
         onFault: faults.reporter('forwarded request'),
         logger,
-        now,
       }),
     });
     const group = new PeerGroup({
--- a/src/protocol/gateway/index.ts
+++ b/src/protocol/gateway/index.ts
@@ -1,3 +1,4 @@
+export type { CallerHolding, CallerMemory } from './CallerMemory.ts';
 export { EndpointStatement } from './EndpointStatement.ts';
 export {
   FORWARD_HEADER,
--- a/src/state/gateway/GatewaySettings.ts
+++ b/src/state/gateway/GatewaySettings.ts
@@ -8,6 +8,14 @@
 export const ListenAddress = Schema.Struct({ host: Schema.NonEmptyString, port: Port });
 export type ListenAddress = typeof ListenAddress.Type;
 
+/** What a process may use before the platform ends it, or refuses it more. */
+export const ProcessResources = Schema.Struct({
+  memoryBytes: Schema.Finite.check(Schema.isBetween({ minimum: 1e6, maximum: 1e13 })),
+  /** Open sockets and files. */
+  descriptors: Schema.Finite.check(Schema.isBetween({ minimum: 64, maximum: 1e8 })),
+});
+export type ProcessResources = typeof ProcessResources.Type;
+
 /** Service-level bounds of the deployment that a gateway enforces. */
 export const GatewayBounds = Schema.Struct({
   /** Time from SIGTERM to SIGKILL. */
@@ -81,6 +89,8 @@
    * domain, the one with the most watches the store.
    */
   cores: Schema.Finite.check(Schema.isBetween({ minimum: 0.01, maximum: 4_096 })),
+  /** Memory and descriptors of the process; a small instance's if absent. */
+  resources: Schema.optionalKey(ProcessResources),
   bounds: GatewayBounds,
   /** Second copies of slow requests; none are sent if it is absent. */
   hedging: Schema.optionalKey(
--- a/src/state/gateway/index.ts
+++ b/src/state/gateway/index.ts
@@ -4,6 +4,7 @@
   GatewaySettings,
   ListenAddress,
   MAXIMUM_HEDGE_SHARE,
+  ProcessResources,
 } from './GatewaySettings.ts';
 export { RolloutOrder, RolloutState } from './RolloutOrder.ts';
 export {
--- a/src/transport/gateway/InboundConnections.ts
+++ b/src/transport/gateway/InboundConnections.ts
@@ -1,8 +1,11 @@
 import type * as http from 'node:http';
 import type { Socket } from 'node:net';
 import type { ClientLimits } from '../../state/gateway/index.ts';
-import { ByteCollector } from '../http/index.ts';
+import type { CallerMemory } from '../../protocol/gateway/index.ts';
 import type { InboundAnswer, InboundRequest } from './InboundRequest.ts';
+import { makeInboundAnswer } from './makeInboundAnswer.ts';
+import { BodyReader, type UnreadableBody } from './BodyReader.ts';
+import { containFault, rejectRequest } from './rejectRequest.ts';
 
 /** Limits of requests, and where they go. */
 export interface InboundOptions {
@@ -12,6 +15,8 @@
     ClientLimits,
     'maximumHeaderBytes' | 'maximumBodyBytes' | 'idleTimeoutMs'
   >;
+  /** Limits what the requests of callers, and answers that they don't read, take together. */
+  readonly memory: CallerMemory;
   readonly onRequest: (request: InboundRequest, answer: InboundAnswer) => void;
   /** Told of requests that are refused before they reach `onRequest`. */
   readonly onRejected: (status: number, reason: string) => void;
@@ -23,7 +28,6 @@
   requestTimeout: 408,
   contentTooLarge: 413,
   headerTooLarge: 431,
-  badGateway: 502,
   unavailable: 503,
 } as const;
 const ENDING = 'the gateway is stopping';
@@ -39,90 +43,34 @@
 export const PARSER_HEADER_BYTES = 65_536;
 /** Most header lines of a request. */
 export const PARSER_HEADER_COUNT = 1_000;
-/**
- * Most bytes of an answer that are held for a caller who reads slowly, before the endpoint has to wait. An endpoint cuts
- * an answer that isn't read for some seconds, and most streams are smaller than this.
- */
-const MAXIMUM_HELD_BYTES = 65_536;
-
 const headerBytes = (lines: readonly string[]): number =>
   lines.reduce((sum, part) => sum + part.length + 2, 0);
 
-/** Answers and closes, for requests whose rest won't be read. */
-const reject = (response: http.ServerResponse, status: number): void => {
-  response.writeHead(status, { connection: 'close', 'content-length': 0 });
-  response.end();
-};
+/** A request whose head has been read. */
+interface PendingRequest {
+  readonly incoming: http.IncomingMessage;
+  readonly response: http.ServerResponse;
+  readonly arrivedAt: number;
+}
 
-/** Runs a listener of one request, and ends that request if it throws: with 502, since an endpoint may have run it. */
-const contain = (
-  response: http.ServerResponse,
-  onFault: (error: unknown) => void,
-  run: () => void,
-): void => {
-  try {
-    run();
-  } catch (error) {
-    if (response.headersSent || response.destroyed) response.destroy();
-    else reject(response, STATUS.badGateway);
-    onFault(error);
+const rejectionOf = (
+  reason: UnreadableBody,
+): { readonly status: number; readonly detail: string } => {
+  switch (reason._tag) {
+    case 'tooLarge':
+      return { status: STATUS.contentTooLarge, detail: 'body is over the limit' };
+    case 'stalled':
+      return { status: STATUS.requestTimeout, detail: 'body ceased to arrive' };
+    case 'outOfMemory':
+      return {
+        status: STATUS.unavailable,
+        detail: 'the requests of all callers take too much memory',
+      };
+    default:
+      return reason satisfies never;
   }
 };
 
-const makeAnswer = (
-  response: http.ServerResponse,
-  isDraining: () => boolean,
-  onFault: (error: unknown) => void,
-): InboundAnswer => {
-  const takesChunks = response.useChunkedEncodingByDefault;
-  let endsWithConnection = false;
-  const writeHead = (
-    status: number,
-    headerLines: readonly string[],
-    more: readonly string[],
-  ): void => {
-    const closing = isDraining() ? ['Connection', 'close'] : [];
-    response.writeHead(status, [...headerLines, ...more, ...closing]);
-  };
-  return {
-    send: (status, headerLines, body) => {
-      if (response.headersSent || response.destroyed) return;
-      contain(response, onFault, () => {
-        writeHead(status, headerLines, ['Content-Length', String(body.length)]);
-        response.end(body);
-      });
-    },
-    begin: (status, headerLines) => {
-      if (response.headersSent || response.destroyed) return;
-      endsWithConnection = !takesChunks;
-      const framing = takesChunks ? ['Transfer-Encoding', 'chunked'] : ['Connection', 'close'];
-      contain(response, onFault, () => writeHead(status, headerLines, framing));
-    },
-    write: (bytes) => {
-      // Node emits an error, which nothing would catch, for a write to an answer that has ended.
-      if (response.writableEnded) return true;
-      response.write(bytes);
-      return response.writableLength < MAXIMUM_HELD_BYTES;
-    },
-    end: () => {
-      response.end();
-    },
-    abort: () => {
-      // Towards HTTP/1.0 a clean end of the connection would make the answer look whole.
-      if (endsWithConnection) response.socket?.resetAndDestroy();
-      else response.destroy();
-    },
-    onDrain: (listener) => {
-      response.on('drain', () => contain(response, onFault, listener));
-    },
-    onClosed: (listener) => {
-      response.once('close', () => {
-        if (!response.writableFinished) contain(response, onFault, listener);
-      });
-    },
-  };
-};
-
 /** What happens on a connection. */
 interface ConnectionState {
   /** Requests that have no complete answer yet. */
@@ -200,7 +148,12 @@
     const known = this.#states.get(socket);
     if (known !== undefined) return known;
     const quietSince = this.#options.now();
-    const state = { unanswered: new Set(), requestCount: 0, answeredBytes: 0, quietSince };
+    const state = {
+      unanswered: new Set(),
+      requestCount: 0,
+      answeredBytes: 0,
+      quietSince,
+    };
     this.#states.set(socket, state as ConnectionState);
     return state as ConnectionState;
   }
@@ -215,18 +168,18 @@
     this.#unread.delete(response);
     if (response.headersSent) return;
     this.#options.onRejected(STATUS.unavailable, ENDING);
-    reject(response, STATUS.unavailable);
+    rejectRequest(response, STATUS.unavailable);
   }
 
   /** Reads a request to its end and passes it on, or refuses it. */
   onRequest(incoming: http.IncomingMessage, response: http.ServerResponse): void {
-    const { now, limits, onRejected } = this.#options;
-    const arrivedAt = now();
+    const { now } = this.#options;
     const { socket } = incoming;
     if (!this.#states.has(socket)) this.add(socket);
     const state = this.#stateOf(socket);
     state.requestCount += 1;
     state.unanswered.add(response);
+    this.#unread.add(response);
     response.once('close', () => {
       state.unanswered.delete(response);
       this.#unread.delete(response);
@@ -237,72 +190,57 @@
       this.#refuse(response);
       return;
     }
+    this.#read({ incoming, response, arrivedAt: now() });
+  }
+
+  #read({ incoming, response, arrivedAt }: PendingRequest): void {
+    const { now, limits, memory, onRejected, onRequest, onFault } = this.#options;
     const { maximumHeaderBytes, maximumBodyBytes, idleTimeoutMs } = limits();
     if (headerBytes(incoming.rawHeaders) > maximumHeaderBytes) {
       onRejected(STATUS.headerTooLarge, 'head is over the limit');
-      reject(response, STATUS.headerTooLarge);
+      rejectRequest(response, STATUS.headerTooLarge);
       return;
     }
-    this.#readBody(incoming, response, maximumBodyBytes, arrivedAt);
-    if (!incoming.complete) this.#limitPauses(incoming, response, idleTimeoutMs);
-  }
-
-  /** Refuses a request whose body ceases to arrive. One that arrives slowly may take as long as it needs. */
-  #limitPauses(
-    incoming: http.IncomingMessage,
-    response: http.ServerResponse,
-    idleTimeoutMs: number,
-  ): void {
-    const timer = setTimeout(() => {
-      if (!this.#unread.delete(response) || response.headersSent) return;
-      this.#options.onRejected(STATUS.requestTimeout, 'body ceased to arrive');
-      reject(response, STATUS.requestTimeout);
-    }, idleTimeoutMs);
-    incoming.on('data', () => timer.refresh());
-    incoming.once('close', () => clearTimeout(timer));
-    incoming.once('end', () => clearTimeout(timer));
-  }
-
-  #readBody(
-    incoming: http.IncomingMessage,
-    response: http.ServerResponse,
-    maximumBytes: number,
-    arrivedAt: number,
-  ): void {
     const { headers } = incoming;
     const hasBody =
       headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined;
-    const collected = new ByteCollector();
-    this.#unread.add(response);
-    let size = 0;
-    let overflown = false;
-    incoming.on('data', (chunk: Buffer) => {
-      size += chunk.length;
-      if (overflown) return;
-      if (size > maximumBytes) {
-        overflown = true;
-        this.#options.onRejected(STATUS.contentTooLarge, 'body is over the limit');
-        reject(response, STATUS.contentTooLarge);
-        return;
-      }
-      collected.append(chunk);
-    });
-    // A caller that leaves midway has no request to answer.
-    incoming.on('error', () => {});
-    incoming.on('end', () => {
-      if (overflown || !incoming.complete || !this.#unread.delete(response)) return;
-      const body = collected.take();
-      const { onRequest, onFault } = this.#options;
-      const request = {
-        method: incoming.method ?? 'GET',
-        target: incoming.url ?? '/',
-        host: headers.host ?? '',
-        headerLines: incoming.rawHeaders,
-        body: hasBody ? body : undefined,
-        arrivedAt,
-      };
-      const answer = makeAnswer(response, () => this.draining, onFault);
-      contain(response, onFault, () => onRequest(request, answer));
+    const reader = new BodyReader({
+      incoming,
+      maximumBytes: maximumBodyBytes,
+      idleTimeoutMs,
+      now,
+      open: (onYield) => memory.open(now(), onYield),
+      onWhole: (body, held) => {
+        if (!this.#unread.delete(response)) {
+          held.release();
+          return;
+        }
+        response.once('close', () => held.release());
+        held.settle();
+        const request = {
+          method: incoming.method ?? 'GET',
+          target: incoming.url ?? '/',
+          host: headers.host ?? '',
+          headerLines: incoming.rawHeaders,
+          body: hasBody ? body : undefined,
+          arrivedAt,
+        };
+        const answer = makeInboundAnswer({
+          response,
+          unread: memory.open(now(), () => response.destroy()),
+          isDraining: () => this.draining,
+          now,
+          onFault,
+        });
+        containFault(response, onFault, () => onRequest(request, answer));
+      },
+      onUnreadable: (reason) => {
+        if (!this.#unread.delete(response) || response.headersSent) return;
+        const { status, detail } = rejectionOf(reason);
+        onRejected(status, detail);
+        rejectRequest(response, status);
+      },
     });
+    reader.start();
   }
 }
--- a/src/transport/gateway/makeGatewayServer.test.ts
+++ b/src/transport/gateway/makeGatewayServer.test.ts
@@ -3,17 +3,23 @@
 import { setTimeout as wait } from 'node:timers/promises';
 import { expect } from 'earl';
 import fc from 'fast-check';
+import type { CallerMemory } from '../../protocol/gateway/index.ts';
 import { runScoped, until } from '../../../test/support/scoped.ts';
-import type { InboundRequest } from './InboundRequest.ts';
-import { makeGatewayServer } from './makeGatewayServer.ts';
+import { makeGatewayServer, type GatewayServerOptions } from './makeGatewayServer.ts';
 
 const REQUEST = 'GET / HTTP/1.1\r\nHost: example\r\n\r\n';
 const HEADER_TIMEOUT_MS = 300;
 const SEED = 3;
+const SERVED = Buffer.from('served');
+
+/** Memory without a limit. */
+const BOUNDLESS: CallerMemory = {
+  open: () => ({ resize: () => {}, settle: () => {}, release: () => {} }),
+};
 
 const start = (
   context: TestContext,
-  onRequest: (request: InboundRequest) => void = () => {},
+  onRequest: GatewayServerOptions['onRequest'] = (_, answer) => answer.send(200, [], SERVED),
   faults: unknown[] = [],
 ) =>
   runScoped(
@@ -27,10 +33,8 @@
         headerTimeoutMs: HEADER_TIMEOUT_MS,
         idleTimeoutMs: 5_000,
       }),
-      onRequest: (request, answer) => {
-        onRequest(request);
-        answer.send(200, [], Buffer.from('served'));
-      },
+      memory: BOUNDLESS,
+      onRequest,
       onRejected: () => {},
       onFault: (error) => faults.push(error),
       onUnavailable: () => {},
@@ -57,8 +61,9 @@
   it('ends a request alone that cannot be handled, and reports it', async (context) => {
     const faults: unknown[] = [];
     const broken = new Error('cannot be handled');
-    const fail = ({ target }: InboundRequest): void => {
+    const fail: GatewayServerOptions['onRequest'] = ({ target }, answer) => {
       if (target === '/broken') throw broken;
+      answer.send(200, [], SERVED);
     };
     const { address } = await start(context, fail, faults);
     const [one, other] = [connect(context, address), connect(context, address)];
@@ -84,8 +89,9 @@
   // Guards against requests that are read differently when their bytes arrive in other parts.
   it('reads the same requests whichever parts their bytes come in', async (context) => {
     const bodies: string[] = [];
-    const server = await start(context, ({ method, target, body }) => {
+    const server = await start(context, ({ method, target, body }, answer) => {
       bodies.push(`${method} ${target} ${body?.toString()}`);
+      answer.send(200, [], SERVED);
     });
     const text =
       'POST /a HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n' +
--- a/src/transport/http/ByteCollector.ts
+++ b/src/transport/http/ByteCollector.ts
@@ -1,4 +1,7 @@
 const SMALLEST_CAPACITY = 1_024;
+const GROWTH = 2;
+/** Blocks that are outgrown take memory for a while, so there are fewer where the size is known and bounds them. */
+const GROWTH_TO_EXPECTED = 4;
 
 /**
  * Collects bytes that arrive in pieces, in one block of memory. A piece that is kept by itself costs a hundred bytes and more,
@@ -11,6 +14,15 @@
 
   #pieces = 0;
 
+  readonly #expectedSize: number;
+
+  /**
+   * @param expectedSize - number of bytes that are announced, beyond which no memory is taken in advance
+   */
+  constructor(expectedSize = Number.POSITIVE_INFINITY) {
+    this.#expectedSize = expectedSize;
+  }
+
   /** Number of bytes. */
   get size(): number {
     return this.#size;
@@ -49,9 +61,9 @@
   }
 
   #grow(size: number): void {
-    const block = Buffer.allocUnsafeSlow(
-      Math.max(SMALLEST_CAPACITY, size, Math.min(2 * this.#block.length, 2 * size)),
-    );
+    const growth = Number.isFinite(this.#expectedSize) ? GROWTH_TO_EXPECTED : GROWTH;
+    const grown = Math.max(SMALLEST_CAPACITY, growth * this.#block.length);
+    const block = Buffer.allocUnsafeSlow(Math.max(size, Math.min(this.#expectedSize, grown)));
     this.#block.copy(block, 0, 0, this.#size);
     this.#block = block;
   }
