Handle the requests of one connection one at a time

Clients that send requests ahead without end made a gateway run them all at once: 10 connections with 100 requests each took over a thousand descriptors, since each request takes a connection to an endpoint. And a connection's whole read was answered within one turn of the event loop, so that 60 connections with requests that are refused at once left no turn to others.

A request waits for the answer to the one before it, and nothing more is read from its connection meanwhile. Each turn starts one request of each connection. What was sent behind an answer that closes the connection isn't run any more.

--- a/src/transport/gateway/InboundConnections.ts
+++ b/src/transport/gateway/InboundConnections.ts
@@ -5,6 +5,7 @@
 import type { InboundAnswer, InboundRequest } from './InboundRequest.ts';
 import { makeInboundAnswer } from './makeInboundAnswer.ts';
 import { BodyReader, type UnreadableBody } from './BodyReader.ts';
+import { pauseSocket } from './pauseSocket.ts';
 import { containFault, rejectRequest } from './rejectRequest.ts';
 
 /** Limits of requests, and where they go. */
@@ -75,6 +76,10 @@
 interface ConnectionState {
   /** Requests that have no complete answer yet. */
   readonly unanswered: Set<http.ServerResponse>;
+  /** Requests that were sent before the answer to an earlier one. They are handled one at a time, in order. */
+  readonly queue: PendingRequest[];
+  /** Goes on reading; undefined while no request waits in the queue. */
+  resume: (() => void) | undefined;
   /** Requests whose heads have been read. */
   requestCount: number;
   /** Bytes that had been read when the last request was answered. */
@@ -150,6 +155,8 @@
     const quietSince = this.#options.now();
     const state = {
       unanswered: new Set(),
+      queue: [],
+      resume: undefined,
       requestCount: 0,
       answeredBytes: 0,
       quietSince,
@@ -171,7 +178,7 @@
     rejectRequest(response, STATUS.unavailable);
   }
 
-  /** Reads a request to its end and passes it on, or refuses it. */
+  /** Reads a request to its end and passes it on, or refuses it. It waits for the answer to an earlier one on its connection. */
   onRequest(incoming: http.IncomingMessage, response: http.ServerResponse): void {
     const { now } = this.#options;
     const { socket } = incoming;
@@ -185,12 +192,35 @@
       this.#unread.delete(response);
       state.answeredBytes = socket.bytesRead;
       state.quietSince = now();
+      // A turn of the event loop answers one request of each connection, so that it isn't long.
+      if (state.queue.length > 0) setImmediate(() => this.#readNext(socket, state));
     });
     if (this.#isEnding) {
       this.#refuse(response);
       return;
     }
-    this.#read({ incoming, response, arrivedAt: now() });
+    const pending = { incoming, response, arrivedAt: now() };
+    if (state.unanswered.size === 1) {
+      this.#read(pending);
+      return;
+    }
+    state.queue.push(pending);
+    // What has been read already is still parsed, so that the queue has the requests of one read at most.
+    state.resume ??= pauseSocket(socket);
+  }
+
+  #readNext(socket: Socket, state: ConnectionState): void {
+    // After an answer that closes the connection no other can be sent.
+    if (socket.destroyed || socket.writableEnded) {
+      state.queue.length = 0;
+      return;
+    }
+    const next = state.queue.shift();
+    if (state.queue.length === 0) {
+      state.resume?.();
+      state.resume = undefined;
+    }
+    if (next !== undefined && !next.response.headersSent) this.#read(next);
   }
 
   #read({ incoming, response, arrivedAt }: PendingRequest): void {
--- a/src/transport/gateway/makeGatewayServer.test.ts
+++ b/src/transport/gateway/makeGatewayServer.test.ts
@@ -119,6 +119,39 @@
     await fc.assert(fc.asyncProperty(cuts, read), { seed: SEED, numRuns: 40 });
   });
 
+  // Guards against requests that are sent ahead without end, and all run at once.
+  it('handles the requests of one connection one at a time, in order', async (context) => {
+    const answers: (() => void)[] = [];
+    const targets: string[] = [];
+    const server = await start(context, ({ target }, answer) => {
+      targets.push(target);
+      answers.push(() => answer.send(200, [], Buffer.from(target)));
+    });
+    const { socket, seen } = connect(context, server.address);
+    socket.write(['/1', '/2', '/3'].map((target) => REQUEST.replace('/', target)).join(''));
+    for (const target of ['/1', '/2', '/3']) {
+      // eslint-disable-next-line no-await-in-loop
+      await until(() => targets.at(-1) === target);
+      expect(answers.length).toEqual(targets.length);
+      answers.at(-1)?.();
+      // eslint-disable-next-line no-await-in-loop
+      await until(() => seen.text.endsWith(target));
+    }
+  });
+
+  // Guards against requests behind one whose answer closes the connection: they would run, and nobody would know.
+  it('runs no request that was sent ahead on a connection that closes', async (context) => {
+    const targets: string[] = [];
+    const server = await start(context, ({ target }, answer) => {
+      targets.push(target);
+      answer.send(200, ['Connection', 'close'], Buffer.from('last'));
+    });
+    const { socket, seen } = connect(context, server.address);
+    socket.write(REQUEST.replace('/', '/1') + REQUEST.replace('/', '/2'));
+    await until(() => seen.closed);
+    expect(targets).toEqual(['/1']);
+  });
+
   // Guards against callers that get 408 though their heads had arrived in time, while this process was paused.
   it('reads a head that arrived while the process was paused', async (context) => {
     const server = await start(context);
