Read bodies in tiny pieces one connection at a time

Clients that send bodies in chunks of one byte hung a gateway: a read of 64 kB holds some 10,000 chunks, which take about 27 ms (2.4 us each, measured on Node alone), and a turn of the event loop read all connections.

A connection whose pieces have less than 64 bytes on average waits after 1,024 of them. Of those that wait one is read at a time, and the loop is left to the others for as long as that took; a single one isn't held up, and the time in which it waits isn't the sender's.

The first read of each connection isn't paced: many that begin within one turn hold up that turn.

--- a/src/transport/gateway/BodyReader.ts
+++ b/src/transport/gateway/BodyReader.ts
@@ -1,6 +1,8 @@
 import type * as http from 'node:http';
 import type { CallerHolding } from '../../protocol/gateway/index.ts';
 import { ByteCollector } from '../http/index.ts';
+import { pauseSocket } from './pauseSocket.ts';
+import type { ReadPacer } from './ReadPacer.ts';
 
 /** Why a body isn't read to its end. */
 export type UnreadableBody =
@@ -16,6 +18,7 @@
   readonly maximumBytes: number;
   /** Longest time without a byte, in ms. */
   readonly idleTimeoutMs: number;
+  readonly pacer: ReadPacer;
   /** Present time in ms, monotonic. */
   readonly now: () => number;
   /** Begins to hold the body in memory. */
@@ -26,6 +29,11 @@
   readonly onUnreadable: (reason: UnreadableBody) => void;
 }
 
+/** Pieces of a body that are read before the connection has to wait if they are small on average. */
+const PIECES_PER_TURN = 1_024;
+/** Bytes in a piece below which the time to read it is that of the piece, not that of its bytes. */
+const SMALL_PIECE_BYTES = 64;
+
 /** Size that the head announces, in bytes; undefined for a body in chunks. */
 const announcedSize = ({ headers }: http.IncomingMessage): number | undefined => {
   const { 'content-length': length, 'transfer-encoding': coding } = headers;
@@ -46,6 +54,14 @@
 
   #pauseTimer: NodeJS.Timeout | undefined;
 
+  /** Pieces since the connection last had to wait, or was found to bring large ones. */
+  #pieces = 0;
+
+  #bytesOfPieces = 0;
+
+  /** Goes on reading before the connection's turn; undefined while it doesn't wait for that. */
+  #stopWaiting: (() => void) | undefined;
+
   constructor(options: BodyReaderOptions) {
     this.#options = options;
     this.#heardAt = options.now();
@@ -80,6 +96,7 @@
     this.#collected.append(piece);
     this.#heardAt = now();
     this.#held.resize(this.#collected.capacity, this.#heardAt);
+    this.#countPiece(piece.length);
   }
 
   #onEnd(): void {
@@ -105,16 +122,40 @@
   #stop(): void {
     this.#isOver = true;
     clearTimeout(this.#pauseTimer);
+    this.#stopWaiting?.();
   }
 
   #startPauseTimer(delayMs: number): void {
     this.#pauseTimer = setTimeout(() => this.#checkPause(), delayMs);
   }
 
+  /** The time in which the connection waits to be read isn't the caller's. */
   #checkPause(): void {
     const { idleTimeoutMs, now } = this.#options;
-    const idleMs = now() - this.#heardAt;
+    const idleMs = this.#stopWaiting === undefined ? now() - this.#heardAt : 0;
     if (idleMs >= idleTimeoutMs) this.#giveUp({ _tag: 'stalled' });
     else this.#startPauseTimer(idleTimeoutMs - idleMs);
   }
+
+  /** Has the connection wait for its turn if its pieces are small: what has been read already is still handled. */
+  #countPiece(bytes: number): void {
+    this.#pieces += 1;
+    this.#bytesOfPieces += bytes;
+    if (this.#pieces < PIECES_PER_TURN) return;
+    const areSmall = this.#bytesOfPieces < this.#pieces * SMALL_PIECE_BYTES;
+    this.#pieces = 0;
+    this.#bytesOfPieces = 0;
+    if (!areSmall || this.#stopWaiting !== undefined) return;
+    const { incoming, pacer, now } = this.#options;
+    const resume = pauseSocket(incoming.socket);
+    const leave = pacer.wait(() => {
+      this.#stopWaiting = undefined;
+      this.#heardAt = now();
+      resume();
+    });
+    this.#stopWaiting = () => {
+      leave();
+      resume();
+    };
+  }
 }
--- a/src/transport/gateway/InboundConnections.ts
+++ b/src/transport/gateway/InboundConnections.ts
@@ -5,6 +5,7 @@
 import type { InboundAnswer, InboundRequest } from './InboundRequest.ts';
 import { makeInboundAnswer } from './makeInboundAnswer.ts';
 import { BodyReader, type UnreadableBody } from './BodyReader.ts';
+import { ReadPacer } from './ReadPacer.ts';
 import { pauseSocket } from './pauseSocket.ts';
 import { containFault, rejectRequest } from './rejectRequest.ts';
 
@@ -97,6 +98,8 @@
   /** Answers to requests whose bodies haven't been read completely. */
   readonly #unread = new Set<http.ServerResponse>();
 
+  readonly #pacer: ReadPacer;
+
   /** Whether each connection closes with its next answer. */
   draining = false;
 
@@ -105,6 +108,11 @@
 
   constructor(options: InboundOptions) {
     this.#options = options;
+    this.#pacer = new ReadPacer({
+      now: options.now,
+      afterTurn: (run) => setImmediate(run),
+      schedule: (run, delayMs) => setTimeout(run, delayMs),
+    });
   }
 
   /** Number of open connections. */
@@ -238,6 +246,7 @@
       incoming,
       maximumBytes: maximumBodyBytes,
       idleTimeoutMs,
+      pacer: this.#pacer,
       now,
       open: (onYield) => memory.open(now(), onYield),
       onWhole: (body, held) => {
