Bound the connections of callers and to endpoints, by the descriptors of the process

Nothing bounded how many descriptors a gateway uses; max_fds of the settings wasn't read. Clients on many connections, or with many requests, could leave none for the store and for peers.

Callers get half of the descriptors: beyond them the connection that has been quiet for longest is closed, so that those who ask nothing don't keep others out. Connections to endpoints get a quarter: idle ones are closed first, then a request is placed again or ends with 503, and its endpoint isn't blamed.

--- a/src/app/gateway/makeConnectionPools.ts
+++ b/src/app/gateway/makeConnectionPools.ts
@@ -1,5 +1,5 @@
 import * as Effect from 'effect/Effect';
-import { CONNECT_TIMEOUT_MS } from '../../coordination/gateway/index.ts';
+import { CONNECT_TIMEOUT_MS, type ResourceLimits } from '../../coordination/gateway/index.ts';
 import { makeConnectionPool } from '../../transport/http/index.ts';
 import type { FaultLog } from './FaultLog.ts';
 
@@ -13,13 +13,19 @@
  *
  * @param now - returns the present time in ms, monotonic
  * @param faults - logs errors that were thrown while an answer was handled
+ * @param resources - limits of the process
  */
-export const makeConnectionPools = (now: () => number, faults: FaultLog) => {
+export const makeConnectionPools = (
+  now: () => number,
+  faults: FaultLog,
+  { endpointConnections }: Pick<ResourceLimits, 'endpointConnections'>,
+) => {
   const onFault = faults.reporter('answer');
   return Effect.all({
     endpointPool: makeConnectionPool({
       connectTimeoutMs: CONNECT_TIMEOUT_MS,
       connectionTrustMs: ENDPOINT_MAXIMUM_IDLE_MS,
+      maximumConnections: endpointConnections,
       now,
       onFault,
     }),
--- a/src/app/gateway/makeResources.ts
+++ b/src/app/gateway/makeResources.ts
@@ -21,13 +21,14 @@
   faults: FaultLog,
 ) => {
   const limits = deriveResourceLimits(resources);
-  return Effect.map(makeConnectionPools(now, faults), (pools) => ({
+  return Effect.map(makeConnectionPools(now, faults, limits), (pools) => ({
     ...pools,
     answerMemory: new AnswerMemory(limits.answerBytes),
     /** For callers and for peers that forward their requests. */
     inbound: {
       now,
       memory: new CallerMemoryLimit(limits.callerBytes),
+      maximumConnections: limits.callerConnections,
     },
   }));
 };
--- a/src/app/gateway/reach/receiveForwarded.ts
+++ b/src/app/gateway/reach/receiveForwarded.ts
@@ -20,6 +20,7 @@
   readonly limits: () => ClientLimits;
   /** Shared with the requests that callers send to this gateway. */
   readonly memory: CallerMemory;
+  readonly maximumConnections: number;
   readonly onRequest: (
     inbound: InboundRequest,
     answer: InboundAnswer,
@@ -58,10 +59,11 @@
  * @returns a listener for the HTTP server for peers
  */
 export const receiveForwarded = (receiver: ForwardedReceiver): RequestListener => {
-  const { secret, limits, memory, onRequest, onFault, logger, now } = receiver;
+  const { secret, limits, memory, maximumConnections, onRequest, onFault, logger, now } = receiver;
   const connections = new InboundConnections({
     now,
     memory,
+    maximumConnections,
     limits: () => {
       const callerLimits = limits();
       const maximumHeaderBytes = callerLimits.maximumHeaderBytes + ENVELOPE_BYTES;
--- a/src/app/gateway/request/EndpointAttempt.ts
+++ b/src/app/gateway/request/EndpointAttempt.ts
@@ -179,6 +179,7 @@
         this.writing = this.#describeWriting();
         return;
       case 'refused':
+        this.#isWithheld ||= event.exhausted === true;
         if (event.forbidden) this.#onForbidden(event.detail);
         else this.#onUnreachable(event.detail);
         return;
--- a/src/coordination/gateway/limits/deriveResourceLimits.test.ts
+++ b/src/coordination/gateway/limits/deriveResourceLimits.test.ts
@@ -5,9 +5,10 @@
 const MB = 1024 * 1024;
 
 describe('deriveResourceLimits', () => {
-  it('leaves the larger part of the memory to everything else', () => {
+  it('leaves the larger part of the memory and a quarter of the descriptors to everything else', () => {
     const limits = deriveResourceLimits({ memoryBytes: 160 * MB, descriptors: 400 });
     expect(limits.callerBytes + limits.answerBytes).toBeLessThan(0.2 * 160 * MB);
+    expect([limits.callerConnections, limits.endpointConnections]).toEqual([200, 100]);
   });
 
   it('does not give the answers of endpoints more on a large instance', () => {
--- a/src/transport/gateway/InboundConnections.ts
+++ b/src/transport/gateway/InboundConnections.ts
@@ -19,6 +19,8 @@
   >;
   /** Limits what the requests of callers, and answers that they don't read, take together. */
   readonly memory: CallerMemory;
+  /** Most open connections; beyond them the one that has been quiet for longest is closed. */
+  readonly maximumConnections: number;
   readonly onRequest: (request: InboundRequest, answer: InboundAnswer) => void;
   /** Told of requests that are refused before they reach `onRequest`. */
   readonly onRejected: (status: number, reason: string) => void;
@@ -130,6 +132,20 @@
     this.#stateOf(socket);
     socket.setNoDelay(true);
     socket.once('close', () => this.#states.delete(socket));
+    if (this.#states.size > this.#options.maximumConnections) this.#closeQuietest(socket);
+  }
+
+  /** Makes room for a new connection, or closes it if requests are under way on all others. */
+  #closeQuietest(added: Socket): void {
+    let quietest = added;
+    let quietSince = Number.POSITIVE_INFINITY;
+    this.#states.forEach((state, socket) => {
+      if (socket === added || state.unanswered.size > 0 || state.quietSince >= quietSince) return;
+      quietest = socket;
+      quietSince = state.quietSince;
+    });
+    quietest.destroy();
+    this.#states.delete(quietest);
   }
 
   /** Returns the number of requests whose heads have been read from a connection. */
--- a/src/transport/gateway/makeGatewayServer.test.ts
+++ b/src/transport/gateway/makeGatewayServer.test.ts
@@ -11,6 +11,7 @@
 const HEADER_TIMEOUT_MS = 300;
 const SEED = 3;
 const SERVED = Buffer.from('served');
+const MAXIMUM_CONNECTIONS = 20;
 
 /** Memory without a limit. */
 const BOUNDLESS: CallerMemory = {
@@ -34,6 +35,7 @@
         idleTimeoutMs: 5_000,
       }),
       memory: BOUNDLESS,
+      maximumConnections: MAXIMUM_CONNECTIONS,
       onRequest,
       onRejected: () => {},
       onFault: (error) => faults.push(error),
@@ -119,6 +121,21 @@
     await fc.assert(fc.asyncProperty(cuts, read), { seed: SEED, numRuns: 40 });
   });
 
+  // Guards against callers that can't connect because others keep connections open on which they ask nothing.
+  it('closes the connection that has been quiet for longest where there are too many', async (context) => {
+    const server = await start(context);
+    const quiet: ReturnType<typeof connect>[] = [];
+    for (let at = 0; at < MAXIMUM_CONNECTIONS; at += 1) {
+      quiet.push(connect(context, server.address));
+      // eslint-disable-next-line no-await-in-loop
+      await until(() => server.connections() === at + 1);
+    }
+    const next = connect(context, server.address);
+    next.socket.write(REQUEST);
+    await until(() => next.seen.text.includes('served'));
+    expect(quiet.filter(({ seen }) => seen.closed)).toEqual(quiet.slice(0, 1));
+  });
+
   // Guards against requests that are sent ahead without end, and all run at once.
   it('handles the requests of one connection one at a time, in order', async (context) => {
     const answers: (() => void)[] = [];
--- a/src/transport/http/ConnectionPool.test.ts
+++ b/src/transport/http/ConnectionPool.test.ts
@@ -4,7 +4,7 @@
 import { expect } from 'earl';
 import { ConnectionPool, type ConnectOutcome } from './ConnectionPool.ts';
 
-const start = async (context: TestContext) => {
+const start = async (context: TestContext, maximumConnections?: number) => {
   const server = net.createServer((socket) => socket.on('error', () => {}));
   await new Promise<void>((resolve) => {
     server.listen(0, '127.0.0.1', resolve);
@@ -12,6 +12,7 @@
   const pool = new ConnectionPool({
     connectTimeoutMs: 1_000,
     connectionTrustMs: 60_000,
+    ...(maximumConnections !== undefined && { maximumConnections }),
     now: () => performance.now(),
   });
   context.after(() => {
@@ -29,10 +30,27 @@
     if (isKept) pool.release(address, outcome.socket);
     return outcome.socket;
   };
-  return { carry };
+  return { carry, pool, address };
 };
 
 describe('ConnectionPool', () => {
+  // Guards against a process that runs out of descriptors, so that it can't accept its callers either.
+  it('opens no more connections than it may, and closes idle ones to make room', async (context) => {
+    const { carry, pool, address } = await start(context, 2);
+    const first = await carry('a');
+    await carry('a', false);
+    await carry('a', false);
+    expect(first.destroyed).toEqual(true);
+    const outcome = await new Promise((resolve) => {
+      pool.connect(address, false, resolve);
+    });
+    expect(outcome).toEqual({
+      _tag: 'refused',
+      detail: 'too many open connections',
+      exhausted: true,
+    });
+  });
+
   // TWICE: the copy of a refusal came before the answer to the same request, which was then sent to another endpoint.
   it('gives a request no connection that has carried its id', async (context) => {
     const { carry } = await start(context);
--- a/src/transport/http/ConnectionPool.ts
+++ b/src/transport/http/ConnectionPool.ts
@@ -4,13 +4,20 @@
 /** What opening a connection gave. */
 export type ConnectOutcome =
   | { readonly _tag: 'connected'; readonly socket: net.Socket; readonly reused: boolean }
-  | { readonly _tag: 'refused'; readonly detail: string };
+  | {
+      readonly _tag: 'refused';
+      readonly detail: string;
+      /** Whether this process has no connection to spare, so that the server has no part in it. */
+      readonly exhausted?: true;
+    };
 
 /** What bounds a pool of connections. */
 export interface ConnectionPoolOptions {
   readonly connectTimeoutMs: number;
   /** A connection that carried nothing for longer isn't used again. */
   readonly connectionTrustMs: number;
+  /** Most open connections, to all addresses together; no limit without it. */
+  readonly maximumConnections?: number;
   /** Present time in ms, monotonic. */
   readonly now: () => number;
   /** Told of errors that were thrown while an outcome or an answer was handled; without it they are thrown on. */
@@ -188,12 +195,29 @@
     return undefined;
   }
 
+  /** Closes idle connections of any address if there is no room for a new one; returns whether there is some then. */
+  #makeRoom(): boolean {
+    const { maximumConnections = Number.POSITIVE_INFINITY } = this.#options;
+    if (this.#histories.size < maximumConnections) return true;
+    const idle = [...this.#idle.values()].flat();
+    idle.forEach(({ socket }) => {
+      socket.destroy();
+      this.#histories.delete(socket);
+    });
+    this.#idle.clear();
+    return idle.length > 0;
+  }
+
   #open(address: string, onOutcome: (outcome: ConnectOutcome) => void): () => void {
     const target = hostAndPort(address);
     if (target === undefined) {
       onOutcome({ _tag: 'refused', detail: `${address} is no address` });
       return () => {};
     }
+    if (!this.#makeRoom()) {
+      onOutcome({ _tag: 'refused', detail: 'too many open connections', exhausted: true });
+      return () => {};
+    }
     const socket = net.connect({ ...target, noDelay: true });
     this.#histories.set(socket, new ConnectionHistory());
     socket.once('close', () => this.#histories.delete(socket));
--- a/src/transport/http/exchange.ts
+++ b/src/transport/http/exchange.ts
@@ -54,6 +54,8 @@
       readonly detail: string;
       /** Whether `mayWrite` forbade it, so that the server has no part in it. */
       readonly forbidden?: true;
+      /** Whether this process has no connection to spare, so that the server has no part in it. */
+      readonly exhausted?: true;
     }
   /** The request is being written: from here on it may reach the server. */
   | { readonly _tag: 'written'; readonly connection: ConnectionUse }
