Confirm an answer without an end mark by the process that gave it (ORDER)

Cause: the end of such an answer counted as its end if the endpoint's address accepted a connection 30 ms later. After a crash behind a cut a new start of the endpoint does, and a stream that was broken off reached its caller as complete. ServiceCall had the same fault; errors of engines in EngineCall weren't checked at all.

Change: EndConfirmation notes when the bytes of such an answer arrive. After a silence in which the server could have been started again (100 ms), the server must answer a request on a connection that was opened before; otherwise the answer is broken or resumed. Without such a silence the check is the one of before. Answers with a length or chunks are not touched.

--- a/src/app/gateway/request/EndpointAttempt.ts
+++ b/src/app/gateway/request/EndpointAttempt.ts
@@ -2,8 +2,8 @@
 import { limitPromptParts, type PlacementResult } from '../../../protocol/peer/GatewayMessages.ts';
 import { endpointStartOf, type EndpointRecord } from '../../../state/gateway/index.ts';
 import {
-  confirmServerRuns,
   exchange,
+  type EndConfirmation,
   type AnswerFraming,
   type ConnectionUse,
   type Exchange,
@@ -16,6 +16,7 @@
 import { logFailedAttempt } from './logFailedAttempt.ts';
 import type { AttemptEvent, AttemptWriting, RequestAttempt } from './RequestAttempt.ts';
 import type { RoutedRequest } from './RoutedRequest.ts';
+import { makeEndConfirmation } from './makeEndConfirmation.ts';
 import { stallLimitMs, StallTimer } from './StallTimer.ts';
 import type { ViewAge } from '../following/StoreSubscription.ts';
 
@@ -59,6 +60,8 @@
 
   readonly #stallTimer: StallTimer;
 
+  readonly #endConfirmation: EndConfirmation;
+
   #exchange: Exchange | undefined;
 
   #answerFields: DecodedResponseHeaders | undefined;
@@ -99,6 +102,8 @@
     this.heardAt = this.#sentAt;
     const limitMs = stallLimitMs(options.request.route);
     this.#stallTimer = new StallTimer(limitMs, () => this.#fail(`no event for ${limitMs} ms`));
+    const { context, request, endpoint } = options;
+    this.#endConfirmation = makeEndConfirmation(context, request, endpoint);
     this.#reader = new AnswerReader(options.context.answerMemory, options.endpoint.id, () =>
       this.#fail('the answers of the endpoint hold too much memory'),
     );
@@ -159,6 +164,7 @@
 
   pause(): void {
     this.#stallTimer.stop();
+    this.#endConfirmation.pause();
     this.#exchange?.pause();
   }
 
@@ -172,6 +178,7 @@
       if (event._tag === 'data') this.#readOn(event.bytes);
       return;
     }
+    this.#endConfirmation.observe(event);
     switch (event._tag) {
       case 'written':
         this.written = true;
@@ -364,18 +371,13 @@
 
   /**
    * Completes an answer. The end of its connection alone is also what the end of the endpoint's process looks like, so
-   * an answer without another mark is complete only if the endpoint still accepts connections.
+   * an answer without another mark is complete only if the same process still runs.
    */
   #confirmEnd(onComplete: () => void): void {
-    if (this.framing !== 'close') {
-      onComplete();
-      return;
-    }
-    const { context, endpoint } = this.#options;
-    confirmServerRuns(context.endpointPool, `http://${endpoint.address}`, (runs) => {
+    this.#endConfirmation.confirm((reason) => {
       if (this.#ended) return;
-      if (runs) onComplete();
-      else this.#onConnectionLost('the endpoint is gone, and its answer has no end mark');
+      if (reason === undefined) onComplete();
+      else this.#onConnectionLost(`the answer has no end mark, and ${reason}`);
     });
   }
 
@@ -438,9 +440,9 @@
   #logEnd(outcome: PlacementResult['outcome'], detail: string): void {
     this.#ended = true;
     this.#stallTimer.stop();
+    this.#endConfirmation.close();
     this.#reader.release();
     const { context, request, endpoint, ticketId } = this.#options;
-    const totalMs = context.now() - this.#sentAt;
     context.metrics.countAttempt(request.service.name, outcome);
     if (outcome === 'served') return;
     const { status, framing, streamProgress } = this;
@@ -454,7 +456,7 @@
       framing,
       retryAfterMs: this.#answerFields?.retryAfterMs,
       ...streamProgress,
-      afterMs: Math.round(totalMs),
+      afterMs: Math.round(context.now() - this.#sentAt),
     });
   }
 
--- a/src/protocol/gateway/WireAdapter.ts
+++ b/src/protocol/gateway/WireAdapter.ts
@@ -4,6 +4,7 @@
   RolloutOrder,
   RolloutState,
   RouteTable,
+  Service,
 } from '../../state/gateway/index.ts';
 import type { StoreObject } from './ObjectStore.ts';
 
@@ -70,6 +71,8 @@
   readonly filterResponseHeaders: (headers: RawHeaders) => string[];
   /** Builds the name and value of the header that suggests a delay before a retry. */
   readonly buildRetryAfterHeader: (retryAfterMs: number) => readonly [string, string];
+  /** Returns the path of a GET request that an endpoint of a service answers, with any status, without running anything. */
+  readonly findCheckPath: (service: Service) => string;
   /** Decodes a configuration object; undefined if it is invalid. */
   readonly readRouteTable: (spec: unknown) => RouteTable | undefined;
   /** Decodes an endpoint object; undefined if it is invalid. */
--- a/src/transport/endpoint/EngineCall.ts
+++ b/src/transport/endpoint/EngineCall.ts
@@ -5,7 +5,7 @@
   EndpointEvent,
   EndpointRequest,
 } from '../../protocol/engine/EndpointClient.ts';
-import { exchange, requestWhole } from '../http/index.ts';
+import { EndConfirmation, exchange, requestWhole } from '../http/index.ts';
 import type { ConnectionPool, Exchange, ExchangeEvent } from '../http/index.ts';
 import type { AnswerFinding, FailureReason } from './AnswerFinding.ts';
 import { endpointHeaders } from './endpointHeaders.ts';
@@ -39,6 +39,9 @@
 
   readonly #answer: EventAnswer | WholeAnswer;
 
+  /** Confirms the end of an error; an answer has an end mark of its own. */
+  readonly #errorEnd: EndConfirmation;
+
   #exchange: Exchange | undefined;
 
   #retry: NodeJS.Timeout | undefined;
@@ -74,6 +77,9 @@
     this.#onEvent = onEvent;
     this.#baseSilenceMs = silenceMs;
     this.#silenceMs = silenceMs;
+    // `OPTIONS *` asks nothing of an engine but an answer.
+    const { address } = request;
+    this.#errorEnd = new EndConfirmation({ pool, address, method: 'OPTIONS', path: '*' });
     this.#answer =
       request.responseForm === 'events'
         ? new EventAnswer(request.id, (data, index) => this.#tell({ _tag: 'event', data, index }))
@@ -150,6 +156,8 @@
     if (this.#ended) return;
     // What still arrives of a suspended answer is fetched again by its resume.
     if (this.#suspended && this.#written && event._tag !== 'written') return;
+    const isError = event._tag === 'head' ? event.status !== HTTP_OK : this.#errorStatus;
+    if (isError || event._tag === 'written') this.#errorEnd.observe(event);
     switch (event._tag) {
       case 'refused':
         if (this.#written) this.#retryLater(event.detail);
@@ -165,9 +173,8 @@
         this.#onData(event.bytes);
         return;
       case 'ended':
-        this.#onFinding(
-          this.#errorStatus ? { _tag: 'ended', usage: undefined } : this.#answer.close(),
-        );
+        if (this.#errorStatus) this.#confirmErrorEnd();
+        else this.#onFinding(this.#answer.close());
         return;
       case 'broken':
         if (event.silent) this.#onSilence();
@@ -210,6 +217,14 @@
     }
   }
 
+  #confirmErrorEnd(): void {
+    this.#errorEnd.confirm((reason) => {
+      if (this.#ended) return;
+      if (reason === undefined) this.#onFinding({ _tag: 'ended', usage: undefined });
+      else this.#failCut(`the error has no end mark, and ${reason}`);
+    });
+  }
+
   #onResumeRefused(status: number): void {
     this.#exchange?.abort();
     if (status >= HTTP_SERVER_ERROR) {
@@ -246,6 +261,7 @@
         this.#tellWhole();
         // The exchange reads on to its own end, so that its connection can be used again.
         this.#ended = true;
+        this.#errorEnd.close();
         this.#onEvent(finding);
         return;
       case 'incomplete':
@@ -348,6 +364,7 @@
 
   #stop(): void {
     this.#ended = true;
+    this.#errorEnd.close();
     clearTimeout(this.#retry);
     this.#exchange?.abort();
   }
--- a/src/transport/endpoint/ServiceCall.ts
+++ b/src/transport/endpoint/ServiceCall.ts
@@ -4,8 +4,8 @@
   EndpointEvent,
   EndpointRequest,
 } from '../../protocol/engine/EndpointClient.ts';
-import { confirmServerRuns, EventCutter, exchange } from '../http/index.ts';
-import type { AnswerFraming, ConnectionPool, Exchange, ExchangeEvent } from '../http/index.ts';
+import { EndConfirmation, EventCutter, exchange } from '../http/index.ts';
+import type { ConnectionPool, Exchange, ExchangeEvent } from '../http/index.ts';
 import { endpointHeaders } from './endpointHeaders.ts';
 
 /** A request at a plain service: passed through once, without resume. */
@@ -16,13 +16,10 @@
 
   readonly #exchange: Exchange;
 
-  readonly #pool: ConnectionPool;
+  readonly #endConfirmation: EndConfirmation;
 
   #headSeen = false;
 
-  /** How the end of the answer is marked; undefined until its head arrives. */
-  #framing: AnswerFraming | undefined;
-
   /** Cuts an event stream after complete events; undefined for other answers. */
   #eventCutter: EventCutter | undefined;
 
@@ -33,9 +30,11 @@
     request: EndpointRequest,
     onEvent: (event: EndpointEvent) => void,
   ) {
-    this.#pool = pool;
     this.#request = request;
     this.#onEvent = onEvent;
+    // `OPTIONS *` asks nothing of a service but an answer.
+    const { address } = request;
+    this.#endConfirmation = new EndConfirmation({ pool, address, method: 'OPTIONS', path: '*' });
     this.#exchange = exchange(
       pool,
       {
@@ -55,6 +54,7 @@
 
   cancel(): void {
     this.#ended = true;
+    this.#endConfirmation.close();
     this.#exchange.abort();
   }
 
@@ -68,6 +68,7 @@
 
   #onExchange(event: ExchangeEvent): void {
     if (this.#ended) return;
+    this.#endConfirmation.observe(event);
     switch (event._tag) {
       case 'written':
         return;
@@ -75,7 +76,6 @@
         this.#onEvent(event);
         return;
       case 'head':
-        this.#framing = event.framing;
         this.#onHead(event.status, event.headers);
         return;
       case 'data':
@@ -113,14 +113,10 @@
 
   /** The end of the connection alone is also what the end of the service's process looks like. */
   #confirmEnd(): void {
-    if (this.#framing !== 'close') {
-      this.#onEnded();
-      return;
-    }
-    confirmServerRuns(this.#pool, this.#request.address, (runs) => {
+    this.#endConfirmation.confirm((reason) => {
       if (this.#ended) return;
-      if (runs) this.#onEnded();
-      else this.#fail('the service is gone, and its answer has no end mark');
+      if (reason === undefined) this.#onEnded();
+      else this.#fail(`the answer has no end mark, and ${reason}`);
     });
   }
 
@@ -129,6 +125,7 @@
       this.#fail('stream ended inside an event');
       return;
     }
+    this.#endConfirmation.close();
     this.#tellPart(this.#eventCutter?.rest() ?? Buffer.alloc(0));
     this.#onEvent({ _tag: 'ended', usage: undefined });
   }
@@ -138,6 +135,7 @@
   }
 
   #fail(detail: string): void {
+    this.#endConfirmation.close();
     this.#onEvent({
       _tag: 'failed',
       reason: this.#headSeen ? 'answer_cut' : 'endpoint_failed',
--- a/src/transport/http/ConnectionPool.ts
+++ b/src/transport/http/ConnectionPool.ts
@@ -69,6 +69,9 @@
   /** What each open connection has carried. */
   readonly #histories = new Map<net.Socket, ConnectionHistory>();
 
+  /** When each connection was opened, in ms. */
+  readonly #openedAt = new WeakMap<net.Socket, number>();
+
   constructor(options: ConnectionPoolOptions) {
     this.#options = options;
   }
@@ -129,20 +132,54 @@
     return history?.record(id) ?? { earlierRequests: Number.POSITIVE_INFINITY, isRepeated: false };
   }
 
+  /** Returns the present time in ms, monotonic. */
+  now(): number {
+    return this.#options.now();
+  }
+
+  /**
+   * Returns when a connection was opened.
+   *
+   * @param socket - a connection that this pool gave
+   * @returns the time in ms, on the clock of `now`
+   */
+  openedAt(socket: net.Socket): number {
+    return this.#openedAt.get(socket) ?? Infinity;
+  }
+
+  /**
+   * Takes an idle connection that is still trusted and was opened before a moment.
+   *
+   * @param address - `http://IP:PORT`
+   * @param openedBefore - the moment in ms, on the clock of `now`
+   * @returns the connection; undefined if there is none
+   */
+  takeIdle(address: string, openedBefore: number): net.Socket | undefined {
+    const idle = this.#idle.get(address) ?? [];
+    const index = idle.findIndex(
+      (connection) =>
+        this.#isTrusted(connection) && this.openedAt(connection.socket) < openedBefore,
+    );
+    const [taken] = index < 0 ? [] : idle.splice(index, 1);
+    taken?.unwatch();
+    return taken?.socket;
+  }
+
   /**
    * Takes a connection back once its answer was read to the end.
    *
    * @param address - `http://IP:PORT`
    * @param socket - a connection that this pool gave
+   * @param idleSince - when it last carried something, in ms
    */
-  release(address: string, socket: net.Socket): void {
+  release(address: string, socket: net.Socket, idleSince = this.#options.now()): void {
     const idle = this.#idle.get(address) ?? [];
     const isFull = this.#histories.get(socket)?.isFull === true;
     if (socket.destroyed || isFull || idle.length >= MAXIMUM_IDLE_PER_ADDRESS) {
       socket.destroy();
       return;
     }
-    idle.push({ socket, idleSince: this.#options.now(), unwatch: watchIdle(socket) });
+    idle.push({ socket, idleSince, unwatch: watchIdle(socket) });
     this.#idle.set(address, idle);
   }
 
@@ -237,6 +274,7 @@
     // Stays for the life of the connection: an error in idle time must not end the process.
     socket.on('error', (error) => settle({ _tag: 'refused', detail: error.message }));
     socket.once('connect', () => {
+      this.#openedAt.set(socket, this.#options.now());
       socket.setKeepAlive(true, KEEP_ALIVE_PROBE_MS);
       settle({ _tag: 'connected', socket, reused: false });
     });
--- a/src/transport/http/confirmServerRuns.ts
+++ b/src/transport/http/confirmServerRuns.ts
@@ -1,12 +1,13 @@
 import type { ConnectionPool } from './ConnectionPool.ts';
 
 /** A process that ends may close its connections a little earlier than its port. */
-const CHECK_DELAY_MS = 30;
+export const CHECK_DELAY_MS = 30;
 
 /**
  * Checks whether the server of an answer that only the end of its connection ended still runs. The end of the server's
- * process looks the same, so the answer is complete only if the server accepts connections after it. The connection
- * that shows it replaces the one that ended, for the next request to the server.
+ * process looks the same, so the answer is complete only if the server accepts connections after it. This doesn't tell
+ * the process from one that was started since; `EndConfirmation` does. The connection that shows it replaces the one
+ * that ended, for the next request to the server.
  *
  * @param pool - opens the connection and keeps it
  * @param address - `http://IP:PORT`
--- a/src/transport/http/index.ts
+++ b/src/transport/http/index.ts
@@ -1,8 +1,8 @@
 export { ByteCollector } from './ByteCollector.ts';
 export type { ConnectionUse } from './ConnectionHistory.ts';
-export { confirmServerRuns } from './confirmServerRuns.ts';
 export { ConnectionPool } from './ConnectionPool.ts';
 export type { ConnectionPoolOptions } from './ConnectionPool.ts';
+export { EndConfirmation } from './EndConfirmation.ts';
 export { EventCutter } from './EventCutter.ts';
 export { exchange } from './exchange.ts';
 export type { AnswerFraming, Exchange, ExchangeEvent, HttpRequest } from './exchange.ts';
--- /dev/null
+++ b/test/gateway/restarts.test.ts
@@ -0,0 +1,173 @@
+import { describe, it } from 'node:test';
+import { expect } from 'earl';
+import { call, runnerSpec, startReadyGateway, type CallerAnswer } from './startGateway.ts';
+import {
+  answer,
+  chunk,
+  END,
+  event,
+  signed,
+  startRunner,
+  streamHead,
+  unframedStreamHead,
+  type ArrivedRequest,
+  type RunnerScript,
+  type RunnerStandIn,
+} from './startRunner.ts';
+
+/** Silence after which an endpoint may have started again, as after a cut of the link. */
+const SILENCE_MS = 400;
+
+const later = (action: () => void): void => {
+  setTimeout(action, SILENCE_MS);
+};
+
+const isCheck = ({ line }: ArrivedRequest): boolean => /^GET \/(api\/report|healthz) /.test(line);
+
+/** Answers checks, and requests as a script does. */
+const checked =
+  (script: RunnerScript): RunnerScript =>
+  (request, count) => {
+    if (isCheck(request)) request.socket.write('HTTP/1.1 503 Full\r\nContent-Length: 0\r\n\r\n');
+    else script(request, count);
+  };
+
+/** What reaches the gateway of a crash and a new start behind a cut: silence, what the cut held back, the ends. */
+const CRASHES: Readonly<
+  Record<string, (runner: () => RunnerStandIn, request: ArrivedRequest) => void>
+> = {
+  'between its events': (runner, request) => {
+    request.socket.write(`${unframedStreamHead(request)}${event(1)}`);
+    later(() => runner().restart());
+  },
+  'while the cut held back its last event': (runner, request) => {
+    request.socket.write(unframedStreamHead(request));
+    later(() => {
+      request.socket.write(event(1));
+      runner().restart();
+    });
+  },
+  'while the cut held back all of it': (runner, request) =>
+    later(() => {
+      request.socket.write(`${unframedStreamHead(request)}${event(1)}`);
+      runner().restart();
+    }),
+};
+
+const startCrashing = async (
+  context: Parameters<typeof startRunner>[0],
+  crash: (runner: () => RunnerStandIn, request: ArrivedRequest) => void,
+): Promise<RunnerStandIn> => {
+  const runner: RunnerStandIn = await startRunner(
+    context,
+    checked((request) => crash(() => runner, request)),
+  );
+  return runner;
+};
+
+describe('an answer without a length, of an endpoint that may have started again', () => {
+  Object.entries(CRASHES).forEach(([name, crash]) => {
+    // ORDER: callers got streams as complete that a crash had broken off, because a new start accepted connections.
+    it(`never looks complete as a stream that a crash broke off ${name}`, async (context) => {
+      const runner = await startCrashing(context, crash);
+      const { gateway } = await startReadyGateway(context, { 'i-1': runnerSpec('model', runner) });
+      const got = await call(gateway.addresses.callers, { path: '/stream/', method: 'POST' });
+      expect(got.status === 200 && got.complete).toEqual(false);
+    });
+
+    // Guards against a resumable stream that ends early at its caller although it could go on elsewhere.
+    it(`is resumed as a stream that a crash broke off ${name}`, async (context) => {
+      const runner = await startCrashing(context, crash);
+      const sound = await startRunner(context, (request) => {
+        const text = request.headers['last-event-id'] === '1' ? '' : event(1);
+        request.socket.write(streamHead(request) + chunk(text + event(2)) + END);
+      });
+      const { gateway } = await startReadyGateway(context, {
+        'i-1': runnerSpec('model', runner),
+        'i-2': runnerSpec('model', sound),
+      });
+      const got = await call(gateway.addresses.callers, { path: '/resumed/', method: 'POST' });
+      expect([got.status, got.complete, got.body]).toEqual([200, true, event(1) + event(2)]);
+    });
+  });
+
+  // MIXED: guards against a body that a crash truncated and that its caller gets as a success.
+  it('never looks whole as a body that a crash broke off', async (context) => {
+    const runner = await startCrashing(context, (crashing, request) => {
+      request.socket.write(`${signed(request)}\r\nhel`);
+      later(() => crashing().restart());
+    });
+    const { gateway } = await startReadyGateway(context, { 'i-1': runnerSpec('plain', runner) });
+    const got = await call(gateway.addresses.callers, { path: '/write/1', method: 'POST' });
+    expect([got.status, got.body]).toEqual([502, '']);
+  });
+
+  // Guards against a connection that only seems to be open, since its own end is still on the way.
+  it('never looks complete if an earlier connection is open but not answered on', async (context) => {
+    const runner = await startRunner(context, (request) => {
+      if (isCheck(request)) return;
+      request.socket.write(`${unframedStreamHead(request)}${event(1)}`);
+      later(() => request.socket.end());
+    });
+    const { gateway } = await startReadyGateway(context, { 'i-1': runnerSpec('model', runner) });
+    const got = await call(gateway.addresses.callers, { path: '/stream/', method: 'POST' });
+    expect([got.status, got.complete]).toEqual([200, false]);
+    expect(runner.arrived.filter(isCheck).length).toEqual(1);
+  });
+
+  // Guards against sound streams with pauses that look broken.
+  it('is complete as a stream with pauses whose endpoint goes on', async (context) => {
+    const runner = await startRunner(
+      context,
+      checked((request) => {
+        request.socket.write(`${unframedStreamHead(request)}${event(1)}`);
+        later(() => {
+          request.socket.write(event(2));
+          later(() => request.socket.end());
+        });
+      }),
+    );
+    const { gateway } = await startReadyGateway(context, { 'i-1': runnerSpec('model', runner) });
+    const got = await call(gateway.addresses.callers, { path: '/stream/', method: 'POST' });
+    expect([got.status, got.complete, got.body]).toEqual([200, true, event(1) + event(2)]);
+    expect(runner.arrived.filter(isCheck).length).toEqual(1);
+  });
+
+  // Guards against checks, which take work of endpoints, after answers that can't hide a new start.
+  it('needs no check as a stream whose events came without a pause before its end', async (context) => {
+    const runner = await startRunner(context, (request) => {
+      request.socket.write(unframedStreamHead(request));
+      let sent = 0;
+      const timer = setInterval(() => {
+        sent += 1;
+        if (sent <= 12) request.socket.write(event(sent));
+        else {
+          clearInterval(timer);
+          request.socket.end();
+        }
+      }, 10);
+    });
+    const { gateway } = await startReadyGateway(context, { 'i-1': runnerSpec('model', runner) });
+    const got = await call(gateway.addresses.callers, { path: '/stream/', method: 'POST' });
+    expect([got.status, got.complete]).toEqual([200, true]);
+    expect(runner.arrived.filter(isCheck).length).toEqual(0);
+  });
+
+  // Guards against sound slow answers that look broken although the endpoint can be asked.
+  it('is whole as a slow body if the endpoint goes on and an earlier connection is open', async (context) => {
+    const runner = await startRunner(
+      context,
+      checked((request) => {
+        if (request.line.includes('/first')) request.socket.write(answer(request, 'first'));
+        else later(() => request.socket.end(`${signed(request)}\r\nhello`));
+      }),
+    );
+    const { gateway } = await startReadyGateway(context, { 'i-1': runnerSpec('plain', runner) });
+    const send = (path: string): Promise<CallerAnswer> =>
+      call(gateway.addresses.callers, { path, method: 'POST' });
+    // Two at once, so that a connection is left when the slow one has taken its own.
+    await Promise.all([send('/write/first/1'), send('/write/first/2')]);
+    const got = await send('/write/slow');
+    expect([got.status, got.body]).toEqual([200, 'hello']);
+  });
+});
--- a/test/gateway/startRunner.ts
+++ b/test/gateway/startRunner.ts
@@ -23,6 +23,8 @@
   setScript: (script: RunnerScript) => void;
   /** Takes no new connections, as after the end of its process. */
   stopListening: () => void;
+  /** Ends all connections and takes new ones, as after a crash and a new start of its process. */
+  restart: () => void;
 }
 
 const parse = (text: string, socket: net.Socket): ArrivedRequest => {
@@ -126,6 +128,7 @@
     stopListening: () => {
       server.close();
     },
+    restart: () => sockets.forEach((socket) => socket.end()),
     setScript: (next) => {
       script = next;
     },
--- a/test/support/inlineServer.ts
+++ b/test/support/inlineServer.ts
@@ -1,5 +1,5 @@
 import * as http from 'node:http';
-import type { AddressInfo } from 'node:net';
+import type { AddressInfo, Socket } from 'node:net';
 import type { TestContext } from 'node:test';
 
 /** One request as a tiny server saw it. */
@@ -17,6 +17,8 @@
   readonly connections: () => number;
   /** Takes no new connections, as after the end of its process. */
   readonly stopListening: () => void;
+  /** Ends all connections and takes new ones, as after a crash and a new start of its process. */
+  readonly restart: () => void;
 }
 
 /** Starts a server on a free port; `handle` gets each request once its body is in. */
@@ -25,6 +27,7 @@
   handle: (request: SeenRequest, response: http.ServerResponse, count: number) => void,
 ): Promise<InlineServer> => {
   const seen: SeenRequest[] = [];
+  const sockets = new Set<Socket>();
   let connections = 0;
   const server = http.createServer((request, response) => {
     const chunks: Buffer[] = [];
@@ -40,8 +43,10 @@
       handle(one, response, seen.length);
     });
   });
-  server.on('connection', () => {
+  server.on('connection', (socket) => {
     connections += 1;
+    sockets.add(socket);
+    socket.once('close', () => sockets.delete(socket));
   });
   await new Promise<void>((resolve) => {
     server.listen(0, '127.0.0.1', resolve);
@@ -58,6 +63,7 @@
     stopListening: () => {
       server.close();
     },
+    restart: () => sockets.forEach((socket) => socket.end()),
   };
 };
 
