--- a/review/stand-ins-2/deployment.mjs
+++ b/review/stand-ins-2/deployment.mjs
@@ -139,12 +139,13 @@
  * @param options - `file`: where the record goes; `count`: number of gateways; `play`: returns whether the rule held
  * @returns the exit code of the case
  */
-export const playCase = async ({ file, tenant, count = ZONES.length, hasPeerLinks, play }) => {
+export const playCase = async (options) => {
+  const { file, tenant, count = ZONES.length, hasPeerLinks, workMs = 20, play } = options;
   const { record, close } = startRecord(file);
   const store = await startStore(record);
   const runners = await Promise.all(
     ZONES.flatMap((zone) => [
-      startRunner({ id: `desk-${zone}`, service: 'desk', zone, slots: 6, workMs: 20, record }),
+      startRunner({ id: `desk-${zone}`, service: 'desk', zone, slots: 6, workMs, record }),
       startRunner({
         id: `model-${zone}`,
         service: 'models',
@@ -163,7 +164,7 @@
     group = await startGateways({ count, store, record, hasPeerLinks });
     await untilReady(group.gateways);
     await sleep(2_000);
-    const verdict = await play({ ...group, runners, record });
+    const verdict = await play({ ...group, store, runners, record });
     record({ what: 'verdict', ...verdict });
     process.stdout.write(`${JSON.stringify(verdict)}\n`);
     return verdict.held ? 0 : 1;
--- a/review/stand-ins-2/runner.mjs
+++ b/review/stand-ins-2/runner.mjs
@@ -15,11 +15,11 @@
 const MEMORY_TOKENS = 700_000;
 
 /** What a runner writes of itself. */
-const specOf = ({ service, zone, slots }, address) => ({
+const specOf = ({ service, version = 'v1', zone, slots }, address) => ({
   service,
   address,
   zone,
-  version: 'v1',
+  version,
   slots,
   state: 'ready',
   cold_remaining_ms: 0,
@@ -43,11 +43,12 @@
 /**
  * Starts a runner on a free port.
  *
- * @param options - `isStream`: whether it answers with an event of a stream
+ * @param options - `isStream`: whether it answers with an event of a stream; `isBad` tells, by the number of requests that it
+ *   is running, whether an answer is a failure
  */
 export const startRunner = async (options) => {
-  const { id, workMs, record, isStream = false } = options;
-  const runner = { id, arrivals: [], runs: [], running: 0 };
+  const { id, workMs, record, isStream = false, isBad = () => false } = options;
+  const runner = { id, arrivals: [], runs: [], badAnswers: [], running: 0 };
 
   const answerQuestion = (response) => {
     const text = JSON.stringify(reportOf(runner));
@@ -74,11 +75,16 @@
     });
     record({ what: 'runs', id: requestId, runner: id, tenant: request.headers[HEADERS.tenant] });
     runner.running += 1;
+    const status = isBad(runner.running) ? 500 : 200;
     await sleep(workMs);
     runner.running -= 1;
     if (response.destroyed) return;
+    if (status !== 200) {
+      runner.badAnswers.push(now());
+      record({ what: 'bad answer', id: requestId, runner: id });
+    }
     const text = isStream ? 'id: 1\ndata: token\n\n' : `answer to ${requestId}`;
-    response.writeHead(200, {
+    response.writeHead(status, {
       [HEADERS.id]: requestId,
       [HEADERS.stamp]: `stamp-${id}`,
       'content-length': text.length,
--- a/review/stand-ins-2/store.mjs
+++ b/review/stand-ins-2/store.mjs
@@ -132,6 +132,8 @@
       record({ what: 'store object', kind, name, version: spec.version });
       return change(kind, name, { spec, status: kindOf(kind).get(name)?.status ?? null });
     },
+    remove: (kind, name) => change(kind, name, undefined),
+    get: (kind, name) => kindOf(kind).get(name),
     close: () => {
       server.closeAllConnections();
       server.close();
