--- a/src/transport/caller/makeCallerServer.ts
+++ b/src/transport/caller/makeCallerServer.ts
@@ -3,6 +3,7 @@
 import * as Effect from 'effect/Effect';
 import type * as Scope from 'effect/Scope';
 import { callerErrorBody } from '../../protocol/caller/ErrorBody.ts';
+import { makeHttpServer } from '../http/index.ts';
 import { CallerHandler } from './CallerHandler.ts';
 import type { CallerHandlerOptions } from './CallerHandler.ts';
 
@@ -68,7 +69,7 @@
   const handler = new CallerHandler(options);
   const sockets = new Set<Socket>();
   const requests = new Set<http.IncomingMessage>();
-  const server = http.createServer({
+  const server = makeHttpServer({
     maxHeaderSize: limits.maximumHeaderBytes,
     requestTimeout: limits.receiveTimeoutMs,
     headersTimeout: limits.receiveTimeoutMs,
@@ -78,8 +79,6 @@
     keepAlive: true,
     keepAliveInitialDelay: TCP_KEEP_ALIVE_MS,
   });
-  // Node would drop what is over its own count in silence; the handler counts and says so.
-  server.maxHeadersCount = 0;
   server.maxConnections = limits.maximumConnections + CONNECTION_RESERVE;
   server.on('connection', (socket) => {
     sockets.add(socket);
--- a/src/transport/gateway/InboundConnections.ts
+++ b/src/transport/gateway/InboundConnections.ts
@@ -45,8 +45,6 @@
 const MINIMUM_QUIET_MS = 500;
 /** Above what any configuration asks for: the configured limit is checked once the head is read. */
 export const PARSER_HEADER_BYTES = 65_536;
-/** Most header lines of a request. */
-export const PARSER_HEADER_COUNT = 1_000;
 const headerBytes = (lines: readonly string[]): number =>
   lines.reduce((sum, part) => sum + part.length + 2, 0);
 
--- a/src/transport/gateway/makeGatewayServer.ts
+++ b/src/transport/gateway/makeGatewayServer.ts
@@ -3,11 +3,8 @@
 import * as Effect from 'effect/Effect';
 import type * as Scope from 'effect/Scope';
 import type { ClientLimits, ListenAddress } from '../../state/gateway/index.ts';
-import {
-  InboundConnections,
-  PARSER_HEADER_BYTES,
-  PARSER_HEADER_COUNT,
-} from './InboundConnections.ts';
+import { makeHttpServer } from '../http/index.ts';
+import { InboundConnections, PARSER_HEADER_BYTES } from './InboundConnections.ts';
 import type { InboundOptions } from './InboundConnections.ts';
 import { listenAt } from './listenAt.ts';
 
@@ -98,14 +95,13 @@
 ): Effect.Effect<GatewayServer, never, Scope.Scope> =>
   Effect.gen(function* start() {
     const connections = new InboundConnections(options);
-    const server = http.createServer({
+    const server = makeHttpServer({
       maxHeaderSize: PARSER_HEADER_BYTES,
       connectionsCheckingInterval: SLOW_CLIENT_CHECK_MS,
       // A body may take as long as its sender keeps sending.
       requestTimeout: 0,
       noDelay: true,
     });
-    server.maxHeadersCount = PARSER_HEADER_COUNT;
     const applyLimits = (): void => {
       const { headerTimeoutMs, idleTimeoutMs } = options.limits();
       server.headersTimeout = headerTimeoutMs;
--- a/src/transport/http/index.ts
+++ b/src/transport/http/index.ts
@@ -7,5 +7,6 @@
 export { exchange } from './exchange.ts';
 export type { AnswerFraming, Exchange, ExchangeEvent, HttpRequest } from './exchange.ts';
 export { makeConnectionPool } from './makeConnectionPool.ts';
+export { makeHttpServer } from './makeHttpServer.ts';
 export { requestWhole } from './requestWhole.ts';
 export type { WholeOutcome, WholeRequest } from './requestWhole.ts';
--- a/test/gateway/startGateway.ts
+++ b/test/gateway/startGateway.ts
@@ -40,6 +40,8 @@
   readonly method?: string;
   readonly headers?: Readonly<Record<string, string>>;
   readonly body?: string;
+  /** Keeps the connection for further requests; undefined for a new connection. */
+  readonly agent?: http.Agent;
 }
 
 const ANY = { host: '127.0.0.1', port: 0 };
@@ -226,7 +228,7 @@
 /** Sends a caller's request and collects its answer, however it ends. */
 export function call(
   address: string,
-  { path, method = 'GET', headers = {}, body }: CallerInput,
+  { path, method = 'GET', headers = {}, body, agent }: CallerInput,
 ): Promise<CallerAnswer> {
   const [host, port] = address.split(':');
   requests += 1;
@@ -236,7 +238,7 @@
       port,
       path,
       method,
-      agent: false,
+      agent: agent ?? false,
       headers: {
         host: HOST,
         'x-corianderwick-request-id': `request-${requests}`,
@@ -245,6 +247,7 @@
         ...headers,
       },
     });
+    request.maxHeadersCount = 0;
     request.on('error', () => resolve({ status: 0, headers: {}, body: '', complete: false }));
     request.on('response', (response) => {
       const chunks: Buffer[] = [];
