Keep every header line of a request that a peer forwards

What callers saw: through a gateway without reach, a request with more than a thousand header lines ended with 503, on the direct path with an answer.

Cause: the same as for callers. The server for peers had Node's default count. The line that proves the forwarding stands last and was left out, so that the peer refused the request with 403. Nothing ran changed: without the proof no request is accepted.

Change: the server for peers, and the one for small questions, which decides by the target alone, come from makeHttpServer too.

Result: the four tests through a peer failed before (503, one of them after 400 ms, as Expect was left out as well) and pass. startCutPair moves to a file of its own, for two test files.

--- a/src/transport/gateway/makePlainServer.ts
+++ b/src/transport/gateway/makePlainServer.ts
@@ -1,7 +1,8 @@
-import * as http from 'node:http';
+import type { ServerResponse } from 'node:http';
 import type * as Effect from 'effect/Effect';
 import type * as Scope from 'effect/Scope';
 import type { ListenAddress } from '../../state/gateway/index.ts';
+import { makeHttpServer } from '../http/index.ts';
 import { listenAt } from './listenAt.ts';
 
 /** A small answer to a GET. */
@@ -21,7 +22,7 @@
 const BASE = 'http://localhost';
 
 const respond = (
-  response: http.ServerResponse,
+  response: ServerResponse,
   { status, contentType = 'text/plain', text = '' }: PlainAnswer,
 ): void => {
   response.writeHead(status, {
@@ -44,7 +45,7 @@
   handle: PlainHandler,
   onProblem: (detail: string) => void,
 ): Effect.Effect<string, never, Scope.Scope> => {
-  const server = http.createServer((incoming, response) => {
+  const server = makeHttpServer({}, (incoming, response) => {
     incoming.resume();
     const { method, url: target = '/' } = incoming;
     // A target such as `//` is one to Node's parser, but not to URL.
--- a/src/transport/peer/PeerListener.ts
+++ b/src/transport/peer/PeerListener.ts
@@ -1,10 +1,10 @@
-import * as http from 'node:http';
-import type { IncomingMessage } from 'node:http';
+import type { IncomingMessage, RequestListener, Server } from 'node:http';
 import type { Duplex } from 'node:stream';
 import { WebSocketServer } from 'ws';
 import type { RawData, WebSocket } from 'ws';
 import { decodePeerMessage, MAXIMUM_MESSAGE_BYTES } from '../../protocol/peer/peerCodec.ts';
 import type { PeerDelivery } from '../../protocol/peer/PeerNetwork.ts';
+import { makeHttpServer } from '../http/index.ts';
 import {
   CALLER_NONCE_HEADER,
   LISTENER_NONCE_HEADER,
@@ -19,7 +19,7 @@
   readonly traffic: PeerTraffic;
   readonly onDelivery: (delivery: PeerDelivery) => void;
   /** Takes HTTP requests of peers; without it they are refused. */
-  readonly onRequest?: http.RequestListener | undefined;
+  readonly onRequest?: RequestListener | undefined;
 }
 
 /** Time for a peer to prove that it knows the secret. */
@@ -30,14 +30,14 @@
 /** Above the limit for callers, whose requests peers forward with more headers. */
 const MAXIMUM_HEADER_BYTES = 131_072;
 
-const refuseRequest: http.RequestListener = (_request, response) => {
+const refuseRequest: RequestListener = (_request, response) => {
   response.writeHead(426, { connection: 'close' }).end();
 };
 const NONCE = /^[0-9a-f]{32}$/;
 
 /** Takes in links from peers and decodes what they bring. */
 export class PeerListener {
-  readonly server: http.Server;
+  readonly server: Server;
 
   readonly #options: PeerListenerOptions;
 
@@ -50,7 +50,7 @@
       perMessageDeflate: false,
       maxPayload: MAXIMUM_MESSAGE_BYTES,
     });
-    this.server = http.createServer(
+    this.server = makeHttpServer(
       { maxHeaderSize: MAXIMUM_HEADER_BYTES, noDelay: true },
       options.onRequest ?? refuseRequest,
     );
--- a/test/gateway/forwarding.test.ts
+++ b/test/gateway/forwarding.test.ts
@@ -1,14 +1,11 @@
 import { describe, it } from 'node:test';
-import type { TestContext } from 'node:test';
 import { setTimeout as wait } from 'node:timers/promises';
 import { expect } from 'earl';
 import { until } from '../support/scoped.ts';
-import { startObjectStore } from './startObjectStore.ts';
+import { startCutPair } from './startCutPair.ts';
 import {
   call,
-  makeConfiguration,
   runnerSpec,
-  startGateway,
   startReadyGateway,
   untilReady,
   type GatewayStandIns,
@@ -22,46 +19,8 @@
   signed,
   startRunner,
   streamHead,
-  type RunnerScript,
-  type RunnerStandIn,
 } from './startRunner.ts';
 
-const NOWHERE = { address: '127.0.0.1:1' };
-
-interface CutPair {
-  readonly cut: GatewayStandIns;
-  readonly reaching: GatewayStandIns;
-  readonly runner: RunnerStandIn;
-}
-
-/** Two gateways, of which one finds the runner of each service at an address that refuses connections. */
-const startCutPair = async (context: TestContext, script: RunnerScript): Promise<CutPair> => {
-  const runner = await startRunner(context, script);
-  const start = async (
-    instance: string,
-    found: Pick<RunnerStandIn, 'address'>,
-    seeds: readonly string[],
-  ): Promise<GatewayStandIns> => {
-    const store = await startObjectStore(context);
-    store.put('servers', 'i-1', runnerSpec('plain', found));
-    store.put('servers', 'i-2', runnerSpec('model', found));
-    store.put('servers', 'i-3', runnerSpec('model', found));
-    store.put('config', 'main', makeConfiguration(7));
-    const gateway = await startGateway(context, {
-      store,
-      instance,
-      failureDomain: instance,
-      seeds,
-    });
-    await untilReady(gateway);
-    return gateway;
-  };
-  const reaching = await start('reaching', runner, []);
-  const cut = await start('cut', NOWHERE, [reaching.gateway.addresses.peers]);
-  await until(() => cut.log.some(({ msg, status }) => msg === 'membership' && status === 'alive'));
-  return { cut, reaching, runner };
-};
-
 const callers = ({ gateway }: GatewayStandIns): string => gateway.addresses.callers;
 
 describe('a gateway that reaches no endpoint', () => {
--- a/test/gateway/manyHeaderLines.test.ts
+++ b/test/gateway/manyHeaderLines.test.ts
@@ -1,6 +1,7 @@
 import * as http from 'node:http';
 import { describe, it, type TestContext } from 'node:test';
 import { expect } from 'earl';
+import { startCutPair } from './startCutPair.ts';
 import {
   call,
   makeConfiguration,
@@ -53,6 +54,10 @@
     const { gateway } = await startReadyGateway(context, specs, CONFIGURATION);
     return { callers: gateway.addresses.callers, runner };
   },
+  'a peer': async (context, script) => {
+    const { cut, runner } = await startCutPair(context, script, CONFIGURATION);
+    return { callers: cut.gateway.addresses.callers, runner };
+  },
 };
 
 const isAsSent = ({ headers, body }: ArrivedRequest, sent: string): boolean =>
