Keep every header line of an answer

What callers saw: an answer of an endpoint with more than a thousand header lines ended with 502, and so did a refusal that said that the request hadn't run. One case passed on wrong bytes: an answer with a Content-Encoding, which the gateway doesn't ask for, came to its caller as a plain 200, as the line that says so had been left out and the signature had not.

Cause: the same count of Node's parser holds for the answers that a client reads, towards endpoints, peers and the store.

Change: exchange, by which all of these are read, keeps every line. Node's own limit of 16 KiB for a head stays; it breaks the exchange, with an error.

--- a/src/transport/http/exchange.ts
+++ b/src/transport/http/exchange.ts
@@ -119,6 +119,8 @@
     });
     // Without an agent Node takes this from header fields, but not from header lines.
     outgoing.shouldKeepAlive = true;
+    // Node leaves lines beyond its own count out without a sign, and with them what the answer says of itself.
+    outgoing.maxHeadersCount = 0;
     return { _tag: 'opened', outgoing };
   } catch (error) {
     return { _tag: 'refused', detail: String(error) };
--- a/test/gateway/manyHeaderLines.test.ts
+++ b/test/gateway/manyHeaderLines.test.ts
@@ -15,6 +15,7 @@
   chunk,
   END,
   event,
+  signed,
   startRunner,
   streamHead,
   type ArrivedRequest,
@@ -35,6 +36,7 @@
 const MANY_LINES = Object.fromEntries(
   Array.from({ length: LINE_COUNT }, (_, index) => [`c${index}`, '']),
 );
+const MANY_ANSWER_LINES = Array.from({ length: LINE_COUNT }, (_, at) => `a${at}:\r\n`).join('');
 const NAMED = {
   'x-corianderwick-model': 'm',
   'x-corianderwick-token-count': '10,10',
@@ -120,4 +122,65 @@
       expect(runner.arrived.map((arrived) => isAsSent(arrived, 'order'))).toEqual([true]);
     });
   });
+
+  describe(`an answer with more than a thousand header lines over ${way}`, () => {
+    const send = (callers: string, path = '/write/x'): Promise<CallerAnswer> =>
+      call(callers, { path, method: 'POST', body: 'order' });
+
+    // A sound answer was lost, since its signature was among the lines that were left out.
+    it('is passed on whole', async (context) => {
+      const { callers } = await start(
+        context,
+        write((request) =>
+          signed(request)
+            .replace('200 OK\r\n', `200 OK\r\n${MANY_ANSWER_LINES}`)
+            .concat('X-Last: kept\r\nContent-Length: 4\r\n\r\ndone'),
+        ),
+      );
+      const { status, headers, body } = await send(callers);
+      expect([status, body, headers['x-last']]).toEqual([200, 'done', 'kept']);
+      expect(Object.keys(MANY_LINES).every((_, at) => headers[`a${at}`] === '')).toEqual(true);
+    });
+
+    // Guards against an answer with an encoding that its caller takes for the endpoint's own bytes.
+    it('is refused if the gateway asked for no such encoding', async (context) => {
+      const { callers } = await start(
+        context,
+        write(
+          (request) =>
+            `${signed(request)}${MANY_ANSWER_LINES}Content-Encoding: gzip\r\nContent-Length: 4\r\n\r\nzzzz`,
+        ),
+      );
+      const { status } = await send(callers);
+      expect(status).toEqual(502);
+    });
+
+    // What an endpoint had said not to have run was reported to callers as unknown.
+    it('says that the request has not run', async (context) => {
+      const { callers } = await start(
+        context,
+        write(
+          (request) =>
+            'HTTP/1.1 503 Service Unavailable\r\n' +
+            `${MANY_ANSWER_LINES}X-Corianderwick-Request-Id: ${request.headers['x-corianderwick-request-id']}\r\n` +
+            'X-Corianderwick-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n',
+        ),
+      );
+      const { status } = await send(callers);
+      expect(status).toEqual(503);
+    });
+
+    it('is streamed whole', async (context) => {
+      const { callers } = await start(
+        context,
+        write((request) =>
+          streamHead(request)
+            .replace('200 OK\r\n', `200 OK\r\n${MANY_ANSWER_LINES}`)
+            .concat(chunk(event(1)), chunk(event(2)), END),
+        ),
+      );
+      const { status, body, complete } = await send(callers, '/stream/chat');
+      expect([status, body, complete]).toEqual([200, event(1) + event(2), true]);
+    });
+  });
 });
