Take no answer for whole whose transfer coding marks no end (MIXED)

What callers saw: an answer with 'Transfer-Encoding: identity', or any coding but chunks, whose runner reset the connection on the way, came to its caller as a whole 200.

Cause: framingOf took every transfer coding for a mark of the end. Node's parser reads an answer in any other coding than chunks up to the end of its connection, so that neither EndProbe nor EndConfirmation looked at the end. An answer in gzip or in chunks within another coding was passed on too, with its coded bytes and without the line that names the coding.

Change: only chunks mark an end. 'identity' is read as no coding, and any other one, which no gateway asks for, breaks the exchange like a spoiled head.

--- a/src/transport/http/EndConfirmation.test.ts
+++ b/src/transport/http/EndConfirmation.test.ts
@@ -6,7 +6,8 @@
 import { until } from '../../../test/support/scoped.ts';
 import { ConnectionPool } from './ConnectionPool.ts';
 import { EndConfirmation } from './EndConfirmation.ts';
-import type { AnswerFraming, ExchangeEvent } from './exchange.ts';
+import type { ExchangeEvent } from './exchange.ts';
+import type { AnswerFraming } from './framingOf.ts';
 
 /** A server that answers checks, the pool towards it, and the clock that both the pool and its users read. */
 interface Setting {
--- a/src/transport/http/exchange.test.ts
+++ b/src/transport/http/exchange.test.ts
@@ -177,6 +177,39 @@
     );
   });
 
+  // MIXED: a part that was reset passed for the whole answer, as any transfer coding was taken for a mark of its end.
+  (
+    ['identity', 'Identity', 'gzip', 'xchunked', 'chunked, gzip', 'chunked, identity'] as const
+  ).forEach((coding) =>
+    it(`breaks an answer in the coding ${coding} that is reset together with its last bytes`, async (context) => {
+      const address = await startScript(context, (socket) => {
+        socket.write(UNFRAMED.replace('\r\n\r\n', `\r\nTransfer-Encoding: ${coding}\r\n\r\n`));
+        socket.resetAndDestroy();
+      });
+      expect(lastOf(await run(makePool(context), address))).toEqual('broken');
+    }),
+  );
+
+  // Guards against callers that get coded bytes without the line that says so, as it concerns one connection only.
+  (['gzip', 'gzip, chunked', 'chunked, chunked', 'chunked, identity'] as const).forEach((coding) =>
+    it(`breaks an answer in the coding ${coding}, which it hasn't asked for`, async (context) => {
+      const address = await startScript(context, (socket) =>
+        socket.end(`HTTP/1.1 200 OK\r\nTransfer-Encoding: ${coding}\r\n\r\n3\r\nabc\r\n0\r\n\r\n`),
+      );
+      const events = await run(makePool(context), address);
+      expect(events.map(({ _tag }) => _tag)).toEqual(['written', 'broken']);
+    }),
+  );
+
+  it('ends an answer in no coding at the end of its connection', async (context) => {
+    const address = await startScript(context, (socket) =>
+      socket.end(UNFRAMED.replace('\r\n\r\n', '\r\nTransfer-Encoding: identity\r\n\r\n')),
+    );
+    const events = await run(makePool(context), address);
+    const framings = events.map((event) => (event._tag === 'head' ? event.framing : event._tag));
+    expect(framings).toEqual(['written', 'close', 'data', 'ended']);
+  });
+
   // Guards against an answer without a body whose missing length counts as an end by its connection.
   it('takes the head of an answer without a body for its end', async (context) => {
     const address = await startScript(context, (socket) =>
--- a/src/transport/http/exchange.ts
+++ b/src/transport/http/exchange.ts
@@ -4,6 +4,7 @@
 import type { ConnectionPool, ConnectOutcome } from './ConnectionPool.ts';
 import { EndProbe } from './EndProbe.ts';
 import { findHeadFault } from './findHeadFault.ts';
+import { framingOf, type AnswerFraming } from './framingOf.ts';
 
 const SCHEME = 'http://';
 /** Most bytes that bring an answer no further: a long head and framing, not bytes without end. */
@@ -43,9 +44,6 @@
   readonly mayWrite?: (() => boolean) | undefined;
 }
 
-/** How the end of an answer is marked; `close` means by the end of its connection alone. */
-export type AnswerFraming = 'length' | 'chunked' | 'close';
-
 /** What happens to an exchange, in order; `refused`, `ended` or `broken` comes last and once. */
 export type ExchangeEvent =
   /** The request was not written, or not as a whole, so the server can't have run it. */
@@ -127,18 +125,6 @@
   }
 };
 
-/** Statuses whose answers never have a body, so that their head is their end. */
-const BODILESS_STATUSES: ReadonlySet<number | undefined> = new Set([204, 304]);
-
-const framingOf = (
-  { headers, statusCode }: http.IncomingMessage,
-  method: string,
-): AnswerFraming => {
-  if (method === 'HEAD' || BODILESS_STATUSES.has(statusCode)) return 'length';
-  if (headers['transfer-encoding'] !== undefined) return 'chunked';
-  return headers['content-length'] === undefined ? 'close' : 'length';
-};
-
 /**
  * Sends one request and reports its answer. Never retries.
  *
--- a/src/transport/http/findHeadFault.ts
+++ b/src/transport/http/findHeadFault.ts
@@ -1,5 +1,6 @@
 import * as http from 'node:http';
 import type { IncomingMessage } from 'node:http';
+import { findCodingFault } from './framingOf.ts';
 
 /** Lower ones belong to interim answers, or to none. */
 const LOWEST_FINAL_STATUS = 200;
@@ -13,11 +14,10 @@
  * @param response - an answer whose head has been parsed
  * @returns why the head is no head of an HTTP answer; undefined if it is one
  */
-export const findHeadFault = ({
-  statusCode = 0,
-  statusMessage = '',
-  rawHeaders,
-}: Pick<IncomingMessage, 'statusCode' | 'statusMessage' | 'rawHeaders'>): string | undefined => {
+export const findHeadFault = (
+  response: Pick<IncomingMessage, 'statusCode' | 'statusMessage' | 'headers' | 'rawHeaders'>,
+): string | undefined => {
+  const { statusCode = 0, statusMessage = '', rawHeaders } = response;
   if (statusCode < LOWEST_FINAL_STATUS) return `status ${statusCode} ends no answer`;
   if ([statusMessage, ...rawHeaders].some((part) => STATUS_LINE.test(part)))
     return 'the heads of two answers are joined';
@@ -27,7 +27,7 @@
       http.validateHeaderName(name);
       http.validateHeaderValue(name, rawHeaders[index + 1] ?? '');
     }
-    return undefined;
+    return findCodingFault(response);
   } catch (error) {
     return (error as Error).message;
   }
--- a/test/gateway/endless.test.ts
+++ b/test/gateway/endless.test.ts
@@ -114,11 +114,9 @@
   it('holds a bounded part of many such answers, and serves the requests of other endpoints', async (context) => {
     const PART = 6 * 1024 * 1024;
     const sockets: Socket[] = [];
-    const greedy = await startRunner(context, ({ socket, ...request }) => {
+    const greedy = await startRunner(context, ({ socket, headers }) => {
       sockets.push(socket);
-      socket.write(
-        `${signed({ ...request, socket }, '200 OK', 'Content-Length: 9999999\r\n')}\r\n`,
-      );
+      socket.write(`${signed({ headers }, '200 OK', 'Content-Length: 9999999\r\n')}\r\n`);
       socket.write('x'.repeat(PART));
     });
     const sound = await startRunner(context, (request) => {
--- a/test/gateway/startCutPair.ts
+++ b/test/gateway/startCutPair.ts
@@ -12,23 +12,29 @@
 
 const NOWHERE = { address: '127.0.0.1:1' };
 
-/** Two gateways, and the runner that one of them reaches. */
-export interface CutPair {
+type Address = Pick<RunnerStandIn, 'address'>;
+
+/** Two gateways. */
+export interface CutGateways {
+  /** Finds the runner of each service at an address that refuses connections. */
   readonly cut: GatewayStandIns;
   readonly reaching: GatewayStandIns;
+}
+
+/** Two gateways, and the runner that one of them reaches. */
+export interface CutPair extends CutGateways {
   readonly runner: RunnerStandIn;
 }
 
-/** Starts two gateways, of which one finds the runner of each service at an address that refuses connections. */
-export const startCutPair = async (
+/** Starts two gateways, of which one reaches the runner of each service. */
+export const startCutGateways = async (
   context: TestContext,
-  script: RunnerScript,
+  runner: Address,
   configuration = makeConfiguration(7),
-): Promise<CutPair> => {
-  const runner = await startRunner(context, script);
+): Promise<CutGateways> => {
   const start = async (
     instance: string,
-    found: Pick<RunnerStandIn, 'address'>,
+    found: Address,
     seeds: readonly string[],
   ): Promise<GatewayStandIns> => {
     const store = await startObjectStore(context);
@@ -48,5 +54,15 @@
   const reaching = await start('reaching', runner, []);
   const cut = await start('cut', NOWHERE, [reaching.gateway.addresses.peers]);
   await until(() => cut.log.some(({ msg, status }) => msg === 'membership' && status === 'alive'));
-  return { cut, reaching, runner };
+  return { cut, reaching };
+};
+
+/** Starts a runner, and two gateways of which one reaches it. */
+export const startCutPair = async (
+  context: TestContext,
+  script: RunnerScript,
+  configuration = makeConfiguration(7),
+): Promise<CutPair> => {
+  const runner = await startRunner(context, script);
+  return { ...(await startCutGateways(context, runner, configuration)), runner };
 };
--- a/test/gateway/startRunner.ts
+++ b/test/gateway/startRunner.ts
@@ -11,6 +11,9 @@
   readonly socket: net.Socket;
 }
 
+/** What an answer needs to know of its request. */
+export type RequestHead = Pick<ArrivedRequest, 'headers'>;
+
 /** What a runner does with its requests. */
 export type RunnerScript = (request: ArrivedRequest, count: number) => void;
 
@@ -47,7 +50,7 @@
 };
 
 /** The head of an answer to a request, with the runner's signature. */
-export const signed = (request: ArrivedRequest, status = '200 OK', more = ''): string =>
+export const signed = (request: RequestHead, status = '200 OK', more = ''): string =>
   `HTTP/1.1 ${status}\r\nX-Corianderwick-Request-Id: ${request.headers['x-corianderwick-request-id']}\r\n` +
   `X-Corianderwick-Server-Stamp: stamp\r\n${more}`;
 
@@ -73,7 +76,7 @@
   `${signed(request, '200 OK', 'Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n')}\r\n`;
 
 /** The head of a stream whose only end is that of its connection. */
-export const unframedStreamHead = (request: ArrivedRequest): string =>
+export const unframedStreamHead = (request: RequestHead): string =>
   `${signed(request, '200 OK', 'Content-Type: text/event-stream\r\n')}\r\n`;
 
 /** One chunk of a stream. */
