--- a/src/transport/http/exchange.test.ts
+++ b/src/transport/http/exchange.test.ts
@@ -210,6 +210,17 @@
     expect(framings).toEqual(['written', 'close', 'data', 'ended']);
   });
 
+  // Guards against a status that says nothing of what became of a request, towards callers and in answers of the store.
+  ['000', '099', '101', '600', '999'].forEach((status) =>
+    it(`breaks an answer of the status ${status}`, async (context) => {
+      const address = await startScript(context, (socket) =>
+        socket.write(FRAMED.replace('200', status)),
+      );
+      const events = await run(makePool(context), address);
+      expect(events.map(({ _tag }) => _tag)).toEqual(['written', 'broken']);
+    }),
+  );
+
   // Guards against an answer without a body whose missing length counts as an end by its connection.
   it('takes the head of an answer without a body for its end', async (context) => {
     const address = await startScript(context, (socket) =>
--- a/src/transport/http/findHeadFault.ts
+++ b/src/transport/http/findHeadFault.ts
@@ -4,6 +4,8 @@
 
 /** Lower ones belong to interim answers, or to none. */
 const LOWEST_FINAL_STATUS = 200;
+/** Higher ones are in no class of statuses, so that a caller can't tell what they mean. */
+const HIGHEST_STATUS = 599;
 /** Within a head it shows that an answer without its end stands before another one, and that the parser took both for one. */
 const STATUS_LINE = /HTTP\/1\.[01] \d{3}/;
 
@@ -18,7 +20,8 @@
   response: Pick<IncomingMessage, 'statusCode' | 'statusMessage' | 'headers' | 'rawHeaders'>,
 ): string | undefined => {
   const { statusCode = 0, statusMessage = '', rawHeaders } = response;
-  if (statusCode < LOWEST_FINAL_STATUS) return `status ${statusCode} ends no answer`;
+  if (statusCode < LOWEST_FINAL_STATUS || statusCode > HIGHEST_STATUS)
+    return `status ${statusCode} ends no answer`;
   if ([statusMessage, ...rawHeaders].some((part) => STATUS_LINE.test(part)))
     return 'the heads of two answers are joined';
   try {
