--- a/src/transport/gateway/InboundConnections.ts
+++ b/src/transport/gateway/InboundConnections.ts
@@ -45,8 +45,12 @@
 const MINIMUM_QUIET_MS = 500;
 /** Above what any configuration asks for: the configured limit is checked once the head is read. */
 export const PARSER_HEADER_BYTES = 65_536;
+/** The colon and the end of a line; the space after a colon may be missing. */
+const MARKS_PER_LINE = 3;
+
+/** Fewest bytes that header lines can have had, so that no head within the limit is refused. */
 const headerBytes = (lines: readonly string[]): number =>
-  lines.reduce((sum, part) => sum + part.length + 2, 0);
+  lines.reduce((sum, part) => sum + part.length, 0) + (lines.length / 2) * MARKS_PER_LINE;
 
 /** A request whose head has been read. */
 interface PendingRequest {
