--- a/src/transport/gateway/InboundConnections.ts
+++ b/src/transport/gateway/InboundConnections.ts
@@ -29,12 +29,15 @@
 }
 
 const STATUS = {
+  badRequest: 400,
   requestTimeout: 408,
   contentTooLarge: 413,
   headerTooLarge: 431,
   unavailable: 503,
 } as const;
 const ENDING = 'the gateway is stopping';
+/** The only transfer coding of a body that is decoded; the line that names another one wouldn't be forwarded. */
+const CHUNKED = 'chunked';
 /** Sent where a head has been read in part, so that there is no request to answer. */
 const UNREAD_ANSWER =
   'HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nContent-Length: 0\r\n\r\n';
@@ -279,8 +282,13 @@
       return;
     }
     const { headers } = incoming;
-    const hasBody =
-      headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined;
+    const coding = headers['transfer-encoding']?.trim().toLowerCase();
+    if (coding !== undefined && coding !== CHUNKED) {
+      onRejected(STATUS.badRequest, `the transfer coding ${coding} is unknown`);
+      rejectRequest(response, STATUS.badRequest);
+      return;
+    }
+    const hasBody = headers['content-length'] !== undefined || coding !== undefined;
     const reader = new BodyReader({
       incoming,
       maximumBytes: maximumBodyBytes,
--- a/test/gateway/requests.test.ts
+++ b/test/gateway/requests.test.ts
@@ -129,6 +129,9 @@
     { name: 'two lengths', head: 'Content-Length: 4\r\nContent-Length: 30\r\n' },
     { name: 'an unknown coding', head: 'Transfer-Encoding: xchunked\r\n' },
     { name: 'a name with a space', head: 'Content-Length : 4\r\n' },
+    // UNASKED: the coded bytes were forwarded, without the line that names the coding.
+    { name: 'a coding within chunks', head: 'Transfer-Encoding: gzip, chunked\r\n' },
+    { name: 'chunks within chunks', head: 'Transfer-Encoding: chunked, chunked\r\n' },
   ];
   SMUGGLED.forEach(({ name, head }) =>
     it(`lets no request through that is framed by ${name}`, async (context) => {
