Show that a slowly read stream never looks complete after a reset

A caller that leaves bytes unread keeps the gateway from reading, so that data, end and reset of its runner wait together.

--- a/test/gateway/cutUploads.test.ts
+++ b/test/gateway/cutUploads.test.ts
@@ -2,9 +2,18 @@
 import * as net from 'node:net';
 import type { AddressInfo } from 'node:net';
 import { describe, it, type TestContext } from 'node:test';
+import { setTimeout as wait } from 'node:timers/promises';
 import { expect } from 'earl';
+import { until } from '../support/scoped.ts';
 import { startCutGateways } from './startCutPair.ts';
-import { call, makeConfiguration, runnerSpec, startReadyGateway } from './startGateway.ts';
+import {
+  call,
+  HOST,
+  KEY,
+  makeConfiguration,
+  runnerSpec,
+  startReadyGateway,
+} from './startGateway.ts';
 import { event, signed, startRunner, unframedStreamHead, type RequestHead } from './startRunner.ts';
 
 /** Much of it is unread in the kernel when the runner answers. */
@@ -183,3 +192,39 @@
     }),
   );
 });
+
+describe('a stream whose caller reads slowly', () => {
+  (['reset', 'end'] as const).forEach((ending) =>
+    // Guards against a reset that arrives while the gateway leaves its bytes unread.
+    it(`looks complete only if its runner ends it in order: ${ending}`, async (context) => {
+      const events = Array.from({ length: 20_000 }, (_, at) => event(at)).join('');
+      const runner = await startRunner(context, (request) => {
+        request.socket.write(unframedStreamHead(request) + events, () => {
+          if (ending === 'reset') request.socket.resetAndDestroy();
+          else request.socket.end();
+        });
+      });
+      const specs = { 'i-1': runnerSpec('model', runner) };
+      const { gateway } = await startReadyGateway(context, specs, CONFIGURATION);
+      const [host, port] = gateway.addresses.callers.split(':');
+      const socket = net.connect(Number(port), host);
+      context.after(() => socket.destroy());
+      socket.on('error', () => {});
+      let text = '';
+      socket.pause();
+      socket.write(
+        `POST /stream/chat HTTP/1.1\r\nHost: ${HOST}\r\nX-Corianderwick-Request-Id: slow\r\n` +
+          `X-Corianderwick-Key: ${KEY}\r\nX-Corianderwick-Token-Count: 10,10\r\nContent-Length: 0\r\n\r\n`,
+      );
+      await wait(300);
+      socket.on('data', (bytes) => {
+        text += bytes.toString('latin1');
+      });
+      const isOver = (): boolean => socket.destroyed || text.endsWith('\r\n0\r\n\r\n');
+      socket.resume();
+      await until(isOver);
+      expect(text.slice(0, 12)).toEqual('HTTP/1.1 200');
+      expect(text.endsWith('\r\n0\r\n\r\n')).toEqual(ending === 'end');
+    }),
+  );
+});
