--- a/src/app/gateway/runGateway.ts
+++ b/src/app/gateway/runGateway.ts
@@ -131,7 +131,7 @@
       now,
     });
     const store = options.makeStore(resources.storePool, (call) => metrics.countStoreCall(call));
-    const { endpointLimits, quotas, retryBudget } = makeGroupBounds(bounds, now());
+    const { endpointLimits, quotas, retryBudget } = makeGroupBounds(settings, now());
     const hedging = makeHedgeMonitor(settings, {
       group: () => lateBound.group.get(),
       listReady: (service) => directory.listReady(service),
--- a/src/coordination/gateway/limits/RetryBudget.ts
+++ b/src/coordination/gateway/limits/RetryBudget.ts
@@ -32,10 +32,19 @@
 export class RetryBudget {
   readonly #options: RetryBudgetOptions;
 
+  readonly #slackFrom: number;
+
   readonly #services = new Map<string, ServiceHistory>();
 
-  constructor(options: RetryBudgetOptions) {
+  /**
+   * @param options - the bounds
+   * @param restartedAt - when this process started, in ms, if a process before it may have used the slack of the same
+   *   window; undefined if there was none
+   */
+  constructor(options: RetryBudgetOptions, restartedAt: number | undefined) {
     this.#options = options;
+    this.#slackFrom =
+      restartedAt === undefined ? Number.NEGATIVE_INFINITY : restartedAt + options.windowMs;
   }
 
   /** Counts a caller's request to a service. */
@@ -54,7 +63,8 @@
   tryRetry(service: string, memberCount: number, now: number): boolean {
     const { ratio, slack } = this.#options;
     const { requests, retries } = this.#history(service, now);
-    const allowed = USABLE_FRACTION * (ratio * requests.length + slack / Math.max(1, memberCount));
+    const slackShare = now < this.#slackFrom ? 0 : slack / Math.max(1, memberCount);
+    const allowed = USABLE_FRACTION * (ratio * requests.length + slackShare);
     if (retries.length + 1 > allowed) return false;
     retries.push(now);
     return true;
--- a/src/coordination/gateway/placement/routingAndPlacement.test.ts
+++ b/src/coordination/gateway/placement/routingAndPlacement.test.ts
@@ -119,7 +119,7 @@
     const members = 6;
     const budgets = Array.from(
       { length: members },
-      () => new RetryBudget({ ratio: 0.2, slack: 52, windowMs: 10_000 }),
+      () => new RetryBudget({ ratio: 0.2, slack: 52, windowMs: 10_000 }, undefined),
     );
     const retries = budgets.reduce((sum, budget) => {
       Array.from({ length: 50 }, () => budget.recordRequest('plain', 0));
@@ -131,7 +131,7 @@
   });
 
   it("doesn't count retries from before its window", () => {
-    const budget = new RetryBudget({ ratio: 0, slack: 2, windowMs: 1_000 });
+    const budget = new RetryBudget({ ratio: 0, slack: 2, windowMs: 1_000 }, undefined);
     expect([0, 1, 1_500].map((at) => budget.tryRetry('plain', 1, at))).toEqual([true, false, true]);
   });
 });
--- a/src/state/gateway/GatewaySettings.ts
+++ b/src/state/gateway/GatewaySettings.ts
@@ -92,6 +92,8 @@
   /** Memory and descriptors of the process; a small instance's if absent. */
   resources: Schema.optionalKey(ProcessResources),
   bounds: GatewayBounds,
+  /** Whether no process of the group has run before, which could have used a part of the group's bounds. */
+  isFirstStart: Schema.optionalKey(Schema.Boolean),
   /** Second copies of slow requests; none are sent if it is absent. */
   hedging: Schema.optionalKey(
     Schema.Struct({
--- a/test/gateway/startGateway.ts
+++ b/test/gateway/startGateway.ts
@@ -170,6 +170,7 @@
           seeds,
           cores: 1,
           storeAddress: store.address,
+          isFirstStart: true,
           bounds: {
             graceMs: 3_000,
             retryRatio: 0.2,
--- a/test/load/playHedging.ts
+++ b/test/load/playHedging.ts
@@ -160,7 +160,7 @@
       balancer,
       selector: new PlainEndpointSelector(balancer, new EndpointLimits()),
       policy: new HedgePolicy({ share, windowMs: 10_000 }),
-      retryBudget: new RetryBudget({ ratio: 0.2, slack: 20, windowMs: 10_000 }),
+      retryBudget: new RetryBudget({ ratio: 0.2, slack: 20, windowMs: 10_000 }, undefined),
       unreported: new FirstByteTimes(Number.POSITIVE_INFINITY),
     };
   });
--- a/test/soak/GatewayProcess.ts
+++ b/test/soak/GatewayProcess.ts
@@ -137,6 +137,7 @@
       },
       limits: this.#options.limits ?? { cpu_share: 0.5, cores: 1 },
       platform: { address: storeAddress },
+      bootstrap: this.#starts <= 1,
     };
     writeFileSync(this.#settingsPath(), JSON.stringify(settings));
   }
