Let the port for peers keep every header line

Cause: a count that follows from the listener's own limit of 128 KiB could cut a head within a configured limit above 120 kB, on a port whose receiver doesn't look for cuts. Only gateways talk to it.

--- a/src/coordination/gateway/limits/RetryBudget.ts
+++ b/src/coordination/gateway/limits/RetryBudget.ts
@@ -32,6 +32,7 @@
 export class RetryBudget {
   readonly #options: RetryBudgetOptions;
 
+  /** When the slack may be used, in ms. */
   readonly #slackFrom: number;
 
   readonly #services = new Map<string, ServiceHistory>();
--- a/src/transport/gateway/InboundConnections.ts
+++ b/src/transport/gateway/InboundConnections.ts
@@ -273,6 +273,7 @@
       rejectRequest(response, STATUS.headerTooLarge);
       return;
     }
+    // Lines may be missing, though the head is within the limit that holds now.
     if (lineCount > this.#stateOf(incoming.socket).maximumLines) {
       onRejected(
         STATUS.unavailable,
--- a/src/transport/gateway/makeGatewayServer.ts
+++ b/src/transport/gateway/makeGatewayServer.ts
@@ -106,7 +106,7 @@
     const applyLimits = (): void => {
       const { maximumHeaderBytes, headerTimeoutMs, idleTimeoutMs } = options.limits();
       maximumLines = maximumHeaderLines(maximumHeaderBytes);
-      // A head of which lines are left out has more than the limit allows.
+      // Bounds the memory of a head. One that loses lines has more than the limit allows, and is refused.
       server.maxHeadersCount = maximumLines + 1;
       server.headersTimeout = headerTimeoutMs;
       server.keepAliveTimeout = idleTimeoutMs;
--- a/src/transport/peer/PeerListener.ts
+++ b/src/transport/peer/PeerListener.ts
@@ -4,7 +4,7 @@
 import type { RawData, WebSocket } from 'ws';
 import { decodePeerMessage, MAXIMUM_MESSAGE_BYTES } from '../../protocol/peer/peerCodec.ts';
 import type { PeerDelivery } from '../../protocol/peer/PeerNetwork.ts';
-import { makeHttpServer, maximumHeaderLines } from '../http/index.ts';
+import { makeHttpServer } from '../http/index.ts';
 import {
   CALLER_NONCE_HEADER,
   LISTENER_NONCE_HEADER,
@@ -54,8 +54,6 @@
       { maxHeaderSize: MAXIMUM_HEADER_BYTES, noDelay: true },
       options.onRequest ?? refuseRequest,
     );
-    // A head of which lines are left out has more than any limit allows.
-    this.server.maxHeadersCount = maximumHeaderLines(MAXIMUM_HEADER_BYTES) + 1;
     this.server.maxConnections = MAXIMUM_CONNECTIONS;
     this.server.on('upgrade', (request, socket, head) => this.#onUpgrade(request, socket, head));
     this.server.on('clientError', (_error, socket) => socket.destroy());
