Go on after a connection that can't be accepted (FAULT)

What callers would have seen: the end of a gateway's process as soon as one connection couldn't be accepted, for want of a descriptor.

Cause: Node tells of such a connection by an error of the server, after any of which listenAt told the server to listen again; one that listens throws then.

Change: a server that listens isn't told again.

--- a/src/transport/gateway/listenAt.ts
+++ b/src/transport/gateway/listenAt.ts
@@ -12,7 +12,7 @@
  *
  * @param server - an HTTP server
  * @param address - where to listen; port 0 takes any free port
- * @param onUnavailable - told once of each reason for which the address can't be had
+ * @param onUnavailable - told once of each reason for which the address, or a connection, can't be had
  * @returns `IP:PORT` that it is bound to
  */
 export const listenAt = (
@@ -26,7 +26,8 @@
       server.on('error', ({ message }) => {
         if (!told.has(message)) onUnavailable(message);
         told.add(message);
-        setTimeout(() => server.listen(port, host), LISTEN_RETRY_MS);
+        // A server that listens also tells of a connection that it couldn't accept.
+        if (!server.listening) setTimeout(() => server.listen(port, host), LISTEN_RETRY_MS);
       });
       server.listen(port, host, () => {
         const bound = server.address() as AddressInfo;
