Go on after connections that the other servers can't accept (FAULT)

Cause: the server for peers and the entry program's for callers listened for one error only, that of an address that can't be had. The first connection that couldn't be accepted took that listener, and the second one ended the process.

Change: the listener stays. After the start it has nothing more to say.

Result: two new tests failed before (unhandled error) and pass.

--- a/src/transport/caller/makeCallerServer.test.ts
+++ b/src/transport/caller/makeCallerServer.test.ts
@@ -9,6 +9,7 @@
 import type { EntryLimits } from '../../state/EntrySettings.ts';
 import { CHUNK, ID, SECRET, startCallerServer } from '../../../test/support/callerServer.ts';
 import { callHttp } from '../../../test/support/callHttp.ts';
+import { captureServers } from '../../../test/support/captureServers.ts';
 import { until } from '../../../test/support/scoped.ts';
 
 /** Sends bytes as they are and gives all that comes back until the connection closes. */
@@ -412,3 +413,11 @@
   await until(() => socket.closed);
   expect(received > size).toEqual(true);
 });
+
+// FAULT: the second connection that couldn't be accepted ended the process.
+test('a server for callers goes on after connections that it could not accept', async (context) => {
+  const servers = captureServers(context);
+  await startCallerServer(context);
+  expect(servers.length).toEqual(1);
+  for (let error = 0; error < 3; error += 1) servers[0]?.emit('error', new Error('accept EMFILE'));
+});
--- a/src/transport/caller/makeCallerServer.ts
+++ b/src/transport/caller/makeCallerServer.ts
@@ -96,7 +96,8 @@
 const listen = (server: http.Server, address: string): Effect.Effect<string> =>
   Effect.callback<string>((resume) => {
     const separator = address.lastIndexOf(':');
-    server.once('error', (error) => resume(Effect.die(error)));
+    // Later errors are those of connections that can't be accepted, which must not end the process.
+    server.on('error', (error) => resume(Effect.die(error)));
     server.listen(Number(address.slice(separator + 1)), address.slice(0, separator), () => {
       const bound = server.address() as AddressInfo;
       resume(Effect.succeed(`${bound.address}:${bound.port}`));
--- a/src/transport/peer/makePeerNetwork.test.ts
+++ b/src/transport/peer/makePeerNetwork.test.ts
@@ -6,6 +6,7 @@
 import { WebSocket } from 'ws';
 import type { PeerMessage } from '../../protocol/peer/PeerMessage.ts';
 import type { PeerDelivery } from '../../protocol/peer/PeerNetwork.ts';
+import { captureServers } from '../../../test/support/captureServers.ts';
 import { closedAddress } from '../../../test/support/inlineServer.ts';
 import { runScoped, until } from '../../../test/support/scoped.ts';
 import { makePeerNetwork } from './makePeerNetwork.ts';
@@ -241,3 +242,11 @@
     ]).toEqual([false, false]);
   });
 });
+
+// FAULT: the second connection that couldn't be accepted ended the process.
+test('a peer goes on after connections that it could not accept', async (context) => {
+  const servers = captureServers(context);
+  await startPeer(context, 'a');
+  expect(servers.length).toEqual(1);
+  for (let error = 0; error < 3; error += 1) servers[0]?.emit('error', new Error('accept EMFILE'));
+});
--- a/src/transport/peer/makePeerNetwork.ts
+++ b/src/transport/peer/makePeerNetwork.ts
@@ -36,7 +36,8 @@
 const listen = (listener: PeerListener, address: string): Effect.Effect<string> =>
   Effect.callback<string>((resume) => {
     const separator = address.lastIndexOf(':');
-    listener.server.once('error', (error) => resume(Effect.die(error)));
+    // Later errors are those of connections that can't be accepted, which must not end the process.
+    listener.server.on('error', (error) => resume(Effect.die(error)));
     listener.server.listen(
       Number(address.slice(separator + 1)),
       address.slice(0, separator),
