Review: case 12, sound streams without a length are cut

An answer that ends with its connection is given up if the runner has closed the idle spare connection that is to show that it did not start again.

--- a/review/12/run.mjs
+++ b/review/12/run.mjs
@@ -1,14 +1,13 @@
 import { dirname, join } from 'node:path';
 import { setTimeout as sleep } from 'node:timers/promises';
 import { fileURLToPath } from 'node:url';
-
 import {
   BOUNDS,
   HOST,
   PORTS_PER_MACHINE,
   findPorts,
-  mostTokens,
   runCase,
+  seconds,
   sendAtRate,
   startGateway,
   startRunner,
@@ -17,22 +16,18 @@
   // eslint-disable-next-line import-x/extensions -- Node needs it.
 } from '../support-3/standIns.mjs';
 
-/** Machines of the system; the last one is added while the others run. */
-const MACHINES = ['127.0.1.11', '127.0.1.12', '127.0.1.13', '127.0.1.14'];
-/** Machines that were removed for good. Nothing listens there. */
-const REMOVED = ['127.0.1.21', '127.0.1.22', '127.0.1.23'];
-const STORE = '127.0.1.31';
-const RUNNERS = ['127.0.1.41', '127.0.1.42', '127.0.1.43', '127.0.1.44'];
-
+const MACHINES = ['127.0.1.81', '127.0.1.82', '127.0.1.83'];
+const STORE = '127.0.1.91';
+const RUNNERS = ['127.0.1.101', '127.0.1.102', '127.0.1.103', '127.0.1.104'];
 const KEY = 'key-of-the-office';
-const TENANT = { rate_per_s: 36_000, burst: 36_000 };
-const TOKENS_IN = 1_800;
-const TOKENS_OUT = 200;
-/** Time for the machines to settle after the start of the last one. */
-const SETTLE_S = 14;
-/** Requests a second to each machine: 7.5 times what is usual where the quota is 1.8 times that. */
-const PER_MACHINE = (7.5 * TENANT.rate_per_s) / 1.8 / (TOKENS_IN + TOKENS_OUT) / MACHINES.length;
-const SEND_S = 14;
+
+/** A stream has up to 16 events, one each 240 to 480 ms, within the pauses of 500 ms of the sheet. */
+const EVENTS = 16;
+const STREAM_MS = 6_400;
+/** Time after which the runners close idle connections; their `Keep-Alive` header states it. */
+const IDLE_MS = 1_000;
+const PER_SECOND = 6;
+const SIGHUPS = 6;
 
 const configuration = () => ({
   version: 7,
@@ -74,7 +69,8 @@
       priority: 1,
       unit: 'tokens',
       plain_tokens: 200,
-      ...TENANT,
+      rate_per_s: 180_000,
+      burst: 180_000,
     },
   ],
 });
@@ -82,74 +78,89 @@
 await runCase(
   join(dirname(fileURLToPath(import.meta.url)), 'record.txt'),
   async ({ folder, own, record, hasTrouble }) => {
-    const hosts = [...MACHINES, ...REMOVED, STORE, ...RUNNERS];
-    const firstPort = await findPorts(hosts, PORTS_PER_MACHINE);
+    const firstPort = await findPorts([...MACHINES, STORE, ...RUNNERS], PORTS_PER_MACHINE);
     const store = own(await startStore(STORE, firstPort));
     const runners = await Promise.all(
       RUNNERS.map(async (host, index) =>
         own(
           await startRunner({
             ...{ host, port: firstPort, id: `i-${index}`, service: 'model', slots: 10 },
-            ...{ workMs: 90, store, isEngine: true },
+            ...{ workMs: STREAM_MS, events: EVENTS, store, isEngine: true },
+            ...{ isUnframed: hasTrouble && index % 2 === 0, idleMs: IDLE_MS },
           }),
         ),
       ),
     );
     store.put('config', 'main', configuration());
-    const start = async (ip, index, seeds) => {
-      const name = `front-${index + 1}`;
-      const machine = { folder, name, ip, firstPort, seeds, storeAddress: store.address };
-      return own(await startGateway(machine));
-    };
-    const first = MACHINES.slice(0, -1);
-    const gateways = await Promise.all(first.map((ip, index) => start(ip, index, first)));
+    const gateways = await Promise.all(
+      MACHINES.map(async (ip, index) => {
+        const machine = { folder, name: `front-${index + 1}`, ip, firstPort, seeds: MACHINES };
+        return own(await startGateway({ ...machine, storeAddress: store.address }));
+      }),
+    );
     await Promise.all(gateways.map(untilReady));
-    await sleep(3_000);
-    const seeds = hasTrouble ? REMOVED : first;
-    record(`the machine ${MACHINES.at(-1)} is added; its seeds are ${seeds.join(', ')}`);
-    const added = await start(MACHINES.at(-1), first.length, seeds);
-    await untilReady(added);
-    await sleep(SETTLE_S * 1_000);
+    await sleep(6_000);
 
-    const all = [...gateways, added];
-    const headers = {
-      'X-Corianderwick-Model': 'm',
-      'X-Corianderwick-Token-Count': `${TOKENS_IN},${TOKENS_OUT}`,
+    const signals = [];
+    const signal = async () => {
+      for (let count = 0; count < SIGHUPS; count += 1) {
+        gateways.forEach(({ name, child }) => {
+          signals.push({ gateway: name, at: seconds() });
+          child.kill('SIGHUP');
+        });
+        record(`${seconds().toFixed(3)} SIGHUP to all gateways`);
+        // eslint-disable-next-line no-await-in-loop -- one signal after another
+        await sleep(4_000);
+      }
     };
-    const answers = await sendAtRate(PER_MACHINE * all.length, SEND_S, (count) => ({
-      gateway: all[count % all.length],
-      id: `r-${count}`,
-      path: `/quote/${count}`,
-      method: 'POST',
-      key: KEY,
-      deadlineMs: 15_000,
-      headers: { ...headers, 'X-Corianderwick-Prompt-Prefix': `a1:60,${count.toString(16)}b:1740` },
-      body: 'prompt',
-    }));
+    const [answers] = await Promise.all([
+      sendAtRate(PER_SECOND, SIGHUPS * 4, (count) => ({
+        gateway: gateways[count % gateways.length],
+        id: `r-${count}`,
+        path: `/quote/${count}`,
+        method: 'POST',
+        key: KEY,
+        deadlineMs: 15_000,
+        headers: {
+          'X-Corianderwick-Model': 'm',
+          'X-Corianderwick-Token-Count': '600,40',
+          'X-Corianderwick-Prompt-Prefix': `a1:60,${count.toString(16)}b:540`,
+        },
+        body: 'prompt',
+      })),
+      signal(),
+    ]);
 
-    const answerOf = new Map(answers.map((answer) => [answer.id, answer]));
-    const runs = runners
-      .flatMap((runner) => runner.runs)
-      .map((run) => ({ ...run, sentAt: answerOf.get(run.id)?.at ?? run.at }));
-    const runOf = new Map(runs.map((run) => [run.id, run]));
-    answers.forEach((answer) => {
+    const runOf = new Map(runners.flatMap(({ runs }) => runs).map((run) => [run.id, run]));
+    const applyS = BOUNDS.config_apply_ms / 1_000;
+    const lost = answers.filter((answer) => {
       const run = runOf.get(answer.id);
-      const ran = run === undefined ? 'not run' : `run at ${run.at.toFixed(3)} by ${run.runner}`;
-      record(`${answer.at.toFixed(3)} ${answer.id} to ${answer.gateway}: ${answer.status}, ${ran}`);
-    });
-    all.forEach(({ name }) => {
-      const own200 = answers.filter(({ gateway, status }) => gateway === name && status === 200);
-      const own429 = answers.filter(({ gateway, status }) => gateway === name && status === 429);
-      record(`${name}: ${own200.length} answered with 200, ${own429.length} with 429`);
+      const isBeside = signals.some(
+        ({ gateway, at }) =>
+          gateway === answer.gateway && answer.at <= at + applyS && answer.endedAt > at,
+      );
+      const isWhole = answer.status === 200 && answer.complete;
+      const text =
+        run === undefined
+          ? 'not run'
+          : `run by ${run.runner}, ended at ${run.endedAt?.toFixed(3)} after ${run.events} events`;
+      record(
+        `${answer.at.toFixed(3)} ${answer.id} to ${answer.gateway}: ${answer.status}, ` +
+          `${isWhole ? 'whole' : 'cut'} at ${answer.endedAt.toFixed(3)} after ` +
+          `${(answer.body ?? '').split('data:').length - 1} events; ${text}`,
+      );
+      return (
+        run !== undefined &&
+        run.wasClosed === false &&
+        answer.status !== 503 &&
+        !isWhole &&
+        isBeside
+      );
     });
-    const windowS = BOUNDS.quota_window_s;
-    const allowed =
-      (TENANT.rate_per_s * windowS + TENANT.burst) * (1 + BOUNDS.quota_overshoot) +
-      BOUNDS.quota_slack;
-    const { tokens, requests, from } = mostTokens(runs, windowS);
-    record(`most in ${windowS} s, from ${from.toFixed(3)}: ${tokens} tokens, ${requests} requests`);
-    record(`allowed: ${allowed} tokens`);
-    if (requests === 0) return 2;
-    return tokens > allowed ? 1 : 0;
+    record(
+      `streams: ${answers.length}, ended without a complete answer beside a SIGHUP: ${lost.length}`,
+    );
+    if (answers.every(({ status }) => status !== 200)) return 2;
+    return lost.length > 0 ? 1 : 0;
   },
 );
--- a/review/support-3/standIns.mjs
+++ b/review/support-3/standIns.mjs
@@ -135,11 +135,48 @@
   return counts.split(',').reduce((sum, count) => sum + Number(count), 0);
 };
 
+/** Closes connections on which nothing is asked for a time, also those that never carried a request. */
+const closeIdle = (server, idleMs) => {
+  server.on('connection', (socket) => {
+    let asked = 0;
+    const watch = () => {
+      socket.setTimeout(idleMs, () => {
+        if (asked === 0) socket.end();
+      });
+    };
+    watch();
+    socket.on('asked', () => {
+      asked += 1;
+    });
+    socket.on('answered', () => {
+      asked -= 1;
+      watch();
+    });
+  });
+  server.on('request', ({ socket }, response) => {
+    socket.emit('asked');
+    response.on('close', () => socket.emit('answered'));
+  });
+};
+
 /**
  * Starts a sound runner. It runs each request that names it, for `workMs`, and answers with its stamp; one of a service with
- * an engine answers with a stream of three events.
+ * an engine answers with a stream of up to `events` events. A stream of a runner that is `isUnframed` has no length, and ends with
+ * its connection.
  */
-export const startRunner = async ({ host, port, id, service, slots, workMs, store, isEngine }) => {
+export const startRunner = async ({
+  host,
+  port,
+  id,
+  service,
+  slots,
+  workMs,
+  store,
+  isEngine,
+  events = 3,
+  isUnframed = false,
+  idleMs = 10_000,
+}) => {
   const runs = [];
   const born = Date.now();
   let seq = 0;
@@ -179,7 +216,7 @@
       response.end();
       return;
     }
-    runs.push({
+    const run = {
       at: seconds(),
       id: requestId,
       runner: id,
@@ -187,23 +224,32 @@
       url,
       tenant: headers['x-corianderwick-tenant'],
       tokens: tokensOf(headers, undefined),
-      from: request.socket.remoteAddress,
-    });
+    };
+    runs.push(run);
     if (!isEngine) {
       await sleep(workMs);
       const text = `booked ${requestId}`;
       response.writeHead(200, { ...own, 'Content-Length': text.length }).end(text);
       return;
     }
+    if (isUnframed) {
+      response.useChunkedEncodingByDefault = false;
+      response.shouldKeepAlive = false;
+    }
     response.writeHead(200, { ...own, 'Content-Type': 'text/event-stream' });
-    for (let event = 1; event <= 3; event += 1) {
+    const length = 1 + Math.floor(events * Math.random());
+    for (let event = 1; event <= length; event += 1) {
       // eslint-disable-next-line no-await-in-loop -- the events of a stream come one after another
-      await sleep(workMs / 3);
+      await sleep((workMs / events) * (0.6 + 0.6 * Math.random()));
       response.write(`id: ${event}\ndata: token-${event}\n\n`);
     }
     response.end();
+    run.endedAt = seconds();
+    run.events = length;
+    run.wasClosed = response.destroyed && !response.writableFinished;
   });
-  server.keepAliveTimeout = 10_000;
+  server.keepAliveTimeout = idleMs;
+  closeIdle(server, idleMs);
   server.listen(port, host);
   await once(server, 'listening');
   register();
@@ -386,8 +432,15 @@
     request.on('error', () => end({}));
     request.on('response', (response) => {
       response.on('error', () => {});
-      response.resume();
-      response.on('close', () => end({ status: response.statusCode, complete: response.complete }));
+      const chunks = [];
+      response.on('data', (chunk) => chunks.push(chunk));
+      response.on('close', () =>
+        end({
+          status: response.statusCode,
+          complete: response.complete,
+          body: Buffer.concat(chunks).toString(),
+        }),
+      );
     });
     request.end(body);
   });
