--- a/review/support-3/standIns.mjs
+++ b/review/support-3/standIns.mjs
@@ -137,25 +137,21 @@
 
 /** Closes connections on which nothing is asked for a time, also those that never carried a request. */
 const closeIdle = (server, idleMs) => {
+  const busy = new Map();
+  const count = (socket, change) => busy.set(socket, (busy.get(socket) ?? 0) + change);
   server.on('connection', (socket) => {
-    let asked = 0;
-    const watch = () => {
-      socket.setTimeout(idleMs, () => {
-        if (asked === 0) socket.end();
-      });
-    };
-    watch();
-    socket.on('asked', () => {
-      asked += 1;
-    });
-    socket.on('answered', () => {
-      asked -= 1;
-      watch();
-    });
+    socket.setTimeout(idleMs);
+    socket.once('close', () => busy.delete(socket));
   });
   server.on('request', ({ socket }, response) => {
-    socket.emit('asked');
-    response.on('close', () => socket.emit('answered'));
+    count(socket, 1);
+    response.once('close', () => {
+      count(socket, -1);
+      socket.setTimeout(idleMs);
+    });
+  });
+  server.on('timeout', (socket) => {
+    if ((busy.get(socket) ?? 0) === 0) socket.end();
   });
 };
 
