--- a/review/12/run.mjs
+++ b/review/12/run.mjs
@@ -27,7 +27,9 @@
 /** Time after which the runners close idle connections; their `Keep-Alive` header states it. */
 const IDLE_MS = 1_000;
 const PER_SECOND = 6;
-const SIGHUPS = 6;
+/** Signals, to one gateway after the other. */
+const SIGHUPS = 12;
+const SIGHUP_INTERVAL_S = 2;
 
 const configuration = () => ({
   version: 7,
@@ -104,17 +106,16 @@
     const signals = [];
     const signal = async () => {
       for (let count = 0; count < SIGHUPS; count += 1) {
-        gateways.forEach(({ name, child }) => {
-          signals.push({ gateway: name, at: seconds() });
-          child.kill('SIGHUP');
-        });
-        record(`${seconds().toFixed(3)} SIGHUP to all gateways`);
+        const { name, child } = gateways[count % gateways.length];
+        signals.push({ gateway: name, at: seconds() });
+        child.kill('SIGHUP');
+        record(`${seconds().toFixed(3)} SIGHUP to ${name}`);
         // eslint-disable-next-line no-await-in-loop -- one signal after another
-        await sleep(4_000);
+        await sleep(SIGHUP_INTERVAL_S * 1_000);
       }
     };
     const [answers] = await Promise.all([
-      sendAtRate(PER_SECOND, SIGHUPS * 4, (count) => ({
+      sendAtRate(PER_SECOND, SIGHUPS * SIGHUP_INTERVAL_S, (count) => ({
         gateway: gateways[count % gateways.length],
         id: `r-${count}`,
         path: `/quote/${count}`,
