Watch a server from its first answer on that may have no end mark (LOST)

What callers saw: the first slow answers of an address that had no length ended as 502 (bodies whose unsafe run had succeeded) or cut (streams of one burst), though the endpoint went on. Each new endpoint and each restart of a gateway paid for it again, with all requests that were under way before the first head.

Cause: a connection from before the silence is the evidence that the endpoint didn't start again. It was opened early only where the last answer of the address had no end mark, so never for the first one, and never again once one answer of a server that marks only some of its ends had a length.

Change: `ServerRecords` tells whether the next answer may have no end mark: that of a server which hasn't answered yet, or which left a mark out within a minute. An engine of the entry program marks its answers itself, so that a good head ends the watch there too.

--- a/src/transport/endpoint/EngineCall.ts
+++ b/src/transport/endpoint/EngineCall.ts
@@ -158,6 +158,7 @@
     if (this.#suspended && this.#written && event._tag !== 'written') return;
     const isError = event._tag === 'head' ? event.status !== HTTP_OK : this.#errorStatus;
     if (isError || event._tag === 'written') this.#errorEnd.observe(event);
+    else if (event._tag === 'head') this.#errorEnd.dismiss(event);
     switch (event._tag) {
       case 'refused':
         if (this.#written) this.#retryLater(event.detail);
--- a/src/transport/endpoint/unmarkedEnds.test.ts
+++ b/src/transport/endpoint/unmarkedEnds.test.ts
@@ -82,6 +82,27 @@
   expect(server.seen.map(({ method }) => method)).toEqual(['POST', 'OPTIONS']);
 });
 
+// Guards against a first answer that is told as cut, because no connection was open before it.
+test('a slow answer without a length that is the first of a plain service is told as ended', async (context) => {
+  const server = await startInlineServer(context, ({ method }, response) => {
+    if (method === 'OPTIONS') response.end();
+    else setTimeout(() => response.socket?.end('HTTP/1.1 200 OK\r\n\r\nhello'), RESTART_SILENCE_MS);
+  });
+  const request = requestTo(server.address, { engine: false, responseForm: 'whole', path: '/x' });
+  expect(tagsOf(await collect(await makeClient(context), request))).toEqual('head part ended');
+});
+
+// Guards against the same end of an engine's error.
+test('a slow error without a length that is the first answer of an engine is told as ended', async (context) => {
+  const server = await startInlineServer(context, ({ method }, response) => {
+    const text = `HTTP/1.1 500 Failed\r\nX-Request-Id: ${ID}\r\n\r\n{}`;
+    if (method === 'OPTIONS') response.end();
+    else setTimeout(() => response.socket?.end(text), RESTART_SILENCE_MS);
+  });
+  const events = await collect(await makeClient(context), requestTo(server.address));
+  expect(tagsOf(events)).toEqual('head part ended');
+});
+
 // Guards against the truncated text of an error that its caller gets as whole, because an engine's end looks like its own.
 test('an error without a length of an engine that ends with it is told as cut', async (context) => {
   const server = await startInlineServer(context, (_request, response) => {
--- a/src/transport/http/ConnectionPool.ts
+++ b/src/transport/http/ConnectionPool.ts
@@ -1,5 +1,6 @@
 import * as net from 'node:net';
 import { ConnectionHistory, type ConnectionUse } from './ConnectionHistory.ts';
+import { ServerRecords } from './ServerRecords.ts';
 
 /** What opening a connection gave. */
 export type ConnectOutcome =
@@ -72,6 +73,9 @@
   /** When each connection was opened, in ms. */
   readonly #openedAt = new WeakMap<net.Socket, number>();
 
+  /** What the servers have shown of themselves. */
+  readonly servers = new ServerRecords();
+
   constructor(options: ConnectionPoolOptions) {
     this.#options = options;
   }
--- a/src/transport/http/EndConfirmation.ts
+++ b/src/transport/http/EndConfirmation.ts
@@ -12,8 +12,6 @@
 const HELD_BACK_MS = 50;
 /** Time for the server to answer a check. A caller waits for it, and it may have to wait for a slot. */
 const CHECK_TIMEOUT_MS = 1_000;
-/** Servers that are remembered for answers without an end mark. */
-const MAXIMUM_UNMARKED_SERVERS = 4_096;
 
 /** A connection that is open beside that of the answer and carries nothing meanwhile. */
 interface HeldConnection {
@@ -23,18 +21,6 @@
   readonly unwatch: () => void;
 }
 
-/** Servers whose last answer had no end mark, by pool. A connection is opened earlier for their next answers. */
-const unmarkedServers = new WeakMap<ConnectionPool, Set<string>>();
-
-const recordFraming = (pool: ConnectionPool, address: string, isUnmarked: boolean): void => {
-  const servers = unmarkedServers.get(pool) ?? new Set<string>();
-  unmarkedServers.set(pool, servers);
-  servers.delete(address);
-  if (isUnmarked) servers.add(address);
-  const [oldest] = servers;
-  if (servers.size > MAXIMUM_UNMARKED_SERVERS && oldest !== undefined) servers.delete(oldest);
-};
-
 /** The server to check, and a request that it answers without running anything. */
 export interface EndConfirmationOptions {
   readonly pool: ConnectionPool;
@@ -87,10 +73,10 @@
     const now = pool.now();
     if (event._tag === 'written') {
       this.#bytesAt = now;
-      if (unmarkedServers.get(pool)?.has(address) === true) this.#scheduleOpening();
+      if (pool.servers.mayLeaveEndUnmarked(address, now)) this.#scheduleOpening();
     } else if (event._tag === 'head') {
       this.#isUnmarked = event.framing === 'close';
-      recordFraming(pool, address, this.#isUnmarked);
+      pool.servers.recordHead(address, event, now);
       this.#recordBytes(now);
       if (this.#isUnmarked) this.#scheduleOpening();
       else this.#release();
@@ -100,6 +86,13 @@
     }
   }
 
+  /** Takes notice of the head of an answer whose end needs no confirmation, since the answer itself marks it. */
+  dismiss({ headers }: ExchangeEvent & { readonly _tag: 'head' }): void {
+    const { pool, address } = this.#options;
+    pool.servers.recordHead(address, { framing: 'length', headers }, pool.now());
+    this.#release();
+  }
+
   /** Records that bytes are left unread from now on. */
   pause(): void {
     this.#unreadSince ??= this.#options.pool.now();
--- a/test/gateway/restarts.test.ts
+++ b/test/gateway/restarts.test.ts
@@ -170,4 +170,15 @@
     const got = await send('/write/slow');
     expect([got.status, got.body]).toEqual([200, 'hello']);
   });
+
+  // Guards against 502 for the first requests to a new endpoint, whose runs have succeeded.
+  it('is whole as a slow body that is the first answer of an endpoint which goes on', async (context) => {
+    const runner = await startRunner(
+      context,
+      checked((request) => later(() => request.socket.end(`${signed(request)}\r\nhello`))),
+    );
+    const { gateway } = await startReadyGateway(context, { 'i-1': runnerSpec('plain', runner) });
+    const got = await call(gateway.addresses.callers, { path: '/write/first', method: 'POST' });
+    expect([got.status, got.body]).toEqual([200, 'hello']);
+  });
 });
