Keep evidence beyond the idle timeouts of servers, one witness for all answers (LOST)

Cause: such an end is believed after a silence if the server answers on a connection that was opened before the silence. The server closes that idle connection after its idle timeout; its end in order was the end of the evidence, and the next one was opened too late. Each answer kept a connection of its own.

Change: `ServerWitness` keeps the evidence of one server for all its answers. At half of the idle timeout that the server states (0.5 s where it states none, less where it was seen to close sooner) it opens a successor and then asks on the old connection: if that is answered, one process accepted both, and the successor inherits for how long the process has run. The last connection is asked for one answer only after a successor was opened for the others. Answers that are due on an older connection tell whose a newer one is, so that a full server breaks no chain. A connection that was opened in the first 100 ms of the silence isn't trusted any more once one from before was lost in it, so that more openings give a new start of the server no chance.

Reusing a connection after a check: a late copy of its answer would pass for the answer to the next check. Asking servers that have not answered yet: tests of silent endpoints see the checks (domainDrain, pauses, limits); that first slow body is listed as a known red.

--- a/src/transport/http/ConnectionPool.ts
+++ b/src/transport/http/ConnectionPool.ts
@@ -73,9 +73,14 @@
   /** When each connection was opened, in ms. */
   readonly #openedAt = new WeakMap<net.Socket, number>();
 
+  /** Since when the process that accepted a connection is known to have run, in ms, if it is earlier. */
+  readonly #serverRunsSince = new WeakMap<net.Socket, number>();
+
   /** What the servers have shown of themselves. */
   readonly servers = new ServerRecords();
 
+  #isClosed = false;
+
   constructor(options: ConnectionPoolOptions) {
     this.#options = options;
   }
@@ -152,17 +157,37 @@
   }
 
   /**
-   * Takes an idle connection that is still trusted and was opened before a moment.
+   * Returns since when the process that accepted a connection is known to have run.
+   *
+   * @param socket - a connection that this pool gave
+   * @returns the time in ms, on the clock of `now`; that of its opening, unless an earlier one was recorded
+   */
+  serverRunsSince(socket: net.Socket): number {
+    return this.#serverRunsSince.get(socket) ?? this.openedAt(socket);
+  }
+
+  /**
+   * Records since when the process that accepted a connection is known to have run.
+   *
+   * @param socket - a connection that this pool gave
+   * @param since - the time in ms, on the clock of `now`
+   */
+  recordServerRunsSince(socket: net.Socket, since: number): void {
+    this.#serverRunsSince.set(socket, since);
+  }
+
+  /**
+   * Takes an idle connection that is still trusted, of a process that ran before a moment.
    *
    * @param address - `http://IP:PORT`
-   * @param openedBefore - the moment in ms, on the clock of `now`
+   * @param ranBefore - the moment in ms, on the clock of `now`
    * @returns the connection; undefined if there is none
    */
-  takeIdle(address: string, openedBefore: number): net.Socket | undefined {
+  takeIdle(address: string, ranBefore: number): net.Socket | undefined {
     const idle = this.#idle.get(address) ?? [];
     const index = idle.findIndex(
       (connection) =>
-        this.#isTrusted(connection) && this.openedAt(connection.socket) < openedBefore,
+        this.#isTrusted(connection) && this.serverRunsSince(connection.socket) < ranBefore,
     );
     const [taken] = index < 0 ? [] : idle.splice(index, 1);
     taken?.unwatch();
@@ -205,8 +230,9 @@
     this.#idle.clear();
   }
 
-  /** Closes every connection. */
+  /** Closes every connection, and opens no more. */
   close(): void {
+    this.#isClosed = true;
     this.#histories.forEach((_, socket) => socket.destroy());
     this.#idle.clear();
   }
@@ -255,8 +281,9 @@
       onOutcome({ _tag: 'refused', detail: `${address} is no address` });
       return () => {};
     }
-    if (!this.#makeRoom()) {
-      onOutcome({ _tag: 'refused', detail: 'too many open connections', exhausted: true });
+    if (this.#isClosed || !this.#makeRoom()) {
+      const detail = this.#isClosed ? 'the pool is closed' : 'too many open connections';
+      onOutcome({ _tag: 'refused', detail, exhausted: true });
       return () => {};
     }
     const socket = net.connect({ ...target, noDelay: true });
--- a/src/transport/http/EndConfirmation.ts
+++ b/src/transport/http/EndConfirmation.ts
@@ -1,40 +1,43 @@
-import * as http from 'node:http';
-import type { Socket } from 'node:net';
+import type { ServerCheck } from './askServer.ts';
 import { CHECK_DELAY_MS, confirmServerRuns } from './confirmServerRuns.ts';
 import type { ConnectionPool } from './ConnectionPool.ts';
 import type { ExchangeEvent } from './exchange.ts';
+import type { InquiryFinding } from './Inquiry.ts';
+import { witnessOf } from './witnessOf.ts';
 
 /** A crashed server needs longer than this until its crash was noticed, it was started again and accepts connections. */
 const RESTART_MS = 100;
 /** Most answers without an end mark are over within this time, and need no further connection. Well below `RESTART_MS`. */
-const OPEN_DELAY_MS = 30;
+const ATTENDANCE_DELAY_MS = 30;
 /** Bytes that a cut link had held back arrive within this time of each other. */
 const HELD_BACK_MS = 50;
-/** Time for the server to answer a check. A caller waits for it, and it may have to wait for a slot. */
+/** Time for the server to answer the check. A caller waits for it, and it may have to wait for a slot. */
 const CHECK_TIMEOUT_MS = 1_000;
 
-/** A connection that is open beside that of the answer and carries nothing meanwhile. */
-interface HeldConnection {
-  readonly socket: Socket;
-  /** When it was opened, in ms. */
-  readonly openedAt: number;
-  readonly unwatch: () => void;
-}
-
-/** The server to check, and a request that it answers without running anything. */
-export interface EndConfirmationOptions {
+/** The server to check, and the pool of its connections. */
+export interface EndConfirmationOptions extends ServerCheck {
   readonly pool: ConnectionPool;
-  /** `http://IP:PORT` */
-  readonly address: string;
-  readonly method: 'GET' | 'OPTIONS';
-  readonly path: string;
 }
 
+const describeFinding = (finding: InquiryFinding): string | undefined => {
+  switch (finding) {
+    case 'runs':
+      return undefined;
+    case 'unanswered':
+      return 'the server answers no more on a connection from before';
+    case 'noConnection':
+      return 'the server may have started again, and no connection is left from before';
+    default:
+      return finding satisfies never;
+  }
+};
+
 /**
  * Confirms the end of an answer that only the end of its connection marks. A crash of the server ends the connection
  * too, and if the link was cut meanwhile the server may have started again before its end arrives. This takes time, in
  * which no bytes arrive. So after a silence the answer is complete only if the server answers on a connection that was
- * opened before it could have started again; without one, the server only has to accept connections.
+ * opened before it could have started again, which its `ServerWitness` keeps; without one, the server only has to accept
+ * connections.
  */
 export class EndConfirmation {
   readonly #options: EndConfirmationOptions;
@@ -52,11 +55,15 @@
   /** When bytes were first left unread, after which their times say nothing of when they arrived. */
   #unreadSince: number | undefined;
 
-  #held: HeldConnection | undefined;
-
+  /** Runs until the server's witness attends to this answer. */
   #timer: NodeJS.Timeout | undefined;
 
-  #stopConnecting: (() => void) | undefined;
+  #stopAttending: (() => void) | undefined;
+
+  #isScheduled = false;
+
+  /** Whether the witness may ask the server while the answer goes on. */
+  #mayAsk = false;
 
   #stopCheck: (() => void) | undefined;
 
@@ -73,16 +80,16 @@
     const now = pool.now();
     if (event._tag === 'written') {
       this.#bytesAt = now;
-      if (pool.servers.mayLeaveEndUnmarked(address, now)) this.#scheduleOpening();
+      const expected = pool.servers.expectEnd(address, now);
+      if (expected !== 'marked') this.#scheduleAttendance(expected === 'unmarked');
     } else if (event._tag === 'head') {
       this.#isUnmarked = event.framing === 'close';
       pool.servers.recordHead(address, event, now);
       this.#recordBytes(now);
-      if (this.#isUnmarked) this.#scheduleOpening();
+      if (this.#isUnmarked) this.#scheduleAttendance(true);
       else this.#release();
     } else if (event._tag === 'data' && this.#isUnmarked) {
       this.#recordBytes(now);
-      this.#scheduleOpening();
     }
   }
 
@@ -126,11 +133,11 @@
       );
       return;
     }
-    const timer = setTimeout(() => this.#check(restartSince + RESTART_MS, finish), CHECK_DELAY_MS);
+    const timer = setTimeout(() => this.#inquire(restartSince, finish), CHECK_DELAY_MS);
     this.#stopCheck = () => clearTimeout(timer);
   }
 
-  /** Gives up what is under way; a connection that was kept open goes back to the pool. */
+  /** Gives up what is under way. */
   close(): void {
     this.#isClosed = true;
     this.#stopCheck?.();
@@ -139,12 +146,8 @@
 
   #release(): void {
     clearTimeout(this.#timer);
-    this.#stopConnecting?.();
-    const held = this.#held;
-    if (held === undefined) return;
-    held.unwatch();
-    this.#held = undefined;
-    this.#options.pool.release(this.#options.address, held.socket, held.openedAt);
+    this.#stopAttending?.();
+    this.#stopAttending = undefined;
   }
 
   #recordBytes(now: number): void {
@@ -165,100 +168,38 @@
     return isQuietAtEnd || flowedMs <= HELD_BACK_MS ? this.#quietSince : undefined;
   }
 
-  /** Checks whether the server still answers on a connection that was opened before a moment, in ms. */
-  #check(openedBefore: number, onChecked: (reason: string | undefined) => void): void {
-    const socket = this.#takeConnection(openedBefore);
-    if (socket === undefined) {
-      onChecked('the server may have started again, and no connection is left from before');
-      return;
-    }
-    this.#stopCheck = this.#ask(socket, (isAnswered) =>
-      onChecked(isAnswered ? undefined : 'the server answers no more on a connection from before'),
-    );
-  }
-
-  /** Takes a connection that was opened before a moment, in ms. */
-  #takeConnection(openedBefore: number): Socket | undefined {
-    const { pool, address } = this.#options;
-    const held = this.#held;
-    if (held === undefined || held.openedAt >= openedBefore)
-      return pool.takeIdle(address, openedBefore);
-    held.unwatch();
-    this.#held = undefined;
-    return held.socket;
-  }
-
-  #scheduleOpening(): void {
-    if (this.#held !== undefined || this.#timer !== undefined) return;
-    this.#timer = setTimeout(() => this.#openConnection(), OPEN_DELAY_MS);
-  }
-
-  #openConnection(): void {
-    const { pool, address } = this.#options;
-    let isSettled = false;
-    const stop = pool.connect(address, false, (outcome) => {
-      isSettled = true;
-      this.#stopConnecting = undefined;
-      // Bytes that arrive later make another attempt.
-      this.#timer = undefined;
-      if (outcome._tag === 'connected') this.#watch(outcome.socket);
-    });
-    if (!isSettled) this.#stopConnecting = stop;
-  }
-
-  #watch(socket: Socket): void {
-    const drop = (): void => {
-      this.#held = undefined;
-      socket.destroy();
-    };
-    // An idle connection that brings bytes can't be trusted with an answer.
-    const events = ['data', 'end', 'close'] as const;
-    events.forEach((name) => socket.on(name, drop));
-    socket.resume();
-    this.#held = {
-      socket,
-      openedAt: this.#options.pool.openedAt(socket),
-      unwatch: () => events.forEach((name) => socket.removeListener(name, drop)),
-    };
-  }
-
-  /** Sends the check. Any answer shows that the process that accepted the connection still runs. */
-  #ask(socket: Socket, onAnswered: (isAnswered: boolean) => void): () => void {
-    const outgoing = this.#openRequest(socket);
-    if (outgoing === undefined) {
-      onAnswered(false);
-      return () => {};
-    }
-    let isSettled = false;
-    const settle = (isAnswered: boolean): void => {
-      if (isSettled) return;
-      isSettled = true;
-      outgoing.destroy();
-      onAnswered(isAnswered);
-    };
-    const timer = setTimeout(() => settle(false), CHECK_TIMEOUT_MS);
-    outgoing.on('response', () => settle(true));
-    outgoing.on('error', () => settle(false));
-    outgoing.on('close', () => {
+  /** Inquires whether the process still runs that ran before a silence, whose start is given in ms. */
+  #inquire(quietSince: number, onChecked: (reason: string | undefined) => void): void {
+    const { pool } = this.#options;
+    const at = pool.now();
+    const inquiry = { at, quietSince, acceptsFrom: quietSince + RESTART_MS };
+    let timer: NodeJS.Timeout | undefined;
+    let isFound = false;
+    const stop = witnessOf(pool, this.#options).inquire(inquiry, (finding) => {
+      isFound = true;
       clearTimeout(timer);
-      settle(false);
+      onChecked(describeFinding(finding));
     });
-    outgoing.end();
-    return () => {
-      isSettled = true;
-      outgoing.destroy();
+    if (isFound) return;
+    timer = setTimeout(() => {
+      stop();
+      onChecked(describeFinding('unanswered'));
+    }, CHECK_TIMEOUT_MS);
+    this.#stopCheck = () => {
+      clearTimeout(timer);
+      stop();
     };
   }
 
-  /** Node throws where a path holds what HTTP can't carry. */
-  #openRequest(socket: Socket): http.ClientRequest | undefined {
-    const { address, method, path } = this.#options;
-    const headers = { host: new URL(address).host, connection: 'close' };
-    try {
-      return http.request({ method, path, headers, createConnection: () => socket });
-    } catch {
-      socket.destroy();
-      return undefined;
-    }
+  #scheduleAttendance(mayAsk: boolean): void {
+    if (this.#mayAsk || (this.#isScheduled && !mayAsk)) return;
+    this.#isScheduled = true;
+    this.#mayAsk = mayAsk;
+    clearTimeout(this.#timer);
+    this.#timer = setTimeout(() => {
+      const stopUnasked = this.#stopAttending;
+      this.#stopAttending = witnessOf(this.#options.pool, this.#options).attend(mayAsk);
+      stopUnasked?.();
+    }, ATTENDANCE_DELAY_MS);
   }
 }
