Keep a successor for each connection of a witness that is asked (LOST)

Cause: an inquiry that had sought a successor once took that successor itself for its check, or asked without one later. The chain of connections ended, so that all answers under way lost their evidence.

Change: an inquiry asks on the last idle connection only if the server refused a further one; and behind an answer that is still due it asks a connection that this answer can show to be of the same process.

Evidence: "keeps evidence through inquiries that overlap at a server that answers late" fails on the commit before.

--- a/src/transport/http/ServerWitness.test.ts
+++ b/src/transport/http/ServerWitness.test.ts
@@ -216,6 +216,26 @@
     stopSecond();
   });
 
+  // LOST: at a server that answers late, one of two inquiries used up the connection that was to succeed the other's.
+  it('keeps evidence through inquiries that overlap at a server that answers late', async (context) => {
+    const { witness, inquire } = await start(context, {
+      answer: (socket) => {
+        setTimeout(() => socket.write(OK), 300);
+      },
+    });
+    const moment = performance.now();
+    const stops = Array.from({ length: 9 }, () => witness.attend(true));
+    await wait(50);
+    const findings = stops.slice(1).map(async (stop, index) => {
+      await wait(120 * index);
+      const finding = await inquire(sinceMoment(moment));
+      stop();
+      return finding;
+    });
+    expect(await Promise.all(findings)).toEqual(Array<InquiryFinding>(8).fill('runs'));
+    stops[0]?.();
+  });
+
   // Guards against connections without end at a server that wants no more of them.
   it('tries again once in half of the idle timeout where the server resets each connection', async (context) => {
     const { witness, sockets, counts } = await start(context);
--- a/src/transport/http/ServerWitness.ts
+++ b/src/transport/http/ServerWitness.ts
@@ -26,8 +26,8 @@
 interface PendingInquiry {
   readonly inquiry: Inquiry;
   readonly onFinding: (finding: InquiryFinding) => void;
-  /** Whether a further connection was sought for the answers that go on. */
-  hasSoughtSpare: boolean;
+  /** Whether the server refused a further connection meanwhile. */
+  sawRefusal: boolean;
 }
 
 /** Open at a time: one that is asked, its successor, and one more for a server that answers late. */
@@ -112,7 +112,7 @@
    * @returns a function that gives the inquiry up; `onFinding` isn't called after it
    */
   inquire(inquiry: Inquiry, onFinding: (finding: InquiryFinding) => void): () => void {
-    const pending = { inquiry, onFinding, hasSoughtSpare: false };
+    const pending = { inquiry, onFinding, sawRefusal: false };
     this.#inquiries.add(pending);
     this.#pursue(pending);
     return () => {
@@ -134,7 +134,7 @@
     if (asked.length > 0) return;
     const idle = trusted.find(isIdle);
     if (idle !== undefined) this.#askOrSeekSpare(pending, idle);
-    else if (trusted.some(isAsked)) this.#askNewest(pending);
+    else if (trusted.some(isAsked)) this.#askSuccessor(pending, trusted);
     else this.#askPooled(pending, limit);
   }
 
@@ -146,8 +146,7 @@
     const isLast = this.#connections.filter(isIdle).length === 1;
     if (isLast && this.#users > 1) {
       if (this.#isFull() || this.#stopOpening !== undefined) return;
-      if (!pending.hasSoughtSpare) {
-        Object.assign(pending, { hasSoughtSpare: true });
+      if (!pending.sawRefusal) {
         this.#open();
         return;
       }
@@ -155,12 +154,15 @@
     this.#ask(connection);
   }
 
-  /** The answer that is still due on an older connection will tell whose this newer one is. */
-  #askNewest(pending: PendingInquiry): void {
-    const { at } = pending.inquiry;
-    if (this.#connections.some((connection) => isAskedSince(connection, at))) return;
-    const newest = this.#connections.findLast(isIdle);
-    if (newest !== undefined) this.#askOrSeekSpare(pending, newest);
+  /** Asks on a connection that an answer which is still due on an older one will show to belong to the same process. */
+  #askSuccessor(pending: PendingInquiry, predecessors: readonly WitnessConnection[]): void {
+    const lastAskedAt = Math.max(
+      ...predecessors.map(({ state }) => (state._tag === 'asked' ? state.askedAt : 0)),
+    );
+    const successors = this.#connections.filter(({ openedAt }) => openedAt <= lastAskedAt);
+    if (successors.some((connection) => isAskedSince(connection, pending.inquiry.at))) return;
+    const successor = successors.find(isIdle);
+    if (successor !== undefined) this.#askOrSeekSpare(pending, successor);
   }
 
   #askPooled(pending: PendingInquiry, openedBefore: number): void {
@@ -204,6 +206,7 @@
       isSettled = true;
       this.#stopOpening = undefined;
       if (outcome._tag === 'connected') this.#watch(outcome.socket);
+      else this.#inquiries.forEach((pending) => Object.assign(pending, { sawRefusal: true }));
       onOpened();
       this.#scheduleRenewal();
       this.#pursueAll();
@@ -282,7 +285,7 @@
       this.#renewal = undefined;
       this.#renew();
       this.#scheduleRenewal();
-    }, afterMs);
+    }, afterMs).unref();
   }
 
   /** Replaces the oldest idle connection, before the server closes it. */
