Let the check of an answer wait for a slot as long as its caller waits (LOST)

What callers saw: 502 for a body without a length whose unsafe run had succeeded, where the endpoint was full.

Cause: the check of such an end waits for a slot of a plain service like any request, and was given up after a second.

Change: only a request that may run again is given up then, to be sent to another endpoint.

Evidence: "is whole as a slow body of a full endpoint that lets the check wait" fails before (502), and passes.

--- a/src/app/gateway/request/RequestRetries.ts
+++ b/src/app/gateway/request/RequestRetries.ts
@@ -8,6 +8,10 @@
   quota: account?.quota.ratePerSecond ?? 0,
 });
 
+/** Whether requests of a route may run again after an endpoint may have run them. */
+export const isRepeatable = ({ kind, resumable }: RoutedRequest['route']): boolean =>
+  kind === 'safe' || (kind === 'stream' && resumable);
+
 /** Counts the executions of one request, and decides whether another one is allowed. */
 export class RequestRetries {
   readonly #context: GatewayContext;
@@ -52,10 +56,8 @@
    */
   mayRepeat(executions = this.executions): boolean {
     const { route } = this.#request;
-    const isRepeatable = route.kind === 'safe' || (route.kind === 'stream' && route.resumable);
-    return (
-      isRepeatable && executions < route.maximumAttempts && this.#deadlineAt > this.#context.now()
-    );
+    const hasTime = this.#deadlineAt > this.#context.now();
+    return isRepeatable(route) && executions < route.maximumAttempts && hasTime;
   }
 
   /** Charges the retry budget of the service; returns false if it is used up. */
--- a/src/transport/endpoint/EngineCall.ts
+++ b/src/transport/endpoint/EngineCall.ts
@@ -78,8 +78,14 @@
     this.#baseSilenceMs = silenceMs;
     this.#silenceMs = silenceMs;
     // `OPTIONS *` asks nothing of an engine but an answer.
-    const { address } = request;
-    this.#errorEnd = new EndConfirmation({ pool, address, method: 'OPTIONS', path: '*' });
+    const { address, idempotent } = request;
+    this.#errorEnd = new EndConfirmation({
+      pool,
+      address,
+      method: 'OPTIONS',
+      path: '*',
+      isRepeatable: idempotent,
+    });
     this.#answer =
       request.responseForm === 'events'
         ? new EventAnswer(request.id, (data, index) => this.#tell({ _tag: 'event', data, index }))
--- a/src/transport/endpoint/ServiceCall.ts
+++ b/src/transport/endpoint/ServiceCall.ts
@@ -33,8 +33,13 @@
     this.#request = request;
     this.#onEvent = onEvent;
     // `OPTIONS *` asks nothing of a service but an answer.
-    const { address } = request;
-    this.#endConfirmation = new EndConfirmation({ pool, address, method: 'OPTIONS', path: '*' });
+    this.#endConfirmation = new EndConfirmation({
+      pool,
+      address: request.address,
+      method: 'OPTIONS',
+      path: '*',
+      isRepeatable: request.idempotent,
+    });
     this.#exchange = exchange(
       pool,
       {
--- a/src/transport/http/EndConfirmation.test.ts
+++ b/src/transport/http/EndConfirmation.test.ts
@@ -46,7 +46,7 @@
     server.close();
   });
   const confirmation = (): EndConfirmation =>
-    new EndConfirmation({ pool, address, method: 'GET', path });
+    new EndConfirmation({ pool, address, method: 'GET', path, isRepeatable: true });
   return { confirmation, pool, address, sockets, checks, clock };
 };
 
--- a/src/transport/http/EndConfirmation.ts
+++ b/src/transport/http/EndConfirmation.ts
@@ -11,12 +11,17 @@
 const ATTENDANCE_DELAY_MS = 30;
 /** Bytes that a cut link had held back arrive within this time of each other. */
 const HELD_BACK_MS = 50;
-/** Time for the server to answer the check. A caller waits for it, and it may have to wait for a slot. */
-const CHECK_TIMEOUT_MS = 1_000;
+/** Time for the server to answer the check, after which a request that may run again is rather sent to another one. */
+const REPEATABLE_CHECK_TIMEOUT_MS = 1_000;
 
 /** The server to check, and the pool of its connections. */
 export interface EndConfirmationOptions extends ServerCheck {
   readonly pool: ConnectionPool;
+  /**
+   * Whether the request may run again. If not, the check may take as long as the caller waits, since a full server may let it
+   * wait for a slot.
+   */
+  readonly isRepeatable: boolean;
 }
 
 const describeFinding = (finding: InquiryFinding): string | undefined => {
@@ -170,7 +175,7 @@
 
   /** Inquires whether the process still runs that ran before a silence, whose start is given in ms. */
   #inquire(quietSince: number, onChecked: (reason: string | undefined) => void): void {
-    const { pool } = this.#options;
+    const { pool, isRepeatable } = this.#options;
     const at = pool.now();
     const inquiry = { at, quietSince, acceptsFrom: quietSince + RESTART_MS };
     let timer: NodeJS.Timeout | undefined;
@@ -181,10 +186,11 @@
       onChecked(describeFinding(finding));
     });
     if (isFound) return;
-    timer = setTimeout(() => {
+    const giveUp = (): void => {
       stop();
       onChecked(describeFinding('unanswered'));
-    }, CHECK_TIMEOUT_MS);
+    };
+    if (isRepeatable) timer = setTimeout(giveUp, REPEATABLE_CHECK_TIMEOUT_MS);
     this.#stopCheck = () => {
       clearTimeout(timer);
       stop();
--- a/test/gateway/restarts.test.ts
+++ b/test/gateway/restarts.test.ts
@@ -224,6 +224,28 @@
     }),
   );
 
+  // LOST: a sound body became a 502 where the check had to wait for a slot of a full endpoint.
+  it('is whole as a slow body of a full endpoint that lets the check wait', async (context) => {
+    const runner = await startRunner(context, (request) => {
+      const { socket } = request;
+      if (isCheck(request)) setTimeout(() => socket.write(answer(request, 'ok')), 1_200);
+      else later(() => socket.end(`${signed(request)}\r\nhello`));
+    });
+    const { gateway } = await startReadyGateway(context, { 'i-1': runnerSpec('plain', runner) });
+    const got = await call(gateway.addresses.callers, { path: '/write/full', method: 'POST' });
+    expect([got.status, got.body]).toEqual([200, 'hello']);
+  });
+
+  // Guards against a request that waits for a check although another endpoint could run it.
+  it('is given up as a body that may run again if its endpoint answers no check for a second', async (context) => {
+    const silent = await startRunner(context, (request) => {
+      if (!isCheck(request)) later(() => request.socket.end(`${signed(request)}\r\nsilent`));
+    });
+    const { gateway } = await startReadyGateway(context, { 'i-1': runnerSpec('plain', silent) });
+    const got = await call(gateway.addresses.callers, { path: '/read/1' });
+    expect(got.status).toEqual(502);
+  });
+
   // Guards against 502 for the first requests to a new endpoint, whose runs have succeeded.
   it('is whole as a slow body that is the first answer of an endpoint which goes on', async (context) => {
     const runner = await startRunner(
