Ask a server that takes no more connections before its answer is given up (LOST)

What callers saw: 502 for a sound body without a length, or a cut stream, of an endpoint that had closed its port to leave, or that had as many connections as it takes, and went on answering on those it had.

Cause: without a silence before the end of such an answer, one accepted connection was the only sign that the server still ran, and a refused one was taken for a crash.

Change: after a refusal the server is asked on a connection from before the end. After a crash there is none.

--- a/src/transport/http/EndConfirmation.ts
+++ b/src/transport/http/EndConfirmation.ts
@@ -133,12 +133,17 @@
       }
     };
     if (restartSince === undefined) {
-      this.#stopCheck = confirmServerRuns(pool, address, (runs) =>
-        finish(runs ? undefined : 'the server accepts no connections'),
-      );
+      this.#stopCheck = confirmServerRuns(pool, address, (runs) => {
+        if (runs) finish(undefined);
+        else this.#inquireAfterRefusal(finish);
+      });
       return;
     }
-    const timer = setTimeout(() => this.#inquire(restartSince, finish), CHECK_DELAY_MS);
+    const inquire = (): void =>
+      this.#inquire(restartSince, restartSince + RESTART_MS, (finding) =>
+        finish(describeFinding(finding)),
+      );
+    const timer = setTimeout(inquire, CHECK_DELAY_MS);
     this.#stopCheck = () => clearTimeout(timer);
   }
 
@@ -173,22 +178,40 @@
     return isQuietAtEnd || flowedMs <= HELD_BACK_MS ? this.#quietSince : undefined;
   }
 
-  /** Inquires whether the process still runs that ran before a silence, whose start is given in ms. */
-  #inquire(quietSince: number, onChecked: (reason: string | undefined) => void): void {
+  /** A server may take no more connections, because it has enough of them or is about to leave, and still run. */
+  #inquireAfterRefusal(onChecked: (reason: string | undefined) => void): void {
+    const endedAt = this.#bytesAt;
+    this.#inquire(endedAt, endedAt, (finding) =>
+      onChecked(finding === 'runs' ? undefined : 'the server accepts no connections'),
+    );
+  }
+
+  /**
+   * Inquires whether the process still runs that ran before a silence.
+   *
+   * @param quietSince - start of the silence, in ms
+   * @param acceptsFrom - when another process can have accepted its first connection, in ms
+   * @param onFinding - called once, unless this is closed before
+   */
+  #inquire(
+    quietSince: number,
+    acceptsFrom: number,
+    onFinding: (finding: InquiryFinding) => void,
+  ): void {
     const { pool, isRepeatable } = this.#options;
     const at = pool.now();
-    const inquiry = { at, quietSince, acceptsFrom: quietSince + RESTART_MS };
+    const inquiry = { at, quietSince, acceptsFrom };
     let timer: NodeJS.Timeout | undefined;
     let isFound = false;
     const stop = witnessOf(pool, this.#options).inquire(inquiry, (finding) => {
       isFound = true;
       clearTimeout(timer);
-      onChecked(describeFinding(finding));
+      onFinding(finding);
     });
     if (isFound) return;
     const giveUp = (): void => {
       stop();
-      onChecked(describeFinding('unanswered'));
+      onFinding('unanswered');
     };
     if (isRepeatable) timer = setTimeout(giveUp, REPEATABLE_CHECK_TIMEOUT_MS);
     this.#stopCheck = () => {
--- a/test/gateway/restarts.test.ts
+++ b/test/gateway/restarts.test.ts
@@ -224,6 +224,28 @@
     }),
   );
 
+  // LOST: a sound body became a 502 where its endpoint had closed its port to leave, and still ended its answers.
+  it('is whole as a body of an endpoint that takes no more connections and still answers', async (context) => {
+    const runner: RunnerStandIn = await startRunner(
+      context,
+      checked((request) => {
+        if (request.line.includes('/first')) {
+          request.socket.write(answer(request, 'first'));
+          return;
+        }
+        runner.stopListening();
+        request.socket.end(`${signed(request)}\r\nhello`);
+      }),
+    );
+    const { gateway } = await startReadyGateway(context, { 'i-1': runnerSpec('plain', runner) });
+    const send = (path: string): Promise<CallerAnswer> =>
+      call(gateway.addresses.callers, { path, method: 'POST' });
+    // Two at once, so that a connection is left when the last one has taken its own.
+    await Promise.all([send('/write/first/1'), send('/write/first/2')]);
+    const got = await send('/write/last');
+    expect([got.status, got.body]).toEqual([200, 'hello']);
+  });
+
   // LOST: a sound body became a 502 where the check had to wait for a slot of a full endpoint.
   it('is whole as a slow body of a full endpoint that lets the check wait', async (context) => {
     const runner = await startRunner(context, (request) => {
